--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,1 @@
+# One line per module, in dependency order.
