--- /dev/null
+++ b/src/transport/HttpServer.cpp
@@ -0,0 +1,161 @@
+#include "transport/HttpServer.h"
+
+#include "transport/HttpMessages.h"
+#include "transport/SocketAddress.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <system_error>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+constexpr int kStatusInternalError = 500;
+constexpr std::size_t kMaxHeaderBytes = 32768;
+
+/** A caller that sends nothing for this long on an open connection is disconnected. */
+constexpr int kIdleTimeoutS = 120;
+
+constexpr int kAllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                            EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+
+} // namespace
+
+std::optional<std::string>
+HttpRequest::header(const std::string& aName) const
+{
+  for (const HttpHeader& header : mHeaders) {
+    if (boost::algorithm::iequals(header.name(), aName)) {
+      return header.value();
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+HttpRequest::queryParameter(const std::string& aName) const
+{
+  evkeyvalq parameters{};
+  if (evhttp_parse_query_str(mQuery.c_str(), &parameters) != 0) {
+    return std::nullopt;
+  }
+  const char* value = evhttp_find_header(&parameters, aName.c_str());
+  const std::optional<std::string> result =
+    value == nullptr ? std::nullopt : std::optional<std::string>(value);
+  evhttp_clear_headers(&parameters);
+  return result;
+}
+
+HttpResponder::HttpResponder(evhttp_request* aRequest)
+  : mRequest(aRequest)
+{
+  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  evhttp_connection_set_closecb(
+    connection,
+    [](evhttp_connection* /*aConnection*/, void* aSelf) {
+      auto* self = static_cast<HttpResponder*>(aSelf);
+      self->mRequest = nullptr;
+      const std::function<void()> onGone = std::move(self->mOnGone);
+      if (onGone) {
+        onGone();
+      }
+    },
+    this);
+}
+
+HttpResponder::~HttpResponder()
+{
+  answer(valueOf(HttpAnswer::create({ .status = kStatusInternalError, .body = "no answer\n" })));
+}
+
+void
+HttpResponder::answer(const HttpAnswer& aAnswer)
+{
+  if (mRequest == nullptr) {
+    return;
+  }
+  evhttp_request* request = std::exchange(mRequest, nullptr);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  addHeaders(headers, aAnswer.headers());
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, aAnswer.body().data(), aAnswer.body().size());
+  evhttp_send_reply(request, static_cast<int>(aAnswer.status()), nullptr, body);
+  evbuffer_free(body);
+}
+
+HttpServer::HttpServer(EventLoop& aLoop, Handler aHandler)
+  : mHandler(std::move(aHandler))
+  , mServer(evhttp_new(aLoop.base()))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  evhttp_free(mServer);
+}
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::listen(EventLoop& aLoop,
+                   const std::string& aAddress,
+                   std::size_t aMaxBodyBytes,
+                   Handler aHandler)
+{
+  const Result<SocketAddress> address = SocketAddress::parse(aAddress);
+  if (!isOk(address)) {
+    return errorOf(address);
+  }
+  std::unique_ptr<HttpServer> server(new HttpServer(aLoop, std::move(aHandler)));
+  evhttp_set_allowed_methods(server->mServer, kAllMethods);
+  evhttp_set_max_body_size(server->mServer, static_cast<ev_ssize_t>(aMaxBodyBytes));
+  evhttp_set_max_headers_size(server->mServer, kMaxHeaderBytes);
+  evhttp_set_timeout(server->mServer, kIdleTimeoutS);
+  const auto onRequest = [](evhttp_request* aRequest, void* aSelf) {
+    static_cast<HttpServer*>(aSelf)->onRequest(aRequest);
+  };
+  evhttp_set_gencb(server->mServer, onRequest, server.get());
+  const SocketAddress& parsed = valueOf(address);
+  server->mSocket = evhttp_bind_socket_with_handle(
+    server->mServer, parsed.host().c_str(), static_cast<ev_uint16_t>(parsed.port()));
+  if (server->mSocket == nullptr) {
+    const std::string reason = std::generic_category().message(EVUTIL_SOCKET_ERROR());
+    return Error::create(ErrorCode::eIo, "listen", aAddress, reason);
+  }
+  return server;
+}
+
+void
+HttpServer::stopAccepting()
+{
+  if (mSocket != nullptr) {
+    evhttp_del_accept_socket(mServer, static_cast<evhttp_bound_socket*>(mSocket));
+    mSocket = nullptr;
+  }
+}
+
+void
+HttpServer::onRequest(evhttp_request* aRequest)
+{
+  HttpRequest request;
+  request.mMethod = methodName(evhttp_request_get_command(aRequest));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
+  const char* path = evhttp_uri_get_path(uri);
+  const char* query = evhttp_uri_get_query(uri);
+  request.mPath = path == nullptr ? "" : path;
+  request.mQuery = query == nullptr ? "" : query;
+  request.mHeaders = readHeaders(evhttp_request_get_input_headers(aRequest));
+  request.mBody = readBody(evhttp_request_get_input_buffer(aRequest));
+  char* host = nullptr;
+  ev_uint16_t port = 0;
+  evhttp_connection_get_peer(evhttp_request_get_connection(aRequest), &host, &port);
+  request.mPeer =
+    (host == nullptr ? std::string("unknown") : std::string(host)) + ":" + std::to_string(port);
+  mHandler(std::move(request), std::make_shared<HttpResponder>(aRequest));
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/transport/HttpServer.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "generated/TasksTypes.h"
+#include "transport/EventLoop.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+struct evhttp;
+struct evhttp_request;
+
+namespace magnoliadrum {
+
+/** A whole HTTP request. */
+struct HttpRequest
+{
+  std::string mMethod;
+  /** Path without the query, percent-decoding not applied. */
+  std::string mPath;
+  /** Text behind '?', empty when there is none. */
+  std::string mQuery;
+  std::vector<HttpHeader> mHeaders;
+  std::string mBody;
+  std::string mPeer;
+
+  /** Value of the first header of that name (any case). */
+  std::optional<std::string> header(const std::string& aName) const;
+
+  /** Decoded value of a query parameter. */
+  std::optional<std::string> queryParameter(const std::string& aName) const;
+};
+
+/** Answers one request, now or later. Dropping it without an answer sends status 500. */
+class HttpResponder
+{
+public:
+  explicit HttpResponder(evhttp_request* aRequest);
+  HttpResponder(const HttpResponder&) = delete;
+  HttpResponder& operator=(const HttpResponder&) = delete;
+  ~HttpResponder();
+
+  /** Sends the answer. Later calls and calls after the caller has gone do nothing. */
+  void answer(const HttpAnswer& aAnswer);
+
+  /** Whether the caller is still connected and has no answer yet. */
+  bool isPending() const { return mRequest != nullptr; }
+
+  /** Calls aCallback once when the caller disconnects before the answer. */
+  void onGone(std::function<void()> aCallback) { mOnGone = std::move(aCallback); }
+
+private:
+  evhttp_request* mRequest;
+  std::function<void()> mOnGone;
+};
+
+using HttpResponderPointer = std::shared_ptr<HttpResponder>;
+
+/** An HTTP server on evhttp. */
+class HttpServer
+{
+public:
+  using Handler = std::function<void(HttpRequest, HttpResponderPointer)>;
+
+  /** Starts to listen on aAddress (IP:port). A body over aMaxBodyBytes gets status 413. */
+  static Result<std::unique_ptr<HttpServer>> listen(EventLoop& aLoop,
+                                                    const std::string& aAddress,
+                                                    std::size_t aMaxBodyBytes,
+                                                    Handler aHandler);
+
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  ~HttpServer();
+
+  /** Refuses new connections from now on; requests on open connections are still handled. */
+  void stopAccepting();
+
+private:
+  HttpServer(EventLoop& aLoop, Handler aHandler);
+
+  void onRequest(evhttp_request* aRequest);
+
+  Handler mHandler;
+  evhttp* mServer;
+  void* mSocket = nullptr;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/transport/SocketAddress.cpp
@@ -0,0 +1,64 @@
+#include "transport/SocketAddress.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <event2/util.h>
+#include <netinet/in.h>
+
+namespace magnoliadrum {
+
+namespace {
+
+struct HostAndPort
+{
+  std::string mHost;
+  int mPort = 0;
+};
+
+HostAndPort
+split(const sockaddr* aAddress)
+{
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  if (aAddress->sa_family == AF_INET6) {
+    const auto* address = reinterpret_cast<const sockaddr_in6*>(aAddress);
+    evutil_inet_ntop(AF_INET6, &address->sin6_addr, text.data(), text.size());
+    return { text.data(), ntohs(address->sin6_port) };
+  }
+  const auto* address = reinterpret_cast<const sockaddr_in*>(aAddress);
+  evutil_inet_ntop(AF_INET, &address->sin_addr, text.data(), text.size());
+  return { text.data(), ntohs(address->sin_port) };
+}
+
+} // namespace
+
+Result<SocketAddress>
+SocketAddress::parse(const std::string& aText)
+{
+  SocketAddress address;
+  address.mLength = sizeof(address.mStorage);
+  auto* storage = reinterpret_cast<sockaddr*>(&address.mStorage);
+  const int failed = evutil_parse_sockaddr_port(aText.c_str(), storage, &address.mLength);
+  if (failed != 0) {
+    return Error::create(ErrorCode::eInvalid, "parse address", aText, "expected IP:port");
+  }
+  const HostAndPort parts = split(address.data());
+  if (parts.mPort == 0) {
+    return Error::create(ErrorCode::eInvalid, "parse address", aText, "port is missing");
+  }
+  address.mHost = parts.mHost;
+  address.mPort = parts.mPort;
+  return address;
+}
+
+std::string
+SocketAddress::format(const sockaddr* aAddress)
+{
+  const HostAndPort parts = split(aAddress);
+  const std::string port = std::to_string(parts.mPort);
+  if (aAddress->sa_family == AF_INET6) {
+    return "[" + parts.mHost + "]:" + port;
+  }
+  return parts.mHost + ":" + port;
+}
+
+} // namespace magnoliadrum
