--- /dev/null
+++ b/src/settings/SettingsFile.cpp
@@ -0,0 +1,140 @@
+#include "settings/SettingsFile.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace magnoliadrum {
+
+namespace {
+
+constexpr const char* kStep = "read settings";
+
+/** A lease must outlast several lost heartbeats. */
+constexpr std::int64_t kHeartbeatsPerLease = 3;
+
+using Faults = std::vector<std::string>;
+
+void
+checkAddress(const std::string& aAddress, const std::string& aPath, Faults& aFaults)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  const bool hasPort = colon != std::string::npos && colon > 0 && colon + 1 < aAddress.size();
+  if (!hasPort || aAddress.find_first_not_of("0123456789", colon + 1) != std::string::npos) {
+    aFaults.push_back(aPath + ": '" + aAddress + "' is not IP:port");
+  }
+}
+
+void
+checkOptionalAddress(const std::string& aAddress, const std::string& aPath, Faults& aFaults)
+{
+  if (!aAddress.empty()) {
+    checkAddress(aAddress, aPath, aFaults);
+  }
+}
+
+void
+checkAddresses(const std::vector<std::string>& aAddresses,
+               const std::string& aPath,
+               Faults& aFaults)
+{
+  for (std::size_t index = 0; index < aAddresses.size(); index++) {
+    checkAddress(aAddresses[index], aPath + "[" + std::to_string(index) + "]", aFaults);
+  }
+}
+
+void
+checkLease(const LeaseSettings& aLease, Faults& aFaults)
+{
+  if (aLease.heartbeatMs() * kHeartbeatsPerLease > aLease.leaseMs()) {
+    aFaults.push_back("lease.heartbeatMs: must be at most a third of lease.leaseMs");
+  }
+}
+
+void
+checkTogether(const ControlSettings& aSettings, Faults& aFaults)
+{
+  checkAddress(aSettings.listenAddress(), "listenAddress", aFaults);
+  checkOptionalAddress(aSettings.advertisedAddress(), "advertisedAddress", aFaults);
+  checkOptionalAddress(aSettings.metricsAddress(), "metricsAddress", aFaults);
+  checkAddresses(aSettings.initialReplicas(), "initialReplicas", aFaults);
+  checkLease(aSettings.lease(), aFaults);
+  if (aSettings.replicationHeartbeatMs() * 2 > aSettings.electionTimeoutMs()) {
+    aFaults.push_back("replicationHeartbeatMs: must be at most half of electionTimeoutMs");
+  }
+}
+
+void
+checkTogether(const GatewaySettings& aSettings, Faults& aFaults)
+{
+  checkAddress(aSettings.httpAddress(), "httpAddress", aFaults);
+  checkAddresses(aSettings.controlAddresses(), "controlAddresses", aFaults);
+  checkLease(aSettings.lease(), aFaults);
+}
+
+void
+checkTogether(const AgentSettings& aSettings, Faults& aFaults)
+{
+  checkAddress(aSettings.listenAddress(), "listenAddress", aFaults);
+  checkAddress(aSettings.targetAddress(), "targetAddress", aFaults);
+  checkOptionalAddress(aSettings.advertisedAddress(), "advertisedAddress", aFaults);
+  checkOptionalAddress(aSettings.metricsAddress(), "metricsAddress", aFaults);
+  checkAddresses(aSettings.controlAddresses(), "controlAddresses", aFaults);
+  checkLease(aSettings.lease(), aFaults);
+  const bool isExecutor = aSettings.targetKind() == TargetKind::eExecutor;
+  if (isExecutor && aSettings.entryName().empty()) {
+    aFaults.push_back("entryName: an executor needs the entry that it serves");
+  }
+  if (isExecutor && (aSettings.slots() == 0 || aSettings.connections() == 0)) {
+    aFaults.push_back("slots, connections: an executor needs at least one of each");
+  }
+  if (!isExecutor &&
+      (aSettings.capacity().cpuMilli() == 0 || aSettings.capacity().memoryMb() == 0)) {
+    aFaults.push_back("capacity: a worker needs processors and memory");
+  }
+}
+
+std::string
+joined(const Faults& aFaults)
+{
+  std::string text;
+  for (const std::string& fault : aFaults) {
+    text += (text.empty() ? "" : "; ") + fault;
+  }
+  return text;
+}
+
+} // namespace
+
+template<typename Settings>
+Result<Settings>
+readSettings(const std::string& aFileName)
+{
+  std::ifstream file(aFileName);
+  if (!file) {
+    return Error::create(ErrorCode::eNotFound, kStep, aFileName, "file cannot be opened");
+  }
+  constexpr bool kThrow = false;
+  const nlohmann::json json = nlohmann::json::parse(file, nullptr, kThrow);
+  if (json.is_discarded()) {
+    return Error::create(ErrorCode::eInvalid, kStep, aFileName, "not valid JSON");
+  }
+  Faults faults;
+  const Settings settings = Settings::read(json, "", faults);
+  if (faults.empty()) {
+    checkTogether(settings, faults);
+  }
+  if (!faults.empty()) {
+    return Error::create(ErrorCode::eInvalid, kStep, aFileName, joined(faults));
+  }
+  return settings;
+}
+
+template Result<ControlSettings>
+readSettings(const std::string& aFileName);
+template Result<GatewaySettings>
+readSettings(const std::string& aFileName);
+template Result<AgentSettings>
+readSettings(const std::string& aFileName);
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** Module settings: reading and checking of JSON settings files. */
+
+#include "settings/SettingsFile.h"
--- /dev/null
+++ b/src/settings/settings_test.cpp
@@ -0,0 +1,71 @@
+#include "settings/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+using namespace magnoliadrum;
+
+namespace {
+
+/** A file in the current folder that is removed at the end of the test. */
+class TemporaryFile
+{
+public:
+  explicit TemporaryFile(const std::string& aText)
+    : mName("settings_test." + std::to_string(getpid()) + ".json")
+  {
+    std::ofstream(mName) << aText;
+  }
+  ~TemporaryFile() { std::remove(mName.c_str()); }
+  const std::string& name() const { return mName; }
+
+private:
+  std::string mName;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(valid_settings_get_their_defaults)
+{
+  const TemporaryFile file(R"({"processId":"gateway-1","httpAddress":"127.0.0.1:8080",
+    "dataCentre":"Waco","controlAddresses":["127.0.0.1:7001"]})");
+  const Result<GatewaySettings> settings = readSettings<GatewaySettings>(file.name());
+  BOOST_REQUIRE(isOk(settings));
+  BOOST_TEST(valueOf(settings).lease().leaseMs() == 6000);
+}
+
+// Guards against an operator who mends one fault at a time because only the first is shown.
+BOOST_AUTO_TEST_CASE(all_faults_of_a_file_are_listed)
+{
+  const TemporaryFile file(R"({"processId":"","httpAddress":7,"colour":"red"})");
+  const Result<GatewaySettings> settings = readSettings<GatewaySettings>(file.name());
+  BOOST_REQUIRE(!isOk(settings));
+  const std::string detail = errorOf(settings).detail();
+  for (const char* fault :
+       { "httpAddress: expected", "colour: unknown", "dataCentre: missing", "controlAddresses" }) {
+    BOOST_TEST(detail.find(fault) != std::string::npos, fault << " not in " << detail);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(values_that_do_not_fit_together_are_refused)
+{
+  const TemporaryFile file(
+    R"({"processId":"a","listenAddress":"127.0.0.1:1","targetKind":"executor",
+    "targetAddress":"nonsense","dataCentre":"Waco","rack":"r1","controlAddresses":["127.0.0.1:7001"],
+    "lease":{"leaseMs":1000,"heartbeatMs":900}})");
+  const Result<AgentSettings> settings = readSettings<AgentSettings>(file.name());
+  BOOST_REQUIRE(!isOk(settings));
+  const std::string detail = errorOf(settings).detail();
+  for (const char* fault : { "targetAddress", "lease.heartbeatMs", "entryName", "slots" }) {
+    BOOST_TEST(detail.find(fault) != std::string::npos, fault << " not in " << detail);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(missing_and_malformed_files_are_errors)
+{
+  BOOST_TEST(!isOk(readSettings<ControlSettings>("no-such-file.json")));
+  const TemporaryFile file("{ not json");
+  BOOST_TEST(!isOk(readSettings<ControlSettings>(file.name())));
+}
