Add the replicated state machine

apply() decides every transition from the command and the state alone, so replicas agree. Epochs of removed tasks are kept as one floor for new records: a standing task that is created again could otherwise repeat an epoch that an agent has seen and would then never start. A not-run intent keeps its attempt, so that a late resend of IntentBegin cannot take the key back.

--- /dev/null
+++ b/src/state/ControlState.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/core.h"
+#include "generated/generated.h"
+#include "state/Catalogue.h"
+#include "state/IntentRegistry.h"
+#include "state/Outcome.h"
+#include "state/ServiceLevelHistory.h"
+#include "state/SessionRegistry.h"
+#include "state/TaskRegistry.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace magnoliadrum {
+
+/**
+ * The replicated state machine of the control group.
+ *
+ * apply() is deterministic: it uses no clock, no random numbers and no I/O, so replicas that
+ * apply the same commands hold the same state and give the same outcomes.
+ */
+class ControlState
+{
+public:
+  ControlState() = default;
+
+  /** Reads what encodeSnapshot() wrote. The error names the step and aPeer. */
+  static Result<ControlState> decodeSnapshot(std::string_view aBytes, const std::string& aPeer);
+
+  /** Encodes the whole state as CBOR. Equal states have equal encodings. */
+  std::string encodeSnapshot() const;
+
+  /**
+   * Applies the command at a log index and returns what it did.
+   *
+   * Precondition: aIndex is higher than appliedIndex(). Indices may be skipped, because the log
+   * also holds entries that are not commands.
+   */
+  Outcome apply(std::int64_t aIndex, const Command& aCommand);
+
+  /** Log index of the last applied command; 0 when there is none. */
+  std::int64_t appliedIndex() const { return mAppliedIndex; }
+
+  const Catalogue& catalogue() const { return mCatalogue; }
+  const SessionRegistry& sessions() const { return mSessions; }
+  const TaskTable& tasks() const { return mTasks.table(); }
+  const IntentRegistry& intents() const { return mIntents; }
+  const ServiceLevelHistory& serviceLevel() const { return mServiceLevel; }
+
+  /** Returns the ids of the tasks that changed since the last call. Not part of the state. */
+  std::set<std::string> takeChangedTasks() { return mTasks.takeChanged(); }
+
+private:
+  Outcome applyCommand(const ApplyChange& aCommand);
+  Outcome applyCommand(const AdmitSession& aCommand);
+  Outcome applyCommand(const ExpireSession& aCommand);
+  Outcome applyCommand(const DrainTarget& aCommand);
+  Outcome applyCommand(const CreateTask& aCommand);
+  Outcome applyCommand(const CancelTask& aCommand);
+  Outcome applyCommand(const PlaceTask& aCommand);
+  Outcome applyCommand(const MoveTask& aCommand);
+  Outcome applyCommand(const RequestStop& aCommand);
+  Outcome applyCommand(const OpenIntent& aCommand);
+  Outcome applyCommand(const SettleIntent& aCommand);
+  Outcome applyCommand(const RecordServiceLevel& aCommand);
+
+  std::int64_t mAppliedIndex = 0;
+  Catalogue mCatalogue;
+  SessionRegistry mSessions;
+  TaskRegistry mTasks;
+  IntentRegistry mIntents;
+  ServiceLevelHistory mServiceLevel;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/state/ControlState_test.cpp
@@ -0,0 +1,282 @@
+#include "state/state_fixture_test.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+constexpr int kCommands = 4000;
+constexpr int kSeeds = 6;
+
+/** Chooses commands over small sets of names, so that most of them meet existing state. */
+class CommandSource
+{
+public:
+  explicit CommandSource(unsigned aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  Command next(const ControlState& aState)
+  {
+    switch (pick(14)) {
+      case 0:
+        return buildValue<ApplyChange>({ .change = nextChange(aState) });
+      case 1:
+        return nextAdmission(aState);
+      case 2:
+        return buildValue<ExpireSession>({ .session = anySession(aState) });
+      case 3:
+        return buildValue<CreateTask>(
+          { .taskId = "recon/" + std::to_string(pick(500)), .entryName = "recon", .payload = "p" });
+      case 4:
+        return buildValue<CancelTask>({ .taskId = anyTask(aState).taskId() });
+      case 5:
+        return buildValue<DrainTarget>({ .targetId = anyProcess(), .draining = pick(3) == 0 });
+      case 6:
+        return nextStop(aState);
+      case 7:
+      case 8:
+      case 9:
+        return nextPlacement(aState);
+      default:
+        return nextReport(aState);
+    }
+  }
+
+private:
+  int pick(int aBound) { return std::uniform_int_distribution<int>(0, aBound - 1)(mRandom); }
+
+  std::string anyProcess() { return "vm-" + std::to_string(pick(4)); }
+
+  std::int64_t anySession(const ControlState& aState)
+  {
+    const auto& sessions = aState.sessions().all();
+    return sessions.empty() ? 1 : std::next(sessions.begin(), pick(sessions.size()))->first;
+  }
+
+  TaskRecord anyTask(const ControlState& aState)
+  {
+    const auto& tasks = aState.tasks().all();
+    if (tasks.empty()) {
+      return buildValue<TaskRecord>({ .taskId = "recon/0", .entryName = "recon" });
+    }
+    return std::next(tasks.begin(), pick(tasks.size()))->second;
+  }
+
+  /** Mostly a task that some session holds, sometimes any. */
+  TaskRecord anyHeldTask(const ControlState& aState)
+  {
+    const std::set<std::string>& held = aState.tasks().heldBy(anySession(aState));
+    if (held.empty() || pick(5) == 0) {
+      return anyTask(aState);
+    }
+    return *aState.tasks().find(*std::next(held.begin(), pick(held.size())));
+  }
+
+  /** Mostly a pending task, sometimes any. */
+  TaskRecord anyPendingTask(const ControlState& aState)
+  {
+    const std::set<std::string>& pending = aState.tasks().pending();
+    if (pending.empty() || pick(5) == 0) {
+      return anyTask(aState);
+    }
+    return *aState.tasks().find(*std::next(pending.begin(), pick(pending.size())));
+  }
+
+  /** Mostly the current epoch, sometimes the one before or after it. */
+  std::int64_t nearEpoch(const TaskRecord& aTask)
+  {
+    return std::max<std::int64_t>(1, aTask.epoch() + (pick(4) == 0 ? pick(3) - 1 : 0));
+  }
+
+  /** Mostly the current version of the record, sometimes another. */
+  std::int64_t nearVersion(const ControlState& aState, const std::string& aRecordName)
+  {
+    const CatalogueRecord* record = aState.catalogue().findRecord(aRecordName);
+    const std::int64_t version = record != nullptr ? record->version() : 0;
+    return pick(4) == 0 ? pick(30) : version;
+  }
+
+  CatalogueChange nextChange(const ControlState& aState)
+  {
+    const std::string id = "c" + std::to_string(pick(2000));
+    switch (pick(16)) {
+      case 0:
+        return deletion(id, nearVersion(aState, "recon"), "recon");
+      case 1:
+        return deletion(id, nearVersion(aState, "watch"), "watch");
+      case 2:
+      case 3:
+      case 4:
+        return entryChange(id, nearVersion(aState, "watch"), standingEntry("watch", 1 + pick(4)));
+      default:
+        CatalogueEntry::Fields entry = batchEntry("recon");
+        entry.dataCentres = { "Tulcea", "Braila" };
+        entry.dataCentres.resize(1 + pick(2));
+        return entryChange(id, nearVersion(aState, "recon"), entry);
+    }
+  }
+
+  Command nextAdmission(const ControlState& aState)
+  {
+    std::vector<RunningTask> listed;
+    for (int count = pick(4); count > 0; count--) {
+      const TaskRecord task = anyHeldTask(aState);
+      listed.push_back(running(task.taskId(), nearEpoch(task)));
+    }
+    return admitWorker(anyProcess(),
+                       "i" + std::to_string(pick(3)),
+                       std::move(listed),
+                       pick(2) == 0 ? "Tulcea" : "Braila");
+  }
+
+  Command nextStop(const ControlState& aState)
+  {
+    const TaskRecord task = anyHeldTask(aState);
+    return buildValue<RequestStop>({ .taskId = task.taskId(), .epoch = nearEpoch(task) });
+  }
+
+  Command nextPlacement(const ControlState& aState)
+  {
+    const TaskRecord task = anyPendingTask(aState);
+    return buildValue<PlaceTask>({ .taskId = task.taskId(),
+                                   .epoch = nearEpoch(task) + (pick(4) == 0 ? 0 : 1),
+                                   .session = anySession(aState) });
+  }
+
+  Command nextReport(const ControlState& aState)
+  {
+    const TaskRecord task = anyHeldTask(aState);
+    const auto state = static_cast<TaskState>(pick(11));
+    return report(task.taskId(), nearEpoch(task), state, pick(2) == 0 ? "" : "cp");
+  }
+
+  std::mt19937 mRandom;
+};
+
+/** Compares the state before and after each command. */
+class InvariantChecker
+{
+public:
+  void check(const ControlState& aState)
+  {
+    BOOST_REQUIRE(aState.catalogue().version() >= mCatalogueVersion);
+    mCatalogueVersion = aState.catalogue().version();
+    for (const auto& [name, record] : aState.catalogue().records()) {
+      BOOST_REQUIRE(record.version() >= mVersions[name]);
+      mVersions[name] = record.version();
+    }
+    for (const auto& [taskId, task] : aState.tasks().all()) {
+      checkTask(aState, task);
+    }
+    for (const auto& [number, session] : aState.sessions().all()) {
+      checkSession(aState, session);
+    }
+  }
+
+private:
+  void checkTask(const ControlState& aState, const TaskRecord& aTask)
+  {
+    BOOST_REQUIRE(aTask.epoch() >= mEpochs[aTask.taskId()]);
+    mEpochs[aTask.taskId()] = aTask.epoch();
+    BOOST_REQUIRE(isHeld(aTask.state()) == (aTask.session() != 0));
+    if (isHeld(aTask.state())) {
+      BOOST_REQUIRE(aState.sessions().find(aTask.session()) != nullptr);
+      BOOST_REQUIRE(aState.tasks().heldBy(aTask.session()).contains(aTask.taskId()));
+    }
+    const auto ended = mEnded.find(aTask.taskId());
+    BOOST_REQUIRE((ended == mEnded.end() || ended->second == aTask.state()));
+    if (isTerminal(aTask.state())) {
+      mEnded[aTask.taskId()] = aTask.state();
+    }
+  }
+
+  /** Each task that runs in a data centre that its entry does not allow is being stopped. */
+  static void checkSession(const ControlState& aState, const SessionRecord& aSession)
+  {
+    for (const std::string& taskId : aState.tasks().heldBy(aSession.session())) {
+      const TaskRecord& task = *aState.tasks().find(taskId);
+      BOOST_REQUIRE(task.session() == aSession.session());
+      const CatalogueEntry* entry = aState.catalogue().findEntry(task.entryName());
+      BOOST_REQUIRE(
+        (task.stopRequested() || task.state() == TaskState::eCompleted ||
+         (entry != nullptr && allowsDataCentre(*entry, aSession.target()->dataCentre()))));
+    }
+  }
+
+  std::int64_t mCatalogueVersion = 0;
+  std::map<std::string, std::int64_t> mVersions;
+  std::map<std::string, std::int64_t> mEpochs;
+  std::map<std::string, TaskState> mEnded;
+};
+
+} // namespace
+
+// Guards against a sequence of commands that no single test thought of, and against state that a
+// snapshot loses: a replica that starts from a snapshot must end with the state of the others.
+BOOST_AUTO_TEST_CASE(random_commands_keep_the_invariants_and_the_snapshot_is_complete)
+{
+  for (unsigned seed = 0; seed < kSeeds; seed++) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      CommandSource source(seed);
+      InvariantChecker checker;
+      Machine whole;
+      Machine restored;
+      std::size_t taskChanges = 0;
+      for (int number = 0; number < kCommands; number++) {
+        const Command command = source.next(whole.state());
+        const Outcome outcome = whole.apply(command);
+        taskChanges += applied(outcome) ? 1 : 0;
+        BOOST_REQUIRE((restored.apply(command) == outcome));
+        checker.check(whole.state());
+        if (number % 500 == 250) {
+          restored.state() =
+            valueOf(ControlState::decodeSnapshot(whole.state().encodeSnapshot(), "test"));
+        }
+      }
+      BOOST_TEST(whole.state().encodeSnapshot() == restored.state().encodeSnapshot());
+      BOOST_TEST(taskChanges > 200U);
+    }
+  }
+}
+
+// Guards against a snapshot without intents, answers or service-level rows.
+BOOST_AUTO_TEST_CASE(snapshot_holds_intents_answers_and_history)
+{
+  Machine machine;
+  machine.change(entryChange("c1", 0, serviceEntry("pickup")));
+  const auto intent =
+    buildValue<IntentRecord>({ .key = "k", .entryName = "pickup", .attempt = "a" });
+  machine.apply(buildValue<OpenIntent>({ .intent = intent }));
+  const auto answer = buildValue<HttpAnswer>({ .status = 200, .body = std::string("\xff\x00", 2) });
+  machine.apply(buildValue<SettleIntent>({ .key = "k",
+                                           .entryName = "pickup",
+                                           .attempt = "a",
+                                           .outcome = IntentOutcome::eDone,
+                                           .answer = answer }));
+  const auto row = buildValue<ServiceLevelRow>({ .entryName = "pickup", .minute = 5, .total = 1 });
+  machine.apply(buildValue<RecordServiceLevel>({ .rows = { row } }));
+  const std::string bytes = machine.state().encodeSnapshot();
+  const ControlState copy = valueOf(ControlState::decodeSnapshot(bytes, "test"));
+  BOOST_TEST(copy.encodeSnapshot() == bytes);
+  BOOST_TEST((copy.intents().find("pickup", "k")->answer() == answer));
+  BOOST_TEST((copy.catalogue().findAnswer("c1") != nullptr));
+  BOOST_TEST(copy.serviceLevel().rows("pickup").size() == 1U);
+}
+
+// Guards against a replica that starts from a damaged snapshot.
+BOOST_AUTO_TEST_CASE(damaged_snapshot_is_an_error)
+{
+  Machine machine;
+  machine.createRun();
+  const std::string bytes = machine.state().encodeSnapshot();
+  BOOST_TEST(!isOk(ControlState::decodeSnapshot(bytes.substr(0, bytes.size() / 2), "test")));
+  BOOST_TEST(!isOk(ControlState::decodeSnapshot("", "test")));
+}
--- /dev/null
+++ b/src/state/IntentRegistry.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "generated/generated.h"
+#include "state/Outcome.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace magnoliadrum {
+
+/**
+ * The intents of non-repeatable requests by entry and idempotency key.
+ *
+ * A key belongs to the attempt that opened it until the attempt is settled as not run. Open and
+ * unknown intents are kept until they are settled; done and not-run ones are removed, oldest first,
+ * beyond kSettledIntents or kStoredAnswerBytes, because a snapshot holds them in memory.
+ */
+class IntentRegistry
+{
+public:
+  static constexpr std::size_t kSettledIntents = 100000;
+  static constexpr std::size_t kStoredAnswerBytes = std::size_t{ 64 } * 1024 * 1024;
+
+  static IntentRegistry fromSnapshot(const StateSnapshot& aSnapshot);
+  void writeTo(StateSnapshot::Fields& aSnapshot) const;
+
+  /** Grants a key that is free or that the same attempt holds; returns IntentAnswer. */
+  Outcome open(const OpenIntent& aCommand);
+
+  /** Records the outcome of the attempt that holds the key; returns IntentAnswer or an Error. */
+  Outcome settle(const SettleIntent& aCommand);
+
+  /** Returns the record under a key; null when there is none. */
+  const IntentRecord* find(const std::string& aEntryName, const std::string& aKey) const;
+
+  std::size_t size() const { return mIntents.size(); }
+
+private:
+  using Name = std::pair<std::string, std::string>;
+
+  struct Entry
+  {
+    IntentRecord mRecord;
+    /** Position among the removable intents; 0 when it is not removable. */
+    std::int64_t mSettledNumber = 0;
+  };
+
+  void put(const Name& aName, IntentRecord aRecord);
+  void erase(const Name& aName);
+  void markRemovable(const Name& aName);
+
+  std::map<Name, Entry> mIntents;
+  /** Removable intents by the order in which they were settled. */
+  std::map<std::int64_t, Name> mSettled;
+  std::int64_t mNextSettledNumber = 1;
+  std::size_t mAnswerBytes = 0;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/state/SessionRegistry.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "generated/generated.h"
+#include "state/Outcome.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace magnoliadrum {
+
+/** The open sessions and the drained targets. Session numbers are never reused. */
+class SessionRegistry
+{
+public:
+  static SessionRegistry fromSnapshot(const StateSnapshot& aSnapshot);
+  void writeTo(StateSnapshot::Fields& aSnapshot) const;
+
+  /**
+   * Opens a session, or returns the open one of the same incarnation.
+   *
+   * Returns SessionAdmitted without strays, or an Error when an agent names no target, or a target
+   * that another process holds.
+   */
+  Outcome admit(const AdmitSession& aCommand);
+
+  /** Ends a session; false when it is not open. */
+  bool end(std::int64_t aSession);
+
+  /** Returns TargetDrained, or an Error when a drain names a target that is not registered. */
+  Outcome drain(const DrainTarget& aCommand);
+
+  /** Returns an open session; null when it is not open. */
+  const SessionRecord* find(std::int64_t aSession) const;
+
+  /** Returns the open session of a process; null when it has none. */
+  const SessionRecord* findByProcess(const std::string& aProcessId) const;
+
+  /** Returns the open session of a target's agent; null when it has none. */
+  const SessionRecord* findByTarget(const std::string& aTargetId) const;
+
+  const std::map<std::int64_t, SessionRecord>& all() const { return mSessions; }
+
+private:
+  std::optional<Error> findAdmissionFault(const AdmitSession& aCommand) const;
+  void insert(SessionRecord aRecord);
+
+  std::int64_t mNextSession = 1;
+  std::map<std::int64_t, SessionRecord> mSessions;
+  std::map<std::string, std::int64_t> mByProcess;
+  std::map<std::string, std::int64_t> mByTarget;
+  std::set<std::string> mDraining;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/state/TaskRules.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "generated/generated.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace magnoliadrum {
+
+/** Whether a state is final: published, cancelled, failed, impossible or outcome-unknown. */
+bool
+isTerminal(TaskState aState);
+
+/** Whether a task in this state belongs to the session of an agent: placed, running or completed.
+ */
+bool
+isHeld(TaskState aState);
+
+/** Whether the task is an instance of a standing entry; its id is 'ENTRY/#N'. */
+bool
+isStandingTask(const TaskRecord& aTask);
+
+/** Returns the id of a batch run, 'ENTRY/RUNKEY'. */
+std::string
+batchTaskId(std::string_view aEntryName, std::string_view aRunKey);
+
+/** Returns the id of an instance of a standing entry, 'ENTRY/#N' with N from 1. */
+std::string
+standingTaskId(std::string_view aEntryName, std::int64_t aNumber);
+
+/** Whether a run key may be used. Keys that start with '#' would look like standing tasks. */
+bool
+isRunKey(std::string_view aRunKey);
+
+/** Whether the entry's work may run in a data centre. */
+bool
+allowsDataCentre(const CatalogueEntry& aEntry, const std::string& aDataCentre);
+
+} // namespace magnoliadrum
