--- /dev/null
+++ b/src/control/ChangeTracker.cpp
@@ -0,0 +1,139 @@
+#include "control/ChangeTracker.h"
+
+#include "state/BuildValue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Bytes of the fields of fixed size of a record, rounded up. */
+constexpr std::size_t kRecordOverheadBytes = 2048;
+
+std::size_t
+estimatedBytes(const CatalogueRecord& aRecord)
+{
+  std::size_t bytes = kRecordOverheadBytes;
+  if (aRecord.entry()) {
+    bytes += aRecord.entry()->payload().size();
+    for (const std::string& dataCentre : aRecord.entry()->dataCentres()) {
+      bytes += dataCentre.size();
+    }
+  }
+  return bytes;
+}
+
+/** Returns how many of the first records fit into one update; at least one. */
+std::size_t
+countThatFits(const std::vector<CatalogueRecord>& aRecords)
+{
+  std::size_t bytes = 0;
+  std::size_t count = 0;
+  while (count < aRecords.size()) {
+    bytes += estimatedBytes(aRecords[count]);
+    if (count > 0 && bytes > ChangeTracker::kMaxUpdateBytes) {
+      break;
+    }
+    count++;
+  }
+  return count;
+}
+
+} // namespace
+
+void
+ChangeTracker::startTerm(const std::map<std::int64_t, SessionRecord>& aSessions)
+{
+  mSessions.clear();
+  for (const auto& [number, record] : aSessions) {
+    open(number, record.processId());
+  }
+}
+
+void
+ChangeTracker::open(std::int64_t aSession, const std::string& aProcessId)
+{
+  mSessions[aSession].mProcessId = aProcessId;
+}
+
+void
+ChangeTracker::report(std::int64_t aSession, std::int64_t aVersion)
+{
+  const auto position = mSessions.find(aSession);
+  if (position == mSessions.end()) {
+    return;
+  }
+  Progress& progress = position->second;
+  progress.mReported = std::max(progress.mReported, aVersion);
+  if (!progress.mPartial.contains(aVersion)) {
+    progress.mApplied = std::max(progress.mApplied, aVersion);
+    progress.mPartial.erase(progress.mPartial.begin(), progress.mPartial.lower_bound(aVersion));
+  }
+}
+
+void
+ChangeTracker::reconnect(std::int64_t aSession)
+{
+  const auto position = mSessions.find(aSession);
+  if (position != mSessions.end()) {
+    position->second.mSent = 0;
+  }
+}
+
+std::optional<CatalogueUpdate>
+ChangeTracker::nextUpdate(std::int64_t aSession,
+                          const Catalogue& aCatalogue,
+                          std::int64_t aTerm,
+                          MonotonicTime aNow)
+{
+  const auto position = mSessions.find(aSession);
+  if (position == mSessions.end()) {
+    return std::nullopt;
+  }
+  Progress& progress = position->second;
+  const bool awaitsReport = aNow.msSince(progress.mSentAt) < kResendMs;
+  const std::int64_t from =
+    awaitsReport ? std::max(progress.mSent, progress.mReported) : progress.mReported;
+  if (from >= aCatalogue.version()) {
+    return std::nullopt;
+  }
+  std::vector<CatalogueRecord> records = aCatalogue.changedSince(from);
+  const std::size_t count = countThatFits(records);
+  const bool whole = count == records.size();
+  records.resize(count);
+  const std::int64_t to = whole ? aCatalogue.version() : records.back().catalogueVersion();
+  if (!whole) {
+    progress.mPartial.insert(to);
+  }
+  progress.mSent = to;
+  progress.mSentAt = aNow;
+  return buildValue<CatalogueUpdate>({ .term = aTerm,
+                                       .complete = whole && from == 0,
+                                       .fromVersion = from,
+                                       .toVersion = to,
+                                       .records = std::move(records) });
+}
+
+std::vector<ProcessVersion>
+ChangeTracker::behind(std::int64_t aVersion) const
+{
+  std::vector<ProcessVersion> sessions;
+  for (const auto& [number, progress] : mSessions) {
+    if (progress.mApplied < aVersion) {
+      sessions.push_back(buildValue<ProcessVersion>(
+        { .processId = progress.mProcessId, .catalogueVersion = progress.mApplied }));
+    }
+  }
+  return sessions;
+}
+
+std::int64_t
+ChangeTracker::appliedVersion(std::int64_t aSession) const
+{
+  const auto position = mSessions.find(aSession);
+  return position != mSessions.end() ? position->second.mApplied : 0;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/ChangeTracker.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/core.h"
+#include "generated/generated.h"
+#include "state/state.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/**
+ * Which catalogue version each open session applies, and which update it gets next.
+ *
+ * A session counts as applying a version when it reports it. A version at which a split update ends
+ * does not count, because records of earlier versions may still be missing at it.
+ */
+class ChangeTracker
+{
+public:
+  /** An update without an effect in the reports for this long is sent again. */
+  static constexpr std::int64_t kResendMs = 1000;
+  /** Updates are split at about this size, well below the largest message. */
+  static constexpr std::size_t kMaxUpdateBytes = std::size_t{ 1024 } * 1024;
+
+  /** Starts a leadership: nothing is known about the sessions yet. */
+  void startTerm(const std::map<std::int64_t, SessionRecord>& aSessions);
+
+  void endTerm() { mSessions.clear(); }
+
+  void open(std::int64_t aSession, const std::string& aProcessId);
+  void close(std::int64_t aSession) { mSessions.erase(aSession); }
+
+  /** Records the version in a heartbeat. */
+  void report(std::int64_t aSession, std::int64_t aVersion);
+
+  /** The session's connection is new, so nothing that was sent before counts. */
+  void reconnect(std::int64_t aSession);
+
+  /** Returns the next update for a session; nothing when there is nothing to send now. */
+  std::optional<CatalogueUpdate> nextUpdate(std::int64_t aSession,
+                                            const Catalogue& aCatalogue,
+                                            std::int64_t aTerm,
+                                            MonotonicTime aNow);
+
+  /** Returns the sessions that do not apply a version yet. */
+  std::vector<ProcessVersion> behind(std::int64_t aVersion) const;
+
+  /** Version that a session applies; 0 when it reported none. */
+  std::int64_t appliedVersion(std::int64_t aSession) const;
+
+private:
+  struct Progress
+  {
+    std::string mProcessId;
+    std::int64_t mApplied = 0;
+    std::int64_t mReported = 0;
+    std::int64_t mSent = 0;
+    MonotonicTime mSentAt;
+    /** Versions at which a split update ended. */
+    std::set<std::int64_t> mPartial;
+  };
+
+  std::map<std::int64_t, Progress> mSessions;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/InMemoryCommandLog.cpp
@@ -0,0 +1,58 @@
+#include "control/InMemoryCommandLog.h"
+
+#include <cassert>
+#include <utility>
+
+namespace magnoliadrum {
+
+InMemoryCommandLog::InMemoryCommandLog(ControlState& aState, Poster aPoster, std::string aAddress)
+  : mState(aState)
+  , mPoster(std::move(aPoster))
+  , mAddress(std::move(aAddress))
+{
+}
+
+void
+InMemoryCommandLog::setLeads(bool aLeads, MonotonicTime aNow)
+{
+  mLeads = aLeads;
+  if (aLeads) {
+    mTerm++;
+    mElectedAt = aNow;
+  }
+  mObserver->onLeadership(aLeads);
+}
+
+void
+InMemoryCommandLog::propose(const Command& aCommand, CommandCallback aCallback)
+{
+  assert(mObserver != nullptr);
+  mPoster([this, aCommand, callback = std::move(aCallback)]() {
+    if (!mLeads) {
+      callback(CommandFailure{
+        Error::create(ErrorCode::eNotLeader, "log.propose", "local", "does not lead"), false });
+      return;
+    }
+    const Outcome outcome = mState.apply(mState.appliedIndex() + 1, aCommand);
+    mObserver->onApplied(aCommand, outcome);
+    callback(outcome);
+  });
+}
+
+void
+InMemoryCommandLog::changeMembership(const MembershipRequest& aRequest,
+                                     std::function<void(const Result<Done>&)> aCallback)
+{
+  aCallback(Error::create(ErrorCode::eRefused,
+                          "group.change",
+                          aRequest.replicaId(),
+                          "a log in memory has a single replica"));
+}
+
+void
+InMemoryCommandLog::stepDown(std::function<void(const Result<Done>&)> aDone)
+{
+  aDone(Done{});
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/InMemoryCommandLog.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "control/CommandLog.h"
+#include "state/state.h"
+
+namespace magnoliadrum {
+
+/**
+ * A log of a single replica that is lost with the process, for tests and trials. A command is
+ * committed at once and applied from the next call of the poster.
+ */
+class InMemoryCommandLog : public CommandLog
+{
+public:
+  /** Runs a function later, after the current callback. */
+  using Poster = std::function<void(std::function<void()>)>;
+
+  InMemoryCommandLog(ControlState& aState, Poster aPoster, std::string aAddress);
+
+  /** Becomes the leader of a new term, or stops to lead. */
+  void setLeads(bool aLeads, MonotonicTime aNow);
+
+  /** Whether hasLeaderLease() holds while this replica leads. */
+  void setLeaderLease(bool aHolds) { mHoldsLease = aHolds; }
+
+  void setObserver(CommandLogObserver* aObserver) override { mObserver = aObserver; }
+  void propose(const Command& aCommand, CommandCallback aCallback) override;
+  bool isLeader() const override { return mLeads; }
+  bool hasLeaderLease() const override { return mLeads && mHoldsLease; }
+  MonotonicTime electedAt() const override { return mElectedAt; }
+  std::int64_t term() const override { return mTerm; }
+  std::int64_t commitIndex() const override { return mState.appliedIndex(); }
+  std::string leaderId() const override { return mLeads ? "in-memory" : ""; }
+  std::string leaderAddress() const override { return mLeads ? mAddress : ""; }
+  std::vector<ReplicaStatus> replicas() const override { return {}; }
+  void changeMembership(const MembershipRequest& aRequest,
+                        std::function<void(const Result<Done>&)> aCallback) override;
+  void stepDown(std::function<void(const Result<Done>&)> aDone) override;
+  bool accepts(const Message& /*aMessage*/) const override { return false; }
+  void receive(const Message& /*aMessage*/,
+               std::function<void(const Message&)> /*aReply*/) override
+  {
+  }
+
+private:
+  ControlState& mState;
+  Poster mPoster;
+  std::string mAddress;
+  CommandLogObserver* mObserver = nullptr;
+  bool mLeads = false;
+  bool mHoldsLease = true;
+  std::int64_t mTerm = 0;
+  MonotonicTime mElectedAt;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/ServiceLevelCollector.cpp
@@ -0,0 +1,111 @@
+#include "control/ServiceLevelCollector.h"
+
+#include "state/BuildValue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Returns the growth of a counter; 0 when it went back, which a cumulative counter never does. */
+std::int64_t
+growth(std::int64_t aNow, std::int64_t aBefore)
+{
+  return std::max<std::int64_t>(0, aNow - aBefore);
+}
+
+ServiceLevelRow::Fields
+growthOf(const ServiceCounters& aNow, const ServiceCounters& aBefore, std::int64_t aMinute)
+{
+  ServiceLevelRow::Fields row{ .entryName = aNow.entryName(),
+                               .minute = aMinute,
+                               .total = growth(aNow.total(), aBefore.total()),
+                               .good = growth(aNow.good(), aBefore.good()),
+                               .refused = growth(aNow.refused(), aBefore.refused()),
+                               .unknown = growth(aNow.unknown(), aBefore.unknown()) };
+  const std::vector<std::int64_t>& before = aBefore.latencyCounts();
+  for (std::size_t bucket = 0; bucket < aNow.latencyCounts().size(); bucket++) {
+    const std::int64_t base = bucket < before.size() ? before[bucket] : 0;
+    row.latencyCounts.push_back(growth(aNow.latencyCounts()[bucket], base));
+  }
+  return row;
+}
+
+} // namespace
+
+void
+ServiceLevelCollector::reset()
+{
+  mGateways.clear();
+  mRows.clear();
+}
+
+void
+ServiceLevelCollector::open(const std::string& aProcessId, const std::string& aIncarnation)
+{
+  Gateway& gateway = mGateways[aProcessId];
+  if (gateway.mIncarnation != aIncarnation) {
+    gateway = Gateway{ aIncarnation, true, {} };
+  }
+}
+
+void
+ServiceLevelCollector::report(const std::string& aProcessId,
+                              const std::string& aIncarnation,
+                              const std::vector<ServiceCounters>& aCounters,
+                              std::int64_t aMinute)
+{
+  Gateway& gateway = mGateways[aProcessId];
+  if (gateway.mIncarnation != aIncarnation) {
+    gateway = Gateway{ aIncarnation, false, {} };
+  }
+  for (const ServiceCounters& counters : aCounters) {
+    const auto last = gateway.mLast.find(counters.entryName());
+    if (last != gateway.mLast.end()) {
+      add(growthOf(counters, last->second, aMinute));
+    } else if (gateway.mCountsFromZero) {
+      add(growthOf(counters, ServiceCounters(), aMinute));
+    }
+    gateway.mLast.insert_or_assign(counters.entryName(), counters);
+  }
+}
+
+void
+ServiceLevelCollector::add(const ServiceLevelRow::Fields& aRow)
+{
+  ServiceLevelRow::Fields& sum = mRows[{ aRow.entryName, aRow.minute }];
+  sum.entryName = aRow.entryName;
+  sum.minute = aRow.minute;
+  sum.total += aRow.total;
+  sum.good += aRow.good;
+  sum.refused += aRow.refused;
+  sum.unknown += aRow.unknown;
+  sum.latencyCounts.resize(std::max(sum.latencyCounts.size(), aRow.latencyCounts.size()));
+  for (std::size_t bucket = 0; bucket < aRow.latencyCounts.size(); bucket++) {
+    sum.latencyCounts[bucket] += aRow.latencyCounts[bucket];
+  }
+}
+
+std::vector<ServiceLevelRow>
+ServiceLevelCollector::takeRows()
+{
+  std::vector<ServiceLevelRow> rows;
+  for (auto& [name, fields] : std::exchange(mRows, {})) {
+    if (fields.total + fields.refused + fields.unknown > 0) {
+      rows.push_back(buildValue<ServiceLevelRow>(std::move(fields)));
+    }
+  }
+  return rows;
+}
+
+void
+ServiceLevelCollector::putBack(const std::vector<ServiceLevelRow>& aRows)
+{
+  for (const ServiceLevelRow& row : aRows) {
+    add(row.fields());
+  }
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/TaskDispatcher.cpp
@@ -0,0 +1,165 @@
+#include "control/TaskDispatcher.h"
+
+#include "state/BuildValue.h"
+
+#include <utility>
+
+namespace magnoliadrum {
+
+void
+TaskDispatcher::startTerm(const ControlState& aState)
+{
+  endTerm();
+  for (const auto& [number, session] : aState.sessions().all()) {
+    for (const std::string& taskId : aState.tasks().heldBy(number)) {
+      noteTask(taskId, aState);
+    }
+  }
+}
+
+void
+TaskDispatcher::endTerm()
+{
+  mOrders.clear();
+  mStrays.clear();
+}
+
+std::optional<TaskDispatcher::OrderKind>
+TaskDispatcher::orderFor(const TaskRecord& aTask)
+{
+  if (aTask.state() == TaskState::eCompleted) {
+    return OrderKind::ePublish;
+  }
+  if (!isHeld(aTask.state())) {
+    return std::nullopt;
+  }
+  if (aTask.stopRequested()) {
+    return OrderKind::eStop;
+  }
+  if (aTask.state() == TaskState::ePlaced) {
+    return OrderKind::eStart;
+  }
+  return std::nullopt;
+}
+
+void
+TaskDispatcher::noteTask(const std::string& aTaskId, const ControlState& aState)
+{
+  const TaskRecord* task = aState.tasks().find(aTaskId);
+  const std::optional<OrderKind> kind = task != nullptr ? orderFor(*task) : std::nullopt;
+  if (!kind) {
+    mOrders.erase(aTaskId);
+    return;
+  }
+  Order& order = mOrders[aTaskId];
+  const bool same =
+    order.mSession == task->session() && order.mEpoch == task->epoch() && order.mKind == *kind;
+  if (!same) {
+    order = Order{ task->session(), task->epoch(), *kind, std::nullopt };
+  }
+}
+
+void
+TaskDispatcher::noteStray(std::int64_t aSession, const RunningTask& aTask)
+{
+  mStrays[{ aSession, aTask.taskId() }] =
+    Order{ aSession, aTask.epoch(), OrderKind::eStop, std::nullopt };
+}
+
+void
+TaskDispatcher::noteReport(std::int64_t aSession, const TaskReport& aReport)
+{
+  const auto position = mStrays.find({ aSession, aReport.taskId() });
+  const bool stillThere =
+    aReport.state() == TaskState::eRunning || aReport.state() == TaskState::eCompleted;
+  if (position != mStrays.end() && position->second.mEpoch == aReport.epoch() && !stillThere) {
+    mStrays.erase(position);
+  }
+}
+
+void
+TaskDispatcher::reconnect(std::int64_t aSession)
+{
+  for (auto& [taskId, order] : mOrders) {
+    if (order.mSession == aSession) {
+      order.mSentAt.reset();
+    }
+  }
+  for (auto& [name, order] : mStrays) {
+    if (order.mSession == aSession) {
+      order.mSentAt.reset();
+    }
+  }
+}
+
+void
+TaskDispatcher::close(std::int64_t aSession)
+{
+  std::erase_if(mStrays, [aSession](const auto& aStray) { return aStray.first.first == aSession; });
+}
+
+bool
+TaskDispatcher::isDue(const Order& aOrder, MonotonicTime aNow)
+{
+  return !aOrder.mSentAt || aNow.msSince(*aOrder.mSentAt) >= kResendMs;
+}
+
+std::optional<Message>
+TaskDispatcher::buildMessage(const TaskRecord& aTask, OrderKind aKind, const Catalogue& aCatalogue)
+{
+  if (aKind == OrderKind::ePublish) {
+    return buildValue<TaskPublish>(
+      { .session = aTask.session(), .taskId = aTask.taskId(), .epoch = aTask.epoch() });
+  }
+  if (aKind == OrderKind::eStop) {
+    return buildValue<TaskStop>(
+      { .session = aTask.session(),
+        .taskId = aTask.taskId(),
+        .epoch = aTask.epoch(),
+        .mode = aTask.cancelRequested() ? StopMode::eKill : StopMode::eCheckpoint });
+  }
+  const CatalogueEntry* entry = aCatalogue.findEntry(aTask.entryName());
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  return buildValue<TaskStart>(
+    { .session = aTask.session(),
+      .taskId = aTask.taskId(),
+      .epoch = aTask.epoch(),
+      .entryName = aTask.entryName(),
+      .entryKind = entry->kind(),
+      .workClass = entry->workClass(),
+      .resources = entry->resources(),
+      .checkpoint = aTask.checkpoint(),
+      .payload = aTask.payload().empty() ? entry->payload() : aTask.payload() });
+}
+
+std::vector<AgentOrder>
+TaskDispatcher::takeDue(const ControlState& aState, MonotonicTime aNow)
+{
+  std::vector<AgentOrder> due;
+  for (auto& [taskId, order] : mOrders) {
+    const TaskRecord* task = aState.tasks().find(taskId);
+    if (task == nullptr || !isDue(order, aNow)) {
+      continue;
+    }
+    if (std::optional<Message> message = buildMessage(*task, order.mKind, aState.catalogue())) {
+      due.push_back({ order.mSession, std::move(*message) });
+    }
+    order.mSentAt = aNow;
+  }
+  for (auto& [name, order] : mStrays) {
+    if (!isDue(order, aNow)) {
+      continue;
+    }
+    due.push_back({ order.mSession,
+                    buildValue<TaskStop>({ .session = order.mSession,
+                                           .taskId = name.second,
+                                           .epoch = order.mEpoch,
+                                           .mode = StopMode::eKill }) });
+    order.mSentAt = aNow;
+  }
+  return due;
+}
+
+} // namespace magnoliadrum
