Add the session module: the link of a gateway or an agent to the control leader

Unanswered calls are sent again after a reconnection, so every call to control must be idempotent. A silent leader is dropped after a third of the lease, so that another replica can renew the lease in time.

--- /dev/null
+++ b/src/session/ControlLink.cpp
@@ -0,0 +1,392 @@
+#include "session/ControlLink.h"
+
+#include "observability/observability.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Wait before the next connection attempt; short against a lease, long enough not to load a
+ * starting replica. */
+constexpr std::int64_t kReconnectMs = 100;
+
+/** A leader that is silent for this share of the lease is taken as lost, so that another can renew
+ * it in time. */
+constexpr std::int64_t kSilenceDivisor = 3;
+
+/** Returns the requestId of a message that has one. */
+std::string
+requestIdOf(const Message& aMessage)
+{
+  const auto read = [](const auto& aBody) -> std::string {
+    if constexpr (requires { aBody.requestId(); }) {
+      return aBody.requestId();
+    } else {
+      return "";
+    }
+  };
+  return std::visit(read, aMessage);
+}
+
+ErrorCode
+errorCodeOf(FailureCode aCode)
+{
+  switch (aCode) {
+    case FailureCode::eInvalid:
+      return ErrorCode::eInvalid;
+    case FailureCode::eNotFound:
+      return ErrorCode::eNotFound;
+    case FailureCode::eConflict:
+      return ErrorCode::eConflict;
+    case FailureCode::eRefused:
+      return ErrorCode::eRefused;
+    case FailureCode::eNotLeader:
+      return ErrorCode::eNotLeader;
+    case FailureCode::eUnavailable:
+      return ErrorCode::eUnavailable;
+    case FailureCode::eTimeout:
+      return ErrorCode::eTimeout;
+    case FailureCode::eCorrupt:
+      return ErrorCode::eCorrupt;
+    case FailureCode::eIo:
+      return ErrorCode::eIo;
+  }
+  return ErrorCode::eUnavailable;
+}
+
+} // namespace
+
+ControlLink::ControlLink(EventLoop& aLoop,
+                         ControlLinkOptions aOptions,
+                         ControlLinkHandlers aHandlers)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mHandlers(std::move(aHandlers))
+{
+  assert(!mOptions.mControlAddresses.empty());
+  assert(mHandlers.fillOpen && mHandlers.fillHeartbeat);
+}
+
+std::unique_ptr<ControlLink>
+ControlLink::create(EventLoop& aLoop, ControlLinkOptions aOptions, ControlLinkHandlers aHandlers)
+{
+  return std::unique_ptr<ControlLink>(
+    new ControlLink(aLoop, std::move(aOptions), std::move(aHandlers)));
+}
+
+void
+ControlLink::start()
+{
+  mTick = mLoop.runEvery(mOptions.mHeartbeatMs, [this]() { onTick(); });
+  connect();
+}
+
+void
+ControlLink::connect()
+{
+  std::string address = std::exchange(mLeaderHint, "");
+  if (address.empty()) {
+    address = mOptions.mControlAddresses[mNextAddress % mOptions.mControlAddresses.size()];
+    mNextAddress++;
+  }
+  const Hello hello = valueOf(Hello::create({ .processKind = mOptions.mProcessKind,
+                                              .processId = mOptions.mProcessId,
+                                              .incarnation = mOptions.mIncarnation }));
+  MessageHandlers handlers;
+  handlers.onOpen = [this](MessageConnection& /*aConnection*/) { sendOpen(); };
+  handlers.onMessage = [this](MessageConnection& /*aConnection*/, const Message& aMessage) {
+    mLastHeard = mLoop.now();
+    onMessage(aMessage);
+  };
+  handlers.onClosed = [this](MessageConnection& /*aConnection*/, const Error& aError) {
+    logDebug("control connection lost",
+             { { "peer", aError.peer() }, { "detail", aError.detail() } });
+    dropConnection("lost");
+  };
+  mLastHeard = mLoop.now();
+  Result<MessageConnectionPointer> connection =
+    MessageConnection::connect(mLoop, address, hello, handlers);
+  if (!isOk(connection)) {
+    logWarning("control connection failed", errorOf(connection));
+    reconnectLater();
+    return;
+  }
+  mConnection = takeValue(std::move(connection));
+}
+
+void
+ControlLink::reconnectLater()
+{
+  if (!mClosed) {
+    mReconnect = mLoop.runAt(mLoop.now().plusMs(kReconnectMs), [this]() { connect(); });
+  }
+}
+
+void
+ControlLink::dropConnection(const std::string& aReason)
+{
+  mGranted = false;
+  mOpenSent = false;
+  if (mConnection == nullptr) {
+    return;
+  }
+  const MessageConnectionPointer connection = std::exchange(mConnection, nullptr);
+  connection->close(aReason);
+  reconnectLater();
+}
+
+void
+ControlLink::followLeader(const std::string& aLeaderAddress)
+{
+  mLeaderHint = aLeaderAddress;
+  dropConnection("not the leader");
+}
+
+void
+ControlLink::sendOpen()
+{
+  if (mConnection == nullptr || !mConnection->isOpen() || mOpenSent) {
+    return;
+  }
+  SessionOpen::Fields fields{ .processId = mOptions.mProcessId,
+                              .processKind = mOptions.mProcessKind,
+                              .incarnation = mOptions.mIncarnation,
+                              .sentAtMs = mLoop.now().ms() };
+  if (!mHandlers.fillOpen(fields)) {
+    return;
+  }
+  const Result<SessionOpen> message = SessionOpen::create(std::move(fields));
+  if (!isOk(message)) {
+    logError("session cannot be opened", errorOf(message));
+    return;
+  }
+  mOpenSent = mConnection->send(valueOf(message));
+}
+
+void
+ControlLink::onTick()
+{
+  if (mClosed || mConnection == nullptr) {
+    return;
+  }
+  const std::int64_t limitMs =
+    std::max(mOptions.mLeaseMs / kSilenceDivisor, mOptions.mHeartbeatMs * 2);
+  if (mLoop.now().msSince(mLastHeard) > limitMs) {
+    logWarning("control replica is silent", { { "peer", mConnection->peer() } });
+    dropConnection("silent");
+    return;
+  }
+  if (!mGranted) {
+    sendOpen();
+    return;
+  }
+  sendHeartbeat();
+}
+
+void
+ControlLink::sendHeartbeat()
+{
+  if (!mGranted || mConnection == nullptr) {
+    return;
+  }
+  SessionHeartbeat::Fields fields{ .session = mSession,
+                                   .processId = mOptions.mProcessId,
+                                   .sentAtMs = mLoop.now().ms(),
+                                   .catalogueVersion = mCatalogue.version(),
+                                   .targetVersion = mTargetVersion };
+  mHandlers.fillHeartbeat(fields);
+  const Result<SessionHeartbeat> message = SessionHeartbeat::create(std::move(fields));
+  if (!isOk(message)) {
+    logError("heartbeat cannot be sent", errorOf(message));
+    return;
+  }
+  mConnection->send(valueOf(message));
+}
+
+void
+ControlLink::onMessage(const Message& aMessage)
+{
+  if (const auto* granted = std::get_if<SessionGranted>(&aMessage)) {
+    onGranted(*granted);
+  } else if (const auto* renewed = std::get_if<SessionRenewed>(&aMessage)) {
+    onRenewed(*renewed);
+  } else if (const auto* refused = std::get_if<SessionRefused>(&aMessage)) {
+    onRefused(*refused);
+  } else if (const auto* update = std::get_if<CatalogueUpdate>(&aMessage)) {
+    if (mCatalogue.apply(*update) && mHandlers.onCatalogue) {
+      mHandlers.onCatalogue();
+    }
+    // The change is in force once the leader knows that this process applies it.
+    sendHeartbeat();
+  } else if (const auto* targets = std::get_if<TargetUpdate>(&aMessage)) {
+    onTargetUpdate(*targets);
+  } else if (!finishCall(aMessage) && mHandlers.onMessage) {
+    mHandlers.onMessage(aMessage);
+  }
+}
+
+void
+ControlLink::onGranted(const SessionGranted& aMessage)
+{
+  if (aMessage.term() < mTerm) {
+    dropConnection("older term");
+    return;
+  }
+  const bool isNew = aMessage.session() != mSession;
+  mGranted = true;
+  if (isNew) {
+    mSession = aMessage.session();
+    mLeaseUntil = Deadline();
+    logInfo("session open", { { "session", mSession }, { "term", aMessage.term() } });
+  }
+  acceptLease(aMessage.leaseUntilMs(), aMessage.term());
+  if (isNew && mHandlers.onSession) {
+    mHandlers.onSession(mSession);
+  }
+  resendCalls();
+}
+
+void
+ControlLink::onRenewed(const SessionRenewed& aMessage)
+{
+  if (aMessage.session() == mSession) {
+    acceptLease(aMessage.leaseUntilMs(), aMessage.term());
+  }
+}
+
+void
+ControlLink::acceptLease(std::int64_t aLeaseUntilMs, std::int64_t aTerm)
+{
+  mTerm = std::max(mTerm, aTerm);
+  mLeaseUntil = std::max(mLeaseUntil, Deadline::fromMs(aLeaseUntilMs));
+  if (mHandlers.onLease) {
+    mHandlers.onLease(mLeaseUntil);
+  }
+}
+
+void
+ControlLink::onRefused(const SessionRefused& aMessage)
+{
+  if (aMessage.reason() == SessionRefusal::eNotLeader) {
+    followLeader(aMessage.leaderAddress());
+    return;
+  }
+  if (aMessage.reason() == SessionRefusal::eBusy) {
+    mOpenSent = false;
+    return;
+  }
+  logWarning("session refused",
+             { { "session", aMessage.session() }, { "reason", toText(aMessage.reason()) } });
+  if (aMessage.session() == mSession && mSession != 0) {
+    mSession = 0;
+    mLeaseUntil = Deadline();
+    if (mHandlers.onSessionLost) {
+      mHandlers.onSessionLost();
+    }
+  }
+  mGranted = false;
+  mOpenSent = false;
+}
+
+void
+ControlLink::onTargetUpdate(const TargetUpdate& aMessage)
+{
+  const auto mine = std::pair(mTargetTerm, mTargetVersion);
+  if (std::pair(aMessage.term(), aMessage.version()) <= mine) {
+    return;
+  }
+  mTargetTerm = aMessage.term();
+  mTargetVersion = aMessage.version();
+  mTargets = aMessage.targets();
+  if (mHandlers.onTargets) {
+    mHandlers.onTargets();
+  }
+}
+
+bool
+ControlLink::send(const Message& aMessage)
+{
+  return mGranted && mConnection != nullptr && mConnection->send(aMessage);
+}
+
+void
+ControlLink::call(const Message& aMessage, Deadline aDeadline, CallCallback aCallback)
+{
+  assert(aCallback);
+  const std::string requestId = requestIdOf(aMessage);
+  assert(!requestId.empty());
+  assert(!mCalls.contains(requestId));
+  PendingCall pending{ aMessage, std::move(aCallback), nullptr };
+  pending.mTimeout = mLoop.runAt(aDeadline, [this, requestId]() {
+    failCall(requestId,
+             Error::create(ErrorCode::eTimeout, "control call", "control", "deadline passed"));
+  });
+  mCalls.emplace(requestId, std::move(pending));
+  send(aMessage);
+}
+
+bool
+ControlLink::finishCall(const Message& aMessage)
+{
+  const std::string requestId = requestIdOf(aMessage);
+  const auto position = mCalls.find(requestId);
+  if (requestId.empty() || position == mCalls.end()) {
+    return false;
+  }
+  const auto* failed = std::get_if<OperationFailed>(&aMessage);
+  if (failed != nullptr && failed->code() == FailureCode::eNotLeader) {
+    // The call stays pending and is sent again to the next leader.
+    followLeader(failed->leaderAddress());
+    return true;
+  }
+  if (failed != nullptr) {
+    failCall(
+      requestId,
+      Error::create(errorCodeOf(failed->code()), failed->step(), failed->peer(), failed->detail()));
+    return true;
+  }
+  const CallCallback callback = std::move(position->second.mCallback);
+  mCalls.erase(position);
+  callback(aMessage);
+  return true;
+}
+
+void
+ControlLink::failCall(const std::string& aRequestId, const Error& aError)
+{
+  const auto position = mCalls.find(aRequestId);
+  if (position == mCalls.end()) {
+    return;
+  }
+  const CallCallback callback = std::move(position->second.mCallback);
+  mCalls.erase(position);
+  callback(aError);
+}
+
+void
+ControlLink::resendCalls()
+{
+  for (const auto& [requestId, pending] : mCalls) {
+    send(pending.mMessage);
+  }
+}
+
+void
+ControlLink::close()
+{
+  if (mSession != 0) {
+    send(valueOf(SessionClose::create({ .session = mSession, .processId = mOptions.mProcessId })));
+  }
+  mClosed = true;
+  mSession = 0;
+  mLeaseUntil = Deadline();
+  mTick.reset();
+  mReconnect.reset();
+  dropConnection("closed");
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/session/Incarnation.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace magnoliadrum {
+
+/** Returns a random text that no other start of any process has. */
+std::string
+newIncarnation();
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/session/session_test.cpp
@@ -0,0 +1,162 @@
+#include "session/session.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+
+namespace {
+
+constexpr const char* kLeader = "127.0.0.1:39431";
+constexpr const char* kFollower = "127.0.0.1:39432";
+constexpr std::int64_t kTestLimitMs = 20000;
+constexpr std::int64_t kLeaseMs = 3000;
+
+/** Answers like a control leader, or like a follower that knows the leader. */
+class FakeControl
+{
+public:
+  FakeControl(EventLoop& aLoop, const std::string& aAddress, bool aIsLeader)
+    : mIsLeader(aIsLeader)
+  {
+    MessageHandlers handlers;
+    handlers.onOpen = [](MessageConnection& /*aConnection*/) {};
+    handlers.onMessage = [this](MessageConnection& aConnection, const Message& aMessage) {
+      onMessage(aConnection, aMessage);
+    };
+    handlers.onClosed = [](MessageConnection& /*aConnection*/, const Error& /*aError*/) {};
+    const Hello hello = valueOf(Hello::create({ ProcessKind::eControl, "control", "1" }));
+    mServer = takeValue(MessageServer::listen(aLoop, aAddress, hello, handlers));
+  }
+
+  int mOpens = 0;
+  int mQueries = 0;
+  bool mDropFirstQuery = false;
+
+private:
+  void onMessage(MessageConnection& aConnection, const Message& aMessage)
+  {
+    if (const auto* open = std::get_if<SessionOpen>(&aMessage)) {
+      mOpens++;
+      if (!mIsLeader) {
+        aConnection.send(valueOf(SessionRefused::create(
+          { .reason = SessionRefusal::eNotLeader, .leaderAddress = kLeader })));
+        return;
+      }
+      aConnection.send(valueOf(SessionGranted::create(
+        { .session = 7, .leaseUntilMs = open->sentAtMs() + kLeaseMs, .term = 1 })));
+    } else if (const auto* query = std::get_if<StatusQuery>(&aMessage)) {
+      mQueries++;
+      if (mDropFirstQuery && mQueries == 1) {
+        const MessageConnectionPointer connection = aConnection.shared_from_this();
+        connection->close("test");
+        return;
+      }
+      aConnection.send(valueOf(OperationDone::create({ .requestId = query->requestId() })));
+    }
+  }
+
+  bool mIsLeader;
+  std::unique_ptr<MessageServer> mServer;
+};
+
+struct LinkFixture
+{
+  LinkFixture()
+    : mLoop(takeValue(EventLoop::create()))
+    , mLimit(mLoop->runAt(mLoop->now().plusMs(kTestLimitMs), [this]() {
+      mTimedOut = true;
+      mLoop->stop();
+    }))
+  {
+  }
+
+  std::unique_ptr<ControlLink> createLink(ControlLinkHandlers aHandlers)
+  {
+    aHandlers.fillOpen = [](SessionOpen::Fields& /*aFields*/) { return true; };
+    aHandlers.fillHeartbeat = [](SessionHeartbeat::Fields& /*aFields*/) {};
+    return ControlLink::create(
+      *mLoop,
+      { ProcessKind::eGateway, "gateway-1", "1", { kFollower, kLeader }, kLeaseMs, 100 },
+      std::move(aHandlers));
+  }
+
+  std::unique_ptr<EventLoop> mLoop;
+  bool mTimedOut = false;
+  EventHandlePointer mLimit;
+};
+
+CatalogueUpdate
+updateOf(std::int64_t aTerm, bool aComplete, std::int64_t aFrom, std::int64_t aTo)
+{
+  return valueOf(CatalogueUpdate::create(
+    { .term = aTerm, .complete = aComplete, .fromVersion = aFrom, .toVersion = aTo }));
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(link_follows_the_leader_hint_and_gets_a_lease, LinkFixture)
+{
+  const FakeControl follower(*mLoop, kFollower, false);
+  const FakeControl leader(*mLoop, kLeader, true);
+  ControlLinkHandlers handlers;
+  handlers.onSession = [&](std::int64_t aSession) {
+    BOOST_TEST(aSession == 7);
+    mLoop->stop();
+  };
+  const std::unique_ptr<ControlLink> link = createLink(handlers);
+  BOOST_TEST(!link->holdsLease(mLoop->now()));
+  link->start();
+  mLoop->run();
+  BOOST_REQUIRE(!mTimedOut);
+  BOOST_TEST(link->holdsLease(mLoop->now()));
+  BOOST_TEST(!link->holdsLease(mLoop->now().plusMs(kLeaseMs)));
+}
+
+// Guards against a call that is lost with the connection on which it was sent.
+BOOST_FIXTURE_TEST_CASE(unanswered_call_is_sent_again_after_a_reconnection, LinkFixture)
+{
+  const FakeControl follower(*mLoop, kFollower, false);
+  FakeControl leader(*mLoop, kLeader, true);
+  leader.mDropFirstQuery = true;
+  const std::unique_ptr<ControlLink> link = createLink({});
+  link->start();
+  int answers = 0;
+  link->call(valueOf(StatusQuery::create({ .requestId = "q" })),
+             mLoop->now().plusMs(kTestLimitMs),
+             [&](const Result<Message>& aResult) {
+               answers += isOk(aResult) ? 1 : 0;
+               mLoop->stop();
+             });
+  mLoop->run();
+  BOOST_REQUIRE(!mTimedOut);
+  BOOST_TEST(answers == 1);
+  BOOST_TEST(leader.mQueries == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(call_without_a_leader_fails_at_its_deadline, LinkFixture)
+{
+  const std::unique_ptr<ControlLink> link = createLink({});
+  link->start();
+  std::optional<ErrorCode> code;
+  link->call(valueOf(StatusQuery::create({ .requestId = "q" })),
+             mLoop->now().plusMs(200),
+             [&](const Result<Message>& aResult) {
+               code = errorOf(aResult).code();
+               mLoop->stop();
+             });
+  mLoop->run();
+  BOOST_TEST((code == ErrorCode::eTimeout));
+}
+
+// Guards against an old leader or a late message that takes a catalogue change back.
+BOOST_AUTO_TEST_CASE(catalogue_copy_never_goes_back)
+{
+  CatalogueCopy copy;
+  BOOST_TEST(!copy.apply(updateOf(1, false, 0, 1)));
+  BOOST_TEST(copy.apply(updateOf(2, true, 0, 5)));
+  BOOST_TEST(!copy.apply(updateOf(1, true, 0, 9)));
+  BOOST_TEST(!copy.apply(updateOf(2, true, 0, 4)));
+  BOOST_TEST(!copy.apply(updateOf(2, false, 6, 7)));
+  BOOST_TEST(copy.apply(updateOf(3, false, 5, 6)));
+  BOOST_TEST(copy.version() == 6);
+}
