Add the routing module

Target selection, owner limits, retry budget, outlier detection, request queue, clock offset and the life of a request, all without sockets and without a clock.

--- /dev/null
+++ b/src/routing/OutlierDetector.cpp
@@ -0,0 +1,210 @@
+#include "routing/OutlierDetector.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Weight of a new sample. With it, seven failures in a row give an error share above one half. */
+constexpr double kSampleWeight = 0.1;
+constexpr double kMaxErrorShare = 0.5;
+/** A target is slow above this multiple of the median of the others, plus a margin for jitter. */
+constexpr double kSlowFactor = 3;
+constexpr double kSlowMarginMs = 10;
+constexpr std::int64_t kMinSamples = 7;
+constexpr std::int64_t kBaseEjectionMs = 1000;
+constexpr std::int64_t kMaxEjectionMs = 60000;
+/** A target that stays healthy for this long is treated as if it had never been ejected. */
+constexpr std::int64_t kForgetEjectionsMs = 60000;
+
+std::int64_t
+ejectionMs(int aEjections)
+{
+  constexpr int kMaxDoublings = 6;
+  return std::min(kMaxEjectionMs, kBaseEjectionMs << std::min(aEjections - 1, kMaxDoublings));
+}
+
+} // namespace
+
+void
+OutlierDetector::setTargets(const std::vector<std::string>& aTargetIds)
+{
+  std::map<std::string, Record> targets;
+  for (const std::string& id : aTargetIds) {
+    const auto known = mTargets.find(id);
+    targets.emplace(id, known == mTargets.end() ? Record{} : known->second);
+  }
+  mTargets = std::move(targets);
+  // When healthy targets leave, the ejected ones that would be more than half come back for probes
+  // first.
+  while (ejectedCount() > mTargets.size() / 2) {
+    const auto soonest =
+      std::min_element(mTargets.begin(), mTargets.end(), [](const auto& aLeft, const auto& aRight) {
+        const auto key = [](const Record& aRecord) {
+          return std::pair(!aRecord.mEjected, aRecord.mEjectedUntil);
+        };
+        return key(aLeft.second) < key(aRight.second);
+      });
+    soonest->second.mEjected = false;
+    soonest->second.mProbing = false;
+    soonest->second.mErrorShare = 0;
+    soonest->second.mSamples = 0;
+  }
+}
+
+OutlierDetector::Availability
+OutlierDetector::availability(const std::string& aTargetId, MonotonicTime aNow) const
+{
+  const auto target = mTargets.find(aTargetId);
+  if (target == mTargets.end() || !target->second.mEjected) {
+    return Availability::eNormal;
+  }
+  const bool probeDue = aNow >= target->second.mEjectedUntil && !target->second.mProbing;
+  return probeDue ? Availability::eProbe : Availability::eEjected;
+}
+
+void
+OutlierDetector::beginProbe(const std::string& aTargetId)
+{
+  Record& record = mTargets.at(aTargetId);
+  assert(record.mEjected && !record.mProbing);
+  record.mProbing = true;
+}
+
+void
+OutlierDetector::abandonProbe(const std::string& aTargetId)
+{
+  const auto target = mTargets.find(aTargetId);
+  if (target != mTargets.end()) {
+    target->second.mProbing = false;
+  }
+}
+
+void
+OutlierDetector::recordResponse(const std::string& aTargetId,
+                                bool aSuccess,
+                                std::int64_t aLatencyMs,
+                                MonotonicTime aNow)
+{
+  const auto target = mTargets.find(aTargetId);
+  if (target == mTargets.end()) {
+    return;
+  }
+  Record& record = target->second;
+  const auto latencyMs = static_cast<double>(aLatencyMs);
+  if (record.mEjected) {
+    settleProbe(record, aSuccess && !isSlow(aTargetId, latencyMs), aNow);
+    return;
+  }
+  record.mErrorShare += kSampleWeight * ((aSuccess ? 0 : 1) - record.mErrorShare);
+  if (aSuccess) {
+    // A failure is often fast; counting it would hide a slow target.
+    record.mLatencyMs +=
+      (record.mLatencyMs == 0 ? 1 : kSampleWeight) * (latencyMs - record.mLatencyMs);
+  }
+  record.mSamples++;
+  ejectIfOutlier(aTargetId, record, aNow);
+}
+
+void
+OutlierDetector::recordTimeout(const std::string& aTargetId,
+                               std::int64_t aElapsedMs,
+                               MonotonicTime aNow)
+{
+  const auto target = mTargets.find(aTargetId);
+  if (target == mTargets.end()) {
+    return;
+  }
+  Record& record = target->second;
+  const auto elapsedMs = static_cast<double>(aElapsedMs);
+  if (record.mEjected) {
+    settleProbe(record, false, aNow);
+    return;
+  }
+  if (elapsedMs <= record.mLatencyMs) {
+    return;
+  }
+  record.mLatencyMs += kSampleWeight * (elapsedMs - record.mLatencyMs);
+  record.mSamples++;
+  ejectIfOutlier(aTargetId, record, aNow);
+}
+
+std::size_t
+OutlierDetector::ejectedCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mTargets.begin(), mTargets.end(), [](const auto& aItem) { return aItem.second.mEjected; }));
+}
+
+bool
+OutlierDetector::isSlow(const std::string& aTargetId, double aLatencyMs) const
+{
+  const std::optional<double> median = medianLatencyOfOthers(aTargetId);
+  return median && aLatencyMs > kSlowFactor * *median + kSlowMarginMs;
+}
+
+std::optional<double>
+OutlierDetector::medianLatencyOfOthers(const std::string& aTargetId) const
+{
+  std::vector<double> latencies;
+  for (const auto& [id, record] : mTargets) {
+    if (id != aTargetId && !record.mEjected && record.mSamples >= kMinSamples) {
+      latencies.push_back(record.mLatencyMs);
+    }
+  }
+  if (latencies.empty()) {
+    return std::nullopt;
+  }
+  const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  return *middle;
+}
+
+void
+OutlierDetector::settleProbe(Record& aRecord, bool aSuccess, MonotonicTime aNow)
+{
+  if (!aRecord.mProbing) {
+    // The response to a request from before the ejection says nothing about the present.
+    return;
+  }
+  aRecord.mProbing = false;
+  if (!aSuccess) {
+    eject(aRecord, aNow);
+    return;
+  }
+  aRecord.mEjected = false;
+  aRecord.mErrorShare = 0;
+  aRecord.mLatencyMs = 0;
+  aRecord.mSamples = 0;
+  aRecord.mReadmittedAt = aNow;
+}
+
+void
+OutlierDetector::ejectIfOutlier(const std::string& aTargetId, Record& aRecord, MonotonicTime aNow)
+{
+  if (aRecord.mSamples < kMinSamples) {
+    return;
+  }
+  const bool isOutlier =
+    aRecord.mErrorShare > kMaxErrorShare || isSlow(aTargetId, aRecord.mLatencyMs);
+  if (!isOutlier || ejectedCount() + 1 > mTargets.size() / 2) {
+    return;
+  }
+  if (aNow.msSince(aRecord.mReadmittedAt) > kForgetEjectionsMs) {
+    aRecord.mEjections = 0;
+  }
+  eject(aRecord, aNow);
+}
+
+void
+OutlierDetector::eject(Record& aRecord, MonotonicTime aNow)
+{
+  aRecord.mEjections++;
+  aRecord.mEjected = true;
+  aRecord.mProbing = false;
+  aRecord.mEjectedUntil = aNow.plusMs(ejectionMs(aRecord.mEjections));
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/routing/OwnerLimits.cpp
@@ -0,0 +1,124 @@
+#include "routing/OwnerLimits.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace magnoliadrum {
+
+namespace {
+
+constexpr double kMsPerSecond = 1000;
+constexpr double kRoundingSlack = 1e-9;
+
+/** Requests that a bucket holds; at least one, or a rate below 1/s would admit nothing. */
+double
+bucketSize(const RequestLimit& aLimit)
+{
+  return std::max(1.0, aLimit.mRequestsPerSecond);
+}
+
+} // namespace
+
+void
+OwnerLimits::Usage::setLimit(RequestLimit aLimit)
+{
+  if (aLimit.mRequestsPerSecond != mLimit.mRequestsPerSecond) {
+    // A bucket that had no limit before starts full; otherwise the tokens are kept.
+    mFilled = mFilled && mLimit.mRequestsPerSecond > 0;
+  }
+  mLimit = aLimit;
+}
+
+void
+OwnerLimits::Usage::fill(MonotonicTime aNow)
+{
+  if (!mFilled) {
+    mTokens = bucketSize(mLimit);
+    mFilled = true;
+  } else {
+    const auto elapsedMs = static_cast<double>(std::max<std::int64_t>(0, aNow.msSince(mFilledAt)));
+    mTokens += elapsedMs * mLimit.mRequestsPerSecond / kMsPerSecond;
+    mTokens = std::min(mTokens, bucketSize(mLimit));
+  }
+  mFilledAt = std::max(mFilledAt, aNow);
+}
+
+std::optional<RefusalReason>
+OwnerLimits::Usage::refusal() const
+{
+  if (mLimit.mConcurrentRequests > 0 && mInProgress >= mLimit.mConcurrentRequests) {
+    return RefusalReason::eConcurrencyLimit;
+  }
+  if (mLimit.mRequestsPerSecond > 0 && mTokens < 1 - kRoundingSlack) {
+    return RefusalReason::eRateLimit;
+  }
+  return std::nullopt;
+}
+
+void
+OwnerLimits::Usage::take()
+{
+  mInProgress++;
+  if (mLimit.mRequestsPerSecond > 0) {
+    mTokens -= 1;
+  }
+}
+
+void
+OwnerLimits::Usage::release()
+{
+  assert(mInProgress > 0);
+  mInProgress--;
+}
+
+void
+OwnerLimits::setEntryLimit(const std::string& aEntryName, RequestLimit aLimit)
+{
+  mEntries[aEntryName].setLimit(aLimit);
+}
+
+void
+OwnerLimits::setOwnerLimit(const std::string& aOwner, RequestLimit aLimit)
+{
+  mOwners[aOwner].setLimit(aLimit);
+}
+
+std::optional<RefusalReason>
+OwnerLimits::admit(const std::string& aEntryName, const std::string& aOwner, MonotonicTime aNow)
+{
+  Usage& entry = mEntries[aEntryName];
+  Usage& owner = mOwners[aOwner];
+  entry.fill(aNow);
+  owner.fill(aNow);
+  if (const auto reason = entry.refusal()) {
+    return reason;
+  }
+  if (const auto reason = owner.refusal()) {
+    return reason;
+  }
+  entry.take();
+  owner.take();
+  return std::nullopt;
+}
+
+void
+OwnerLimits::release(const std::string& aEntryName, const std::string& aOwner)
+{
+  const auto entry = mEntries.find(aEntryName);
+  const auto owner = mOwners.find(aOwner);
+  assert(entry != mEntries.end() && owner != mOwners.end());
+  entry->second.release();
+  owner->second.release();
+}
+
+void
+OwnerLimits::forgetIdle()
+{
+  const auto isIdle = [](const auto& aItem) {
+    return aItem.second.mInProgress == 0 && aItem.second.mLimit == RequestLimit{};
+  };
+  std::erase_if(mEntries, isIdle);
+  std::erase_if(mOwners, isIdle);
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/routing/RequestQueue.cpp
@@ -0,0 +1,142 @@
+#include "routing/RequestQueue.h"
+
+#include <cassert>
+
+namespace magnoliadrum {
+
+RequestQueue::DropKey
+RequestQueue::Waiting::dropKey() const
+{
+  return { mItem.mWorkClass == WorkClass::eLatencyCritical, mItem.mDeadline, mArrival };
+}
+
+RequestQueue::LeaveKey
+RequestQueue::Waiting::leaveKey() const
+{
+  return { mItem.mWorkClass == WorkClass::eBatch, mArrival };
+}
+
+RequestQueue::RequestQueue(Bounds aBounds)
+  : mBounds(aBounds)
+{
+}
+
+std::vector<DroppedRequest>
+RequestQueue::push(const QueuedRequest& aRequest, MonotonicTime aNow)
+{
+  assert(!mRequests.contains(aRequest.mRequest));
+  std::vector<DroppedRequest> dropped = dropExpired(aNow);
+  if (aRequest.mDeadline <= aNow) {
+    dropped.push_back({ aRequest.mRequest, RefusalReason::eDeadlinePassed });
+    return dropped;
+  }
+  insert(aRequest);
+  dropOverflow(aRequest, dropped);
+  return dropped;
+}
+
+std::optional<std::uint64_t>
+RequestQueue::pop(const std::string& aEntryName, MonotonicTime aNow)
+{
+  const auto entry = mEntries.find(aEntryName);
+  if (entry == mEntries.end()) {
+    return std::nullopt;
+  }
+  for (const auto& [key, request] : entry->second.mByLeaving) {
+    // An expired request stays for dropExpired(), so that its caller gets the reason.
+    if (mRequests.at(request).mItem.mDeadline > aNow) {
+      const std::uint64_t next = request;
+      remove(next);
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+RequestQueue::remove(std::uint64_t aRequest)
+{
+  const auto position = mRequests.find(aRequest);
+  if (position == mRequests.end()) {
+    return false;
+  }
+  const Waiting& waiting = position->second;
+  const auto entry = mEntries.find(waiting.mItem.mEntryName);
+  entry->second.mByLeaving.erase(waiting.leaveKey());
+  entry->second.mByDropping.erase(waiting.dropKey());
+  if (entry->second.mByLeaving.empty()) {
+    mEntries.erase(entry);
+  }
+  mByDropping.erase(waiting.dropKey());
+  mByDeadline.erase({ waiting.mItem.mDeadline, waiting.mArrival });
+  mBytes -= waiting.mItem.mBytes;
+  mRequests.erase(position);
+  return true;
+}
+
+std::vector<DroppedRequest>
+RequestQueue::dropExpired(MonotonicTime aNow)
+{
+  std::vector<DroppedRequest> dropped;
+  while (!mByDeadline.empty() && mByDeadline.begin()->first.first <= aNow) {
+    const std::uint64_t request = mByDeadline.begin()->second;
+    remove(request);
+    dropped.push_back({ request, RefusalReason::eDeadlinePassed });
+  }
+  return dropped;
+}
+
+std::vector<std::string>
+RequestQueue::waitingEntries() const
+{
+  std::vector<std::string> names;
+  names.reserve(mEntries.size());
+  for (const auto& [name, queue] : mEntries) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::size_t
+RequestQueue::size(const std::string& aEntryName) const
+{
+  const auto entry = mEntries.find(aEntryName);
+  return entry == mEntries.end() ? 0 : entry->second.mByLeaving.size();
+}
+
+void
+RequestQueue::insert(const QueuedRequest& aRequest)
+{
+  const Waiting waiting{ aRequest, mNextArrival++ };
+  EntryQueue& entry = mEntries[aRequest.mEntryName];
+  entry.mByLeaving.emplace(waiting.leaveKey(), aRequest.mRequest);
+  entry.mByDropping.emplace(waiting.dropKey(), aRequest.mRequest);
+  mByDropping.emplace(waiting.dropKey(), aRequest.mRequest);
+  mByDeadline.emplace(std::pair(aRequest.mDeadline, waiting.mArrival), aRequest.mRequest);
+  mBytes += aRequest.mBytes;
+  mRequests.emplace(aRequest.mRequest, waiting);
+}
+
+void
+RequestQueue::dropOverflow(const QueuedRequest& aNew, std::vector<DroppedRequest>& aDropped)
+{
+  while (size(aNew.mEntryName) > mBounds.mRequestsPerEntry) {
+    const EntryQueue& entry = mEntries.at(aNew.mEntryName);
+    drop(entry.mByDropping.begin()->second, aNew.mRequest, aDropped);
+  }
+  while (mBytes > mBounds.mBytes) {
+    drop(mByDropping.begin()->second, aNew.mRequest, aDropped);
+  }
+}
+
+void
+RequestQueue::drop(std::uint64_t aRequest,
+                   std::uint64_t aNew,
+                   std::vector<DroppedRequest>& aDropped)
+{
+  remove(aRequest);
+  const RefusalReason reason = aRequest == aNew ? RefusalReason::eQueueFull : RefusalReason::eShed;
+  aDropped.push_back({ aRequest, reason });
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/routing/RequestQueue.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "core/core.h"
+#include "generated/generated.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** A request that waits for a slot. */
+struct QueuedRequest
+{
+  std::uint64_t mRequest = 0;
+  std::string mEntryName;
+  WorkClass mWorkClass = WorkClass::eBatch;
+  Deadline mDeadline;
+  /** Memory that the waiting request holds. */
+  std::size_t mBytes = 0;
+};
+
+/** A request that left the queue without being dispatched. */
+struct DroppedRequest
+{
+  std::uint64_t mRequest = 0;
+  /** eDeadlinePassed, eShed or, when the new request itself is dropped, eQueueFull. */
+  RefusalReason mReason = RefusalReason::eShed;
+
+  friend bool operator==(const DroppedRequest&, const DroppedRequest&) = default;
+};
+
+/**
+ * Requests that wait for a slot, bounded per entry by count and altogether by memory.
+ *
+ * Latency-critical requests leave before batch requests, the oldest first. When a bound is
+ * exceeded, batch requests are dropped first and then those with the least time left, because they
+ * are the least likely to be answered in time.
+ */
+class RequestQueue
+{
+public:
+  struct Bounds
+  {
+    std::size_t mRequestsPerEntry = 0;
+    std::size_t mBytes = 0;
+  };
+
+  explicit RequestQueue(Bounds aBounds);
+
+  /** Adds a request and returns what is dropped for it, possibly the request itself. */
+  std::vector<DroppedRequest> push(const QueuedRequest& aRequest, MonotonicTime aNow);
+
+  /** Removes and returns the next request of an entry whose deadline has not passed. */
+  std::optional<std::uint64_t> pop(const std::string& aEntryName, MonotonicTime aNow);
+
+  /** Removes a request; false when it is not in the queue. */
+  bool remove(std::uint64_t aRequest);
+
+  /** Removes and returns all requests whose deadline has passed. */
+  std::vector<DroppedRequest> dropExpired(MonotonicTime aNow);
+
+  /** Entries that have requests waiting. */
+  std::vector<std::string> waitingEntries() const;
+
+  std::size_t size() const { return mRequests.size(); }
+  std::size_t size(const std::string& aEntryName) const;
+  std::size_t bytes() const { return mBytes; }
+
+private:
+  /** Order of dropping: batch first, then by remaining time, then by arrival. */
+  struct DropKey
+  {
+    bool mLatencyCritical;
+    Deadline mDeadline;
+    std::uint64_t mArrival;
+
+    friend auto operator<=>(const DropKey&, const DropKey&) = default;
+  };
+
+  /** Order of leaving: latency-critical first, then by arrival. */
+  struct LeaveKey
+  {
+    bool mBatch;
+    std::uint64_t mArrival;
+
+    friend auto operator<=>(const LeaveKey&, const LeaveKey&) = default;
+  };
+
+  struct EntryQueue
+  {
+    std::map<LeaveKey, std::uint64_t> mByLeaving;
+    std::map<DropKey, std::uint64_t> mByDropping;
+  };
+
+  struct Waiting
+  {
+    QueuedRequest mItem;
+    std::uint64_t mArrival = 0;
+
+    DropKey dropKey() const;
+    LeaveKey leaveKey() const;
+  };
+
+  void insert(const QueuedRequest& aRequest);
+  void dropOverflow(const QueuedRequest& aNew, std::vector<DroppedRequest>& aDropped);
+  void drop(std::uint64_t aRequest, std::uint64_t aNew, std::vector<DroppedRequest>& aDropped);
+
+  Bounds mBounds;
+  std::uint64_t mNextArrival = 0;
+  std::size_t mBytes = 0;
+  std::unordered_map<std::uint64_t, Waiting> mRequests;
+  std::map<std::string, EntryQueue> mEntries;
+  std::map<DropKey, std::uint64_t> mByDropping;
+  std::map<std::pair<Deadline, std::uint64_t>, std::uint64_t> mByDeadline;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/routing/RetryBudget.cpp
@@ -0,0 +1,39 @@
+#include "routing/RetryBudget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace magnoliadrum {
+
+namespace {
+constexpr double kReserveTokens = 10;
+/** Bounds the burst of retries after a long time without failures. */
+constexpr double kMaxTokens = 100;
+/** Ten additions of 0.1 give slightly less than 1 in binary floating point. */
+constexpr double kRoundingSlack = 1e-9;
+} // namespace
+
+RetryBudget::RetryBudget(double aShare)
+  : mShare(aShare)
+  , mTokens(aShare > 0 ? kReserveTokens : 0)
+{
+  assert(aShare >= 0 && aShare <= 1);
+}
+
+void
+RetryBudget::recordFirstAttempt()
+{
+  mTokens = std::min(kMaxTokens, mTokens + mShare);
+}
+
+bool
+RetryBudget::takeRetry()
+{
+  if (mTokens < 1 - kRoundingSlack) {
+    return false;
+  }
+  mTokens -= 1;
+  return true;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/routing/RetryBudget.h
@@ -0,0 +1,27 @@
+#pragma once
+
+namespace magnoliadrum {
+
+/**
+ * Bounds retries to a share of first attempts, so that retries cannot multiply an overload.
+ *
+ * A small reserve lets an entry with little traffic retry at all.
+ */
+class RetryBudget
+{
+public:
+  /** aShare is the number of retries per first attempt, between 0 and 1. */
+  explicit RetryBudget(double aShare);
+
+  /** Counts a first attempt. */
+  void recordFirstAttempt();
+
+  /** Takes one retry from the budget; false when the budget is used up. */
+  bool takeRetry();
+
+private:
+  double mShare;
+  double mTokens;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/routing/TargetLoad.cpp
@@ -0,0 +1,40 @@
+#include "routing/TargetLoad.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace magnoliadrum {
+
+namespace {
+constexpr double kOthersHalfLifeMs = 50;
+} // namespace
+
+void
+TargetLoad::recordEnd()
+{
+  assert(mOwn > 0);
+  mOwn--;
+}
+
+void
+TargetLoad::recordReport(std::int64_t aOutstanding, MonotonicTime aNow)
+{
+  mOthers = static_cast<double>(std::max<std::int64_t>(0, aOutstanding - mOwn));
+  mReportedAt = aNow;
+}
+
+double
+TargetLoad::outstanding(MonotonicTime aNow) const
+{
+  const auto ageMs = static_cast<double>(std::max<std::int64_t>(0, aNow.msSince(mReportedAt)));
+  return static_cast<double>(mOwn) + mOthers * std::exp2(-ageMs / kOthersHalfLifeMs);
+}
+
+bool
+TargetLoad::hasFreeSlot(MonotonicTime aNow) const
+{
+  return outstanding(aNow) <= static_cast<double>(mSlots) - 1 && mOwn < mSlots;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/routing/routing.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/**
+ * Module routing: the decisions about requests, as classes without sockets and without a clock.
+ *
+ * Time is passed in as MonotonicTime and randomness as a seeded RandomEngine, so every decision can
+ * be repeated in a test. Depends on core and generated.
+ */
+
+#include "routing/ClockOffset.h"
+#include "routing/OutlierDetector.h"
+#include "routing/OwnerLimits.h"
+#include "routing/RequestLedger.h"
+#include "routing/RequestQueue.h"
+#include "routing/RetryBudget.h"
+#include "routing/TargetLoad.h"
+#include "routing/TargetSelector.h"
--- /dev/null
+++ b/src/routing/routing_test.cpp
@@ -0,0 +1,288 @@
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+
+namespace {
+
+MonotonicTime
+at(std::int64_t aMs)
+{
+  return MonotonicTime::fromMs(aMs);
+}
+
+QueuedRequest
+waiting(std::uint64_t aRequest, WorkClass aClass, std::int64_t aDeadlineMs, std::size_t aBytes = 1)
+{
+  return { aRequest, "entry", aClass, at(aDeadlineMs), aBytes };
+}
+
+constexpr WorkClass kCritical = WorkClass::eLatencyCritical;
+constexpr WorkClass kBatch = WorkClass::eBatch;
+
+} // namespace
+
+// Guards against a deadline that the agent sees too late because a reading was delayed or clocks
+// drift.
+BOOST_AUTO_TEST_CASE(translated_deadline_is_never_late)
+{
+  RandomEngine engine(1);
+  std::uniform_int_distribution<std::int64_t> delayMs(0, 300);
+  for (const double rate : { 0.99, 1.0, 1.01 }) {
+    ClockOffset offset;
+    const auto peerClock = [rate](double aMs) { return 7000 + aMs * rate; };
+    for (std::int64_t sentMs = 0; sentMs < 60000; sentMs += 500) {
+      const MonotonicTime arrived = at(sentMs + delayMs(engine));
+      offset.record(at(static_cast<std::int64_t>(peerClock(static_cast<double>(sentMs)))), arrived);
+      const std::int64_t deadlineMs = arrived.ms() + 2000;
+      const auto translated = offset.translate(at(deadlineMs), arrived);
+      BOOST_REQUIRE(translated.has_value());
+      BOOST_TEST(translated->ms() <= peerClock(static_cast<double>(deadlineMs)));
+      BOOST_TEST(translated->ms() >= peerClock(static_cast<double>(deadlineMs)) - 600);
+    }
+  }
+}
+
+// Guards against a deadline translated with a reading from before the agent's VM was restarted.
+BOOST_AUTO_TEST_CASE(old_clock_readings_are_not_used)
+{
+  ClockOffset offset;
+  BOOST_TEST(!offset.translate(at(100), at(0)).has_value());
+  offset.record(at(5000), at(0));
+  BOOST_TEST(offset.translate(at(10100), at(10000)).has_value());
+  BOOST_TEST(!offset.translate(at(10101), at(10001)).has_value());
+}
+
+// Guards against retries that multiply the load when all targets fail.
+BOOST_AUTO_TEST_CASE(retries_stay_within_their_share)
+{
+  RetryBudget budget(0.1);
+  int retries = 0;
+  for (int request = 0; request < 10000; request++) {
+    budget.recordFirstAttempt();
+    retries += budget.takeRetry() ? 1 : 0;
+  }
+  BOOST_TEST(retries >= 1000);
+  BOOST_TEST(retries <= 1010);
+  BOOST_TEST(!RetryBudget(0).takeRetry());
+}
+
+// Guards against one owner whose requests use up what another owner is entitled to.
+BOOST_AUTO_TEST_CASE(owner_limits_hold_over_all_entries_and_do_not_touch_other_owners)
+{
+  OwnerLimits limits;
+  limits.setOwnerLimit("guild", { 10, 0 });
+  int admitted = 0;
+  for (int request = 0; request < 100; request++) {
+    admitted += limits.admit(request % 2 == 0 ? "a" : "b", "guild", at(0)) ? 0 : 1;
+  }
+  BOOST_TEST(admitted == 10);
+  BOOST_TEST((limits.admit("a", "guild", at(50)) == RefusalReason::eRateLimit));
+  BOOST_TEST(!limits.admit("a", "guild", at(100)).has_value());
+  BOOST_TEST(!limits.admit("c", "delta", at(100)).has_value());
+}
+
+// Guards against slots that are never given back, and against a refused request that uses one up.
+BOOST_AUTO_TEST_CASE(concurrency_is_released_and_a_refusal_takes_nothing)
+{
+  OwnerLimits limits;
+  limits.setEntryLimit("a", { 0, 2 });
+  limits.setOwnerLimit("guild", { 2, 0 });
+  BOOST_TEST(!limits.admit("a", "guild", at(0)).has_value());
+  BOOST_TEST(!limits.admit("a", "guild", at(0)).has_value());
+  BOOST_TEST((limits.admit("a", "guild", at(5000)) == RefusalReason::eConcurrencyLimit));
+  BOOST_TEST(!limits.admit("b", "guild", at(5000)).has_value());
+  BOOST_TEST(!limits.admit("b", "guild", at(5000)).has_value());
+  limits.release("a", "guild");
+  BOOST_TEST((limits.admit("a", "guild", at(5000)) == RefusalReason::eRateLimit));
+  BOOST_TEST(!limits.admit("a", "guild", at(5500)).has_value());
+}
+
+// Guards against a limit that a resent catalogue resets, which would admit a burst at each change.
+BOOST_AUTO_TEST_CASE(setting_the_same_limit_again_does_not_refill_the_bucket)
+{
+  OwnerLimits limits;
+  limits.setEntryLimit("a", { 1, 0 });
+  BOOST_TEST(!limits.admit("a", "guild", at(0)).has_value());
+  limits.setEntryLimit("a", { 1, 5 });
+  BOOST_TEST((limits.admit("a", "guild", at(0)) == RefusalReason::eRateLimit));
+  limits.setEntryLimit("a", { 2, 5 });
+  BOOST_TEST((limits.admit("a", "guild", at(0)) == RefusalReason::eRateLimit));
+}
+
+// Guards against choosing by absolute counts, which overloads the smaller of two targets.
+BOOST_AUTO_TEST_CASE(selection_compares_load_relative_to_slots)
+{
+  const std::vector<TargetCandidate> candidates{ { 3, 4 }, { 4, 16 } };
+  TargetSelector<LeastRelativeOfTwo> relative{ RandomEngine(1) };
+  TargetSelector<LeastOutstandingOfTwo> absolute{ RandomEngine(1) };
+  TargetSelector<LeastRelativeOfAll> all{ RandomEngine(1) };
+  for (int draw = 0; draw < 50; draw++) {
+    BOOST_TEST(relative.select(candidates) == 1);
+    BOOST_TEST(absolute.select(candidates) == 0);
+    BOOST_TEST(all.select(candidates) == 1);
+  }
+}
+
+// Guards against a choice that always prefers one of several idle targets.
+BOOST_AUTO_TEST_CASE(idle_targets_are_chosen_evenly)
+{
+  const std::vector<TargetCandidate> candidates(5, TargetCandidate{ 0, 8 });
+  TargetSelector<LeastRelativeOfTwo> selector{ RandomEngine(2) };
+  std::vector<int> counts(candidates.size(), 0);
+  for (int draw = 0; draw < 10000; draw++) {
+    counts[selector.select(candidates)]++;
+  }
+  BOOST_TEST(*std::min_element(counts.begin(), counts.end()) > 1800);
+}
+
+// Guards against a target that stays idle because of an old report of other gateways' requests.
+BOOST_AUTO_TEST_CASE(reports_of_other_gateways_load_fade)
+{
+  TargetLoad load;
+  load.setSlots(8);
+  load.recordDispatch();
+  load.recordReport(8, at(0));
+  BOOST_TEST(!load.hasFreeSlot(at(0)));
+  BOOST_TEST(load.hasFreeSlot(at(200)));
+  for (int request = 0; request < 7; request++) {
+    load.recordDispatch();
+  }
+  BOOST_TEST(!load.hasFreeSlot(at(10000)));
+}
+
+// Guards against batch requests that delay latency-critical ones.
+BOOST_AUTO_TEST_CASE(latency_critical_requests_leave_first)
+{
+  RequestQueue queue({ 10, 100 });
+  queue.push(waiting(1, kBatch, 1000), at(0));
+  queue.push(waiting(2, kCritical, 1000), at(0));
+  queue.push(waiting(3, kCritical, 500), at(0));
+  BOOST_TEST((queue.pop("entry", at(0)) == 2));
+  BOOST_TEST((queue.pop("entry", at(0)) == 3));
+  BOOST_TEST((queue.pop("entry", at(0)) == 1));
+  BOOST_TEST(!queue.pop("entry", at(0)).has_value());
+  BOOST_TEST(queue.bytes() == 0);
+}
+
+// Guards against an overload that drops requests that can still be answered in time before hopeless
+// ones.
+BOOST_AUTO_TEST_CASE(overflow_drops_batch_first_and_then_the_least_time_left)
+{
+  RequestQueue queue({ 2, 100 });
+  queue.push(waiting(1, kCritical, 300), at(0));
+  queue.push(waiting(2, kBatch, 9000), at(0));
+  const std::vector<DroppedRequest> batch{ { 2, RefusalReason::eShed } };
+  BOOST_TEST((queue.push(waiting(3, kCritical, 900), at(0)) == batch));
+  const std::vector<DroppedRequest> shortest{ { 1, RefusalReason::eShed } };
+  BOOST_TEST((queue.push(waiting(4, kCritical, 800), at(0)) == shortest));
+  const std::vector<DroppedRequest> newest{ { 5, RefusalReason::eQueueFull } };
+  BOOST_TEST((queue.push(waiting(5, kCritical, 100), at(0)) == newest));
+}
+
+// Guards against requests of one entry that fill the gateway's memory.
+BOOST_AUTO_TEST_CASE(memory_bound_holds_over_all_entries)
+{
+  RequestQueue queue({ 100, 100 });
+  queue.push({ 1, "a", kBatch, at(1000), 60 }, at(0));
+  const std::vector<DroppedRequest> dropped{ { 1, RefusalReason::eShed } };
+  BOOST_TEST((queue.push({ 2, "b", kCritical, at(1000), 60 }, at(0)) == dropped));
+  BOOST_TEST(queue.bytes() == 60);
+}
+
+// Guards against work on requests whose caller has given up.
+BOOST_AUTO_TEST_CASE(requests_past_their_deadline_are_dropped)
+{
+  RequestQueue queue({ 10, 100 });
+  queue.push(waiting(1, kCritical, 100), at(0));
+  queue.push(waiting(2, kBatch, 200), at(0));
+  BOOST_TEST((queue.pop("entry", at(100)) == 2));
+  const std::vector<DroppedRequest> expired{ { 1, RefusalReason::eDeadlinePassed } };
+  BOOST_TEST((queue.dropExpired(at(100)) == expired));
+  BOOST_TEST(queue.size() == 0);
+}
+
+namespace {
+
+/** Four targets with 20 ms each, of which "a" is then made to fail or to be slow. */
+OutlierDetector
+detectorWithSamples()
+{
+  OutlierDetector detector;
+  detector.setTargets({ "a", "b", "c", "d" });
+  for (int sample = 0; sample < 20; sample++) {
+    for (const char* id : { "a", "b", "c", "d" }) {
+      detector.recordResponse(id, true, 20, at(0));
+    }
+  }
+  return detector;
+}
+
+void
+failOften(OutlierDetector& aDetector, const std::string& aTargetId, MonotonicTime aNow)
+{
+  for (int sample = 0; sample < 20; sample++) {
+    aDetector.recordResponse(aTargetId, false, 1, aNow);
+  }
+}
+
+using Availability = OutlierDetector::Availability;
+
+} // namespace
+
+// Guards against a target that fails at once and, being idle, attracts most requests.
+BOOST_AUTO_TEST_CASE(failing_target_is_ejected_for_a_growing_period_and_probed_once)
+{
+  OutlierDetector detector = detectorWithSamples();
+  failOften(detector, "a", at(0));
+  BOOST_TEST((detector.availability("a", at(999)) == Availability::eEjected));
+  BOOST_TEST((detector.availability("a", at(1000)) == Availability::eProbe));
+  detector.beginProbe("a");
+  BOOST_TEST((detector.availability("a", at(1000)) == Availability::eEjected));
+  detector.recordResponse("a", false, 1, at(1000));
+  BOOST_TEST((detector.availability("a", at(2999)) == Availability::eEjected));
+  BOOST_TEST((detector.availability("a", at(3000)) == Availability::eProbe));
+  detector.beginProbe("a");
+  detector.recordResponse("a", true, 20, at(3000));
+  BOOST_TEST((detector.availability("a", at(3000)) == Availability::eNormal));
+}
+
+// Guards against slow targets that keep their share of requests, and against a slow probe that
+// readmits one.
+BOOST_AUTO_TEST_CASE(slow_target_is_ejected_and_a_slow_probe_does_not_readmit_it)
+{
+  OutlierDetector detector = detectorWithSamples();
+  for (int sample = 0; sample < 20; sample++) {
+    detector.recordTimeout("a", 400, at(0));
+  }
+  BOOST_TEST((detector.availability("a", at(0)) == Availability::eEjected));
+  detector.beginProbe("a");
+  detector.recordResponse("a", true, 400, at(1000));
+  BOOST_TEST((detector.availability("a", at(1500)) == Availability::eEjected));
+}
+
+// Guards against callers with short deadlines that make healthy targets look slow.
+BOOST_AUTO_TEST_CASE(short_deadlines_do_not_eject)
+{
+  OutlierDetector detector = detectorWithSamples();
+  for (int sample = 0; sample < 100; sample++) {
+    detector.recordTimeout("a", 5, at(0));
+  }
+  BOOST_TEST((detector.availability("a", at(0)) == Availability::eNormal));
+}
+
+// Guards against a fault of the whole service that would eject every target.
+BOOST_AUTO_TEST_CASE(never_more_than_half_of_the_targets_are_ejected)
+{
+  OutlierDetector detector = detectorWithSamples();
+  for (const char* id : { "a", "b", "c", "d" }) {
+    failOften(detector, id, at(0));
+  }
+  BOOST_TEST(detector.ejectedCount() == 2);
+  detector.setTargets({ "a", "b", "c" });
+  BOOST_TEST(detector.ejectedCount() == 1);
+  detector.setTargets({ "a" });
+  BOOST_TEST(detector.ejectedCount() == 0);
+}
