placement: add PlacementPolicy with hard limits, fair shares and holds

Cause: the control service needs decisions about tasks. A round takes a complete or a partial view and returns placements, impossible tasks and tasks to reconsider. Ruled out: comparing every waiting task with every worker (50,000 x 7,100 comparisons per round). Waiting tasks are grouped by entry, and a group that does not fit is compared only with workers that were freed since.

--- /dev/null
+++ b/src/placement/PlacementPolicy_test.cpp
@@ -0,0 +1,175 @@
+#include "placement/PlacementFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+namespace magnoliadrum {
+
+namespace {
+
+class PolicyFixture : public PlacementFixture
+{
+public:
+  std::vector<PlacementDecision> round(std::int64_t aNowMs)
+  {
+    return mPolicy.decide(mView, MonotonicTime::fromMs(aNowMs));
+  }
+
+  PlacementPolicy mPolicy{ PlacementOptions{}, std::mt19937_64(1) };
+  PlacementView mView;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PlacementPolicyTest, PolicyFixture)
+
+// Guards against a large task at the head of the queue that keeps small ones from free workers.
+BOOST_AUTO_TEST_CASE(largeTaskDoesNotBlockSmallOnes)
+{
+  mView.entries = { entry(batch("large", 30000)), entry(batch("small", 8000)) };
+  mView.workers = { worker(1) };
+  mView.tasks = { task("small", 0), task("large", 0), task("small", 1) };
+  const auto placed = only<PlaceDecision>(round(0));
+  BOOST_TEST(placed.size() == 2U);
+  BOOST_TEST(placed.at(0).taskId == "small/0");
+  BOOST_TEST(placed.at(1).taskId == "small/1");
+}
+
+// Guards against a steady flow of small tasks that leaves a large one waiting for ever.
+BOOST_AUTO_TEST_CASE(largeTaskIsNotStarved)
+{
+  mView.entries = { entry(batch("large", 30000)), entry(batch("small", 8000)) };
+  mView.workers = { worker(1), worker(2) };
+  mView.tasks = { task("large", 0) };
+  int next = 0;
+  bool isPlaced = false;
+  for (std::int64_t now = 0; now < 120000 && !isPlaced; now += 1000) {
+    // Each round ends the oldest small task and submits one more than fits.
+    std::erase_if(mView.tasks, [&](const TaskView& aTask) {
+      return aTask.entryName == "small" && aTask.state == TaskState::eRunning &&
+             aTask.taskId == "small/" + std::to_string(next - 12);
+    });
+    mView.tasks.push_back(task("small", next++));
+    for (const PlaceDecision& decision : only<PlaceDecision>(round(now))) {
+      isPlaced = isPlaced || decision.taskId == "large/0";
+      for (TaskView& changed : mView.tasks) {
+        if (changed.taskId == decision.taskId) {
+          changed.state = TaskState::eRunning;
+          changed.epoch = decision.epoch;
+          changed.session = decision.session;
+        }
+      }
+    }
+  }
+  BOOST_TEST(isPlaced);
+}
+
+// Guards against work that waits behind less important work that was submitted earlier.
+BOOST_AUTO_TEST_CASE(urgentGoesFirstThenLatencyCritical)
+{
+  CatalogueEntry::Fields urgent = batch("urgent", 20000);
+  urgent.urgent = true;
+  CatalogueEntry::Fields critical = batch("critical", 20000);
+  critical.workClass = WorkClass::eLatencyCritical;
+  mView.entries = { entry(batch("batch", 20000)), entry(critical), entry(urgent) };
+  mView.workers = { worker(1), worker(2) };
+  mView.tasks = { task("batch", 0), task("critical", 0), task("urgent", 0) };
+  const auto placed = only<PlaceDecision>(round(0));
+  BOOST_TEST(placed.size() == 2U);
+  BOOST_TEST(placed.at(0).taskId == "urgent/0");
+  BOOST_TEST(placed.at(1).taskId == "critical/0");
+}
+
+// Guards against accelerators that are taken by work that needs none.
+BOOST_AUTO_TEST_CASE(acceleratorsAreLeftToWorkThatNeedsThem)
+{
+  mView.entries = { entry(batch("plain", 8000)) };
+  mView.workers = { worker(1, "waco", resources(64000, 64000, 8)), worker(2) };
+  mView.tasks = { task("plain", 0), task("plain", 1), task("plain", 2) };
+  for (const PlaceDecision& decision : only<PlaceDecision>(round(0))) {
+    BOOST_TEST(decision.session == 2);
+  }
+}
+
+// Guards against an owner that fills the cluster because it submitted first, and against a quota
+// that is exceeded.
+BOOST_AUTO_TEST_CASE(ownersShareAndKeepTheirQuota)
+{
+  CatalogueEntry::Fields other = batch("other", 8000);
+  other.owner = "delta";
+  CatalogueEntry::Fields limited = batch("limited", 4000);
+  limited.owner = "small";
+  mView.entries = { entry(batch("first", 8000)), entry(other), entry(limited) };
+  mView.quotas = { takeValue(
+    OwnerQuota::create({ .owner = "small", .resources = resources(4000, 0) })) };
+  mView.workers = { worker(1), worker(2) };
+  for (int i = 0; i < 20; ++i) {
+    mView.tasks.push_back(task("first", i));
+  }
+  for (int i = 0; i < 20; ++i) {
+    mView.tasks.push_back(task("other", i));
+    mView.tasks.push_back(task("limited", i));
+  }
+  std::map<std::string, int> counts;
+  for (const PlaceDecision& decision : only<PlaceDecision>(round(0))) {
+    ++counts[decision.taskId.substr(0, 5)];
+  }
+  BOOST_TEST(counts["limit"] == 1);
+  BOOST_TEST(std::abs(counts["first"] - counts["other"]) <= 1);
+  BOOST_TEST(counts["first"] + counts["other"] == 7);
+}
+
+// Guards against one rack that takes all replicas with it.
+BOOST_AUTO_TEST_CASE(replicasAreSpreadOverRacks)
+{
+  CatalogueEntry::Fields standing = batch("watcher", 1000);
+  standing.kind = EntryKind::eStanding;
+  standing.limits = takeValue(EntryLimits::create({ .replicas = 4 }));
+  mView.entries = { entry(standing) };
+  for (int session = 3; session < 15; ++session) {
+    mView.workers.push_back(worker(session));
+  }
+  for (int i = 0; i < 4; ++i) {
+    mView.tasks.push_back(task("watcher", i));
+  }
+  std::set<std::int64_t> racks;
+  for (const PlaceDecision& decision : only<PlaceDecision>(round(0))) {
+    racks.insert(decision.session / 3);
+  }
+  BOOST_TEST(racks.size() == 4U);
+}
+
+// Guards against impossible tasks that stay silent, and that stay impossible when a worker joins.
+BOOST_AUTO_TEST_CASE(impossibleTaskGetsReasonAndIsReconsidered)
+{
+  mView.entries = { entry(batch("huge", 40000)) };
+  mView.workers = { worker(1), worker(2, "temple", resources(64000, 64000)) };
+  mView.tasks = { task("huge", 0) };
+  BOOST_TEST(round(0).empty());
+  const auto told = only<ImpossibleDecision>(round(20000));
+  BOOST_TEST(told.size() == 1U);
+  BOOST_TEST(told.at(0).reason.find("needs 40000 mCPU") == 0U);
+  mView.tasks.at(0).state = TaskState::eImpossible;
+  BOOST_TEST(round(21000).empty());
+  mView.workers.push_back(worker(3, "waco", resources(64000, 64000)));
+  BOOST_TEST(only<ReconsiderDecision>(round(22000)).size() == 1U);
+  mView.tasks.at(0).state = TaskState::ePending;
+  BOOST_TEST(only<PlaceDecision>(round(23000)).at(0).session == 3);
+}
+
+// Guards against a decision whose command was lost: its task would stay pending for ever.
+BOOST_AUTO_TEST_CASE(unconfirmedDecisionIsMadeAgain)
+{
+  mView.entries = { entry(batch("a", 1000)) };
+  mView.workers = { worker(1) };
+  mView.tasks = { task("a", 0) };
+  BOOST_TEST(only<PlaceDecision>(round(0)).at(0).epoch == 1);
+  BOOST_TEST(round(1000).empty());
+  BOOST_TEST(only<PlaceDecision>(round(6000)).at(0).epoch == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/placement/ResourceAmount.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "generated/generated.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace magnoliadrum {
+
+/** Resources that can be added and compared; unlike Resources it is not checked for bounds. */
+struct ResourceAmount
+{
+  std::int64_t cpuMilli = 0;
+  std::int64_t memoryMb = 0;
+  std::int64_t accelerators = 0;
+
+  static ResourceAmount of(const Resources& aResources)
+  {
+    return { aResources.cpuMilli(), aResources.memoryMb(), aResources.accelerators() };
+  }
+
+  bool fitsIn(const ResourceAmount& aRoom) const
+  {
+    return cpuMilli <= aRoom.cpuMilli && memoryMb <= aRoom.memoryMb &&
+           accelerators <= aRoom.accelerators;
+  }
+
+  ResourceAmount plus(const ResourceAmount& aOther) const
+  {
+    return { cpuMilli + aOther.cpuMilli,
+             memoryMb + aOther.memoryMb,
+             accelerators + aOther.accelerators };
+  }
+
+  ResourceAmount minus(const ResourceAmount& aOther) const
+  {
+    return { cpuMilli - aOther.cpuMilli,
+             memoryMb - aOther.memoryMb,
+             accelerators - aOther.accelerators };
+  }
+
+  /** The larger value of each resource. */
+  ResourceAmount larger(const ResourceAmount& aOther) const
+  {
+    return { std::max(cpuMilli, aOther.cpuMilli),
+             std::max(memoryMb, aOther.memoryMb),
+             std::max(accelerators, aOther.accelerators) };
+  }
+
+  /** The smaller value of each resource. */
+  ResourceAmount smaller(const ResourceAmount& aOther) const
+  {
+    return { std::min(cpuMilli, aOther.cpuMilli),
+             std::min(memoryMb, aOther.memoryMb),
+             std::min(accelerators, aOther.accelerators) };
+  }
+
+  /** The largest share of aTotal that any resource takes; resources without a total do not count.
+   */
+  double shareOf(const ResourceAmount& aTotal) const
+  {
+    const auto share = [](std::int64_t aPart, std::int64_t aWhole) {
+      return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole) : 0.0;
+    };
+    return std::max({ share(cpuMilli, aTotal.cpuMilli),
+                      share(memoryMb, aTotal.memoryMb),
+                      share(accelerators, aTotal.accelerators) });
+  }
+
+  friend bool operator==(const ResourceAmount&, const ResourceAmount&) = default;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/placement/WaitingTasks.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "placement/PlacementLedger.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <queue>
+#include <vector>
+
+namespace magnoliadrum {
+
+using GroupIndex = std::uint32_t;
+
+/**
+ * Waiting tasks of one entry that need the same room, oldest first. First attempts and retries are
+ * separate groups, because a retry must avoid the worker on which it failed.
+ */
+struct WaitingGroup
+{
+  struct Place
+  {
+    TaskIndex task;
+    std::uint32_t ticket;
+  };
+
+  EntryIndex entry = kNoIndex;
+  bool isRetry = false;
+  /** It is among the groups to look at. */
+  bool listed = false;
+  std::deque<Place> places;
+  /** Did not fit anywhere when the ledger counted this many freed workers. */
+  std::optional<std::uint64_t> blockedAt;
+  /** It was checked whether any worker could run it. */
+  bool checked = false;
+  /** Why no registered worker could ever run it; empty when one could. */
+  std::string impossibleReason;
+  std::int64_t impossibleSinceMs = -1;
+};
+
+/**
+ * Waiting tasks by priority, owner and group.
+ *
+ * Whether a task fits is decided once per group, not once per task, so the cost of a round depends
+ * on the number of entries that wait and not on the number of tasks.
+ */
+class WaitingTasks
+{
+public:
+  explicit WaitingTasks(PlacementLedger& aLedger)
+    : mLedger(aLedger)
+  {
+  }
+
+  void add(TaskIndex aTask, std::int64_t aNowMs);
+  void remove(TaskIndex aTask);
+
+  /** Makes tasks available whose wait before a retry is over. */
+  void wake(std::int64_t aNowMs);
+
+  /** Returns the oldest task of a group; nothing when it is empty. */
+  std::optional<TaskIndex> front(GroupIndex aGroup);
+
+  /** Tells whether tasks of an entry wait for a worker. */
+  bool hasWaiting(EntryIndex aEntry);
+
+  WaitingGroup& group(GroupIndex aGroup) { return mGroups[aGroup]; }
+
+  /** Non-empty groups of one priority, by owner. */
+  std::map<OwnerIndex, std::vector<GroupIndex>> groupsByOwner(Priority aPriority);
+
+  /** Lets all groups try every worker again, after a change that frees no worker. */
+  void unblockAll();
+
+  std::size_t size() const { return mSize; }
+  std::size_t bytes() const;
+
+private:
+  struct Sleeper
+  {
+    std::int64_t wakeAtMs;
+    TaskIndex task;
+    std::uint32_t ticket;
+
+    bool operator<(const Sleeper& aOther) const { return wakeAtMs > aOther.wakeAtMs; }
+  };
+
+  void enqueue(TaskIndex aTask);
+  bool isLive(const WaitingGroup::Place& aPlace) const;
+
+  PlacementLedger& mLedger;
+  /** Two per entry: first attempts, retries. */
+  std::vector<WaitingGroup> mGroups;
+  std::vector<GroupIndex> mNonEmpty;
+  std::priority_queue<Sleeper> mSleepers;
+  std::size_t mSize = 0;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/placement/WorkerSelector.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "placement/PlacementLedger.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace magnoliadrum {
+
+/** What a worker is looked for. */
+struct WorkerRequest
+{
+  EntryIndex entry = kNoIndex;
+  ResourceAmount need;
+  /** Never chosen; kNoIndex for none. */
+  WorkerIndex avoid = kNoIndex;
+  /** Only the workers freed after this many events, when set. */
+  std::optional<std::uint64_t> freedAfter;
+  /** Replicas of the entry that one rack may hold; negative for no limit. */
+  std::int32_t perRackLimit = -1;
+  std::int64_t nowMs = 0;
+};
+
+/** Chooses the worker of a task among those that satisfy every hard limit. */
+class WorkerSelector
+{
+public:
+  /** Cost of putting an entry on a worker; nothing when the worker must not get it. */
+  using WorkerCost = std::function<std::optional<double>(WorkerIndex, EntryIndex)>;
+
+  /**
+   * aPacking is between -1 (spread batch work over the workers) and 1 (fill workers one after the
+   * other).
+   */
+  WorkerSelector(const PlacementLedger& aLedger, double aPacking, WorkerCost aCost)
+    : mLedger(aLedger)
+    , mPacking(aPacking)
+    , mCost(std::move(aCost))
+  {
+  }
+
+  /** Returns the best worker; nothing when none can take the task now. */
+  std::optional<WorkerIndex> select(const WorkerRequest& aRequest, std::mt19937_64& aRandom) const;
+
+  /** Tells whether all hard limits hold: session, drain, data centre, room, rack, held workers. */
+  bool admits(WorkerIndex aWorker, const WorkerRequest& aRequest) const;
+
+  /** Returns why no registered worker could ever run the entry; empty when one could. */
+  std::string impossibleReason(EntryIndex aEntry) const;
+
+private:
+  struct Best
+  {
+    WorkerIndex worker = kNoIndex;
+    double cost = 0;
+  };
+
+  void consider(WorkerIndex aWorker,
+                const WorkerRequest& aRequest,
+                std::mt19937_64& aRandom,
+                Best& aBest) const;
+  void searchFreed(const WorkerRequest& aRequest, std::mt19937_64& aRandom, Best& aBest) const;
+  void searchIndex(const PlacementLedger::RoomIndex& aIndex,
+                   const WorkerRequest& aRequest,
+                   std::mt19937_64& aRandom,
+                   Best& aBest) const;
+  double cost(WorkerIndex aWorker, const WorkerRequest& aRequest, double aWorkerCost) const;
+
+  const PlacementLedger& mLedger;
+  double mPacking;
+  WorkerCost mCost;
+};
+
+} // namespace magnoliadrum
