Add the agent's final check of requests

A gateway's view of lease, catalogue and load is late, so the agent checks all of them again. A refusal is given before the request is handed on and so proves that it was not run.

--- /dev/null
+++ b/src/agent/AdmissionGate.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "agent/SessionLease.h"
+#include "generated/generated.h"
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace magnoliadrum {
+
+/**
+ * The last check of a request before it goes to the executor.
+ *
+ * Everything that is checked here may have changed after the gateway chose the target: the lease,
+ * the catalogue, the deadline and the requests that other gateways sent. A refusal proves that the
+ * request was not run, because it was never handed on.
+ */
+class AdmissionGate
+{
+public:
+  /** What the executor serves and holds. */
+  struct Limits
+  {
+    std::string mEntryName;
+    std::string mDataCentre;
+    std::int64_t mSlots = 0;
+    std::int64_t mConnections = 0;
+  };
+
+  explicit AdmissionGate(Limits aLimits);
+
+  /**
+   * Checks a request and, when it is admitted, counts it as outstanding until release().
+   *
+   * @param aEntry the entry's content in the agent's copy of the catalogue, null when it has none
+   * @return nothing when the request is admitted, else why it is refused
+   */
+  std::optional<RefusalReason> admit(const RequestDispatch& aRequest,
+                                     const SessionLease& aLease,
+                                     const CatalogueEntry* aEntry,
+                                     MonotonicTime aNow);
+
+  /** Ends an admitted request; the executor no longer works on it. An unknown id has no effect. */
+  void release(const std::string& aRequestId);
+
+  /** Refuses every further request; those outstanding are not affected. */
+  void leave();
+
+  bool isLeaving() const { return mLeaving; }
+  std::int64_t outstanding() const { return static_cast<std::int64_t>(mOutstanding.size()); }
+  const Limits& limits() const { return mLimits; }
+
+private:
+  std::optional<RefusalReason> checkSession(const RequestDispatch& aRequest,
+                                            const SessionLease& aLease,
+                                            const CatalogueEntry* aEntry,
+                                            MonotonicTime aNow) const;
+  std::optional<RefusalReason> checkEntry(const RequestDispatch& aRequest,
+                                          const CatalogueEntry* aEntry) const;
+  std::optional<RefusalReason> checkCapacity(const RequestDispatch& aRequest) const;
+
+  Limits mLimits;
+  bool mLeaving = false;
+  std::set<std::string> mOutstanding;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/agent/AdmissionGate_test.cpp
@@ -0,0 +1,120 @@
+#include "agent/AdmissionGate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+
+namespace {
+
+constexpr MonotonicTime kNow = MonotonicTime::fromMs(1000);
+constexpr SessionLease kLease{ .mSession = 7, .mLeaseUntil = kNow.plusMs(500) };
+
+CatalogueEntry
+entryIn(std::vector<std::string> aDataCentres, bool aServeWithoutControl = false)
+{
+  return valueOf(CatalogueEntry::create({ .name = "yield-check",
+                                          .owner = "delta",
+                                          .kind = EntryKind::eService,
+                                          .workClass = WorkClass::eLatencyCritical,
+                                          .dataCentres = std::move(aDataCentres),
+                                          .serveWithoutControl = aServeWithoutControl }));
+}
+
+RequestDispatch
+request(const std::string& aId, std::int64_t aSession = 7, const std::string& aName = "yield-check")
+{
+  return valueOf(RequestDispatch::create({ .requestId = aId,
+                                           .entryName = aName,
+                                           .session = aSession,
+                                           .deadlineMs = kNow.plusMs(100).ms(),
+                                           .method = "GET",
+                                           .path = "/" }));
+}
+
+struct Fixture
+{
+  AdmissionGate mGate{
+    { .mEntryName = "yield-check", .mDataCentre = "Tulcea", .mSlots = 2, .mConnections = 64 }
+  };
+  CatalogueEntry mEntry = entryIn({ "Tulcea" });
+};
+
+void
+checkRefused(std::optional<RefusalReason> aActual, RefusalReason aExpected)
+{
+  BOOST_REQUIRE(aActual.has_value());
+  BOOST_TEST(toText(*aActual) == toText(aExpected));
+}
+
+} // namespace
+
+// Guards against running a request on a session that control has given up.
+BOOST_FIXTURE_TEST_CASE(request_without_a_valid_session_is_refused, Fixture)
+{
+  checkRefused(mGate.admit(request("a", 7), {}, &mEntry, kNow), RefusalReason::eNoLease);
+  checkRefused(mGate.admit(request("a", 6), kLease, &mEntry, kNow), RefusalReason::eWrongSession);
+  checkRefused(mGate.admit(request("a"), kLease, &mEntry, kLease.mLeaseUntil),
+               RefusalReason::eNoLease);
+  BOOST_TEST(mGate.outstanding() == 0);
+}
+
+// Guards against an entry that loses service with the control quorum although it opted out.
+BOOST_FIXTURE_TEST_CASE(entry_may_be_served_without_control, Fixture)
+{
+  const CatalogueEntry entry = entryIn({ "Tulcea" }, true);
+  const SessionLease expired{ .mSession = 7, .mLeaseUntil = kNow };
+  BOOST_TEST(!mGate.admit(request("a"), expired, &entry, kNow).has_value());
+  checkRefused(mGate.admit(request("b", 6), expired, &entry, kNow), RefusalReason::eWrongSession);
+  const CatalogueEntry elsewhere = entryIn({ "Brăila" }, true);
+  checkRefused(mGate.admit(request("b"), expired, &elsewhere, kNow), RefusalReason::eWrongTarget);
+}
+
+// Guards against running a request in a data centre that a newer catalogue forbids.
+BOOST_FIXTURE_TEST_CASE(entry_and_data_centre_must_match, Fixture)
+{
+  const CatalogueEntry elsewhere = entryIn({ "Brăila" });
+  checkRefused(mGate.admit(request("a"), kLease, &elsewhere, kNow), RefusalReason::eWrongTarget);
+  checkRefused(mGate.admit(request("a"), kLease, nullptr, kNow), RefusalReason::eUnknownEntry);
+  checkRefused(mGate.admit(request("a", 7, "other"), kLease, &mEntry, kNow),
+               RefusalReason::eWrongTarget);
+}
+
+// Guards against work whose answer would come too late.
+BOOST_FIXTURE_TEST_CASE(passed_deadline_is_refused, Fixture)
+{
+  checkRefused(mGate.admit(request("a"), kLease, &mEntry, kNow.plusMs(100)),
+               RefusalReason::eDeadlinePassed);
+  BOOST_TEST(!mGate.admit(request("a"), kLease, &mEntry, kNow.plusMs(99)).has_value());
+}
+
+// Guards against more requests at the executor than its slots, and against a leaked slot.
+BOOST_FIXTURE_TEST_CASE(slots_are_counted_and_released, Fixture)
+{
+  BOOST_TEST(!mGate.admit(request("a"), kLease, &mEntry, kNow).has_value());
+  checkRefused(mGate.admit(request("a"), kLease, &mEntry, kNow), RefusalReason::eInvalidRequest);
+  BOOST_TEST(!mGate.admit(request("b"), kLease, &mEntry, kNow).has_value());
+  checkRefused(mGate.admit(request("c"), kLease, &mEntry, kNow), RefusalReason::eNoSlot);
+  mGate.release("a");
+  mGate.release("a");
+  BOOST_TEST(mGate.outstanding() == 1);
+  BOOST_TEST(!mGate.admit(request("c"), kLease, &mEntry, kNow).has_value());
+}
+
+// Guards against more connections to the executor than it accepts.
+BOOST_AUTO_TEST_CASE(connections_are_counted)
+{
+  AdmissionGate gate(
+    { .mEntryName = "yield-check", .mDataCentre = "Tulcea", .mSlots = 8, .mConnections = 1 });
+  const CatalogueEntry entry = entryIn({ "Tulcea" });
+  BOOST_TEST(!gate.admit(request("a"), kLease, &entry, kNow).has_value());
+  checkRefused(gate.admit(request("b"), kLease, &entry, kNow), RefusalReason::eNoConnection);
+}
+
+// Guards against new work on a target that is shutting down.
+BOOST_FIXTURE_TEST_CASE(leaving_gate_refuses_and_keeps_what_is_outstanding, Fixture)
+{
+  BOOST_TEST(!mGate.admit(request("a"), kLease, &mEntry, kNow).has_value());
+  mGate.leave();
+  checkRefused(mGate.admit(request("b"), kLease, &mEntry, kNow), RefusalReason::eLeaving);
+  BOOST_TEST(mGate.outstanding() == 1);
+}
