--- a/src/control/ChangeTracker.cpp
+++ b/src/control/ChangeTracker.cpp
@@ -48,7 +48,7 @@
 {
   mSessions.clear();
   for (const auto& [number, record] : aSessions) {
-    open(number, record.processId());
+    mSessions[number].mProcessId = record.processId();
   }
 }
 
@@ -56,6 +56,7 @@
 ChangeTracker::open(std::int64_t aSession, const std::string& aProcessId)
 {
   mSessions[aSession].mProcessId = aProcessId;
+  mSessions[aSession].mKnown = true;
 }
 
 void
@@ -66,6 +67,7 @@
     return;
   }
   Progress& progress = position->second;
+  progress.mKnown = true;
   progress.mReported = std::max(progress.mReported, aVersion);
   if (!progress.mPartial.contains(aVersion)) {
     progress.mApplied = std::max(progress.mApplied, aVersion);
@@ -79,6 +81,7 @@
   const auto position = mSessions.find(aSession);
   if (position != mSessions.end()) {
     position->second.mSent = 0;
+    position->second.mSentAt.reset();
   }
 }
 
@@ -89,14 +92,16 @@
                           MonotonicTime aNow)
 {
   const auto position = mSessions.find(aSession);
-  if (position == mSessions.end()) {
+  if (position == mSessions.end() || !position->second.mKnown) {
     return std::nullopt;
   }
   Progress& progress = position->second;
-  const bool awaitsReport = aNow.msSince(progress.mSentAt) < kResendMs;
+  const bool awaitsReport = progress.mSentAt && aNow.msSince(*progress.mSentAt) < kResendMs;
   const std::int64_t from =
     awaitsReport ? std::max(progress.mSent, progress.mReported) : progress.mReported;
-  if (from >= aCatalogue.version()) {
+  // A process that has nothing gets an update even of an empty catalogue, to know that it is empty.
+  const bool isFirst = from == 0 && !progress.mSentAt;
+  if (from >= aCatalogue.version() && !isFirst) {
     return std::nullopt;
   }
   std::vector<CatalogueRecord> records = aCatalogue.changedSince(from);
@@ -110,7 +115,7 @@
   progress.mSent = to;
   progress.mSentAt = aNow;
   return buildValue<CatalogueUpdate>({ .term = aTerm,
-                                       .complete = whole && from == 0,
+                                       .complete = from == 0,
                                        .fromVersion = from,
                                        .toVersion = to,
                                        .records = std::move(records) });
--- a/src/control/ChangeTracker.h
+++ b/src/control/ChangeTracker.h
@@ -32,6 +32,7 @@
 
   void endTerm() { mSessions.clear(); }
 
+  /** A session was opened; its process gets the whole catalogue. */
   void open(std::int64_t aSession, const std::string& aProcessId);
   void close(std::int64_t aSession) { mSessions.erase(aSession); }
 
@@ -57,10 +58,13 @@
   struct Progress
   {
     std::string mProcessId;
+    /** False until the first report of a session that an earlier leader opened. */
+    bool mKnown = false;
     std::int64_t mApplied = 0;
     std::int64_t mReported = 0;
     std::int64_t mSent = 0;
-    MonotonicTime mSentAt;
+    /** Absent when nothing was sent on this connection. */
+    std::optional<MonotonicTime> mSentAt;
     /** Versions at which a split update ended. */
     std::set<std::int64_t> mPartial;
   };
--- /dev/null
+++ b/src/control/ControlProcess.cpp
@@ -0,0 +1,170 @@
+#include "control/ControlProcess.h"
+
+#include "session/Incarnation.h"
+#include "state/BuildValue.h"
+
+#include <random>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+/** The metrics endpoint takes no bodies. */
+constexpr std::size_t kMaxMetricsBody = 1024;
+constexpr std::int64_t kHttpOk = 200;
+constexpr std::int64_t kHttpNotFound = 404;
+constexpr std::int64_t kHttpUnavailable = 503;
+} // namespace
+
+ControlProcess::ControlProcess(EventLoop& aLoop,
+                               const ControlSettings& aSettings,
+                               ControlState& aState,
+                               CommandLog& aLog)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mLog(aLog)
+  , mService(ControlContext{ aState,
+                             aLog,
+                             *this,
+                             aSettings,
+                             [&aLoop]() { return aLoop.now(); },
+                             []() { return wallClockMs(); } },
+             std::random_device()())
+{
+}
+
+Result<std::unique_ptr<ControlProcess>>
+ControlProcess::start(EventLoop& aLoop,
+                      const ControlSettings& aSettings,
+                      ControlState& aState,
+                      CommandLog& aLog)
+{
+  std::unique_ptr<ControlProcess> process(new ControlProcess(aLoop, aSettings, aState, aLog));
+  const Result<Done> listening = process->listen();
+  if (!isOk(listening)) {
+    return errorOf(listening);
+  }
+  process->mTick =
+    aLoop.runEvery(ControlService::kTickMs, [self = process.get()]() { self->mService.tick(); });
+  return process;
+}
+
+Result<Done>
+ControlProcess::listen()
+{
+  const auto hello = buildValue<Hello>({ .processKind = ProcessKind::eControl,
+                                         .processId = mSettings.processId(),
+                                         .incarnation = newIncarnation() });
+  MessageHandlers handlers;
+  handlers.onOpen = [this](MessageConnection& aConnection) { idOf(aConnection); };
+  handlers.onMessage = [this](MessageConnection& aConnection, const Message& aMessage) {
+    mService.onMessage(idOf(aConnection), aMessage);
+  };
+  handlers.onClosed = [this](MessageConnection& aConnection, const Error& aError) {
+    logDebug("connection closed", { { "peer", aError.peer() }, { "detail", aError.detail() } });
+    onClosed(aConnection);
+  };
+  auto server = MessageServer::listen(mLoop, mSettings.listenAddress(), hello, handlers);
+  if (!isOk(server)) {
+    return errorOf(server);
+  }
+  mServer = takeValue(std::move(server));
+  if (mSettings.metricsAddress().empty()) {
+    return Done{};
+  }
+  auto httpServer =
+    HttpServer::listen(mLoop,
+                       mSettings.metricsAddress(),
+                       kMaxMetricsBody,
+                       [this](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
+                         answerHttp(aRequest, *aResponder);
+                       });
+  if (!isOk(httpServer)) {
+    return errorOf(httpServer);
+  }
+  mHttpServer = takeValue(std::move(httpServer));
+  return Done{};
+}
+
+ConnectionId
+ControlProcess::idOf(MessageConnection& aConnection)
+{
+  const auto position = mIds.find(&aConnection);
+  if (position != mIds.end()) {
+    return position->second;
+  }
+  const ConnectionId id = mNextConnection++;
+  mIds.emplace(&aConnection, id);
+  mConnections.emplace(id, aConnection.weak_from_this());
+  return id;
+}
+
+void
+ControlProcess::onClosed(MessageConnection& aConnection)
+{
+  const auto position = mIds.find(&aConnection);
+  if (position == mIds.end()) {
+    return;
+  }
+  const ConnectionId id = position->second;
+  mIds.erase(position);
+  mConnections.erase(id);
+  mService.onConnectionClosed(id);
+}
+
+bool
+ControlProcess::send(ConnectionId aConnection, const Message& aMessage)
+{
+  const auto position = mConnections.find(aConnection);
+  const MessageConnectionPointer connection =
+    position != mConnections.end() ? position->second.lock() : nullptr;
+  return connection != nullptr && connection->send(aMessage);
+}
+
+void
+ControlProcess::close(ConnectionId aConnection, const std::string& aReason)
+{
+  const auto position = mConnections.find(aConnection);
+  const MessageConnectionPointer connection =
+    position != mConnections.end() ? position->second.lock() : nullptr;
+  if (connection == nullptr) {
+    return;
+  }
+  connection->close(aReason);
+  // close() reports nothing, so the connection is forgotten here, after the current callback.
+  mLoop.post([this, connection]() { onClosed(*connection); });
+}
+
+void
+ControlProcess::answerHttp(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  HttpAnswer::Fields answer{ .status = kHttpNotFound };
+  if (aRequest.mPath == "/metrics") {
+    mService.writeMetrics(mMetrics);
+    answer.status = kHttpOk;
+    answer.body = mMetrics.text();
+  } else if (aRequest.mPath == "/healthz") {
+    const bool healthy = !mLog.leaderAddress().empty() && !mShuttingDown;
+    answer.status = healthy ? kHttpOk : kHttpUnavailable;
+    answer.body = healthy ? "ok\n" : "no leader is known\n";
+  }
+  aResponder.answer(buildValue<HttpAnswer>(std::move(answer)));
+}
+
+void
+ControlProcess::shutDown()
+{
+  if (std::exchange(mShuttingDown, true)) {
+    return;
+  }
+  logInfo("shutting down");
+  mLog.stepDown([this](const Result<Done>& aResult) {
+    if (!isOk(aResult)) {
+      logWarning("leadership is not handed over", errorOf(aResult));
+    }
+    mServer->stopAccepting();
+    mLoop.stop();
+  });
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/ControlService.cpp
@@ -0,0 +1,188 @@
+#include "control/ControlService.h"
+
+#include "state/BuildValue.h"
+
+#include <map>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace magnoliadrum {
+
+namespace {
+constexpr std::int64_t kMsPerMinute = 60000;
+} // namespace
+
+ControlService::ControlService(ControlContext aContext, std::uint64_t aSeed)
+  : mContext(std::move(aContext))
+  , mSessions(mContext, *this)
+  , mTasks(mContext, mSessions, aSeed)
+  , mRequests(mContext, mSessions, mTasks)
+{
+  mContext.mLog.setObserver(this);
+}
+
+template<typename Body>
+void
+ControlService::take(ConnectionId aConnection, const Body& aBody)
+{
+  if constexpr (std::is_same_v<Body, SessionOpen>) {
+    mSessions.onOpen(aConnection, aBody);
+  } else if constexpr (std::is_same_v<Body, SessionHeartbeat>) {
+    mSessions.onHeartbeat(aConnection, aBody);
+  } else if constexpr (std::is_same_v<Body, SessionClose>) {
+    mSessions.onClose(aBody);
+  } else if constexpr (std::is_same_v<Body, TaskReport>) {
+    mTasks.onReport(aConnection, aBody);
+  } else if constexpr (requires { mRequests.onRequest(aConnection, aBody); }) {
+    mRequests.onRequest(aConnection, aBody);
+  } else {
+    logWarning("unexpected message", { { "type", typeName(Message(aBody)) } });
+    mContext.mOutlet.close(aConnection, "a message that control does not take");
+  }
+}
+
+void
+ControlService::onMessage(ConnectionId aConnection, const Message& aMessage)
+{
+  if (mContext.mLog.accepts(aMessage)) {
+    mContext.mLog.receive(aMessage, [this, aConnection](const Message& aReply) {
+      mContext.mOutlet.send(aConnection, aReply);
+    });
+    return;
+  }
+  std::visit([this, aConnection](const auto& aBody) { take(aConnection, aBody); }, aMessage);
+}
+
+void
+ControlService::onConnectionClosed(ConnectionId aConnection)
+{
+  mSessions.onConnectionClosed(aConnection);
+}
+
+void
+ControlService::onApplied(const Command& aCommand, const Outcome& aOutcome)
+{
+  if (!mLeads) {
+    mContext.mState.takeChangedTasks();
+    return;
+  }
+  const auto* admitted = std::get_if<SessionAdmitted>(&aOutcome);
+  if (admitted != nullptr && admitted->mRecord.processKind() == ProcessKind::eGateway) {
+    mServiceLevel.open(admitted->mRecord.processId(), admitted->mRecord.incarnation());
+  }
+  mSessions.onApplied(aCommand, aOutcome);
+  mTasks.onApplied(aCommand);
+}
+
+void
+ControlService::onLeadership(bool aLeads)
+{
+  if (aLeads == mLeads) {
+    return;
+  }
+  mLeads = aLeads;
+  logInfo(aLeads ? "leads the control group" : "no longer leads the control group",
+          { { "term", mContext.mLog.term() } });
+  mServiceLevel.reset();
+  if (aLeads) {
+    mSessions.startTerm();
+    mTasks.startTerm();
+  } else {
+    mSessions.endTerm();
+    mTasks.endTerm();
+  }
+}
+
+void
+ControlService::onSessionBound(std::int64_t aSession)
+{
+  mTasks.onSessionBound(aSession);
+}
+
+void
+ControlService::onStrays(std::int64_t aSession, const std::vector<RunningTask>& aStrays)
+{
+  mTasks.onStrays(aSession, aStrays);
+}
+
+void
+ControlService::onHeartbeat(const SessionRecord& aSession, const SessionHeartbeat& aHeartbeat)
+{
+  if (aSession.processKind() == ProcessKind::eGateway) {
+    mServiceLevel.report(aSession.processId(),
+                         aSession.incarnation(),
+                         aHeartbeat.counters(),
+                         mContext.mWallClockMs() / kMsPerMinute);
+  }
+  mTasks.onHeartbeat(aSession, aHeartbeat);
+}
+
+void
+ControlService::onSessionChanged(std::int64_t aSession)
+{
+  mTasks.onSessionChanged(aSession);
+}
+
+void
+ControlService::tick()
+{
+  if (!mLeads) {
+    return;
+  }
+  mSessions.endExpired();
+  mTasks.tick();
+  const MonotonicTime now = mContext.mNow();
+  if (now.msSince(mSecondAt) >= kSecondMs) {
+    mSecondAt = now;
+    mTasks.checkSilence();
+  }
+  if (now.msSince(mFlushedAt) >= kFlushMs) {
+    mFlushedAt = now;
+    flushServiceLevel();
+  }
+}
+
+void
+ControlService::flushServiceLevel()
+{
+  const std::vector<ServiceLevelRow> rows = mServiceLevel.takeRows();
+  if (rows.empty()) {
+    return;
+  }
+  mContext.mLog.propose(buildValue<RecordServiceLevel>({ .rows = rows }),
+                        [this, rows](const CommandResult& aResult) {
+                          // Rows whose fate is unknown are dropped: a gap is less harmful than
+                          // counting twice.
+                          const auto* failure = std::get_if<CommandFailure>(&aResult);
+                          if (failure != nullptr && !failure->mOutcomeUnknown && mLeads) {
+                            mServiceLevel.putBack(rows);
+                          }
+                        });
+}
+
+void
+ControlService::writeMetrics(MetricsRegistry& aMetrics) const
+{
+  const auto set = [&aMetrics](const char* aName, std::int64_t aValue) {
+    aMetrics.set(aName, "", static_cast<double>(aValue));
+  };
+  set("control_is_leader", mLeads ? 1 : 0);
+  set("control_term", mContext.mLog.term());
+  set("control_commit_index", mContext.mLog.commitIndex());
+  set("control_applied_index", mContext.mState.appliedIndex());
+  set("control_catalogue_version", mContext.mState.catalogue().version());
+  set("control_sessions", static_cast<std::int64_t>(mContext.mState.sessions().all().size()));
+  std::map<std::string, std::int64_t> tasksByState;
+  for (int state = 0; state <= static_cast<int>(TaskState::eRefused); state++) {
+    tasksByState[toText(static_cast<TaskState>(state))] = 0;
+  }
+  for (const auto& [taskId, task] : mContext.mState.tasks().all()) {
+    tasksByState[toText(task.state())]++;
+  }
+  for (const auto& [state, count] : tasksByState) {
+    aMetrics.set("control_tasks", "state=\"" + state + "\"", static_cast<double>(count));
+  }
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/PlacementRound.cpp
@@ -0,0 +1,164 @@
+#include "control/PlacementRound.h"
+
+#include <cassert>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+using LiveSessions = std::map<std::int64_t, LiveSession>;
+
+std::string
+hostOf(const TargetDescription& aTarget)
+{
+  return aTarget.agentAddress().substr(0, aTarget.agentAddress().rfind(':'));
+}
+
+/** Executors whose agents have the same IP address run on the same VM as the worker. */
+std::vector<std::string>
+servicesBeside(const TargetDescription& aWorker, const SessionRegistry& aSessions)
+{
+  std::set<std::string> services;
+  for (const auto& [number, record] : aSessions.all()) {
+    if (record.target() && record.target()->targetKind() == TargetKind::eExecutor &&
+        hostOf(*record.target()) == hostOf(aWorker)) {
+      services.insert(record.target()->entryName());
+    }
+  }
+  return { services.begin(), services.end() };
+}
+
+std::optional<WorkerView>
+workerView(std::int64_t aSession, const ControlState& aState, const LiveSessions& aLive)
+{
+  const SessionRecord* record = aState.sessions().find(aSession);
+  const bool isWorker =
+    record != nullptr && record->target() && record->target()->targetKind() == TargetKind::eWorker;
+  if (!isWorker) {
+    return std::nullopt;
+  }
+  WorkerView view;
+  view.session = aSession;
+  view.target = *record->target();
+  view.draining = record->draining();
+  view.services = servicesBeside(*record->target(), aState.sessions());
+  const auto live = aLive.find(aSession);
+  if (live != aLive.end()) {
+    view.draining = view.draining || live->second.mLeaving;
+    view.usage = live->second.mUsage;
+    view.usageAt = live->second.mUsageAt;
+  }
+  return view;
+}
+
+void
+addRecord(const std::string& aRecordName, const ControlState& aState, PlacementView& aView)
+{
+  const CatalogueRecord* record = aState.catalogue().findRecord(aRecordName);
+  if (record == nullptr) {
+    return;
+  }
+  if (record->entry()) {
+    aView.entries.push_back(*record->entry());
+  } else if (record->quota()) {
+    aView.quotas.push_back(*record->quota());
+  } else if (aRecordName.starts_with(kQuotaPrefix)) {
+    aView.removedQuotas.push_back(aRecordName.substr(kQuotaPrefix.size()));
+  } else {
+    aView.removedEntries.push_back(aRecordName);
+  }
+}
+
+} // namespace
+
+PlacementRound::PlacementRound(const PolicySettings& aSettings, std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mSeed(aSeed)
+{
+}
+
+void
+PlacementRound::startTerm()
+{
+  PlacementOptions options;
+  options.settings = mSettings;
+  mPolicy = std::make_unique<PlacementPolicy>(options, std::mt19937_64(mSeed));
+  mFirst = true;
+  mTasks.clear();
+  mSessions.clear();
+  mRecords.clear();
+  mObservations.clear();
+}
+
+void
+PlacementRound::noteObservation(ServiceObservation aObservation)
+{
+  mObservations.push_back(std::move(aObservation));
+}
+
+std::vector<PlacementDecision>
+PlacementRound::decide(const ControlState& aState, const LiveSessions& aLive, MonotonicTime aNow)
+{
+  assert(mPolicy != nullptr);
+  PlacementView view = mFirst ? completeView(aState, aLive) : changesView(aState, aLive);
+  view.services = std::exchange(mObservations, {});
+  mFirst = false;
+  mTasks.clear();
+  mSessions.clear();
+  mRecords.clear();
+  return mPolicy->decide(view, aNow);
+}
+
+PlacementView
+PlacementRound::completeView(const ControlState& aState, const LiveSessions& aLive) const
+{
+  PlacementView view;
+  view.complete = true;
+  for (const auto& [name, record] : aState.catalogue().records()) {
+    if (record.entry() || record.quota()) {
+      addRecord(name, aState, view);
+    }
+  }
+  for (const auto& [number, record] : aState.sessions().all()) {
+    if (std::optional<WorkerView> worker = workerView(number, aState, aLive)) {
+      view.workers.push_back(std::move(*worker));
+    }
+  }
+  for (const auto& [taskId, task] : aState.tasks().all()) {
+    if (!isTerminal(task.state())) {
+      view.tasks.push_back(TaskView::fromRecord(task));
+    }
+  }
+  return view;
+}
+
+PlacementView
+PlacementRound::changesView(const ControlState& aState, const LiveSessions& aLive) const
+{
+  PlacementView view;
+  view.complete = false;
+  for (const std::string& name : mRecords) {
+    addRecord(name, aState, view);
+  }
+  for (const std::int64_t session : mSessions) {
+    if (std::optional<WorkerView> worker = workerView(session, aState, aLive)) {
+      view.workers.push_back(std::move(*worker));
+    } else {
+      view.removedSessions.push_back(session);
+    }
+  }
+  for (const std::string& taskId : mTasks) {
+    const TaskRecord* task = aState.tasks().find(taskId);
+    if (task != nullptr) {
+      view.tasks.push_back(TaskView::fromRecord(*task));
+    } else {
+      view.removedTasks.push_back(taskId);
+    }
+  }
+  return view;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/RequestService.cpp
@@ -0,0 +1,391 @@
+#include "control/RequestService.h"
+
+#include "state/BuildValue.h"
+#include "transport/MessageConnection.h"
+
+#include <utility>
+#include <variant>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Bounds of the fields of OperationFailed. */
+constexpr std::size_t kMaxStepBytes = 200;
+constexpr std::size_t kMaxFailureDetailBytes = 8000;
+
+/** A listing ends at about this size, below the largest message. */
+constexpr std::size_t kMaxListingBytes = std::size_t{ 3 } * 1024 * 1024;
+/** Bytes of the fields of fixed size of a task in a listing, rounded up. */
+constexpr std::size_t kTaskOverheadBytes = 512;
+
+FailureCode
+failureCodeOf(ErrorCode aCode)
+{
+  return parseFailureCode(errorCodeName(aCode)).value_or(FailureCode::eUnavailable);
+}
+
+TaskRecord
+withoutPayload(const TaskRecord& aTask)
+{
+  TaskRecord::Fields fields = aTask.fields();
+  fields.payload.clear();
+  return buildValue<TaskRecord>(std::move(fields));
+}
+
+/** Adds tasks without their payloads until the listing has its largest size. */
+class TaskListBuilder
+{
+public:
+  void add(const TaskRecord& aTask)
+  {
+    mBytes += kTaskOverheadBytes + aTask.taskId().size() + aTask.detail().size();
+    if (mBytes <= kMaxListingBytes) {
+      mTasks.push_back(withoutPayload(aTask));
+    }
+  }
+
+  std::vector<TaskRecord> take() { return std::move(mTasks); }
+
+private:
+  std::vector<TaskRecord> mTasks;
+  std::size_t mBytes = 0;
+};
+
+} // namespace
+
+RequestService::RequestService(ControlContext& aContext,
+                               SessionService& aSessions,
+                               TaskService& aTasks)
+  : mContext(aContext)
+  , mSessions(aSessions)
+  , mTasks(aTasks)
+{
+}
+
+void
+RequestService::fail(const Asker& aAsker, const Error& aError)
+{
+  mContext.mOutlet.send(
+    aAsker.mConnection,
+    buildValue<OperationFailed>({ .requestId = aAsker.mRequestId,
+                                  .code = failureCodeOf(aError.code()),
+                                  .step = aError.step().substr(0, kMaxStepBytes),
+                                  .peer = aError.peer().substr(0, kMaxStepBytes),
+                                  .detail = aError.detail().substr(0, kMaxFailureDetailBytes),
+                                  .leaderAddress = mContext.mLog.leaderAddress() }));
+}
+
+bool
+RequestService::canAnswer(const Asker& aAsker)
+{
+  if (!mContext.mLog.isLeader()) {
+    fail(aAsker,
+         Error::create(ErrorCode::eNotLeader,
+                       "control.request",
+                       mContext.mSettings.processId(),
+                       "this replica does not lead"));
+    return false;
+  }
+  if (!mContext.mayAnswer()) {
+    fail(aAsker,
+         Error::create(ErrorCode::eUnavailable,
+                       "control.request",
+                       mContext.mSettings.processId(),
+                       "no majority of the control group replies"));
+    return false;
+  }
+  return true;
+}
+
+void
+RequestService::answerQuery(const Asker& aAsker, const Message& aAnswer)
+{
+  if (encodeMessage(aAnswer).size() > kMaxMessageBytes) {
+    fail(aAsker,
+         Error::create(ErrorCode::eRefused,
+                       "control.query",
+                       mContext.mSettings.processId(),
+                       "the answer is too large for one message; ask for one name"));
+    return;
+  }
+  mContext.mOutlet.send(aAsker.mConnection, aAnswer);
+}
+
+void
+RequestService::propose(const Asker& aAsker,
+                        const Command& aCommand,
+                        std::function<void(const Outcome&)> aOnOutcome)
+{
+  if (!canAnswer(aAsker)) {
+    return;
+  }
+  mContext.mLog.propose(
+    aCommand, [this, aAsker, onOutcome = std::move(aOnOutcome)](const CommandResult& aResult) {
+      if (const auto* failure = std::get_if<CommandFailure>(&aResult)) {
+        fail(aAsker, failure->mError);
+        return;
+      }
+      const auto& outcome = std::get<Outcome>(aResult);
+      if (const Error* error = std::get_if<Error>(&outcome)) {
+        fail(aAsker, *error);
+        return;
+      }
+      onOutcome(outcome);
+    });
+}
+
+void
+RequestService::proposeOperation(const Asker& aAsker, const Command& aCommand)
+{
+  propose(aAsker, aCommand, [this, aAsker](const Outcome& /*aOutcome*/) {
+    mContext.mOutlet.send(aAsker.mConnection,
+                          buildValue<OperationDone>({ .requestId = aAsker.mRequestId }));
+  });
+}
+
+void
+RequestService::proposeIntent(const Asker& aAsker, const Command& aCommand)
+{
+  propose(aAsker, aCommand, [this, aAsker](const Outcome& aOutcome) {
+    const auto& answer = std::get<IntentAnswer>(aOutcome);
+    mContext.mOutlet.send(aAsker.mConnection,
+                          buildValue<IntentStatus>({ .requestId = aAsker.mRequestId,
+                                                     .granted = answer.mGranted,
+                                                     .digestMatches = answer.mDigestMatches,
+                                                     .intent = answer.mIntent }));
+  });
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const ChangeSubmit& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  const CatalogueChange& change = aRequest.change();
+  const Catalogue& catalogue = mContext.mState.catalogue();
+  const auto answer = [this, asker](const ChangeAnswer& aAnswer) {
+    mContext.mOutlet.send(
+      asker.mConnection,
+      buildValue<ChangeResult>({ .requestId = asker.mRequestId, .answer = aAnswer }));
+  };
+  if (const ChangeAnswer* stored = catalogue.findAnswer(change.changeId())) {
+    answer(*stored);
+    return;
+  }
+  std::vector<std::string> faults = catalogue.findFaults(change);
+  if (!faults.empty()) {
+    const CatalogueRecord* record = catalogue.findRecord(change.recordName());
+    answer(buildValue<ChangeAnswer>({ .changeId = change.changeId(),
+                                      .outcome = ChangeOutcome::eInvalid,
+                                      .version = record != nullptr ? record->version() : 0,
+                                      .catalogueVersion = catalogue.version(),
+                                      .faults = std::move(faults) }));
+    return;
+  }
+  propose(asker, buildValue<ApplyChange>({ .change = change }), [answer](const Outcome& aOutcome) {
+    answer(std::get<ChangeAnswer>(aOutcome));
+  });
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const ChangeStatusQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  std::vector<ProcessVersion> behind = mSessions.changes().behind(aRequest.catalogueVersion());
+  const bool committed = aRequest.catalogueVersion() <= mContext.mState.catalogue().version();
+  answerQuery(asker,
+              buildValue<ChangeStatus>({ .requestId = aRequest.requestId(),
+                                         .inForce = committed && behind.empty(),
+                                         .behind = std::move(behind) }));
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const CatalogueQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  const Catalogue& catalogue = mContext.mState.catalogue();
+  CatalogueListing::Fields listing{ .requestId = aRequest.requestId(),
+                                    .catalogueVersion = catalogue.version() };
+  for (const auto& [name, record] : catalogue.records()) {
+    if (aRequest.recordName().empty() || aRequest.recordName() == name) {
+      listing.records.push_back(record);
+    }
+  }
+  answerQuery(asker, buildValue<CatalogueListing>(std::move(listing)));
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const TaskSubmit& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  const auto command =
+    buildValue<CreateTask>({ .taskId = batchTaskId(aRequest.entryName(), aRequest.runKey()),
+                             .entryName = aRequest.entryName(),
+                             .payload = aRequest.payload(),
+                             .submittedAtMs = mContext.mWallClockMs() });
+  propose(asker, command, [this, asker](const Outcome& aOutcome) {
+    const auto& created = std::get<TaskCreated>(aOutcome);
+    mContext.mOutlet.send(
+      asker.mConnection,
+      buildValue<TaskSubmitted>(
+        { .requestId = asker.mRequestId, .task = created.mTask, .created = created.mCreated }));
+  });
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const TaskCancelRequest& aRequest)
+{
+  proposeOperation(
+    { aConnection, aRequest.requestId() },
+    buildValue<CancelTask>({ .taskId = aRequest.taskId(), .detail = "cancelled by the operator" }));
+}
+
+std::vector<TaskRecord>
+RequestService::listTasks(const TaskQuery& aRequest) const
+{
+  const TaskTable& tasks = mContext.mState.tasks();
+  if (!aRequest.taskId().empty()) {
+    const TaskRecord* task = tasks.find(aRequest.taskId());
+    return task != nullptr ? std::vector<TaskRecord>{ *task } : std::vector<TaskRecord>();
+  }
+  TaskListBuilder list;
+  for (const bool terminal : { false, true }) {
+    for (const auto& [taskId, task] : tasks.all()) {
+      const bool matches = aRequest.entryName().empty() || aRequest.entryName() == task.entryName();
+      if (matches && isTerminal(task.state()) == terminal) {
+        list.add(task);
+      }
+    }
+  }
+  return list.take();
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const TaskQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  answerQuery(asker,
+              buildValue<TaskListing>({ .requestId = aRequest.requestId(),
+                                        .tasks = listTasks(aRequest),
+                                        .silent = mTasks.silentTasks() }));
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const TargetDrainRequest& aRequest)
+{
+  proposeOperation(
+    { aConnection, aRequest.requestId() },
+    buildValue<DrainTarget>({ .targetId = aRequest.targetId(), .draining = aRequest.draining() }));
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const StatusQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  ClusterStatus::Fields status{ .requestId = aRequest.requestId(),
+                                .leaderId = mContext.mLog.leaderId(),
+                                .term = mContext.mLog.term(),
+                                .commitIndex = mContext.mLog.commitIndex(),
+                                .catalogueVersion = mContext.mState.catalogue().version(),
+                                .replicas = mContext.mLog.replicas() };
+  for (const auto& [number, live] : mSessions.live()) {
+    const SessionRecord* record = mContext.mState.sessions().find(number);
+    if (record == nullptr) {
+      continue;
+    }
+    SessionStatus::Fields session{ .record = *record,
+                                   .catalogueVersion = mSessions.changes().appliedVersion(number),
+                                   .leaving = live.mLeaving };
+    if (live.mUsageAt) {
+      session.usage = live.mUsage;
+    }
+    status.sessions.push_back(buildValue<SessionStatus>(std::move(session)));
+  }
+  answerQuery(asker, buildValue<ClusterStatus>(std::move(status)));
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const MembershipRequest& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  mContext.mLog.changeMembership(aRequest, [this, asker](const Result<Done>& aResult) {
+    if (!isOk(aResult)) {
+      fail(asker, errorOf(aResult));
+      return;
+    }
+    mContext.mOutlet.send(asker.mConnection,
+                          buildValue<OperationDone>({ .requestId = asker.mRequestId }));
+  });
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const ReportQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  ReportRows::Fields report{ .requestId = aRequest.requestId(), .nowMs = mContext.mWallClockMs() };
+  const auto matches = [&aRequest](const std::string& aName) {
+    return aRequest.entryName().empty() || aRequest.entryName() == aName;
+  };
+  for (const auto& [name, record] : mContext.mState.catalogue().records()) {
+    if (record.entry() && matches(name)) {
+      report.entries.push_back(*record.entry());
+    }
+  }
+  report.rows = mContext.mState.serviceLevel().rows(aRequest.entryName());
+  TaskListBuilder list;
+  for (const auto& [taskId, task] : mContext.mState.tasks().all()) {
+    if (!isTerminal(task.state()) && matches(task.entryName())) {
+      list.add(task);
+    }
+  }
+  report.tasks = list.take();
+  report.silent = mTasks.silentTasks();
+  answerQuery(asker, buildValue<ReportRows>(std::move(report)));
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const IntentBegin& aRequest)
+{
+  const auto intent = buildValue<IntentRecord>({ .key = aRequest.key(),
+                                                 .entryName = aRequest.entryName(),
+                                                 .requestDigest = aRequest.requestDigest(),
+                                                 .attempt = aRequest.attempt(),
+                                                 .outcome = IntentOutcome::eOpen,
+                                                 .openedAtMs = mContext.mWallClockMs() });
+  proposeIntent({ aConnection, aRequest.requestId() },
+                buildValue<OpenIntent>({ .intent = intent }));
+}
+
+void
+RequestService::onRequest(ConnectionId aConnection, const IntentEnd& aRequest)
+{
+  proposeIntent({ aConnection, aRequest.requestId() },
+                buildValue<SettleIntent>({ .key = aRequest.key(),
+                                           .entryName = aRequest.entryName(),
+                                           .attempt = aRequest.attempt(),
+                                           .outcome = aRequest.outcome(),
+                                           .answer = aRequest.answer() }));
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/SessionService.cpp
@@ -0,0 +1,349 @@
+#include "control/SessionService.h"
+
+#include "observability/observability.h"
+#include "state/BuildValue.h"
+
+#include <cassert>
+#include <utility>
+#include <variant>
+
+namespace magnoliadrum {
+
+SessionService::SessionService(ControlContext& aContext, SessionListener& aListener)
+  : mContext(aContext)
+  , mListener(aListener)
+  , mLeases(aContext.mSettings.lease().leaseMs())
+{
+}
+
+void
+SessionService::startTerm()
+{
+  std::vector<std::int64_t> sessions;
+  mLive.clear();
+  mByConnection.clear();
+  for (const auto& [number, record] : mContext.mState.sessions().all()) {
+    sessions.push_back(number);
+    mLive[number] = LiveSession();
+  }
+  mLeases.startTerm(sessions, mContext.mLog.electedAt(), mContext.mSettings.electionTimeoutMs());
+  mChanges.startTerm(mContext.mState.sessions().all());
+  mTargets.startTerm();
+  mTargets.update(executors());
+}
+
+void
+SessionService::endTerm()
+{
+  for (const auto& [connection, session] : std::exchange(mByConnection, {})) {
+    refuse(connection, SessionRefusal::eNotLeader, session);
+  }
+  mLive.clear();
+  mLeases.endTerm();
+  mChanges.endTerm();
+}
+
+void
+SessionService::refuse(ConnectionId aConnection, SessionRefusal aReason, std::int64_t aSession)
+{
+  mContext.mOutlet.send(
+    aConnection,
+    buildValue<SessionRefused>(
+      { .session = aSession, .reason = aReason, .leaderAddress = mContext.mLog.leaderAddress() }));
+}
+
+void
+SessionService::onOpen(ConnectionId aConnection, const SessionOpen& aMessage)
+{
+  if (!mContext.mLog.isLeader()) {
+    refuse(aConnection, SessionRefusal::eNotLeader);
+    return;
+  }
+  const SessionRecord* open = mContext.mState.sessions().findByProcess(aMessage.processId());
+  if (open != nullptr && open->incarnation() == aMessage.incarnation()) {
+    // The log would change nothing, so the same session is granted without a log entry: after a
+    // leader change all processes open their sessions again at about the same time.
+    grant(aConnection, *open, aMessage.sentAtMs());
+    return;
+  }
+  const auto command = buildValue<AdmitSession>({ .processId = aMessage.processId(),
+                                                  .processKind = aMessage.processKind(),
+                                                  .incarnation = aMessage.incarnation(),
+                                                  .target = aMessage.target(),
+                                                  .running = aMessage.running() });
+  mContext.mLog.propose(command, [this, aConnection, aMessage](const CommandResult& aResult) {
+    onAdmitted(aConnection, aMessage, aResult);
+  });
+}
+
+void
+SessionService::onAdmitted(ConnectionId aConnection,
+                           const SessionOpen& aMessage,
+                           const CommandResult& aResult)
+{
+  if (!mContext.mLog.isLeader()) {
+    refuse(aConnection, SessionRefusal::eNotLeader);
+    return;
+  }
+  const Outcome* outcome = std::get_if<Outcome>(&aResult);
+  const auto* admitted = outcome != nullptr ? std::get_if<SessionAdmitted>(outcome) : nullptr;
+  if (admitted == nullptr) {
+    const Error* error =
+      outcome != nullptr ? std::get_if<Error>(outcome) : &std::get<CommandFailure>(aResult).mError;
+    logWarning("session is not admitted", *error);
+    refuse(aConnection, SessionRefusal::eBusy);
+    return;
+  }
+  grant(aConnection, admitted->mRecord, aMessage.sentAtMs());
+}
+
+void
+SessionService::grant(ConnectionId aConnection,
+                      const SessionRecord& aRecord,
+                      std::int64_t aSentAtMs)
+{
+  const std::int64_t session = aRecord.session();
+  if (!mContext.mayAnswer() || mLeases.isEnding(session) || !mLive.contains(session)) {
+    refuse(aConnection, SessionRefusal::eBusy);
+    return;
+  }
+  mLeases.renew(session, mContext.mNow());
+  mContext.mOutlet.send(
+    aConnection,
+    buildValue<SessionGranted>({ .session = session,
+                                 .leaseUntilMs = mLeases.leaseUntilMs(aSentAtMs),
+                                 .term = mContext.mLog.term() }));
+  bind(aConnection, session);
+}
+
+void
+SessionService::bind(ConnectionId aConnection, std::int64_t aSession)
+{
+  LiveSession& live = mLive.at(aSession);
+  if (live.mConnection && *live.mConnection != aConnection) {
+    mByConnection.erase(*live.mConnection);
+    mContext.mOutlet.close(*live.mConnection, "the session has a newer connection");
+  }
+  live.mConnection = aConnection;
+  mByConnection[aConnection] = aSession;
+  mChanges.reconnect(aSession);
+  pushCatalogue(aSession);
+  pushTargets(aSession);
+  mListener.onSessionBound(aSession);
+}
+
+void
+SessionService::onHeartbeat(ConnectionId aConnection, const SessionHeartbeat& aMessage)
+{
+  if (!mContext.mLog.isLeader()) {
+    refuse(aConnection, SessionRefusal::eNotLeader, aMessage.session());
+    return;
+  }
+  const SessionRecord* record = mContext.mState.sessions().find(aMessage.session());
+  if (record == nullptr || record->processId() != aMessage.processId()) {
+    const bool hasOther = mContext.mState.sessions().findByProcess(aMessage.processId()) != nullptr;
+    refuse(aConnection,
+           hasOther ? SessionRefusal::eSuperseded : SessionRefusal::eUnknownSession,
+           aMessage.session());
+    return;
+  }
+  // Without the leader's own lease, another leader may expire the session at any time.
+  if (!mContext.mayAnswer() || mLeases.isEnding(aMessage.session())) {
+    return;
+  }
+  const MonotonicTime now = mContext.mNow();
+  mLeases.renew(aMessage.session(), now);
+  mContext.mOutlet.send(
+    aConnection,
+    buildValue<SessionRenewed>({ .session = aMessage.session(),
+                                 .leaseUntilMs = mLeases.leaseUntilMs(aMessage.sentAtMs()),
+                                 .term = mContext.mLog.term() }));
+  mChanges.report(aMessage.session(), aMessage.catalogueVersion());
+  LiveSession& live = mLive.at(aMessage.session());
+  if (live.mConnection != aConnection) {
+    bind(aConnection, aMessage.session());
+  }
+  if (aMessage.usage()) {
+    live.mUsage = *aMessage.usage();
+    live.mUsageAt = now;
+  }
+  if (std::exchange(live.mLeaving, aMessage.leaving()) != aMessage.leaving()) {
+    mListener.onSessionChanged(aMessage.session());
+    updateTargets();
+  }
+  pushCatalogue(aMessage.session());
+  mListener.onHeartbeat(*record, aMessage);
+}
+
+void
+SessionService::onClose(const SessionClose& aMessage)
+{
+  const SessionRecord* record = mContext.mState.sessions().find(aMessage.session());
+  const bool known = record != nullptr && record->processId() == aMessage.processId();
+  if (mContext.mLog.isLeader() && known && !mLeases.isEnding(aMessage.session())) {
+    proposeEnd(aMessage.session(), "the process closed its session");
+  }
+}
+
+void
+SessionService::onConnectionClosed(ConnectionId aConnection)
+{
+  const auto position = mByConnection.find(aConnection);
+  if (position == mByConnection.end()) {
+    return;
+  }
+  mLive.at(position->second).mConnection.reset();
+  mByConnection.erase(position);
+}
+
+void
+SessionService::onApplied(const Command& aCommand, const Outcome& aOutcome)
+{
+  if (const auto* admitted = std::get_if<SessionAdmitted>(&aOutcome)) {
+    if (admitted->mCreated) {
+      followAdmission(*admitted);
+    }
+  } else if (const auto* ended = std::get_if<SessionEnded>(&aOutcome)) {
+    logInfo(
+      "session ended",
+      { { "session", ended->mSession }, { "reason", std::get<ExpireSession>(aCommand).reason() } });
+    forget(ended->mSession);
+    updateTargets();
+  } else if (const auto* drained = std::get_if<TargetDrained>(&aOutcome)) {
+    const SessionRecord* record = mContext.mState.sessions().findByTarget(drained->mTargetId);
+    if (record != nullptr) {
+      mListener.onSessionChanged(record->session());
+    }
+    updateTargets();
+  } else if (std::holds_alternative<ChangeAnswer>(aOutcome)) {
+    for (const auto& [session, live] : mLive) {
+      pushCatalogue(session);
+    }
+  }
+}
+
+void
+SessionService::followAdmission(const SessionAdmitted& aAdmitted)
+{
+  const std::int64_t session = aAdmitted.mRecord.session();
+  if (aAdmitted.mEndedSession != 0) {
+    forget(aAdmitted.mEndedSession);
+  }
+  mLive[session] = LiveSession();
+  mLeases.renew(session, mContext.mNow());
+  mChanges.open(session, aAdmitted.mRecord.processId());
+  logInfo("session opened",
+          { { "session", session },
+            { "peer", aAdmitted.mRecord.processId() },
+            { "ended", aAdmitted.mEndedSession } });
+  mListener.onSessionChanged(session);
+  mListener.onStrays(session, aAdmitted.mStrays);
+  updateTargets();
+}
+
+void
+SessionService::forget(std::int64_t aSession)
+{
+  const auto position = mLive.find(aSession);
+  if (position != mLive.end()) {
+    if (position->second.mConnection) {
+      refuse(*position->second.mConnection, SessionRefusal::eUnknownSession, aSession);
+      mByConnection.erase(*position->second.mConnection);
+    }
+    mLive.erase(position);
+  }
+  mLeases.remove(aSession);
+  mChanges.close(aSession);
+  mListener.onSessionChanged(aSession);
+}
+
+void
+SessionService::endExpired()
+{
+  for (const std::int64_t session : mLeases.expired(mContext.mNow())) {
+    proposeEnd(session, "the lease is over");
+  }
+}
+
+void
+SessionService::proposeEnd(std::int64_t aSession, const std::string& aReason)
+{
+  mLeases.markEnding(aSession);
+  const auto command = buildValue<ExpireSession>({ .session = aSession, .reason = aReason });
+  mContext.mLog.propose(command, [this, aSession](const CommandResult& aResult) {
+    const auto* failure = std::get_if<CommandFailure>(&aResult);
+    if (failure != nullptr && !failure->mOutcomeUnknown) {
+      mLeases.unmarkEnding(aSession);
+    }
+  });
+}
+
+bool
+SessionService::sendTo(std::int64_t aSession, const Message& aMessage)
+{
+  const auto position = mLive.find(aSession);
+  return position != mLive.end() && position->second.mConnection &&
+         mContext.mOutlet.send(*position->second.mConnection, aMessage);
+}
+
+std::int64_t
+SessionService::sessionOf(ConnectionId aConnection) const
+{
+  const auto position = mByConnection.find(aConnection);
+  return position != mByConnection.end() ? position->second : 0;
+}
+
+void
+SessionService::pushCatalogue(std::int64_t aSession)
+{
+  const auto position = mLive.find(aSession);
+  if (position == mLive.end() || !position->second.mConnection) {
+    return;
+  }
+  while (const std::optional<CatalogueUpdate> update = mChanges.nextUpdate(
+           aSession, mContext.mState.catalogue(), mContext.mLog.term(), mContext.mNow())) {
+    mContext.mOutlet.send(*position->second.mConnection, *update);
+  }
+}
+
+void
+SessionService::pushTargets(std::int64_t aSession)
+{
+  const SessionRecord* record = mContext.mState.sessions().find(aSession);
+  if (record == nullptr || record->processKind() != ProcessKind::eGateway) {
+    return;
+  }
+  sendTo(aSession,
+         buildValue<TargetUpdate>({ .term = mContext.mLog.term(),
+                                    .version = mTargets.version(),
+                                    .targets = mTargets.targets() }));
+}
+
+void
+SessionService::updateTargets()
+{
+  if (!mTargets.update(executors())) {
+    return;
+  }
+  for (const auto& [session, live] : mLive) {
+    pushTargets(session);
+  }
+}
+
+std::vector<TargetStatus>
+SessionService::executors() const
+{
+  std::vector<TargetStatus> targets;
+  for (const auto& [number, record] : mContext.mState.sessions().all()) {
+    if (!record.target() || record.target()->targetKind() != TargetKind::eExecutor) {
+      continue;
+    }
+    const auto live = mLive.find(number);
+    const bool leaving = live != mLive.end() && live->second.mLeaving;
+    targets.push_back(buildValue<TargetStatus>(
+      { .target = *record.target(), .session = number, .leaving = leaving || record.draining() }));
+  }
+  return targets;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/TaskService.cpp
@@ -0,0 +1,244 @@
+#include "control/TaskService.h"
+
+#include "observability/observability.h"
+#include "state/BuildValue.h"
+
+#include <utility>
+#include <variant>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Bound of the detail fields of commands. */
+constexpr std::size_t kMaxDetailBytes = 2000;
+
+std::string
+shortened(const std::string& aDetail)
+{
+  return aDetail.substr(0, kMaxDetailBytes);
+}
+
+Command
+commandFor(const PlaceDecision& aDecision)
+{
+  return buildValue<PlaceTask>(
+    { .taskId = aDecision.taskId, .epoch = aDecision.epoch, .session = aDecision.session });
+}
+
+Command
+commandFor(const EvictDecision& aDecision)
+{
+  return buildValue<RequestStop>({ .taskId = aDecision.taskId,
+                                   .epoch = aDecision.epoch,
+                                   .detail = shortened(aDecision.reason) });
+}
+
+Command
+commandFor(const ImpossibleDecision& aDecision)
+{
+  return buildValue<MoveTask>({ .taskId = aDecision.taskId,
+                                .epoch = aDecision.epoch,
+                                .state = TaskState::eImpossible,
+                                .detail = shortened(aDecision.reason) });
+}
+
+} // namespace
+
+TaskService::TaskService(ControlContext& aContext, SessionService& aSessions, std::uint64_t aSeed)
+  : mContext(aContext)
+  , mSessions(aSessions)
+  , mPlacement(aContext.mSettings.policy(), aSeed)
+{
+}
+
+void
+TaskService::startTerm()
+{
+  mContext.mState.takeChangedTasks();
+  mDispatcher.startTerm(mContext.mState);
+  mSilence.reset();
+  mKnownSilent.clear();
+  mPlacement.startTerm();
+}
+
+void
+TaskService::endTerm()
+{
+  mDispatcher.endTerm();
+  mPlacement.endTerm();
+}
+
+bool
+TaskService::isHeldThere(std::int64_t aSession,
+                         const std::string& aTaskId,
+                         std::int64_t aEpoch) const
+{
+  const TaskRecord* task = mContext.mState.tasks().find(aTaskId);
+  return task != nullptr && isHeld(task->state()) && task->session() == aSession &&
+         task->epoch() == aEpoch;
+}
+
+void
+TaskService::onReport(ConnectionId aConnection, const TaskReport& aReport)
+{
+  const std::int64_t session = mSessions.sessionOf(aConnection);
+  if (!mContext.mLog.isLeader() || session == 0 || session != aReport.session()) {
+    // The agent opens a session with the leader and sends the report again under its number.
+    logDebug("task report of another session is ignored",
+             { { "task", aReport.taskId() }, { "session", aReport.session() } });
+    return;
+  }
+  mDispatcher.noteReport(session, aReport);
+  if (!isHeldThere(session, aReport.taskId(), aReport.epoch())) {
+    onReportCommitted(session, aReport);
+    return;
+  }
+  const auto command = buildValue<MoveTask>({ .taskId = aReport.taskId(),
+                                              .epoch = aReport.epoch(),
+                                              .state = aReport.state(),
+                                              .checkpoint = aReport.checkpoint(),
+                                              .detail = aReport.detail() });
+  mContext.mLog.propose(command, [this, session, aReport](const CommandResult& aResult) {
+    if (std::holds_alternative<Outcome>(aResult)) {
+      onReportCommitted(session, aReport);
+    }
+  });
+}
+
+void
+TaskService::onReportCommitted(std::int64_t aSession, const TaskReport& aReport)
+{
+  acknowledge(aSession, aReport);
+  const bool isOnWorker =
+    aReport.state() == TaskState::eRunning || aReport.state() == TaskState::eCompleted;
+  if (isOnWorker && !isHeldThere(aSession, aReport.taskId(), aReport.epoch())) {
+    mDispatcher.noteStray(
+      aSession, buildValue<RunningTask>({ .taskId = aReport.taskId(), .epoch = aReport.epoch() }));
+  }
+}
+
+void
+TaskService::acknowledge(std::int64_t aSession, const TaskReport& aReport)
+{
+  mSessions.sendTo(
+    aSession,
+    buildValue<TaskReportAck>(
+      { .taskId = aReport.taskId(), .epoch = aReport.epoch(), .state = aReport.state() }));
+}
+
+void
+TaskService::onApplied(const Command& aCommand)
+{
+  for (const std::string& taskId : mContext.mState.takeChangedTasks()) {
+    mDispatcher.noteTask(taskId, mContext.mState);
+    mPlacement.noteTask(taskId);
+  }
+  if (const auto* change = std::get_if<ApplyChange>(&aCommand)) {
+    mPlacement.noteRecord(change->change().recordName());
+  }
+}
+
+void
+TaskService::onSessionChanged(std::int64_t aSession)
+{
+  mPlacement.noteSession(aSession);
+  if (mContext.mState.sessions().find(aSession) == nullptr) {
+    mDispatcher.close(aSession);
+  }
+}
+
+void
+TaskService::onStrays(std::int64_t aSession, const std::vector<RunningTask>& aStrays)
+{
+  for (const RunningTask& stray : aStrays) {
+    logWarning("worker holds a task that is not placed on it",
+               { { "task", stray.taskId() }, { "epoch", stray.epoch() }, { "session", aSession } });
+    mDispatcher.noteStray(aSession, stray);
+  }
+}
+
+void
+TaskService::onHeartbeat(const SessionRecord& aSession, const SessionHeartbeat& aHeartbeat)
+{
+  if (aSession.processKind() != ProcessKind::eAgent || !aHeartbeat.usage()) {
+    return;
+  }
+  mSilence.report(*aHeartbeat.usage(), aHeartbeat.sentAtMs(), mContext.mNow());
+  mPlacement.noteSession(aSession.session());
+}
+
+void
+TaskService::noteObservation(ServiceObservation aObservation)
+{
+  mPlacement.noteObservation(std::move(aObservation));
+}
+
+void
+TaskService::tick()
+{
+  // Without a majority nothing that is decided now can be committed.
+  if (!mContext.mayAnswer()) {
+    return;
+  }
+  const MonotonicTime now = mContext.mNow();
+  for (const PlacementDecision& decision :
+       mPlacement.decide(mContext.mState, mSessions.live(), now)) {
+    carryOut(decision);
+  }
+  for (const AgentOrder& order : mDispatcher.takeDue(mContext.mState, now)) {
+    mSessions.sendTo(order.mSession, order.mMessage);
+  }
+}
+
+void
+TaskService::carryOut(const PlacementDecision& aDecision)
+{
+  if (const auto* placement = std::get_if<PlaceDecision>(&aDecision)) {
+    propose(commandFor(*placement));
+  } else if (const auto* eviction = std::get_if<EvictDecision>(&aDecision)) {
+    propose(commandFor(*eviction));
+  } else if (const auto* impossible = std::get_if<ImpossibleDecision>(&aDecision)) {
+    propose(commandFor(*impossible));
+  } else if (const auto* throttle = std::get_if<ThrottleDecision>(&aDecision)) {
+    mSessions.sendTo(throttle->session,
+                     buildValue<TaskThrottle>({ .session = throttle->session,
+                                                .taskId = throttle->taskId,
+                                                .epoch = throttle->epoch,
+                                                .cpuMilli = throttle->cpuMilli }));
+  }
+}
+
+void
+TaskService::propose(const Command& aCommand)
+{
+  mContext.mLog.propose(aCommand, [name = typeName(aCommand)](const CommandResult& aResult) {
+    const Outcome* outcome = std::get_if<Outcome>(&aResult);
+    const Error* error = outcome != nullptr ? std::get_if<Error>(outcome) : nullptr;
+    if (error != nullptr) {
+      // The state changed since the decision; the policy decides again from the new state.
+      logDebug("placement is out of date",
+               { { "command", name }, { "task", error->peer() }, { "detail", error->detail() } });
+    }
+  });
+}
+
+std::vector<std::string>
+TaskService::silentTasks()
+{
+  return mSilence.silentTasks(mContext.mState, mContext.mNow());
+}
+
+void
+TaskService::checkSilence()
+{
+  const std::vector<std::string> silent = silentTasks();
+  for (const std::string& taskId : silent) {
+    if (!mKnownSilent.contains(taskId)) {
+      logWarning("standing task is silent", { { "task", taskId } });
+    }
+  }
+  mKnownSilent = { silent.begin(), silent.end() };
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/TaskService.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "control/ControlContext.h"
+#include "control/PlacementRound.h"
+#include "control/ServiceLevelCollector.h"
+#include "control/SessionService.h"
+#include "control/SilenceMonitor.h"
+#include "control/TaskDispatcher.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** Places tasks, sends orders about them to the agents and commits what the agents report. */
+class TaskService
+{
+public:
+  TaskService(ControlContext& aContext, SessionService& aSessions, std::uint64_t aSeed);
+
+  void startTerm();
+  void endTerm();
+
+  void onReport(ConnectionId aConnection, const TaskReport& aReport);
+
+  /** Follows a command that was applied while this replica leads. */
+  void onApplied(const Command& aCommand);
+
+  void onSessionBound(std::int64_t aSession) { mDispatcher.reconnect(aSession); }
+  void onSessionChanged(std::int64_t aSession);
+  void onStrays(std::int64_t aSession, const std::vector<RunningTask>& aStrays);
+  void onHeartbeat(const SessionRecord& aSession, const SessionHeartbeat& aHeartbeat);
+  void noteObservation(ServiceObservation aObservation);
+
+  /** Runs a placement round and sends the orders that are due. */
+  void tick();
+
+  /** Logs the standing tasks that fell silent since the last call. */
+  void checkSilence();
+
+  /** Ids of the standing tasks that are silent now. */
+  std::vector<std::string> silentTasks();
+
+private:
+  bool isHeldThere(std::int64_t aSession, const std::string& aTaskId, std::int64_t aEpoch) const;
+  void onReportCommitted(std::int64_t aSession, const TaskReport& aReport);
+  void acknowledge(std::int64_t aSession, const TaskReport& aReport);
+  void carryOut(const PlacementDecision& aDecision);
+  void propose(const Command& aCommand);
+
+  ControlContext& mContext;
+  SessionService& mSessions;
+  TaskDispatcher mDispatcher;
+  SilenceMonitor mSilence;
+  PlacementRound mPlacement;
+  std::set<std::string> mKnownSilent;
+};
+
+} // namespace magnoliadrum
