--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,3 +24,9 @@
 magnoliadrum_program(fake-worker testbench fake_worker_main.cpp)
 magnoliadrum_program(fault-proxy testbench fault_proxy_main.cpp)
 magnoliadrum_program(history-checker testbench history_checker_main.cpp)
+
+# Whole deployments on loopback.
+find_package(Boost REQUIRED COMPONENTS filesystem)
+magnoliadrum_module(integration core generated cli testbench Boost::filesystem Threads::Threads)
+magnoliadrum_program(magnoliadrum-demo integration demo_main.cpp)
+magnoliadrum_program(magnoliadrum-faults integration faults_main.cpp)
--- a/src/transport/EventLoop.h
+++ b/src/transport/EventLoop.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 struct event_base;
 struct event;
@@ -67,12 +69,20 @@
   /** Calls aCallback from the loop after the callbacks that are already due. */
   void post(std::function<void()> aCallback);
 
+  /**
+   * Makes message connections leave from this IP address, so that a VM with several addresses
+   * always shows the one of its settings. Empty lets the system choose.
+   */
+  void setSourceHost(std::string aHost) { mSourceHost = std::move(aHost); }
+  const std::string& sourceHost() const { return mSourceHost; }
+
   event_base* base() const { return mBase; }
 
 private:
   explicit EventLoop(event_base* aBase);
 
   event_base* mBase;
+  std::string mSourceHost;
 };
 
 } // namespace magnoliadrum
--- a/src/transport/MessageConnection.cpp
+++ b/src/transport/MessageConnection.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cassert>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -26,6 +27,37 @@
   setsockopt(bufferevent_getfd(aBufferEvent), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+/** Creates a socket that is bound to aSourceHost, or returns -1 so that libevent creates one at
+ * connect. */
+Result<int>
+createSocket(const std::string& aSourceHost, const std::string& aPeer)
+{
+  if (aSourceHost.empty()) {
+    return -1;
+  }
+  // The address needs a port to be parsed; port 0 then lets the system choose a free one.
+  const bool isIpv6 = aSourceHost.find(':') != std::string::npos;
+  const std::string text = isIpv6 ? "[" + aSourceHost + "]:1" : aSourceHost + ":1";
+  const Result<SocketAddress> source = SocketAddress::parse(text);
+  if (!isOk(source)) {
+    return errorOf(source);
+  }
+  const SocketAddress unbound = valueOf(source).withPort(0);
+  const evutil_socket_t descriptor =
+    ::socket(unbound.data()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  // Without this option each bind to port 0 would take a port that no other destination can share.
+  setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+  if (descriptor < 0 || ::bind(descriptor, unbound.data(), unbound.length()) != 0) {
+    const std::string reason = std::generic_category().message(errno);
+    if (descriptor >= 0) {
+      evutil_closesocket(descriptor);
+    }
+    return Error::create(ErrorCode::eIo, "bind " + aSourceHost, aPeer, reason);
+  }
+  return descriptor;
+}
+
 } // namespace
 
 MessageConnection::MessageConnection(EventLoop& aLoop,
@@ -58,7 +90,12 @@
   std::shared_ptr<MessageConnection> connection(
     new MessageConnection(aLoop, aAddress, std::move(aOwnHello), std::move(aHandlers)));
   connection->mIsClient = true;
-  bufferevent* stream = bufferevent_socket_new(aLoop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  const Result<int> descriptor = createSocket(aLoop.sourceHost(), aAddress);
+  if (!isOk(descriptor)) {
+    return errorOf(descriptor);
+  }
+  bufferevent* stream =
+    bufferevent_socket_new(aLoop.base(), valueOf(descriptor), BEV_OPT_CLOSE_ON_FREE);
   if (stream == nullptr) {
     return Error::create(ErrorCode::eIo, "connect", aAddress, "bufferevent_socket_new failed");
   }
--- a/src/transport/SocketAddress.cpp
+++ b/src/transport/SocketAddress.cpp
@@ -61,4 +61,18 @@
   return parts.mHost + ":" + port;
 }
 
+SocketAddress
+SocketAddress::withPort(int aPort) const
+{
+  SocketAddress address = *this;
+  address.mPort = aPort;
+  const in_port_t port = htons(static_cast<in_port_t>(aPort));
+  if (mStorage.ss_family == AF_INET6) {
+    reinterpret_cast<sockaddr_in6*>(&address.mStorage)->sin6_port = port;
+  } else {
+    reinterpret_cast<sockaddr_in*>(&address.mStorage)->sin_port = port;
+  }
+  return address;
+}
+
 } // namespace magnoliadrum
--- a/src/transport/SocketAddress.h
+++ b/src/transport/SocketAddress.h
@@ -17,6 +17,9 @@
   /** Returns the text form of an address that the system reported. */
   static std::string format(const sockaddr* aAddress);
 
+  /** The same IP address with another port. */
+  SocketAddress withPort(int aPort) const;
+
   const sockaddr* data() const { return reinterpret_cast<const sockaddr*>(&mStorage); }
   int length() const { return mLength; }
 
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="g++ cmake ninja-build make pkg-config ccache clang-format clang-tidy python3 python3-jinja2
   libevent-dev libwebsocketpp-dev nlohmann-json3-dev libgflags-dev liblog4cxx-dev
-  libboost-dev libboost-test-dev"
+  libboost-dev libboost-test-dev libboost-filesystem-dev"
 missing=""
 for package in $packages; do
   state=$(dpkg-query -W -f='${Status}' "$package" 2>/dev/null || true)
