Test the control service and its pure classes

Texts are shortened at a character boundary: a cut inside one would make the message invalid and stop the process at the check of its fields.

--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 constexpr std::int64_t kMsPerMinute = 60000;
+constexpr double kObservedQuantile = 0.99;
 } // namespace
 
 ControlService::ControlService(ControlContext aContext, std::uint64_t aSeed)
@@ -137,6 +138,10 @@
     mSecondAt = now;
     mTasks.checkSilence();
   }
+  if (now.msSince(mObservedAt) >= kObserveMs) {
+    mObservedAt = now;
+    observeLatencies();
+  }
   if (now.msSince(mFlushedAt) >= kFlushMs) {
     mFlushedAt = now;
     flushServiceLevel();
@@ -161,6 +166,19 @@
                         });
 }
 
+void
+ControlService::observeLatencies()
+{
+  for (const auto& [entryName, counts] : mServiceLevel.takeLatencies()) {
+    const LatencyHistogram histogram = LatencyHistogram::fromCounts(counts);
+    ServiceObservation observation;
+    observation.entryName = entryName;
+    observation.latencyMs = histogram.quantile(kObservedQuantile);
+    observation.requests = histogram.total();
+    mTasks.noteObservation(std::move(observation));
+  }
+}
+
 void
 ControlService::writeMetrics(MetricsRegistry& aMetrics) const
 {
--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -42,6 +42,8 @@
 private:
   /** Rows are committed this often, which bounds what a leader change loses. */
   static constexpr std::int64_t kFlushMs = 10000;
+  /** Latencies are handed to placement this often: long enough for a meaningful 99th percentile. */
+  static constexpr std::int64_t kObserveMs = 5000;
   static constexpr std::int64_t kSecondMs = 1000;
 
   void onApplied(const Command& aCommand, const Outcome& aOutcome) override;
@@ -56,6 +58,7 @@
   void take(ConnectionId aConnection, const Body& aBody);
 
   void flushServiceLevel();
+  void observeLatencies();
 
   ControlContext mContext;
   SessionService mSessions;
@@ -64,6 +67,7 @@
   ServiceLevelCollector mServiceLevel;
   bool mLeads = false;
   MonotonicTime mSecondAt;
+  MonotonicTime mObservedAt;
   MonotonicTime mFlushedAt;
 };
 
--- /dev/null
+++ b/src/control/ControlService_test.cpp
@@ -0,0 +1,242 @@
+#include "control/control_fixture_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+constexpr ConnectionId kAgent = 1;
+constexpr ConnectionId kOtherAgent = 2;
+constexpr ConnectionId kGateway = 3;
+/** Lease of 1,500 ms with 1% drift, the margin and a tick. */
+constexpr std::int64_t kExpiryMs = 1700;
+
+/** A run that is running at epoch 1 on vm-1. */
+struct RunningRun : ServiceHarness
+{
+  RunningRun()
+  {
+    mSession = open(kAgent, admitAgent("vm-1", "i1"));
+    submitRun();
+    advance(200);
+    report(kAgent, mSession, 1, TaskState::eRunning);
+    mSent.clear();
+  }
+
+  std::int64_t mSession = 0;
+};
+
+} // namespace
+
+// Guards against a path that no single class covers: submission to publication.
+BOOST_FIXTURE_TEST_CASE(run_is_placed_started_completed_and_published, ServiceHarness)
+{
+  const std::int64_t session = open(kAgent, admitAgent("vm-1", "i1"));
+  submitRun();
+  BOOST_TEST(take<TaskSubmitted>(kOperator).size() == 1U);
+  advance(200);
+  BOOST_TEST(take<TaskStart>(kAgent).size() == 1U);
+  report(kAgent, session, 1, TaskState::eRunning);
+  report(kAgent, session, 1, TaskState::eCompleted);
+  BOOST_TEST(take<TaskReportAck>(kAgent).size() == 2U);
+  advance(100);
+  BOOST_TEST(take<TaskPublish>(kAgent).size() == 1U);
+  report(kAgent, session, 1, TaskState::ePublished);
+  BOOST_TEST((task().state() == TaskState::ePublished));
+}
+
+// Guards against a second run elsewhere while the lease of the first may still hold.
+BOOST_FIXTURE_TEST_CASE(task_is_placed_elsewhere_only_after_the_session_expired, RunningRun)
+{
+  const std::int64_t other = open(kOtherAgent, admitAgent("vm-2", "i1"));
+  for (int step = 0; step < 14; step++) {
+    heartbeat(kOtherAgent, other, "vm-2");
+    advance(100);
+    BOOST_TEST(task().session() == mSession);
+  }
+  heartbeat(kOtherAgent, other, "vm-2");
+  advance(600);
+  heartbeat(kOtherAgent, other, "vm-2");
+  BOOST_TEST(task().session() == other);
+  BOOST_TEST(task().epoch() == 2);
+  BOOST_TEST(take<TaskStart>(kOtherAgent).size() == 1U);
+}
+
+// Guards against a heartbeat that renews a lease after the end of its session was proposed.
+BOOST_FIXTURE_TEST_CASE(ending_session_is_not_renewed, RunningRun)
+{
+  mNow = mNow.plusMs(kExpiryMs);
+  mService.tick();
+  mService.onMessage(kAgent,
+                     buildValue<SessionHeartbeat>(
+                       { .session = mSession, .processId = "vm-1", .sentAtMs = mNow.ms() }));
+  BOOST_TEST(take<SessionRenewed>(kAgent).empty());
+  BOOST_TEST(open(kAgent, admitAgent("vm-1", "i1")) == 0);
+  settle();
+  BOOST_TEST((task().state() == TaskState::ePending));
+  BOOST_TEST(open(kAgent, admitAgent("vm-1", "i1")) > mSession);
+}
+
+// Guards against sessions and tasks that a leader change loses, and against orders that the old
+// leader committed but did not send.
+BOOST_FIXTURE_TEST_CASE(leader_change_keeps_sessions_and_tasks, RunningRun)
+{
+  mLog.setLeads(false, mNow);
+  BOOST_TEST((take<SessionRefused>(kAgent).at(0).reason() == SessionRefusal::eNotLeader));
+  heartbeat(kAgent, mSession, "vm-1");
+  BOOST_TEST((take<SessionRefused>(kAgent).at(0).reason() == SessionRefusal::eNotLeader));
+  advance(1000);
+  mLog.setLeads(true, mNow);
+  advance(kExpiryMs);
+  const std::int64_t applied = mState.appliedIndex();
+  BOOST_TEST(open(kOtherAgent, admitAgent("vm-1", "i1")) == mSession);
+  BOOST_TEST(mState.appliedIndex() == applied);
+  BOOST_TEST(task().session() == mSession);
+  report(kOtherAgent, mSession, 1, TaskState::eCompleted);
+  advance(100);
+  BOOST_TEST(take<TaskPublish>(kOtherAgent).size() == 1U);
+}
+
+// Guards against a leader without a majority that grants leases which its successor does not know.
+BOOST_FIXTURE_TEST_CASE(leader_without_majority_grants_and_answers_nothing, RunningRun)
+{
+  mLog.setLeaderLease(false);
+  heartbeat(kAgent, mSession, "vm-1");
+  BOOST_TEST(take<SessionRenewed>(kAgent).empty());
+  BOOST_TEST(open(kOtherAgent, admitAgent("vm-2", "i1")) == 0);
+  deliver(kOperator, buildValue<CatalogueQuery>({ .requestId = "q" }));
+  BOOST_TEST((take<OperationFailed>(kOperator).at(0).code() == FailureCode::eUnavailable));
+}
+
+// Guards against tasks that a restart of the agent stops, or that it forgets.
+BOOST_FIXTURE_TEST_CASE(restarted_agent_keeps_listed_tasks_and_stops_strays, RunningRun)
+{
+  const auto listed = [](const char* aTaskId) {
+    return buildValue<RunningTask>({ .taskId = aTaskId, .epoch = 1 });
+  };
+  const std::int64_t session =
+    open(kOtherAgent,
+         admitAgent("vm-1", "i2", TargetKind::eWorker, { listed(kRun), listed("recon/stray") }));
+  BOOST_TEST(session > mSession);
+  BOOST_TEST(task().session() == session);
+  BOOST_TEST((take<SessionRefused>(kAgent).at(0).reason() == SessionRefusal::eUnknownSession));
+  advance(100);
+  const std::vector<TaskStop> stops = take<TaskStop>(kOtherAgent);
+  BOOST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST(stops[0].taskId() == "recon/stray");
+}
+
+// Guards against a late report that is neither acknowledged nor followed by a stop, so that the
+// agent sends it for ever and the worker keeps a run that is placed elsewhere.
+BOOST_FIXTURE_TEST_CASE(late_report_is_acknowledged_and_its_run_stopped, RunningRun)
+{
+  advance(kExpiryMs);
+  const std::int64_t session = open(kAgent, admitAgent("vm-1", "i1"));
+  advance(200);
+  mSent.clear();
+  const std::int64_t epoch = task().epoch();
+  BOOST_TEST(epoch == 2);
+  report(kAgent, session, 1, TaskState::eCompleted);
+  BOOST_TEST(take<TaskReportAck>(kAgent).size() == 1U);
+  BOOST_TEST((task().state() == TaskState::ePlaced));
+  advance(100);
+  const std::vector<TaskStop> stops = take<TaskStop>(kAgent);
+  BOOST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST(stops[0].epoch() == 1);
+}
+
+// Guards against duplicates that change the state again or get no acknowledgement.
+BOOST_FIXTURE_TEST_CASE(duplicate_and_foreign_reports_have_no_effect, RunningRun)
+{
+  report(kAgent, mSession, 1, TaskState::eCompleted);
+  report(kAgent, mSession, 1, TaskState::eCompleted);
+  BOOST_TEST(take<TaskReportAck>(kAgent).size() == 2U);
+  const std::int64_t other = open(kOtherAgent, admitAgent("vm-2", "i1"));
+  report(kOtherAgent, other, 1, TaskState::eStopped);
+  report(kOtherAgent, mSession, 1, TaskState::eStopped);
+  BOOST_TEST((task().state() == TaskState::eCompleted));
+}
+
+// Guards against a change that is answered before it is in force everywhere it is said to be.
+BOOST_FIXTURE_TEST_CASE(change_is_pushed_and_its_status_follows_the_heartbeats, ServiceHarness)
+{
+  const std::int64_t gateway = openGateway(kGateway, "g1");
+  mSent.clear();
+  change(entryChange("c1", 0, taskEntry("recon", EntryKind::eBatch)));
+  const std::vector<CatalogueUpdate> updates = take<CatalogueUpdate>(kGateway);
+  BOOST_REQUIRE(updates.size() == 1U);
+  BOOST_TEST(updates[0].toVersion() == 1);
+  const auto inForce = [this]() {
+    deliver(kOperator, buildValue<ChangeStatusQuery>({ .requestId = "q", .catalogueVersion = 1 }));
+    return take<ChangeStatus>(kOperator).at(0).inForce();
+  };
+  BOOST_TEST(!inForce());
+  heartbeat(kGateway, gateway, "g1", 1);
+  BOOST_TEST(inForce());
+}
+
+// Guards against gateways that send requests to a target which is drained or gone.
+BOOST_FIXTURE_TEST_CASE(gateways_learn_of_drained_and_lost_executors, ServiceHarness)
+{
+  const std::int64_t gateway = openGateway(kGateway, "g1");
+  open(kAgent, admitAgent("ex-1", "i1", TargetKind::eExecutor));
+  BOOST_TEST(take<TargetUpdate>(kGateway).back().targets().size() == 1U);
+  deliver(
+    kOperator,
+    buildValue<TargetDrainRequest>({ .requestId = "d", .targetId = "ex-1", .draining = true }));
+  BOOST_TEST(take<TargetUpdate>(kGateway).at(0).targets().at(0).leaving());
+  for (int step = 0; step < 20; step++) {
+    heartbeat(kGateway, gateway, "g1");
+    advance(100);
+  }
+  BOOST_TEST(take<TargetUpdate>(kGateway).back().targets().empty());
+}
+
+// Guards against a request that runs twice because two gateways get the same key.
+BOOST_FIXTURE_TEST_CASE(intent_is_granted_once_and_answered_from_the_log, ServiceHarness)
+{
+  const auto begin = [this](const char* aAttempt) {
+    deliver(kGateway,
+            buildValue<IntentBegin>({ .requestId = aAttempt,
+                                      .key = "k",
+                                      .entryName = "pickup",
+                                      .attempt = aAttempt,
+                                      .requestDigest = "d" }));
+    return take<IntentStatus>(kGateway).at(0);
+  };
+  BOOST_TEST(begin("a1").granted());
+  BOOST_TEST(!begin("a2").granted());
+  deliver(kGateway,
+          buildValue<IntentEnd>({ .requestId = "e",
+                                  .key = "k",
+                                  .entryName = "pickup",
+                                  .attempt = "a1",
+                                  .outcome = IntentOutcome::eDone,
+                                  .answer = buildValue<HttpAnswer>({ .status = 201 }) }));
+  BOOST_TEST(begin("a2").intent()->answer()->status() == 201);
+}
+
+// Guards against requests that a follower answers from its own state, and against messages that no
+// process sends to control.
+BOOST_FIXTURE_TEST_CASE(follower_names_the_leader_and_foreign_messages_close, ServiceHarness)
+{
+  mLog.setLeads(false, mNow);
+  deliver(kOperator, buildValue<StatusQuery>({ .requestId = "q" }));
+  BOOST_TEST((take<OperationFailed>(kOperator).at(0).code() == FailureCode::eNotLeader));
+  deliver(kOperator, buildValue<RequestRefused>({ .requestId = "r" }));
+  BOOST_TEST((mClosed == std::vector<ConnectionId>{ kOperator }));
+}
+
+// Guards against an invalid change that takes a log entry, and against one that is not answered.
+BOOST_FIXTURE_TEST_CASE(invalid_change_is_answered_with_its_faults, ServiceHarness)
+{
+  CatalogueEntry::Fields entry = taskEntry("recon", EntryKind::eBatch).fields();
+  entry.serveWithoutControl = true;
+  change(entryChange("c1", 0, buildValue<CatalogueEntry>(entry)));
+  const ChangeAnswer answer = take<ChangeResult>(kOperator).at(0).answer();
+  BOOST_TEST((answer.outcome() == ChangeOutcome::eInvalid));
+  BOOST_TEST(answer.faults().size() == 1U);
+  BOOST_TEST(mState.appliedIndex() == 0);
+}
--- a/src/control/PlacementRound.cpp
+++ b/src/control/PlacementRound.cpp
@@ -17,22 +17,26 @@
   return aTarget.agentAddress().substr(0, aTarget.agentAddress().rfind(':'));
 }
 
-/** Executors whose agents have the same IP address run on the same VM as the worker. */
-std::vector<std::string>
-servicesBeside(const TargetDescription& aWorker, const SessionRegistry& aSessions)
+/** Service entries by IP address of the agents of their executors. */
+using ServicesByHost = std::map<std::string, std::set<std::string>>;
+
+ServicesByHost
+servicesByHost(const SessionRegistry& aSessions)
 {
-  std::set<std::string> services;
+  ServicesByHost services;
   for (const auto& [number, record] : aSessions.all()) {
-    if (record.target() && record.target()->targetKind() == TargetKind::eExecutor &&
-        hostOf(*record.target()) == hostOf(aWorker)) {
-      services.insert(record.target()->entryName());
+    if (record.target() && record.target()->targetKind() == TargetKind::eExecutor) {
+      services[hostOf(*record.target())].insert(record.target()->entryName());
     }
   }
-  return { services.begin(), services.end() };
+  return services;
 }
 
 std::optional<WorkerView>
-workerView(std::int64_t aSession, const ControlState& aState, const LiveSessions& aLive)
+workerView(std::int64_t aSession,
+           const ControlState& aState,
+           const LiveSessions& aLive,
+           const ServicesByHost& aServices)
 {
   const SessionRecord* record = aState.sessions().find(aSession);
   const bool isWorker =
@@ -44,7 +48,11 @@
   view.session = aSession;
   view.target = *record->target();
   view.draining = record->draining();
-  view.services = servicesBeside(*record->target(), aState.sessions());
+  // Agents with the same IP address run on the same VM.
+  const auto services = aServices.find(hostOf(*record->target()));
+  if (services != aServices.end()) {
+    view.services.assign(services->second.begin(), services->second.end());
+  }
   const auto live = aLive.find(aSession);
   if (live != aLive.end()) {
     view.draining = view.draining || live->second.mLeaving;
@@ -122,8 +130,9 @@
       addRecord(name, aState, view);
     }
   }
+  const ServicesByHost services = servicesByHost(aState.sessions());
   for (const auto& [number, record] : aState.sessions().all()) {
-    if (std::optional<WorkerView> worker = workerView(number, aState, aLive)) {
+    if (std::optional<WorkerView> worker = workerView(number, aState, aLive, services)) {
       view.workers.push_back(std::move(*worker));
     }
   }
@@ -143,8 +152,9 @@
   for (const std::string& name : mRecords) {
     addRecord(name, aState, view);
   }
+  const ServicesByHost services = servicesByHost(aState.sessions());
   for (const std::int64_t session : mSessions) {
-    if (std::optional<WorkerView> worker = workerView(session, aState, aLive)) {
+    if (std::optional<WorkerView> worker = workerView(session, aState, aLive, services)) {
       view.workers.push_back(std::move(*worker));
     } else {
       view.removedSessions.push_back(session);
--- a/src/control/RequestService.cpp
+++ b/src/control/RequestService.cpp
@@ -1,5 +1,6 @@
 #include "control/RequestService.h"
 
+#include "control/TextBounds.h"
 #include "state/BuildValue.h"
 #include "transport/MessageConnection.h"
 
@@ -70,9 +71,9 @@
     aAsker.mConnection,
     buildValue<OperationFailed>({ .requestId = aAsker.mRequestId,
                                   .code = failureCodeOf(aError.code()),
-                                  .step = aError.step().substr(0, kMaxStepBytes),
-                                  .peer = aError.peer().substr(0, kMaxStepBytes),
-                                  .detail = aError.detail().substr(0, kMaxFailureDetailBytes),
+                                  .step = shortenText(aError.step(), kMaxStepBytes),
+                                  .peer = shortenText(aError.peer(), kMaxStepBytes),
+                                  .detail = shortenText(aError.detail(), kMaxFailureDetailBytes),
                                   .leaderAddress = mContext.mLog.leaderAddress() }));
 }
 
--- a/src/control/ServiceLevelCollector.cpp
+++ b/src/control/ServiceLevelCollector.cpp
@@ -16,6 +16,15 @@
   return std::max<std::int64_t>(0, aNow - aBefore);
 }
 
+void
+addCounts(std::vector<std::int64_t>& aSum, const std::vector<std::int64_t>& aCounts)
+{
+  aSum.resize(std::max(aSum.size(), aCounts.size()));
+  for (std::size_t bucket = 0; bucket < aCounts.size(); bucket++) {
+    aSum[bucket] += aCounts[bucket];
+  }
+}
+
 ServiceLevelRow::Fields
 growthOf(const ServiceCounters& aNow, const ServiceCounters& aBefore, std::int64_t aMinute)
 {
@@ -40,6 +49,7 @@
 {
   mGateways.clear();
   mRows.clear();
+  mLatencies.clear();
 }
 
 void
@@ -63,10 +73,11 @@
   }
   for (const ServiceCounters& counters : aCounters) {
     const auto last = gateway.mLast.find(counters.entryName());
-    if (last != gateway.mLast.end()) {
-      add(growthOf(counters, last->second, aMinute));
-    } else if (gateway.mCountsFromZero) {
-      add(growthOf(counters, ServiceCounters(), aMinute));
+    if (last != gateway.mLast.end() || gateway.mCountsFromZero) {
+      const ServiceCounters base = last != gateway.mLast.end() ? last->second : ServiceCounters();
+      const ServiceLevelRow::Fields row = growthOf(counters, base, aMinute);
+      add(row);
+      addCounts(mLatencies[row.entryName], row.latencyCounts);
     }
     gateway.mLast.insert_or_assign(counters.entryName(), counters);
   }
@@ -82,10 +93,7 @@
   sum.good += aRow.good;
   sum.refused += aRow.refused;
   sum.unknown += aRow.unknown;
-  sum.latencyCounts.resize(std::max(sum.latencyCounts.size(), aRow.latencyCounts.size()));
-  for (std::size_t bucket = 0; bucket < aRow.latencyCounts.size(); bucket++) {
-    sum.latencyCounts[bucket] += aRow.latencyCounts[bucket];
-  }
+  addCounts(sum.latencyCounts, aRow.latencyCounts);
 }
 
 std::vector<ServiceLevelRow>
@@ -100,6 +108,12 @@
   return rows;
 }
 
+std::map<std::string, std::vector<std::int64_t>>
+ServiceLevelCollector::takeLatencies()
+{
+  return std::exchange(mLatencies, {});
+}
+
 void
 ServiceLevelCollector::putBack(const std::vector<ServiceLevelRow>& aRows)
 {
--- a/src/control/ServiceLevelCollector.h
+++ b/src/control/ServiceLevelCollector.h
@@ -35,6 +35,9 @@
   /** Returns the rows since the last call and empties them. */
   std::vector<ServiceLevelRow> takeRows();
 
+  /** Returns the latency counts per entry since the last call and empties them. */
+  std::map<std::string, std::vector<std::int64_t>> takeLatencies();
+
   /** Adds rows whose command surely failed again. */
   void putBack(const std::vector<ServiceLevelRow>& aRows);
 
@@ -50,6 +53,7 @@
 
   std::map<std::string, Gateway> mGateways;
   std::map<std::pair<std::string, std::int64_t>, ServiceLevelRow::Fields> mRows;
+  std::map<std::string, std::vector<std::int64_t>> mLatencies;
 };
 
 } // namespace magnoliadrum
--- /dev/null
+++ b/src/control/ServiceLevelCollector_test.cpp
@@ -0,0 +1,87 @@
+#include "control/ServiceLevelCollector.h"
+#include "control/SilenceMonitor.h"
+#include "control/control_fixture_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+std::vector<ServiceCounters>
+counters(std::int64_t aTotal, std::int64_t aGood)
+{
+  return { buildValue<ServiceCounters>({ .entryName = "pickup",
+                                         .total = aTotal,
+                                         .good = aGood,
+                                         .latencyCounts = { aGood, aTotal - aGood } }) };
+}
+
+} // namespace
+
+// Guards against a duplicate or resent heartbeat that counts twice, and against counts of two
+// gateways that replace each other.
+BOOST_AUTO_TEST_CASE(growth_of_cumulative_counters_is_summed_per_minute)
+{
+  ServiceLevelCollector collector;
+  collector.open("g1", "i1");
+  collector.open("g2", "i1");
+  collector.report("g1", "i1", counters(10, 8), 5);
+  collector.report("g1", "i1", counters(10, 8), 5);
+  collector.report("g2", "i1", counters(4, 4), 5);
+  collector.report("g1", "i1", counters(15, 9), 6);
+  const std::vector<ServiceLevelRow> rows = collector.takeRows();
+  BOOST_REQUIRE(rows.size() == 2U);
+  BOOST_TEST(rows[0].total() == 14);
+  BOOST_TEST(rows[0].good() == 12);
+  BOOST_TEST((rows[0].latencyCounts() == std::vector<std::int64_t>{ 12, 2 }));
+  BOOST_TEST(rows[1].total() == 5);
+  BOOST_TEST(collector.takeRows().empty());
+  BOOST_TEST((collector.takeLatencies().at("pickup") == std::vector<std::int64_t>{ 13, 6 }));
+}
+
+// Guards against a new leader that counts the whole life of a gateway again.
+BOOST_AUTO_TEST_CASE(first_counters_of_an_old_gateway_set_the_base)
+{
+  ServiceLevelCollector collector;
+  collector.report("g1", "i1", counters(1000, 900), 5);
+  BOOST_TEST(collector.takeRows().empty());
+  collector.report("g1", "i1", counters(1003, 902), 5);
+  const std::vector<ServiceLevelRow> rows = collector.takeRows();
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST(rows[0].total() == 3);
+  collector.putBack(rows);
+  BOOST_TEST((collector.takeRows() == rows));
+}
+
+// Guards against counts of a restarted gateway that are taken for a negative growth.
+BOOST_AUTO_TEST_CASE(restarted_gateway_counts_from_zero)
+{
+  ServiceLevelCollector collector;
+  collector.open("g1", "i1");
+  collector.report("g1", "i1", counters(100, 100), 5);
+  collector.takeRows();
+  collector.open("g1", "i2");
+  collector.report("g1", "i2", counters(7, 7), 5);
+  BOOST_TEST(collector.takeRows()[0].total() == 7);
+}
+
+// Guards against a standing task that hangs without being noticed, and against a false alarm from
+// the difference of two VMs' clocks.
+BOOST_AUTO_TEST_CASE(standing_task_without_sign_of_life_is_silent)
+{
+  ServiceHarness harness;
+  harness.change(entryChange("w", 0, taskEntry("watch", EntryKind::eStanding)));
+  SilenceMonitor monitor;
+  const MonotonicTime now = harness.mNow;
+  BOOST_TEST(monitor.silentTasks(harness.mState, now).empty());
+  const auto usage = [](std::int64_t aAliveAtMs) {
+    return buildValue<TargetUsage>(
+      { .tasks = { buildValue<TaskUsage>({ .taskId = "watch/#1", .aliveAtMs = aAliveAtMs }) } });
+  };
+  monitor.report(usage(7000), 7100, now.plusMs(3000));
+  BOOST_TEST(monitor.silentTasks(harness.mState, now.plusMs(7900)).empty());
+  monitor.report(usage(7000), 12100, now.plusMs(8000));
+  BOOST_TEST(monitor.silentTasks(harness.mState, now.plusMs(8000)).size() == 1U);
+}
--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -3,7 +3,6 @@
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
-#include <cassert>
 #include <utility>
 #include <variant>
 
@@ -19,6 +18,7 @@
 void
 SessionService::startTerm()
 {
+  mTermStarted = true;
   std::vector<std::int64_t> sessions;
   mLive.clear();
   mByConnection.clear();
@@ -35,6 +35,7 @@
 void
 SessionService::endTerm()
 {
+  mTermStarted = false;
   for (const auto& [connection, session] : std::exchange(mByConnection, {})) {
     refuse(connection, SessionRefusal::eNotLeader, session);
   }
@@ -55,7 +56,7 @@
 void
 SessionService::onOpen(ConnectionId aConnection, const SessionOpen& aMessage)
 {
-  if (!mContext.mLog.isLeader()) {
+  if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader);
     return;
   }
@@ -81,7 +82,7 @@
                            const SessionOpen& aMessage,
                            const CommandResult& aResult)
 {
-  if (!mContext.mLog.isLeader()) {
+  if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader);
     return;
   }
@@ -135,7 +136,7 @@
 void
 SessionService::onHeartbeat(ConnectionId aConnection, const SessionHeartbeat& aMessage)
 {
-  if (!mContext.mLog.isLeader()) {
+  if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader, aMessage.session());
     return;
   }
@@ -180,7 +181,7 @@
 {
   const SessionRecord* record = mContext.mState.sessions().find(aMessage.session());
   const bool known = record != nullptr && record->processId() == aMessage.processId();
-  if (mContext.mLog.isLeader() && known && !mLeases.isEnding(aMessage.session())) {
+  if (leads() && known && !mLeases.isEnding(aMessage.session())) {
     proposeEnd(aMessage.session(), "the process closed its session");
   }
 }
@@ -260,6 +261,10 @@
 void
 SessionService::endExpired()
 {
+  // Without a majority the end cannot be committed, and the next leader decides anew.
+  if (!mContext.mayAnswer()) {
+    return;
+  }
   for (const std::int64_t session : mLeases.expired(mContext.mNow())) {
     proposeEnd(session, "the lease is over");
   }
--- a/src/control/SessionService.h
+++ b/src/control/SessionService.h
@@ -77,6 +77,7 @@
   const ChangeTracker& changes() const { return mChanges; }
 
 private:
+  bool leads() const { return mTermStarted && mContext.mLog.isLeader(); }
   void refuse(ConnectionId aConnection, SessionRefusal aReason, std::int64_t aSession = 0);
   void onAdmitted(ConnectionId aConnection,
                   const SessionOpen& aMessage,
@@ -93,6 +94,7 @@
 
   ControlContext& mContext;
   SessionListener& mListener;
+  bool mTermStarted = false;
   LeaseTable mLeases;
   ChangeTracker mChanges;
   TargetTableVersion mTargets;
--- /dev/null
+++ b/src/control/TaskDispatcher_test.cpp
@@ -0,0 +1,113 @@
+#include "control/TaskDispatcher.h"
+#include "control/control_fixture_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+/** A state with a run that is placed at epoch 1, without a service. */
+struct PlacedRun
+{
+  PlacedRun()
+  {
+    apply(buildValue<ApplyChange>(
+      { .change = entryChange("c", 0, taskEntry("recon", EntryKind::eBatch)) }));
+    apply(buildValue<CreateTask>({ .taskId = kRun, .entryName = "recon" }));
+    apply(admitAgent("vm-1", "i1"));
+    apply(buildValue<PlaceTask>({ .taskId = kRun, .epoch = 1, .session = 1 }));
+  }
+
+  void apply(const Command& aCommand)
+  {
+    mState.apply(mState.appliedIndex() + 1, aCommand);
+    for (const std::string& taskId : mState.takeChangedTasks()) {
+      mDispatcher.noteTask(taskId, mState);
+    }
+  }
+
+  void move(TaskState aState)
+  {
+    apply(buildValue<MoveTask>({ .taskId = kRun, .epoch = 1, .state = aState }));
+  }
+
+  std::vector<AgentOrder> due() { return mDispatcher.takeDue(mState, mNow); }
+
+  ControlState mState;
+  TaskDispatcher mDispatcher;
+  MonotonicTime mNow = MonotonicTime::fromMs(50000);
+};
+
+} // namespace
+
+// Guards against a start that is lost, and against one that is sent at every tick.
+BOOST_FIXTURE_TEST_CASE(start_is_sent_again_until_it_is_reported, PlacedRun)
+{
+  const std::vector<AgentOrder> first = due();
+  BOOST_REQUIRE(first.size() == 1U);
+  const auto& start = std::get<TaskStart>(first[0].mMessage);
+  BOOST_TEST(start.session() == 1);
+  BOOST_TEST(start.epoch() == 1);
+  BOOST_TEST(start.payload() == "from the entry");
+  BOOST_TEST(due().empty());
+  mNow = mNow.plusMs(TaskDispatcher::kResendMs);
+  BOOST_TEST(due().size() == 1U);
+  mDispatcher.reconnect(1);
+  BOOST_TEST(due().size() == 1U);
+  move(TaskState::eRunning);
+  mNow = mNow.plusMs(TaskDispatcher::kResendMs);
+  BOOST_TEST(due().empty());
+}
+
+// Guards against a stop or a publication that no message asks for.
+BOOST_FIXTURE_TEST_CASE(orders_follow_the_state_of_the_task, PlacedRun)
+{
+  move(TaskState::eRunning);
+  apply(buildValue<RequestStop>({ .taskId = kRun, .epoch = 1 }));
+  BOOST_TEST((std::get<TaskStop>(due().at(0).mMessage).mode() == StopMode::eCheckpoint));
+  move(TaskState::eCompleted);
+  BOOST_TEST(std::get<TaskPublish>(due().at(0).mMessage).epoch() == 1);
+  move(TaskState::ePublished);
+  mNow = mNow.plusMs(TaskDispatcher::kResendMs);
+  BOOST_TEST(due().empty());
+}
+
+// Guards against a new leader that does not continue the orders of its predecessor.
+BOOST_FIXTURE_TEST_CASE(new_leader_sends_the_orders_of_the_log, PlacedRun)
+{
+  due();
+  TaskDispatcher successor;
+  successor.startTerm(mState);
+  BOOST_TEST(successor.takeDue(mState, mNow).size() == 1U);
+}
+
+// Guards against orders for a session that has ended.
+BOOST_FIXTURE_TEST_CASE(orders_end_with_the_session, PlacedRun)
+{
+  mDispatcher.noteStray(1, buildValue<RunningTask>({ .taskId = "recon/old", .epoch = 4 }));
+  apply(buildValue<ExpireSession>({ .session = 1 }));
+  mDispatcher.close(1);
+  BOOST_TEST(due().empty());
+}
+
+// Guards against a worker that keeps a task which is not placed on it, when one stop is lost.
+BOOST_FIXTURE_TEST_CASE(stray_is_stopped_until_the_agent_reports_it_gone, PlacedRun)
+{
+  move(TaskState::eRunning);
+  mDispatcher.noteStray(1, buildValue<RunningTask>({ .taskId = "recon/old", .epoch = 4 }));
+  const auto stop = std::get<TaskStop>(due().at(0).mMessage);
+  BOOST_TEST(stop.taskId() == "recon/old");
+  BOOST_TEST((stop.mode() == StopMode::eKill));
+  const auto reported = [](TaskState aState) {
+    return buildValue<TaskReport>(
+      { .session = 1, .taskId = "recon/old", .epoch = 4, .state = aState });
+  };
+  mDispatcher.noteReport(1, reported(TaskState::eRunning));
+  mNow = mNow.plusMs(TaskDispatcher::kResendMs);
+  BOOST_TEST(due().size() == 1U);
+  mDispatcher.noteReport(1, reported(TaskState::eStopped));
+  mNow = mNow.plusMs(TaskDispatcher::kResendMs);
+  BOOST_TEST(due().empty());
+}
--- a/src/control/TaskService.cpp
+++ b/src/control/TaskService.cpp
@@ -1,5 +1,6 @@
 #include "control/TaskService.h"
 
+#include "control/TextBounds.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
@@ -13,12 +14,6 @@
 /** Bound of the detail fields of commands. */
 constexpr std::size_t kMaxDetailBytes = 2000;
 
-std::string
-shortened(const std::string& aDetail)
-{
-  return aDetail.substr(0, kMaxDetailBytes);
-}
-
 Command
 commandFor(const PlaceDecision& aDecision)
 {
@@ -31,7 +26,7 @@
 {
   return buildValue<RequestStop>({ .taskId = aDecision.taskId,
                                    .epoch = aDecision.epoch,
-                                   .detail = shortened(aDecision.reason) });
+                                   .detail = shortenText(aDecision.reason, kMaxDetailBytes) });
 }
 
 Command
@@ -40,7 +35,7 @@
   return buildValue<MoveTask>({ .taskId = aDecision.taskId,
                                 .epoch = aDecision.epoch,
                                 .state = TaskState::eImpossible,
-                                .detail = shortened(aDecision.reason) });
+                                .detail = shortenText(aDecision.reason, kMaxDetailBytes) });
 }
 
 } // namespace
--- /dev/null
+++ b/src/control/control_fixture_test.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "control/ControlService.h"
+#include "control/InMemoryCommandLog.h"
+#include "state/BuildValue.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace magnoliadrum::fixture {
+
+inline const char* const kRun = "recon/night";
+
+inline AdmitSession
+admitAgent(const std::string& aProcessId,
+           const std::string& aIncarnation,
+           TargetKind aKind = TargetKind::eWorker,
+           std::vector<RunningTask> aRunning = {})
+{
+  return buildValue<AdmitSession>(
+    { .processId = aProcessId,
+      .processKind = ProcessKind::eAgent,
+      .incarnation = aIncarnation,
+      .target = buildValue<TargetDescription>(
+        { .targetId = aProcessId,
+          .targetKind = aKind,
+          .entryName = aKind == TargetKind::eExecutor ? "pickup" : "",
+          .agentAddress = "127.0.0.1:7000",
+          .dataCentre = "Tulcea",
+          .rack = "r1",
+          .capacity = buildValue<Resources>({ .cpuMilli = 4000, .memoryMb = 1000 }) }),
+      .running = std::move(aRunning) });
+}
+
+inline CatalogueEntry
+taskEntry(const std::string& aName, EntryKind aKind)
+{
+  return buildValue<CatalogueEntry>(
+    { .name = aName,
+      .owner = "delta",
+      .kind = aKind,
+      .workClass = WorkClass::eBatch,
+      .resources = buildValue<Resources>({ .cpuMilli = 1000, .memoryMb = 100 }),
+      .dataCentres = { "Tulcea" },
+      .payload = "from the entry" });
+}
+
+inline CatalogueChange
+entryChange(const std::string& aChangeId, std::int64_t aExpected, const CatalogueEntry& aEntry)
+{
+  return buildValue<CatalogueChange>({ .changeId = aChangeId,
+                                       .recordName = aEntry.name(),
+                                       .expectedVersion = aExpected,
+                                       .entry = aEntry });
+}
+
+/** A control service on a log in memory, with a clock that the test moves. */
+class ServiceHarness : private MessageOutlet
+{
+public:
+  ServiceHarness()
+    : mLog(
+        mState,
+        [this](std::function<void()> aFunction) { mPosted.push_back(std::move(aFunction)); },
+        "127.0.0.1:5000")
+    , mService(ControlContext{ mState,
+                               mLog,
+                               *this,
+                               settings(),
+                               [this]() { return mNow; },
+                               []() { return std::int64_t{ 60000 }; } },
+               1)
+  {
+    mLog.setLeads(true, mNow);
+  }
+
+  static ControlSettings settings()
+  {
+    return buildValue<ControlSettings>(
+      { .processId = "control-1",
+        .listenAddress = "127.0.0.1:5000",
+        .dataCentre = "Tulcea",
+        .dataFolder = "unused",
+        .electionTimeoutMs = 300,
+        .lease = buildValue<LeaseSettings>({ .leaseMs = 1500, .heartbeatMs = 100 }) });
+  }
+
+  /** Delivers a message and lets the log apply what follows from it. */
+  void deliver(ConnectionId aConnection, const Message& aMessage)
+  {
+    mService.onMessage(aConnection, aMessage);
+    settle();
+  }
+
+  void settle()
+  {
+    while (!mPosted.empty()) {
+      const auto function = std::move(mPosted.front());
+      mPosted.pop_front();
+      function();
+    }
+  }
+
+  /** Moves the clock in steps of a tick. */
+  void advance(std::int64_t aMs)
+  {
+    const MonotonicTime end = mNow.plusMs(aMs);
+    while (mNow < end) {
+      mNow = std::min(end, mNow.plusMs(ControlService::kTickMs));
+      mService.tick();
+      settle();
+    }
+  }
+
+  /** Returns the messages of a type on a connection since the last call for any type there. */
+  template<typename Type>
+  std::vector<Type> take(ConnectionId aConnection)
+  {
+    std::vector<Type> found;
+    for (const Message& message : std::exchange(mSent[aConnection], {})) {
+      if (const auto* body = std::get_if<Type>(&message)) {
+        found.push_back(*body);
+      }
+    }
+    return found;
+  }
+
+  /** Opens a session and returns its number; 0 when it was not granted. */
+  std::int64_t open(ConnectionId aConnection, const AdmitSession& aAdmission)
+  {
+    deliver(aConnection,
+            buildValue<SessionOpen>({ .processId = aAdmission.processId(),
+                                      .processKind = aAdmission.processKind(),
+                                      .incarnation = aAdmission.incarnation(),
+                                      .sentAtMs = mNow.ms(),
+                                      .target = aAdmission.target(),
+                                      .running = aAdmission.running() }));
+    for (const Message& message : mSent[aConnection]) {
+      if (const auto* granted = std::get_if<SessionGranted>(&message)) {
+        return granted->session();
+      }
+    }
+    return 0;
+  }
+
+  std::int64_t openGateway(ConnectionId aConnection, const std::string& aProcessId)
+  {
+    return open(
+      aConnection,
+      buildValue<AdmitSession>(
+        { .processId = aProcessId, .processKind = ProcessKind::eGateway, .incarnation = "i1" }));
+  }
+
+  void heartbeat(ConnectionId aConnection,
+                 std::int64_t aSession,
+                 const std::string& aProcessId,
+                 std::int64_t aCatalogueVersion = 0)
+  {
+    deliver(aConnection,
+            buildValue<SessionHeartbeat>({ .session = aSession,
+                                           .processId = aProcessId,
+                                           .sentAtMs = mNow.ms(),
+                                           .catalogueVersion = aCatalogueVersion }));
+  }
+
+  void change(const CatalogueChange& aChange)
+  {
+    deliver(kOperator, buildValue<ChangeSubmit>({ .requestId = "c", .change = aChange }));
+  }
+
+  /** Creates entry 'recon' and its run 'recon/night'. */
+  void submitRun()
+  {
+    change(entryChange("recon", 0, taskEntry("recon", EntryKind::eBatch)));
+    deliver(kOperator,
+            buildValue<TaskSubmit>({ .requestId = "t", .entryName = "recon", .runKey = "night" }));
+  }
+
+  void report(ConnectionId aConnection,
+              std::int64_t aSession,
+              std::int64_t aEpoch,
+              TaskState aState,
+              const std::string& aTaskId = kRun)
+  {
+    deliver(aConnection,
+            buildValue<TaskReport>(
+              { .session = aSession, .taskId = aTaskId, .epoch = aEpoch, .state = aState }));
+  }
+
+  const TaskRecord& task(const std::string& aTaskId = kRun) const
+  {
+    return *mState.tasks().find(aTaskId);
+  }
+
+  static constexpr ConnectionId kOperator = 99;
+
+  ControlState mState;
+  MonotonicTime mNow = MonotonicTime::fromMs(100000);
+  std::deque<std::function<void()>> mPosted;
+  InMemoryCommandLog mLog;
+  std::map<ConnectionId, std::vector<Message>> mSent;
+  std::vector<ConnectionId> mClosed;
+  ControlService mService;
+
+private:
+  bool send(ConnectionId aConnection, const Message& aMessage) override
+  {
+    mSent[aConnection].push_back(aMessage);
+    return true;
+  }
+
+  void close(ConnectionId aConnection, const std::string& /*aReason*/) override
+  {
+    mClosed.push_back(aConnection);
+  }
+};
+
+} // namespace magnoliadrum::fixture
