--- a/src/control/InMemoryCommandLog.h
+++ b/src/control/InMemoryCommandLog.h
@@ -37,8 +37,7 @@
                         std::function<void(const Result<Done>&)> aCallback) override;
   void stepDown(std::function<void(const Result<Done>&)> aDone) override;
   bool accepts(const Message& /*aMessage*/) const override { return false; }
-  void receive(const Message& /*aMessage*/,
-               std::function<void(const Message&)> /*aReply*/) override
+  void receive(const Message& /*aMessage*/, std::function<void(const Message&)> /*aReply*/) override
   {
   }
 
--- a/src/control/TaskDispatcher.h
+++ b/src/control/TaskDispatcher.h
@@ -24,8 +24,9 @@
  * Which orders the agents get about their tasks.
  *
  * The state of a task determines its order: a placed task is started, a task with a stop request is
- * stopped, a completed one is published. An order is sent again until a report has changed the task,
- * so lost messages and a new leader need no further care; agents treat repeated orders as one.
+ * stopped, a completed one is published. An order is sent again until a report has changed the
+ * task, so lost messages and a new leader need no further care; agents treat repeated orders as
+ * one.
  */
 class TaskDispatcher
 {
--- a/src/integration/ChildProcess.cpp
+++ b/src/integration/ChildProcess.cpp
@@ -60,6 +60,12 @@
   return mHandle->mChild.running(error) && !error;
 }
 
+int
+ChildProcess::processId() const
+{
+  return mHandle->mChild.id();
+}
+
 void
 ChildProcess::signal(int aSignal)
 {
--- a/src/integration/ChildProcess.h
+++ b/src/integration/ChildProcess.h
@@ -23,6 +23,8 @@
 
   bool isRunning();
 
+  int processId() const;
+
   /** Sends a signal. */
   void signal(int aSignal);
 
--- a/src/session/ControlLink.cpp
+++ b/src/session/ControlLink.cpp
@@ -135,6 +135,8 @@
     return;
   }
   const MessageConnectionPointer connection = std::exchange(mConnection, nullptr);
+  mEarlierBytesSent += connection->bytesSent();
+  mEarlierBytesReceived += connection->bytesReceived();
   connection->close(aReason);
   reconnectLater();
 }
@@ -307,6 +309,18 @@
   }
 }
 
+std::uint64_t
+ControlLink::bytesSent() const
+{
+  return mEarlierBytesSent + (mConnection == nullptr ? 0 : mConnection->bytesSent());
+}
+
+std::uint64_t
+ControlLink::bytesReceived() const
+{
+  return mEarlierBytesReceived + (mConnection == nullptr ? 0 : mConnection->bytesReceived());
+}
+
 bool
 ControlLink::send(const Message& aMessage)
 {
--- a/src/session/ControlLink.h
+++ b/src/session/ControlLink.h
@@ -87,6 +87,10 @@
   /** The executors that the leader announced last. */
   const std::vector<TargetStatus>& targets() const { return mTargets; }
 
+  /** Bytes over all connections of this link. */
+  std::uint64_t bytesSent() const;
+  std::uint64_t bytesReceived() const;
+
   /** Sends a message; false when no session is open on a connection. */
   bool send(const Message& aMessage);
 
@@ -139,6 +143,8 @@
   std::size_t mNextAddress = 0;
   std::string mLeaderHint;
   MonotonicTime mLastHeard;
+  std::uint64_t mEarlierBytesSent = 0;
+  std::uint64_t mEarlierBytesReceived = 0;
   bool mOpenSent = false;
   bool mGranted = false;
   bool mClosed = false;
