--- /dev/null
+++ b/src/gateway/AgentConnections.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "generated/generated.h"
+#include "transport/transport.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** Callbacks of AgentConnections. None is called from within send(). */
+struct AgentConnectionHandlers
+{
+  /** The connection to the agent of a target is open. */
+  std::function<void(const std::string& aTargetId, std::uint64_t aConnection)> onOpen;
+  std::function<void(std::uint64_t aConnection, const Message& aMessage)> onMessage;
+  /** An open connection was lost. */
+  std::function<void(std::uint64_t aConnection)> onLost;
+};
+
+/**
+ * Keeps one message connection to the agent of each announced target.
+ *
+ * Each connection has a number that is never reused. The connection of a target that is no longer
+ * announced stays until no request is in progress on it.
+ */
+class AgentConnections
+{
+public:
+  AgentConnections(EventLoop& aLoop, Hello aOwnHello, AgentConnectionHandlers aHandlers);
+
+  AgentConnections(const AgentConnections&) = delete;
+  AgentConnections& operator=(const AgentConnections&) = delete;
+
+  /** Connects to the agents of new targets. */
+  void setTargets(const std::vector<TargetStatus>& aTargets, MonotonicTime aNow);
+
+  /** Sends a message; false when no byte of it was or will be written. */
+  bool send(std::uint64_t aConnection, const Message& aMessage);
+
+  /** Reconnects and closes what is not needed any more. */
+  void tick(MonotonicTime aNow, const std::function<bool(std::uint64_t)>& aIsInUse);
+
+private:
+  /** An announced target and the address of its agent. */
+  struct Peer
+  {
+    std::string mAddress;
+    std::uint64_t mConnection = 0;
+    Deadline mConnectAt;
+    std::int64_t mBackoffMs = 0;
+  };
+
+  struct Connection
+  {
+    std::string mTargetId;
+    MessageConnectionPointer mLink;
+    bool mOpened = false;
+  };
+
+  void connect(const std::string& aTargetId, Peer& aPeer, MonotonicTime aNow);
+  void onOpen(std::uint64_t aConnection, MessageConnection& aLink);
+  void onClosed(std::uint64_t aConnection);
+  static void backOff(Peer& aPeer, MonotonicTime aNow);
+
+  EventLoop& mLoop;
+  Hello mOwnHello;
+  AgentConnectionHandlers mHandlers;
+  std::uint64_t mLastConnection = 0;
+  std::map<std::string, Peer> mPeers;
+  std::map<std::uint64_t, Connection> mConnections;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/CallerAnswers.cpp
@@ -0,0 +1,125 @@
+#include "gateway/CallerAnswers.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <cassert>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace magnoliadrum {
+
+namespace {
+
+constexpr std::size_t kMaxHeaders = 100;
+
+int
+statusOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::eUnknownEntry:
+      return kStatusNotFound;
+    case RefusalReason::eDeadlinePassed:
+      return kStatusTimeout;
+    case RefusalReason::eRateLimit:
+    case RefusalReason::eConcurrencyLimit:
+      return kStatusTooManyRequests;
+    case RefusalReason::eKeyRequired:
+    case RefusalReason::eInvalidRequest:
+      return kStatusBadRequest;
+    default:
+      return kStatusUnavailable;
+  }
+}
+
+HttpHeader
+header(const std::string& aName, const std::string& aValue)
+{
+  return valueOf(HttpHeader::create({ .name = aName, .value = aValue }));
+}
+
+/** Text from peers may hold bytes that are not UTF-8; they are replaced. */
+std::string
+dumpJson(const nlohmann::json& aJson)
+{
+  constexpr int kNoIndent = -1;
+  return aJson.dump(kNoIndent, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+HttpAnswer
+jsonAnswer(int aStatus, std::vector<HttpHeader> aHeaders, const nlohmann::json& aBody)
+{
+  aHeaders.push_back(header("Content-Type", "application/json"));
+  return valueOf(HttpAnswer::create(
+    { .status = aStatus, .headers = std::move(aHeaders), .body = dumpJson(aBody) }));
+}
+
+} // namespace
+
+const char*
+outcomeText(RequestOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case RequestOutcome::eDone:
+      return "done";
+    case RequestOutcome::eNotRun:
+      return "not-run";
+    case RequestOutcome::eUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+HttpAnswer
+doneAnswer(const HttpAnswer& aAnswer)
+{
+  HttpAnswer::Fields fields = aAnswer.fields();
+  std::erase_if(fields.headers, [](const HttpHeader& aHeader) {
+    return boost::algorithm::iequals(aHeader.name(), "X-Outcome") ||
+           boost::algorithm::iequals(aHeader.name(), "X-Reason");
+  });
+  if (fields.headers.size() >= kMaxHeaders) {
+    fields.headers.resize(kMaxHeaders - 1);
+  }
+  fields.headers.push_back(header("X-Outcome", outcomeText(RequestOutcome::eDone)));
+  return valueOf(HttpAnswer::create(std::move(fields)));
+}
+
+HttpAnswer
+refusalAnswer(RefusalReason aReason, const std::string& aDetail)
+{
+  const char* outcome = outcomeText(RequestOutcome::eNotRun);
+  return jsonAnswer(
+    statusOf(aReason),
+    { header("X-Outcome", outcome), header("X-Reason", toText(aReason)) },
+    { { "outcome", outcome }, { "reason", toText(aReason) }, { "detail", aDetail } });
+}
+
+HttpAnswer
+unknownAnswer(int aStatus, const std::string& aDetail)
+{
+  const char* outcome = outcomeText(RequestOutcome::eUnknown);
+  return jsonAnswer(
+    aStatus, { header("X-Outcome", outcome) }, { { "outcome", outcome }, { "detail", aDetail } });
+}
+
+HttpAnswer
+errorAnswer(int aStatus, const Error& aError)
+{
+  return jsonAnswer(aStatus,
+                    {},
+                    { { "error",
+                        { { "code", errorCodeName(aError.code()) },
+                          { "step", aError.step() },
+                          { "peer", aError.peer() },
+                          { "detail", aError.detail() } } } });
+}
+
+HttpAnswer
+textAnswer(int aStatus, const std::string& aContentType, std::string aBody)
+{
+  return valueOf(HttpAnswer::create({ .status = aStatus,
+                                      .headers = { header("Content-Type", aContentType) },
+                                      .body = std::move(aBody) }));
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/CallerAnswers.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "generated/generated.h"
+#include "routing/RequestLedger.h"
+
+#include <string>
+
+namespace magnoliadrum {
+
+/** Text of an outcome in the header X-Outcome. */
+const char*
+outcomeText(RequestOutcome aOutcome);
+
+/** The executor's response with the header X-Outcome: done. */
+HttpAnswer
+doneAnswer(const HttpAnswer& aAnswer);
+
+/** The refusal of a request that was not run, with the headers X-Outcome and X-Reason. */
+HttpAnswer
+refusalAnswer(RefusalReason aReason, const std::string& aDetail);
+
+/** The answer for a request that may have been run. */
+HttpAnswer
+unknownAnswer(int aStatus, const std::string& aDetail);
+
+/** An answer with a JSON body that describes an error of an operation. */
+HttpAnswer
+errorAnswer(int aStatus, const Error& aError);
+
+/** An answer with a body of the given type. */
+HttpAnswer
+textAnswer(int aStatus, const std::string& aContentType, std::string aBody);
+
+inline constexpr int kStatusOk = 200;
+inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusNotFound = 404;
+inline constexpr int kStatusMethodNotAllowed = 405;
+inline constexpr int kStatusConflict = 409;
+inline constexpr int kStatusUnprocessable = 422;
+inline constexpr int kStatusTooManyRequests = 429;
+inline constexpr int kStatusInternalError = 500;
+inline constexpr int kStatusBadGateway = 502;
+inline constexpr int kStatusUnavailable = 503;
+inline constexpr int kStatusTimeout = 504;
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/GatewayProcess.cpp
@@ -0,0 +1,354 @@
+#include "gateway/GatewayProcess.h"
+
+#include "gateway/CallerAnswers.h"
+#include "gateway/CallerRequest.h"
+#include "gateway/OperatorInterface.h"
+#include "observability/observability.h"
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+#include <string_view>
+
+namespace magnoliadrum {
+
+namespace {
+
+constexpr std::int64_t kTickMs = 10;
+
+/** Agents send a status each heartbeat period; one that misses this many gets no requests. */
+constexpr std::int64_t kMissedStatuses = 3;
+
+/** Each so many heartbeats all counters are sent, because a new leader has none and messages may be
+ * lost. */
+constexpr std::uint64_t kFullReportHeartbeats = 20;
+
+constexpr std::int64_t kOperatorDeadlineMs = 10000;
+constexpr std::size_t kMaxOperatorRequests = 256;
+constexpr std::size_t kMinServerBodyBytes = std::size_t{ 256 } * 1024;
+
+/** How long the end of an intent is sent again to control; later the intent stays open for the
+ * operator. */
+constexpr std::int64_t kIntentEndMs = 60000;
+
+/** Time for the last responses to leave the socket buffers before the process exits. */
+constexpr std::int64_t kFlushMs = 250;
+
+std::vector<std::uint64_t>
+randomSeeds()
+{
+  constexpr std::size_t kSeeds = 8;
+  std::random_device device;
+  std::vector<std::uint64_t> seeds(kSeeds);
+  std::generate(seeds.begin(), seeds.end(), [&]() { return device(); });
+  return seeds;
+}
+
+RandomEngine
+randomEngine()
+{
+  const std::vector<std::uint64_t> seeds = randomSeeds();
+  std::seed_seq sequence(seeds.begin(), seeds.end());
+  return RandomEngine(sequence);
+}
+
+Hello
+ownHello(const GatewaySettings& aSettings, const std::string& aIncarnation)
+{
+  return valueOf(Hello::create({ .processKind = ProcessKind::eGateway,
+                                 .processId = aSettings.processId(),
+                                 .incarnation = aIncarnation }));
+}
+
+} // namespace
+
+Result<std::unique_ptr<GatewayProcess>>
+GatewayProcess::start(EventLoop& aLoop, GatewaySettings aSettings)
+{
+  std::unique_ptr<GatewayProcess> process(
+    new GatewayProcess(aLoop, std::move(aSettings), newIncarnation()));
+  GatewayProcess* self = process.get();
+  const std::size_t bodyBytes =
+    std::max(kMinServerBodyBytes, static_cast<std::size_t>(self->mSettings.maxBodyBytes()));
+  Result<std::unique_ptr<HttpServer>> server =
+    HttpServer::listen(aLoop,
+                       self->mSettings.httpAddress(),
+                       bodyBytes,
+                       [self](HttpRequest aRequest, const HttpResponderPointer& aResponder) {
+                         self->onHttpRequest(std::move(aRequest), aResponder);
+                       });
+  if (!isOk(server)) {
+    return errorOf(server);
+  }
+  self->mServer = takeValue(std::move(server));
+  self->mTick = aLoop.runEvery(kTickMs, [self]() { self->onTick(); });
+  self->mLink->start();
+  logInfo("gateway started", { { "address", self->mSettings.httpAddress() } });
+  return process;
+}
+
+GatewayProcess::GatewayProcess(EventLoop& aLoop,
+                               GatewaySettings aSettings,
+                               std::string aIncarnation)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mIncarnation(std::move(aIncarnation))
+  , mLink(createLink())
+  , mRouter({ .mIncarnation = mIncarnation,
+              .mQueueLength = static_cast<std::size_t>(mSettings.queueLength()),
+              .mRetryShare = mSettings.retryBudgetShare(),
+              .mAgentSilenceMs = mSettings.lease().heartbeatMs() * kMissedStatuses },
+            randomEngine(),
+            *this)
+  , mAgents(aLoop, ownHello(mSettings, mIncarnation), agentHandlers())
+{
+}
+
+std::unique_ptr<ControlLink>
+GatewayProcess::createLink()
+{
+  ControlLinkHandlers handlers;
+  handlers.fillOpen = [](SessionOpen::Fields& /*aFields*/) { return true; };
+  handlers.fillHeartbeat = [this](SessionHeartbeat::Fields& aFields) { fillHeartbeat(aFields); };
+  handlers.onCatalogue = [this]() { mRouter.setCatalogue(mLink->catalogue()); };
+  handlers.onTargets = [this]() {
+    mRouter.setTargets(mLink->targets(), mLoop.now());
+    mAgents.setTargets(mLink->targets(), mLoop.now());
+  };
+  return ControlLink::create(mLoop,
+                             { .mProcessKind = ProcessKind::eGateway,
+                               .mProcessId = mSettings.processId(),
+                               .mIncarnation = mIncarnation,
+                               .mControlAddresses = mSettings.controlAddresses(),
+                               .mLeaseMs = mSettings.lease().leaseMs(),
+                               .mHeartbeatMs = mSettings.lease().heartbeatMs() },
+                             std::move(handlers));
+}
+
+AgentConnectionHandlers
+GatewayProcess::agentHandlers()
+{
+  AgentConnectionHandlers handlers;
+  handlers.onOpen = [this](const std::string& aTargetId, std::uint64_t aConnection) {
+    mRouter.connectionOpened(aTargetId, aConnection);
+  };
+  handlers.onMessage = [this](std::uint64_t aConnection, const Message& aMessage) {
+    refreshLease();
+    mRouter.agentMessage(aConnection, aMessage, mLoop.now());
+  };
+  handlers.onLost = [this](std::uint64_t aConnection) {
+    refreshLease();
+    mRouter.connectionLost(aConnection, mLoop.now());
+  };
+  return handlers;
+}
+
+void
+GatewayProcess::respond(std::uint64_t aRequest, const HttpAnswer& aAnswer)
+{
+  const auto position = mResponders.find(aRequest);
+  if (position == mResponders.end()) {
+    return;
+  }
+  const HttpResponderPointer responder = position->second;
+  mResponders.erase(position);
+  responder->answer(aAnswer);
+}
+
+bool
+GatewayProcess::dispatch(std::uint64_t aConnection, const RequestDispatch& aMessage)
+{
+  return mAgents.send(aConnection, Message(aMessage));
+}
+
+void
+GatewayProcess::beginIntent(std::uint64_t aRequest, const IntentBegin& aMessage, Deadline aDeadline)
+{
+  mLink->call(Message(aMessage), aDeadline, [this, aRequest](const Result<Message>& aAnswer) {
+    refreshLease();
+    if (!isOk(aAnswer)) {
+      mRouter.intentAnswered(aRequest, errorOf(aAnswer), mLoop.now());
+      return;
+    }
+    const auto* status = std::get_if<IntentStatus>(&valueOf(aAnswer));
+    if (status != nullptr) {
+      mRouter.intentAnswered(aRequest, *status, mLoop.now());
+      return;
+    }
+    mRouter.intentAnswered(
+      aRequest,
+      Error::create(ErrorCode::eInvalid, "begin intent", "control", "unexpected answer"),
+      mLoop.now());
+  });
+}
+
+void
+GatewayProcess::endIntent(std::uint64_t aRequest, const IntentEnd& aMessage)
+{
+  const Deadline deadline = mLoop.now().plusMs(kIntentEndMs);
+  mLink->call(Message(aMessage), deadline, [this, aRequest](const Result<Message>& aAnswer) {
+    if (!isOk(aAnswer)) {
+      logWarning("end of an intent is not recorded", errorOf(aAnswer));
+    }
+    mRouter.intentEnded(aRequest);
+  });
+}
+
+void
+GatewayProcess::onHttpRequest(HttpRequest aRequest, const HttpResponderPointer& aResponder)
+{
+  if (aRequest.mPath.starts_with(kCallPrefix)) {
+    onCall(std::move(aRequest), aResponder);
+  } else if (aRequest.mPath.starts_with(kOperatorPrefix)) {
+    onOperatorRequest(aRequest, aResponder);
+  } else if (aRequest.mPath == "/metrics") {
+    aResponder->answer(metricsAnswer());
+  } else if (aRequest.mPath == "/healthz") {
+    aResponder->answer(healthAnswer());
+  } else {
+    aResponder->answer(errorAnswer(
+      kStatusNotFound,
+      Error::create(ErrorCode::eNotFound, "read request", aRequest.mPeer, "unknown path")));
+  }
+}
+
+void
+GatewayProcess::onCall(HttpRequest&& aRequest, const HttpResponderPointer& aResponder)
+{
+  const MonotonicTime now = mLoop.now();
+  Result<CallerRequest> call =
+    readCallerRequest(std::move(aRequest), now, mSettings.defaultDeadlineMs());
+  if (!isOk(call)) {
+    aResponder->answer(refusalAnswer(RefusalReason::eInvalidRequest, errorOf(call).detail()));
+    return;
+  }
+  if (valueOf(call).mBody.size() > static_cast<std::size_t>(mSettings.maxBodyBytes())) {
+    aResponder->answer(refusalAnswer(RefusalReason::eInvalidRequest, "body is too large"));
+    return;
+  }
+  const std::uint64_t number = mRouter.nextRequest();
+  mResponders.emplace(number, aResponder);
+  aResponder->onGone([this, number]() {
+    mResponders.erase(number);
+    mRouter.callerGone(number, mLoop.now());
+  });
+  refreshLease();
+  mRouter.submit(number, takeValue(std::move(call)), now);
+}
+
+void
+GatewayProcess::onOperatorRequest(const HttpRequest& aRequest,
+                                  const HttpResponderPointer& aResponder)
+{
+  const std::string requestId =
+    mIncarnation + "/operator/" + std::to_string(++mLastOperatorRequest);
+  const std::variant<Message, HttpAnswer> read = readOperatorRequest(aRequest, requestId);
+  if (const auto* answer = std::get_if<HttpAnswer>(&read)) {
+    aResponder->answer(*answer);
+    return;
+  }
+  if (mStopping || mOperatorRequests >= kMaxOperatorRequests) {
+    const std::string detail = mStopping ? "gateway is shutting down" : "too many requests";
+    aResponder->answer(errorAnswer(
+      kStatusUnavailable,
+      Error::create(ErrorCode::eRefused, "operator request", mSettings.processId(), detail)));
+    return;
+  }
+  mOperatorRequests++;
+  const Message question = std::get<Message>(read);
+  const Deadline deadline = mLoop.now().plusMs(kOperatorDeadlineMs);
+  mLink->call(question, deadline, [this, question, aResponder](const Result<Message>& aAnswer) {
+    mOperatorRequests--;
+    aResponder->answer(operatorAnswer(question, aAnswer));
+  });
+}
+
+HttpAnswer
+GatewayProcess::metricsAnswer()
+{
+  MetricsRegistry metrics;
+  mRouter.writeMetrics(metrics);
+  const bool holdsLease = mLink->holdsLease(mLoop.now());
+  metrics.set("magnoliadrum_gateway_lease_held", "", holdsLease ? 1 : 0);
+  metrics.set("magnoliadrum_gateway_catalogue_version",
+              "",
+              static_cast<double>(mLink->catalogue().version()));
+  return textAnswer(kStatusOk, "text/plain; version=0.0.4", metrics.text());
+}
+
+HttpAnswer
+GatewayProcess::healthAnswer() const
+{
+  if (mStopping) {
+    return textAnswer(kStatusUnavailable, "text/plain", "shutting down\n");
+  }
+  if (!mLink->holdsLease(mLoop.now())) {
+    return textAnswer(kStatusUnavailable, "text/plain", "no lease\n");
+  }
+  return textAnswer(kStatusOk, "text/plain", "ok\n");
+}
+
+void
+GatewayProcess::refreshLease()
+{
+  const bool isHeld = mLink->holdsLease(mLoop.now());
+  mRouter.setLease({ isHeld, !isHeld && mLink->session() != 0 });
+}
+
+void
+GatewayProcess::onTick()
+{
+  const MonotonicTime now = mLoop.now();
+  refreshLease();
+  mRouter.tick(now);
+  mAgents.tick(now, [this](std::uint64_t aConnection) { return mRouter.isInUse(aConnection); });
+  if (mStopping) {
+    continueShutdown(now);
+  }
+}
+
+void
+GatewayProcess::fillHeartbeat(SessionHeartbeat::Fields& aFields)
+{
+  aFields.counters = mRouter.statistics().report(mHeartbeats % kFullReportHeartbeats == 0);
+  mHeartbeats++;
+}
+
+void
+GatewayProcess::beginShutdown()
+{
+  if (mStopping) {
+    return;
+  }
+  logInfo("shutdown started");
+  mStopping = true;
+  mShutdownDeadline = mLoop.now().plusMs(mSettings.shutdownMs());
+  mRouter.beginShutdown();
+  mServer->stopAccepting();
+}
+
+void
+GatewayProcess::continueShutdown(MonotonicTime aNow)
+{
+  const bool isIdle = mRouter.isIdle() && mOperatorRequests == 0;
+  if (!isIdle) {
+    mIdleSince.reset();
+  } else if (!mIdleSince) {
+    mIdleSince = aNow;
+  }
+  const bool isFlushed = mIdleSince && aNow.msSince(*mIdleSince) >= kFlushMs;
+  if (!isFlushed && aNow < mShutdownDeadline) {
+    return;
+  }
+  mCutOff = !isIdle;
+  if (mCutOff) {
+    logError("shutdown cuts off requests", { { "operatorRequests", mOperatorRequests } });
+  }
+  mTick.reset();
+  mLink->sendHeartbeat();
+  mLink->close();
+  logInfo("shutdown finished");
+  mLoop.stop();
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/GatewayProcess.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "gateway/AgentConnections.h"
+#include "gateway/RequestRouter.h"
+#include "session/session.h"
+#include "transport/transport.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace magnoliadrum {
+
+/** The gateway process: connects RequestRouter with HTTP, the agents and control. */
+class GatewayProcess : private RouterActions
+{
+public:
+  /** Starts to listen and to connect. */
+  static Result<std::unique_ptr<GatewayProcess>> start(EventLoop& aLoop, GatewaySettings aSettings);
+
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+  ~GatewayProcess() override = default;
+
+  /**
+   * Graceful shutdown: accepts nothing new, responds to everything in flight, closes the session
+   * and stops the loop. Stops the loop at the latest after the time that the settings allow.
+   */
+  void beginShutdown();
+
+  /** Whether requests were cut off because the shutdown took too long. */
+  bool wasCutOff() const { return mCutOff; }
+
+private:
+  GatewayProcess(EventLoop& aLoop, GatewaySettings aSettings, std::string aIncarnation);
+
+  std::unique_ptr<ControlLink> createLink();
+  AgentConnectionHandlers agentHandlers();
+
+  void respond(std::uint64_t aRequest, const HttpAnswer& aAnswer) override;
+  bool dispatch(std::uint64_t aConnection, const RequestDispatch& aMessage) override;
+  void beginIntent(std::uint64_t aRequest,
+                   const IntentBegin& aMessage,
+                   Deadline aDeadline) override;
+  void endIntent(std::uint64_t aRequest, const IntentEnd& aMessage) override;
+
+  void onHttpRequest(HttpRequest aRequest, const HttpResponderPointer& aResponder);
+  void onCall(HttpRequest&& aRequest, const HttpResponderPointer& aResponder);
+  void onOperatorRequest(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+  HttpAnswer metricsAnswer();
+  HttpAnswer healthAnswer() const;
+
+  void refreshLease();
+  void onTick();
+  void continueShutdown(MonotonicTime aNow);
+  void fillHeartbeat(SessionHeartbeat::Fields& aFields);
+
+  EventLoop& mLoop;
+  GatewaySettings mSettings;
+  std::string mIncarnation;
+  std::unique_ptr<ControlLink> mLink;
+  RequestRouter mRouter;
+  AgentConnections mAgents;
+  std::unique_ptr<HttpServer> mServer;
+  EventHandlePointer mTick;
+  std::map<std::uint64_t, HttpResponderPointer> mResponders;
+  std::uint64_t mLastOperatorRequest = 0;
+  std::size_t mOperatorRequests = 0;
+  std::uint64_t mHeartbeats = 0;
+  bool mStopping = false;
+  bool mCutOff = false;
+  Deadline mShutdownDeadline;
+  /** Since when nothing is in flight during a shutdown. */
+  std::optional<MonotonicTime> mIdleSince;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/OperatorInterface.cpp
@@ -0,0 +1,259 @@
+#include "gateway/OperatorInterface.h"
+
+#include "gateway/CallerAnswers.h"
+#include "gateway/CallerRequest.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+using nlohmann::json;
+using ReadResult = std::variant<Message, HttpAnswer>;
+
+/** What is known about a request while it is translated. */
+struct Context
+{
+  const HttpRequest& mRequest;
+  const std::string& mRequestId;
+  /** Decoded part of the path behind the route's prefix. */
+  std::string mName;
+};
+
+HttpAnswer
+jsonAnswer(int aStatus, const json& aBody)
+{
+  constexpr int kNoIndent = -1;
+  return textAnswer(aStatus,
+                    "application/json",
+                    aBody.dump(kNoIndent, ' ', false, json::error_handler_t::replace) + "\n");
+}
+
+HttpAnswer
+rejection(int aStatus, const std::string& aPeer, const std::string& aDetail)
+{
+  const ErrorCode code = aStatus == kStatusNotFound ? ErrorCode::eNotFound : ErrorCode::eInvalid;
+  return errorAnswer(aStatus, Error::create(code, "read operator request", aPeer, aDetail));
+}
+
+/** Makes a message from its fields, or a 422 that lists the faults. */
+template<typename Type>
+ReadResult
+toMessage(const Result<Type>& aResult)
+{
+  if (!isOk(aResult)) {
+    return errorAnswer(kStatusUnprocessable, errorOf(aResult));
+  }
+  return Message(valueOf(aResult));
+}
+
+/** Parses the body as a JSON object and adds the request id. */
+std::variant<json, HttpAnswer>
+parseBody(const Context& aContext)
+{
+  json body = json::parse(aContext.mRequest.mBody, nullptr, false);
+  if (body.is_discarded() || !body.is_object()) {
+    return rejection(kStatusBadRequest, aContext.mRequest.mPeer, "body is not a JSON object");
+  }
+  return body;
+}
+
+/** Reads a message whose fields are those of the body. */
+template<typename Type>
+ReadResult
+readBody(const Context& aContext)
+{
+  std::variant<json, HttpAnswer> body = parseBody(aContext);
+  if (const auto* answer = std::get_if<HttpAnswer>(&body)) {
+    return *answer;
+  }
+  json& fields = std::get<json>(body);
+  fields["requestId"] = aContext.mRequestId;
+  return toMessage(Type::fromJson(fields, "read operator request", aContext.mRequest.mPeer));
+}
+
+ReadResult
+readChange(const Context& aContext)
+{
+  std::variant<json, HttpAnswer> body = parseBody(aContext);
+  if (const auto* answer = std::get_if<HttpAnswer>(&body)) {
+    return *answer;
+  }
+  json& fields = std::get<json>(body);
+  fields.emplace("recordName", aContext.mName);
+  if (fields["recordName"] != aContext.mName) {
+    return rejection(kStatusUnprocessable,
+                     aContext.mRequest.mPeer,
+                     "recordName: differs from the record in the path");
+  }
+  const Result<CatalogueChange> change =
+    CatalogueChange::fromJson(fields, "read operator request", aContext.mRequest.mPeer);
+  if (!isOk(change)) {
+    return errorAnswer(kStatusUnprocessable, errorOf(change));
+  }
+  return toMessage(
+    ChangeSubmit::create({ .requestId = aContext.mRequestId, .change = valueOf(change) }));
+}
+
+ReadResult
+readCatalogueQuery(const Context& aContext)
+{
+  return toMessage(
+    CatalogueQuery::create({ .requestId = aContext.mRequestId, .recordName = aContext.mName }));
+}
+
+ReadResult
+readChangeStatusQuery(const Context& aContext)
+{
+  std::int64_t version = 0;
+  const std::string& text = aContext.mName;
+  const auto [rest, fault] = std::from_chars(text.data(), text.data() + text.size(), version);
+  if (fault != std::errc() || rest != text.data() + text.size()) {
+    return rejection(
+      kStatusBadRequest, aContext.mRequest.mPeer, "catalogue version is not an integer");
+  }
+  return toMessage(
+    ChangeStatusQuery::create({ .requestId = aContext.mRequestId, .catalogueVersion = version }));
+}
+
+ReadResult
+readTaskQuery(const Context& aContext)
+{
+  return toMessage(
+    TaskQuery::create({ .requestId = aContext.mRequestId,
+                        .taskId = aContext.mRequest.queryParameter("task").value_or(""),
+                        .entryName = aContext.mRequest.queryParameter("entry").value_or("") }));
+}
+
+ReadResult
+readStatusQuery(const Context& aContext)
+{
+  return toMessage(StatusQuery::create({ .requestId = aContext.mRequestId }));
+}
+
+ReadResult
+readReportQuery(const Context& aContext)
+{
+  return toMessage(
+    ReportQuery::create({ .requestId = aContext.mRequestId,
+                          .entryName = aContext.mRequest.queryParameter("entry").value_or("") }));
+}
+
+/** A method and a path. A path that ends with '/' is a prefix that is followed by a name. */
+struct Route
+{
+  const char* mMethod;
+  std::string_view mPath;
+  ReadResult (*mRead)(const Context&);
+
+  bool matches(const std::string& aPath) const
+  {
+    const bool isPrefix = mPath.ends_with('/');
+    return isPrefix ? aPath.starts_with(mPath) && aPath.size() > mPath.size() : aPath == mPath;
+  }
+};
+
+constexpr std::array<Route, 11> kRoutes = { {
+  { "PUT", "/v1/catalogue/", readChange },
+  { "GET", "/v1/catalogue/", readCatalogueQuery },
+  { "GET", "/v1/catalogue", readCatalogueQuery },
+  { "GET", "/v1/changes/", readChangeStatusQuery },
+  { "POST", "/v1/tasks", readBody<TaskSubmit> },
+  { "GET", "/v1/tasks", readTaskQuery },
+  { "POST", "/v1/tasks/cancel", readBody<TaskCancelRequest> },
+  { "POST", "/v1/targets/drain", readBody<TargetDrainRequest> },
+  { "GET", "/v1/status", readStatusQuery },
+  { "POST", "/v1/members", readBody<MembershipRequest> },
+  { "GET", "/v1/report", readReportQuery },
+} };
+
+int
+statusOf(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::eInvalid:
+      return kStatusUnprocessable;
+    case ErrorCode::eNotFound:
+      return kStatusNotFound;
+    case ErrorCode::eConflict:
+    case ErrorCode::eRefused:
+      return kStatusConflict;
+    case ErrorCode::eNotLeader:
+    case ErrorCode::eUnavailable:
+      return kStatusUnavailable;
+    case ErrorCode::eTimeout:
+      return kStatusTimeout;
+    case ErrorCode::eCorrupt:
+    case ErrorCode::eIo:
+      return kStatusInternalError;
+  }
+  return kStatusInternalError;
+}
+
+int
+statusOf(ChangeOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ChangeOutcome::eAccepted:
+      return kStatusOk;
+    case ChangeOutcome::eConflict:
+      return kStatusConflict;
+    case ChangeOutcome::eInvalid:
+      return kStatusUnprocessable;
+  }
+  return kStatusInternalError;
+}
+
+} // namespace
+
+std::variant<Message, HttpAnswer>
+readOperatorRequest(const HttpRequest& aRequest, const std::string& aRequestId)
+{
+  bool isKnownPath = false;
+  for (const Route& route : kRoutes) {
+    if (!route.matches(aRequest.mPath)) {
+      continue;
+    }
+    isKnownPath = true;
+    if (aRequest.mMethod != route.mMethod) {
+      continue;
+    }
+    const std::optional<std::string> name =
+      decodePercent(aRequest.mPath.substr(route.mPath.size()));
+    if (!name) {
+      return rejection(kStatusBadRequest, aRequest.mPeer, "path is not valid percent-encoding");
+    }
+    return route.mRead({ aRequest, aRequestId, *name });
+  }
+  return isKnownPath ? rejection(kStatusMethodNotAllowed, aRequest.mPeer, "method not allowed")
+                     : rejection(kStatusNotFound, aRequest.mPeer, "unknown path");
+}
+
+HttpAnswer
+operatorAnswer(const Message& aQuestion, const Result<Message>& aAnswer)
+{
+  if (!isOk(aAnswer)) {
+    return errorAnswer(statusOf(errorOf(aAnswer).code()), errorOf(aAnswer));
+  }
+  const Message& answer = valueOf(aAnswer);
+  if (const auto* change = std::get_if<ChangeResult>(&answer)) {
+    return jsonAnswer(statusOf(change->answer().outcome()), change->answer().toJson());
+  }
+  int status = kStatusOk;
+  const auto* listing = std::get_if<CatalogueListing>(&answer);
+  const auto* query = std::get_if<CatalogueQuery>(&aQuestion);
+  if (listing != nullptr && query != nullptr && !query->recordName().empty() &&
+      listing->records().empty()) {
+    status = kStatusNotFound;
+  }
+  return std::visit([status](const auto& aBody) { return jsonAnswer(status, aBody.toJson()); },
+                    answer);
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/RequestRouter.cpp
@@ -0,0 +1,397 @@
+#include "gateway/RequestRouter.h"
+
+#include "gateway/CallerAnswers.h"
+
+#include <cassert>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Waiting requests hold at most this much memory. */
+constexpr std::size_t kMaxQueuedBytes = std::size_t{ 64 } * 1024 * 1024;
+
+/** All requests without a response hold at most this much; more callers are refused. */
+constexpr std::size_t kMaxHeldBytes = 2 * kMaxQueuedBytes;
+
+/** Time for a target to register or reconnect before requests of an entry without one are refused.
+ */
+constexpr std::int64_t kNoTargetWaitMs = 1000;
+
+/** After its deadline an agent gives up a request and says so; this is the time for that message to
+ * arrive. */
+constexpr std::int64_t kLateAnswerMs = 5000;
+
+RequestLimit
+limitOf(const CatalogueRecord& aRecord)
+{
+  if (aRecord.entry()) {
+    const EntryLimits& limits = aRecord.entry()->limits();
+    return { limits.requestsPerSecond(), limits.concurrentRequests() };
+  }
+  if (aRecord.quota()) {
+    return { aRecord.quota()->requestsPerSecond(), aRecord.quota()->concurrentRequests() };
+  }
+  return {};
+}
+
+} // namespace
+
+RequestRouter::RequestRouter(RouterOptions aOptions, RandomEngine aEngine, RouterActions& aActions)
+  : mOptions(std::move(aOptions))
+  , mActions(aActions)
+  , mTargets(std::move(aEngine), mOptions.mAgentSilenceMs)
+  , mQueue({ mOptions.mQueueLength, kMaxQueuedBytes })
+{
+}
+
+void
+RequestRouter::setCatalogue(const CatalogueCopy& aCatalogue)
+{
+  mCatalogue = &aCatalogue;
+  static const std::string kQuotaPrefix = "quota:";
+  for (const auto& [name, record] : aCatalogue.records()) {
+    if (name.starts_with(kQuotaPrefix)) {
+      mLimits.setOwnerLimit(name.substr(kQuotaPrefix.size()), limitOf(record));
+    } else {
+      mLimits.setEntryLimit(name, limitOf(record));
+    }
+  }
+  mLimits.forgetIdle();
+}
+
+void
+RequestRouter::setTargets(const std::vector<TargetStatus>& aTargets, MonotonicTime aNow)
+{
+  mTargets.setTargets(aTargets);
+  mNoTargetSince.clear();
+  for (const std::string& name : mQueue.waitingEntries()) {
+    pump(name, aNow);
+  }
+}
+
+void
+RequestRouter::connectionOpened(const std::string& aTargetId, std::uint64_t aConnection)
+{
+  mTargets.connectionOpened(aTargetId, aConnection);
+}
+
+void
+RequestRouter::submit(std::uint64_t aRequest, CallerRequest aCall, MonotonicTime aNow)
+{
+  assert(!mRequests.contains(aRequest));
+  const CatalogueEntry* entry =
+    mCatalogue == nullptr ? nullptr : mCatalogue->findEntry(aCall.mEntryName);
+  if (const auto reason = admissionRefusal(aCall, entry, aNow)) {
+    refuseNew(aRequest, aCall, entry, *reason, aNow);
+    return;
+  }
+  const bool isRepeatable = entry->repeatable() && !aCall.mMustNotRepeat;
+  Request state;
+  state.mEntry = *entry;
+  state.mLedger = RequestLedger(isRepeatable);
+  state.mCall = std::move(aCall);
+  mDeadlines.emplace(state.mCall.mDeadline, aRequest);
+  mHeldBytes += state.mCall.bytes();
+  Request& stored = mRequests.emplace(aRequest, std::move(state)).first->second;
+  if (isRepeatable) {
+    enqueue(aRequest, aNow);
+  } else {
+    beginIntent(aRequest, stored);
+  }
+}
+
+std::optional<RefusalReason>
+RequestRouter::admissionRefusal(const CallerRequest& aCall,
+                                const CatalogueEntry* aEntry,
+                                MonotonicTime aNow)
+{
+  if (mShuttingDown) {
+    return RefusalReason::eShuttingDown;
+  }
+  if (aEntry == nullptr) {
+    // Without a lease the catalogue may be out of date, so the entry may exist.
+    return mLease.mHeld ? RefusalReason::eUnknownEntry : RefusalReason::eNoLease;
+  }
+  const bool isRepeatable = aEntry->repeatable() && !aCall.mMustNotRepeat;
+  if (!mayAct(*aEntry, isRepeatable)) {
+    return RefusalReason::eNoLease;
+  }
+  if (aEntry->kind() != EntryKind::eService) {
+    return RefusalReason::eInvalidRequest;
+  }
+  if (!isRepeatable && !aCall.mIdempotencyKey) {
+    return RefusalReason::eKeyRequired;
+  }
+  if (aCall.mDeadline <= aNow) {
+    return RefusalReason::eDeadlinePassed;
+  }
+  if (lacksTarget(*aEntry, aNow)) {
+    return RefusalReason::eNoTarget;
+  }
+  if (mHeldBytes + aCall.bytes() > kMaxHeldBytes) {
+    return RefusalReason::eQueueFull;
+  }
+  return mLimits.admit(aEntry->name(), aEntry->owner(), aNow);
+}
+
+bool
+RequestRouter::mayAct(const CatalogueEntry& aEntry, bool aRepeatable) const
+{
+  if (mLease.mHeld) {
+    return true;
+  }
+  return mLease.mControlUnreachable && aRepeatable && aEntry.serveWithoutControl() &&
+         aEntry.repeatable();
+}
+
+bool
+RequestRouter::lacksTarget(const CatalogueEntry& aEntry, MonotonicTime aNow)
+{
+  if (mTargets.hasUsableTarget(aEntry, aNow)) {
+    mNoTargetSince.erase(aEntry.name());
+    return false;
+  }
+  const MonotonicTime since = mNoTargetSince.try_emplace(aEntry.name(), aNow).first->second;
+  return aNow.msSince(since) >= kNoTargetWaitMs;
+}
+
+void
+RequestRouter::beginIntent(std::uint64_t aRequest, Request& aState)
+{
+  const CallerRequest& call = aState.mCall;
+  const std::string attempt = mOptions.mIncarnation + "/" + std::to_string(aRequest);
+  const Result<IntentBegin> message = IntentBegin::create({ .requestId = attempt + "/begin",
+                                                            .key = *call.mIdempotencyKey,
+                                                            .entryName = call.mEntryName,
+                                                            .attempt = attempt,
+                                                            .requestDigest = call.digest() });
+  if (!isOk(message)) {
+    finishWithout(aRequest, RefusalReason::eInvalidRequest, call.mArrivedAt);
+    return;
+  }
+  aState.mIntent = IntentState::eBeginning;
+  mActions.beginIntent(aRequest, valueOf(message), call.mDeadline);
+}
+
+void
+RequestRouter::intentAnswered(std::uint64_t aRequest,
+                              const Result<IntentStatus>& aStatus,
+                              MonotonicTime aNow)
+{
+  const auto position = mRequests.find(aRequest);
+  if (position == mRequests.end() || position->second.mIntent != IntentState::eBeginning) {
+    return;
+  }
+  Request& state = position->second;
+  if (!isOk(aStatus) || valueOf(aStatus).granted()) {
+    // Without an answer control may have given the key, so its end is reported in any case.
+    state.mIntent = IntentState::eHeld;
+  } else {
+    state.mIntent = IntentState::eNone;
+  }
+  if (state.mLedger.outcome()) {
+    endIntent(aRequest, state, IntentOutcome::eNotRun, nullptr);
+    forgetIfOver(aRequest);
+    return;
+  }
+  if (!isOk(aStatus)) {
+    finishWithout(aRequest, RefusalReason::eControlUnavailable, aNow);
+  } else if (valueOf(aStatus).granted()) {
+    enqueue(aRequest, aNow);
+  } else {
+    answerFromIntent(aRequest, valueOf(aStatus), aNow);
+  }
+}
+
+void
+RequestRouter::answerFromIntent(std::uint64_t aRequest,
+                                const IntentStatus& aStatus,
+                                MonotonicTime aNow)
+{
+  if (!aStatus.digestMatches()) {
+    finishWithout(aRequest, RefusalReason::eInvalidRequest, aNow);
+    return;
+  }
+  const std::optional<IntentRecord>& intent = aStatus.intent();
+  if (intent && intent->outcome() == IntentOutcome::eDone && intent->answer()) {
+    finishDone(aRequest, *intent->answer(), aNow);
+    return;
+  }
+  if (intent && intent->outcome() == IntentOutcome::eNotRun) {
+    finishWithout(aRequest, RefusalReason::eControlUnavailable, aNow);
+    return;
+  }
+  const bool isOpen = intent && intent->outcome() == IntentOutcome::eOpen;
+  finishUnknown(aRequest,
+                kStatusConflict,
+                isOpen ? "a request with this Idempotency-Key is in progress"
+                       : "the outcome of the request with this Idempotency-Key is not known",
+                aNow);
+}
+
+void
+RequestRouter::enqueue(std::uint64_t aRequest, MonotonicTime aNow)
+{
+  const Request& state = mRequests.at(aRequest);
+  // A request for which a slot is free never enters the queue, whose length may be 0.
+  if (mQueue.size(state.mCall.mEntryName) == 0 && dispatch(aRequest, aNow)) {
+    return;
+  }
+  addToQueue(aRequest, aNow);
+}
+
+void
+RequestRouter::addToQueue(std::uint64_t aRequest, MonotonicTime aNow)
+{
+  const Request& state = mRequests.at(aRequest);
+  const QueuedRequest item{ aRequest,
+                            state.mCall.mEntryName,
+                            state.mEntry.workClass(),
+                            state.mCall.mDeadline,
+                            state.mCall.bytes() };
+  for (const DroppedRequest& dropped : mQueue.push(item, aNow)) {
+    finishWithout(dropped.mRequest, dropped.mReason, aNow);
+  }
+}
+
+void
+RequestRouter::pump(const std::string& aEntryName, MonotonicTime aNow)
+{
+  while (mQueue.size(aEntryName) > 0) {
+    const CatalogueEntry* entry = mCatalogue->findEntry(aEntryName);
+    if (entry != nullptr && !mTargets.hasFreeTarget(*entry, aNow)) {
+      return;
+    }
+    const std::optional<std::uint64_t> next = mQueue.pop(aEntryName, aNow);
+    if (!next) {
+      return;
+    }
+    if (!dispatch(*next, aNow)) {
+      // The free target has no recent clock reading; the request waits for the next one.
+      addToQueue(*next, aNow);
+      return;
+    }
+  }
+}
+
+std::optional<RefusalReason>
+RequestRouter::dispatchRefusal(const Request& aState, MonotonicTime aNow) const
+{
+  const CatalogueEntry* entry = mCatalogue->findEntry(aState.mCall.mEntryName);
+  if (entry == nullptr) {
+    return RefusalReason::eUnknownEntry;
+  }
+  if (!mayAct(*entry, aState.mIntent == IntentState::eNone)) {
+    return RefusalReason::eNoLease;
+  }
+  if (aState.mCall.mDeadline <= aNow) {
+    return RefusalReason::eDeadlinePassed;
+  }
+  // The entry has become non-repeatable since the request was admitted without a key.
+  if (!entry->repeatable() && aState.mIntent == IntentState::eNone) {
+    return RefusalReason::eKeyRequired;
+  }
+  return std::nullopt;
+}
+
+bool
+RequestRouter::dispatch(std::uint64_t aRequest, MonotonicTime aNow)
+{
+  Request& state = mRequests.at(aRequest);
+  if (const auto reason = dispatchRefusal(state, aNow)) {
+    finishWithout(aRequest, *reason, aNow);
+    return true;
+  }
+  const CatalogueEntry& entry = *mCatalogue->findEntry(state.mCall.mEntryName);
+  const auto choice = mTargets.choose(entry, state.mTried, state.mCall.mDeadline, aNow);
+  if (!choice) {
+    return false;
+  }
+  send(aRequest, *choice, aNow);
+  return true;
+}
+
+void
+RequestRouter::send(std::uint64_t aRequest, const TargetChoice& aChoice, MonotonicTime aNow)
+{
+  Request& state = mRequests.at(aRequest);
+  const std::size_t number = state.mLedger.attempts();
+  const std::string id =
+    mOptions.mIncarnation + "/" + std::to_string(aRequest) + "/" + std::to_string(number);
+  const Result<RequestDispatch> message =
+    RequestDispatch::create({ .requestId = id,
+                              .entryName = state.mCall.mEntryName,
+                              .session = aChoice.mSession,
+                              .deadlineMs = aChoice.mDeadline.ms(),
+                              .method = state.mCall.mMethod,
+                              .path = state.mCall.mPath,
+                              .headers = state.mCall.mHeaders,
+                              .body = state.mCall.mBody });
+  if (!isOk(message)) {
+    finishWithout(aRequest, RefusalReason::eInvalidRequest, aNow);
+    return;
+  }
+  if (number == 0) {
+    mRetryBudgets.try_emplace(state.mCall.mEntryName, mOptions.mRetryShare)
+      .first->second.recordFirstAttempt();
+  }
+  state.mTried.insert(aChoice.mTargetId);
+  state.mOpenAttempt = true;
+  state.mLedger.beginAttempt(aChoice.mConnection);
+  mTargets.beginAttempt(aChoice);
+  const Attempt attempt{ aRequest,
+                         number,
+                         aChoice.mConnection,
+                         aChoice.mTargetId,
+                         aNow,
+                         state.mCall.mDeadline.plusMs(kLateAnswerMs),
+                         false };
+  const auto position = mAttempts.emplace(id, attempt).first;
+  if (!mActions.dispatch(aChoice.mConnection, valueOf(message))) {
+    endAttempt(position, { .mEnd = AttemptEnd::eNotWritten }, aNow);
+  }
+}
+
+void
+RequestRouter::tick(MonotonicTime aNow)
+{
+  for (const DroppedRequest& dropped : mQueue.dropExpired(aNow)) {
+    finishWithout(dropped.mRequest, dropped.mReason, aNow);
+  }
+  while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
+    const std::uint64_t request = mDeadlines.begin()->second;
+    mDeadlines.erase(mDeadlines.begin());
+    expireRequest(request, aNow);
+  }
+  expireAttempts(aNow);
+  for (const std::string& name : mQueue.waitingEntries()) {
+    pump(name, aNow);
+    refuseWithoutTarget(name, aNow);
+  }
+}
+
+void
+RequestRouter::refuseWithoutTarget(const std::string& aEntryName, MonotonicTime aNow)
+{
+  const CatalogueEntry* entry = mCatalogue->findEntry(aEntryName);
+  if (entry == nullptr || !lacksTarget(*entry, aNow)) {
+    return;
+  }
+  while (const auto request = mQueue.pop(aEntryName, aNow)) {
+    finishWithout(*request, RefusalReason::eNoTarget, aNow);
+  }
+}
+
+bool
+RequestRouter::isInUse(std::uint64_t aConnection) const
+{
+  for (const auto& [id, attempt] : mAttempts) {
+    if (attempt.mConnection == aConnection) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/RequestRouterOutcome.cpp
@@ -0,0 +1,422 @@
+#include "gateway/CallerAnswers.h"
+#include "gateway/RequestRouter.h"
+
+#include <cassert>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Attempts of one request, refusals for a lack of slots left aside. */
+constexpr int kMaxAttempts = 4;
+
+constexpr std::int64_t kFirstServerError = 500;
+
+/** A larger response would not fit into one message to control together with the key. */
+constexpr std::size_t kMaxStoredAnswerBytes = std::size_t{ 3 } * 1024 * 1024;
+
+} // namespace
+
+void
+RequestRouter::agentMessage(std::uint64_t aConnection, const Message& aMessage, MonotonicTime aNow)
+{
+  if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
+    mTargets.recordStatus(aConnection, *status, aNow);
+    for (const std::string& name : mQueue.waitingEntries()) {
+      pump(name, aNow);
+    }
+  } else if (const auto* answer = std::get_if<RequestAnswer>(&aMessage)) {
+    onReport(aConnection,
+             answer->requestId(),
+             { .mEnd = AttemptEnd::eAnswered,
+               .mAnswer = &answer->answer(),
+               .mOutstanding = answer->outstanding() },
+             aNow);
+  } else if (const auto* refused = std::get_if<RequestRefused>(&aMessage)) {
+    onReport(aConnection,
+             refused->requestId(),
+             { .mEnd = AttemptEnd::eRefused,
+               .mReason = refused->reason(),
+               .mOutstanding = refused->outstanding() },
+             aNow);
+  } else if (const auto* failed = std::get_if<RequestFailed>(&aMessage)) {
+    onReport(aConnection,
+             failed->requestId(),
+             { .mEnd = AttemptEnd::eFailed, .mOutstanding = failed->outstanding() },
+             aNow);
+  } else {
+    mUnexpectedMessages++;
+  }
+}
+
+void
+RequestRouter::onReport(std::uint64_t aConnection,
+                        const std::string& aId,
+                        const AttemptReport& aReport,
+                        MonotonicTime aNow)
+{
+  const auto attempt = mAttempts.find(aId);
+  if (attempt == mAttempts.end() || attempt->second.mConnection != aConnection) {
+    // Late, duplicate or from an agent that never got this request.
+    mUnexpectedMessages++;
+    return;
+  }
+  endAttempt(attempt, aReport, aNow);
+}
+
+void
+RequestRouter::connectionLost(std::uint64_t aConnection, MonotonicTime aNow)
+{
+  mTargets.connectionLost(aConnection);
+  // Ending an attempt may start another one, so the attempts are collected first.
+  std::vector<std::string> lost;
+  for (const auto& [id, attempt] : mAttempts) {
+    if (attempt.mConnection == aConnection) {
+      lost.push_back(id);
+    }
+  }
+  for (const std::string& id : lost) {
+    endAttempt(mAttempts.find(id), { .mEnd = AttemptEnd::eLost }, aNow);
+  }
+}
+
+void
+RequestRouter::recordEnd(const Attempt& aAttempt, const AttemptReport& aReport, MonotonicTime aNow)
+{
+  mTargets.endAttempt(aAttempt.mTargetId);
+  if (aReport.mOutstanding) {
+    mTargets.recordLoad(aAttempt.mTargetId, *aReport.mOutstanding, aNow);
+  }
+  if (aReport.mEnd == AttemptEnd::eRefused || aReport.mEnd == AttemptEnd::eNotWritten) {
+    mTargets.recordRefusal(aAttempt.mTargetId, aReport.mReason, aNow);
+    if (aReport.mEnd == AttemptEnd::eNotWritten) {
+      mTargets.suspend(aAttempt.mTargetId);
+    }
+    return;
+  }
+  if (aAttempt.mTimeoutRecorded) {
+    return;
+  }
+  const bool isSuccess =
+    aReport.mAnswer != nullptr && aReport.mAnswer->status() < kFirstServerError;
+  mTargets.recordResponse(aAttempt.mTargetId, isSuccess, aNow.msSince(aAttempt.mStartedAt), aNow);
+}
+
+void
+RequestRouter::endAttempt(Attempts::iterator aAttempt,
+                          const AttemptReport& aReport,
+                          MonotonicTime aNow)
+{
+  const Attempt attempt = aAttempt->second;
+  mAttempts.erase(aAttempt);
+  recordEnd(attempt, aReport, aNow);
+  Request& state = mRequests.at(attempt.mRequest);
+  const std::string entryName = state.mCall.mEntryName;
+  state.mOpenAttempt = false;
+  state.mLastRefusal = aReport.mReason;
+  if (state.mLedger.outcome()) {
+    settleLate(attempt.mRequest, aReport);
+  } else {
+    const RequestStep step = settle(state, attempt, aReport.mEnd);
+    assert(step != RequestStep::eIgnore);
+    if (step == RequestStep::eRetry) {
+      retry(attempt.mRequest, aNow);
+    } else if (aReport.mEnd == AttemptEnd::eAnswered) {
+      finishDone(attempt.mRequest, *aReport.mAnswer, aNow);
+    } else {
+      finishUnknown(attempt.mRequest, kStatusBadGateway, "the response was lost", aNow);
+    }
+  }
+  pump(entryName, aNow);
+}
+
+RequestStep
+RequestRouter::settle(Request& aState, const Attempt& aAttempt, AttemptEnd aEnd)
+{
+  RequestLedger& ledger = aState.mLedger;
+  switch (aEnd) {
+    case AttemptEnd::eNotWritten:
+      return ledger.notWritten(aAttempt.mNumber, aAttempt.mConnection);
+    case AttemptEnd::eRefused:
+      return ledger.refused(aAttempt.mNumber, aAttempt.mConnection);
+    case AttemptEnd::eAnswered:
+      return ledger.answered(aAttempt.mNumber, aAttempt.mConnection);
+    case AttemptEnd::eFailed:
+      return ledger.failed(aAttempt.mNumber, aAttempt.mConnection);
+    case AttemptEnd::eLost:
+      return ledger.connectionLost(aAttempt.mConnection);
+  }
+  return RequestStep::eIgnore;
+}
+
+void
+RequestRouter::settleLate(std::uint64_t aRequest, const AttemptReport& aReport)
+{
+  Request& state = mRequests.at(aRequest);
+  const AttemptEnd end = aReport.mEnd;
+  if (end == AttemptEnd::eAnswered) {
+    endIntent(aRequest, state, IntentOutcome::eDone, aReport.mAnswer);
+  } else if (end == AttemptEnd::eRefused || end == AttemptEnd::eNotWritten) {
+    endIntent(aRequest, state, IntentOutcome::eNotRun, nullptr);
+  } else {
+    endIntent(aRequest, state, IntentOutcome::eUnknown, nullptr);
+  }
+  forgetIfOver(aRequest);
+}
+
+void
+RequestRouter::retry(std::uint64_t aRequest, MonotonicTime aNow)
+{
+  Request& state = mRequests.at(aRequest);
+  const bool wasRefused = !state.mLedger.mayHaveRun();
+  const RefusalReason reason = wasRefused ? state.mLastRefusal : RefusalReason::eRetryBudget;
+  if (state.mCallerGone || (wasRefused && reason == RefusalReason::eDeadlinePassed)) {
+    finishWithout(aRequest, RefusalReason::eDeadlinePassed, aNow);
+    return;
+  }
+  if (reason == RefusalReason::eNoSlot || reason == RefusalReason::eNoConnection) {
+    // The request waits for a slot like any other; this is no retry that adds load.
+    enqueue(aRequest, aNow);
+    return;
+  }
+  state.mCountedAttempts++;
+  if (state.mCountedAttempts >= kMaxAttempts) {
+    finishWithout(aRequest, reason, aNow);
+    return;
+  }
+  RetryBudget& budget =
+    mRetryBudgets.try_emplace(state.mCall.mEntryName, mOptions.mRetryShare).first->second;
+  if (!budget.takeRetry()) {
+    finishWithout(aRequest, RefusalReason::eRetryBudget, aNow);
+    return;
+  }
+  mRetries++;
+  enqueue(aRequest, aNow);
+}
+
+void
+RequestRouter::finishDone(std::uint64_t aRequest, const HttpAnswer& aAnswer, MonotonicTime aNow)
+{
+  Request& state = mRequests.at(aRequest);
+  RequestResult result{ RequestOutcome::eDone, std::nullopt, aAnswer.status() };
+  result.mLatencyMs = aNow.msSince(state.mCall.mArrivedAt);
+  mStatistics.record(state.mEntry, result);
+  // Sent before the response, so that a resend on this gateway finds the stored response.
+  endIntent(aRequest, state, IntentOutcome::eDone, &aAnswer);
+  respond(aRequest, state, doneAnswer(aAnswer));
+  forgetIfOver(aRequest);
+}
+
+void
+RequestRouter::finishWithout(std::uint64_t aRequest, RefusalReason aReason, MonotonicTime aNow)
+{
+  Request& state = mRequests.at(aRequest);
+  if (state.mLedger.finish() == RequestOutcome::eUnknown) {
+    finishUnknown(aRequest, kStatusBadGateway, "an attempt was lost and none succeeded", aNow);
+    return;
+  }
+  mRefusals[toText(aReason)]++;
+  const HttpAnswer answer = refusalAnswer(aReason, "");
+  mStatistics.record(state.mEntry, { RequestOutcome::eNotRun, aReason, answer.status(), 0 });
+  endIntent(aRequest, state, IntentOutcome::eNotRun, nullptr);
+  if (state.mIntent == IntentState::eEnding && aNow < state.mCall.mDeadline) {
+    // The caller may send the key again as soon as it reads "not run", so the key must be free by
+    // then.
+    state.mHeldAnswer = answer;
+    return;
+  }
+  respond(aRequest, state, answer);
+  forgetIfOver(aRequest);
+}
+
+void
+RequestRouter::finishUnknown(std::uint64_t aRequest,
+                             int aStatus,
+                             const std::string& aDetail,
+                             MonotonicTime aNow)
+{
+  Request& state = mRequests.at(aRequest);
+  RequestResult result{ RequestOutcome::eUnknown, std::nullopt, aStatus };
+  result.mLatencyMs = aNow.msSince(state.mCall.mArrivedAt);
+  mStatistics.record(state.mEntry, result);
+  if (!state.mOpenAttempt) {
+    endIntent(aRequest, state, IntentOutcome::eUnknown, nullptr);
+  }
+  respond(aRequest, state, unknownAnswer(aStatus, aDetail));
+  forgetIfOver(aRequest);
+}
+
+void
+RequestRouter::refuseNew(std::uint64_t aRequest,
+                         const CallerRequest& aCall,
+                         const CatalogueEntry* aEntry,
+                         RefusalReason aReason,
+                         MonotonicTime aNow)
+{
+  mRefusals[toText(aReason)]++;
+  const HttpAnswer answer = refusalAnswer(aReason, "");
+  if (aEntry != nullptr) {
+    const std::int64_t latencyMs = aNow.msSince(aCall.mArrivedAt);
+    mStatistics.record(*aEntry, { RequestOutcome::eNotRun, aReason, answer.status(), latencyMs });
+  }
+  mActions.respond(aRequest, answer);
+}
+
+void
+RequestRouter::respond(std::uint64_t aRequest, Request& aState, const HttpAnswer& aAnswer)
+{
+  if (aState.mResponded) {
+    return;
+  }
+  aState.mResponded = true;
+  aState.mHeldAnswer.reset();
+  mDeadlines.erase({ aState.mCall.mDeadline, aRequest });
+  mHeldBytes -= aState.mCall.bytes();
+  aState.mCall.mBody = std::string();
+  if (!aState.mCallerGone) {
+    mActions.respond(aRequest, aAnswer);
+  }
+}
+
+void
+RequestRouter::endIntent(std::uint64_t aRequest,
+                         Request& aState,
+                         IntentOutcome aOutcome,
+                         const HttpAnswer* aAnswer)
+{
+  if (aState.mIntent != IntentState::eHeld) {
+    return;
+  }
+  const std::string attempt = mOptions.mIncarnation + "/" + std::to_string(aRequest);
+  IntentEnd::Fields fields{ .requestId = attempt + "/end",
+                            .key = *aState.mCall.mIdempotencyKey,
+                            .entryName = aState.mCall.mEntryName,
+                            .attempt = attempt,
+                            .outcome = aOutcome };
+  if (aOutcome == IntentOutcome::eDone) {
+    assert(aAnswer != nullptr);
+    if (aAnswer->body().size() > kMaxStoredAnswerBytes) {
+      fields.outcome = IntentOutcome::eUnknown;
+    } else {
+      fields.answer = *aAnswer;
+    }
+  }
+  aState.mIntent = IntentState::eEnding;
+  mActions.endIntent(aRequest, valueOf(IntentEnd::create(std::move(fields))));
+}
+
+void
+RequestRouter::intentEnded(std::uint64_t aRequest)
+{
+  const auto position = mRequests.find(aRequest);
+  if (position == mRequests.end()) {
+    return;
+  }
+  Request& state = position->second;
+  state.mIntent = IntentState::eNone;
+  if (state.mHeldAnswer) {
+    const HttpAnswer answer = *state.mHeldAnswer;
+    respond(aRequest, state, answer);
+  }
+  forgetIfOver(aRequest);
+}
+
+void
+RequestRouter::forgetIfOver(std::uint64_t aRequest)
+{
+  const auto position = mRequests.find(aRequest);
+  const Request& state = position->second;
+  if (!state.mResponded || state.mOpenAttempt || state.mIntent != IntentState::eNone) {
+    return;
+  }
+  mLimits.release(state.mEntry.name(), state.mEntry.owner());
+  mRequests.erase(position);
+}
+
+void
+RequestRouter::callerGone(std::uint64_t aRequest, MonotonicTime aNow)
+{
+  const auto position = mRequests.find(aRequest);
+  if (position == mRequests.end()) {
+    return;
+  }
+  Request& state = position->second;
+  state.mCallerGone = true;
+  if (state.mLedger.outcome()) {
+    return;
+  }
+  if (!state.mOpenAttempt) {
+    mQueue.remove(aRequest);
+    finishWithout(aRequest, RefusalReason::eDeadlinePassed, aNow);
+  }
+}
+
+void
+RequestRouter::expireRequest(std::uint64_t aRequest, MonotonicTime aNow)
+{
+  Request& state = mRequests.at(aRequest);
+  if (state.mHeldAnswer) {
+    const HttpAnswer answer = *state.mHeldAnswer;
+    respond(aRequest, state, answer);
+    forgetIfOver(aRequest);
+    return;
+  }
+  assert(!state.mLedger.outcome());
+  if (!state.mOpenAttempt) {
+    mQueue.remove(aRequest);
+    finishWithout(aRequest, RefusalReason::eDeadlinePassed, aNow);
+    return;
+  }
+  for (auto& [id, attempt] : mAttempts) {
+    if (attempt.mRequest == aRequest) {
+      attempt.mTimeoutRecorded = true;
+      mTargets.recordTimeout(attempt.mTargetId, aNow.msSince(attempt.mStartedAt), aNow);
+    }
+  }
+  state.mLedger.finish();
+  finishUnknown(aRequest, kStatusTimeout, "the deadline passed before the response", aNow);
+}
+
+void
+RequestRouter::expireAttempts(MonotonicTime aNow)
+{
+  std::vector<std::string> expired;
+  for (const auto& [id, attempt] : mAttempts) {
+    if (attempt.mGiveUpAt <= aNow) {
+      expired.push_back(id);
+    }
+  }
+  for (const std::string& id : expired) {
+    endAttempt(mAttempts.find(id), { .mEnd = AttemptEnd::eLost }, aNow);
+  }
+}
+
+void
+RequestRouter::writeMetrics(MetricsRegistry& aMetrics) const
+{
+  mStatistics.writeMetrics(aMetrics);
+  const auto set = [&](const char* aName, const std::string& aLabels, auto aValue) {
+    aMetrics.set(aName, aLabels, static_cast<double>(aValue));
+  };
+  set("magnoliadrum_gateway_requests_in_progress", "", mRequests.size());
+  set("magnoliadrum_gateway_attempts_in_progress", "", mAttempts.size());
+  set("magnoliadrum_gateway_queue_requests", "", mQueue.size());
+  set("magnoliadrum_gateway_queue_bytes", "", mQueue.bytes());
+  set("magnoliadrum_gateway_retries_total", "", mRetries);
+  set("magnoliadrum_gateway_unexpected_messages_total", "", mUnexpectedMessages);
+  for (const auto& [reason, count] : mRefusals) {
+    set("magnoliadrum_gateway_refusals_total", "reason=\"" + reason + "\"", count);
+  }
+  if (mCatalogue == nullptr) {
+    return;
+  }
+  for (const auto& [name, record] : mCatalogue->records()) {
+    if (record.entry() && mTargets.targetCount(name) > 0) {
+      const std::string labels = "entry=\"" + name + "\"";
+      set("magnoliadrum_gateway_targets", labels, mTargets.targetCount(name));
+      set("magnoliadrum_gateway_targets_ejected", labels, mTargets.ejectedCount(name));
+    }
+  }
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/TargetTable.cpp
@@ -0,0 +1,278 @@
+#include "gateway/TargetTable.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace magnoliadrum {
+
+TargetTable::TargetTable(RandomEngine aEngine, std::int64_t aSilenceMs)
+  : mSilenceMs(aSilenceMs)
+  , mSelector(std::move(aEngine))
+{
+  assert(aSilenceMs > 0);
+}
+
+void
+TargetTable::setTargets(const std::vector<TargetStatus>& aTargets)
+{
+  for (auto& [id, target] : mTargets) {
+    target.mAnnounced = false;
+  }
+  for (auto& [name, entry] : mEntries) {
+    entry.mIds.clear();
+  }
+  for (const TargetStatus& status : aTargets) {
+    const TargetDescription& description = status.target();
+    if (description.targetKind() != TargetKind::eExecutor) {
+      continue;
+    }
+    Target& target = mTargets[description.targetId()];
+    target.mDescription = description;
+    target.mSession = status.session();
+    target.mAnnounced = true;
+    target.mLeaving = status.leaving();
+    target.mLoad.setSlots(description.slots());
+    mEntries[description.entryName()].mIds.push_back(description.targetId());
+  }
+  std::erase_if(mEntries, [](const auto& aItem) { return aItem.second.mIds.empty(); });
+  for (auto& [name, entry] : mEntries) {
+    entry.mOutliers.setTargets(entry.mIds);
+  }
+  forgetUnused();
+}
+
+void
+TargetTable::forgetUnused()
+{
+  std::erase_if(mTargets, [](const auto& aItem) {
+    const Target& target = aItem.second;
+    return !target.mAnnounced && target.mConnection == 0 && target.mLoad.own() == 0;
+  });
+}
+
+void
+TargetTable::connectionOpened(const std::string& aTargetId, std::uint64_t aConnection)
+{
+  assert(aConnection != 0);
+  Target& target = mTargets[aTargetId];
+  mTargetByConnection.erase(target.mConnection);
+  target.mConnection = aConnection;
+  target.mStatus.reset();
+  target.mSuspended = false;
+  target.mClock = ClockOffset();
+  mTargetByConnection[aConnection] = aTargetId;
+}
+
+void
+TargetTable::connectionLost(std::uint64_t aConnection)
+{
+  const auto position = mTargetByConnection.find(aConnection);
+  if (position == mTargetByConnection.end()) {
+    return;
+  }
+  Target& target = mTargets.at(position->second);
+  target.mConnection = 0;
+  target.mStatus.reset();
+  mTargetByConnection.erase(position);
+  forgetUnused();
+}
+
+void
+TargetTable::recordStatus(std::uint64_t aConnection, const AgentStatus& aStatus, MonotonicTime aNow)
+{
+  const auto position = mTargetByConnection.find(aConnection);
+  if (position == mTargetByConnection.end()) {
+    return;
+  }
+  Target& target = mTargets.at(position->second);
+  target.mStatus = aStatus;
+  target.mStatusAt = aNow;
+  target.mSuspended = false;
+  target.mClock.record(MonotonicTime::fromMs(aStatus.clockMs()), aNow);
+  target.mLoad.recordReport(aStatus.outstanding(), aNow);
+}
+
+bool
+TargetTable::isUsable(const Target& aTarget, const CatalogueEntry& aEntry, MonotonicTime aNow) const
+{
+  if (!aTarget.mAnnounced || aTarget.mLeaving || aTarget.mConnection == 0 || aTarget.mSuspended) {
+    return false;
+  }
+  if (!aTarget.mStatus || aNow.msSince(aTarget.mStatusAt) > mSilenceMs) {
+    return false;
+  }
+  // The agent has opened another session than the announced one: the announcement is out of date.
+  if (aTarget.mStatus->leaving() || aTarget.mStatus->session() != aTarget.mSession) {
+    return false;
+  }
+  const std::vector<std::string>& allowed = aEntry.dataCentres();
+  return aTarget.mLoad.slots() > 0 &&
+         std::find(allowed.begin(), allowed.end(), aTarget.mDescription.dataCentre()) !=
+           allowed.end();
+}
+
+std::vector<std::string>
+TargetTable::freeTargets(const CatalogueEntry& aEntry, MonotonicTime aNow) const
+{
+  std::vector<std::string> free;
+  const auto entry = mEntries.find(aEntry.name());
+  if (entry == mEntries.end()) {
+    return free;
+  }
+  for (const std::string& id : entry->second.mIds) {
+    const Target& target = mTargets.at(id);
+    const bool isEjected =
+      entry->second.mOutliers.availability(id, aNow) == OutlierDetector::Availability::eEjected;
+    if (!isEjected && isUsable(target, aEntry, aNow) && target.mLoad.hasFreeSlot(aNow)) {
+      free.push_back(id);
+    }
+  }
+  return free;
+}
+
+std::optional<TargetChoice>
+TargetTable::choose(const CatalogueEntry& aEntry,
+                    const std::set<std::string>& aTried,
+                    Deadline aDeadline,
+                    MonotonicTime aNow)
+{
+  std::vector<std::string> free = freeTargets(aEntry, aNow);
+  const auto isTried = [&](const std::string& aId) { return aTried.contains(aId); };
+  if (!std::all_of(free.begin(), free.end(), isTried)) {
+    std::erase_if(free, isTried);
+  }
+  if (free.empty()) {
+    return std::nullopt;
+  }
+  std::vector<TargetCandidate> candidates;
+  const OutlierDetector& outliers = mEntries.at(aEntry.name()).mOutliers;
+  std::optional<std::size_t> chosen;
+  for (const std::string& id : free) {
+    const TargetLoad& load = mTargets.at(id).mLoad;
+    if (outliers.availability(id, aNow) == OutlierDetector::Availability::eProbe) {
+      // A due probe goes first, or a busy service would never take its target back.
+      chosen = candidates.size();
+    }
+    candidates.push_back({ load.outstanding(aNow), load.slots() });
+  }
+  const std::string& id = free[chosen ? *chosen : mSelector.select(candidates)];
+  const Target& target = mTargets.at(id);
+  const std::optional<Deadline> deadline = target.mClock.translate(aDeadline, aNow);
+  if (!deadline) {
+    return std::nullopt;
+  }
+  return TargetChoice{ id, target.mConnection, target.mSession, *deadline, chosen.has_value() };
+}
+
+bool
+TargetTable::hasFreeTarget(const CatalogueEntry& aEntry, MonotonicTime aNow) const
+{
+  return !freeTargets(aEntry, aNow).empty();
+}
+
+bool
+TargetTable::hasUsableTarget(const CatalogueEntry& aEntry, MonotonicTime aNow) const
+{
+  const auto entry = mEntries.find(aEntry.name());
+  return entry != mEntries.end() && std::any_of(entry->second.mIds.begin(),
+                                                entry->second.mIds.end(),
+                                                [&](const std::string& aId) {
+                                                  return isUsable(mTargets.at(aId), aEntry, aNow);
+                                                });
+}
+
+void
+TargetTable::beginAttempt(const TargetChoice& aChoice)
+{
+  mTargets.at(aChoice.mTargetId).mLoad.recordDispatch();
+  if (aChoice.mIsProbe) {
+    outliersOf(aChoice.mTargetId)->beginProbe(aChoice.mTargetId);
+  }
+}
+
+void
+TargetTable::endAttempt(const std::string& aTargetId)
+{
+  mTargets.at(aTargetId).mLoad.recordEnd();
+}
+
+void
+TargetTable::recordLoad(const std::string& aTargetId, std::int64_t aOutstanding, MonotonicTime aNow)
+{
+  mTargets.at(aTargetId).mLoad.recordReport(aOutstanding, aNow);
+}
+
+void
+TargetTable::recordResponse(const std::string& aTargetId,
+                            bool aSuccess,
+                            std::int64_t aLatencyMs,
+                            MonotonicTime aNow)
+{
+  if (OutlierDetector* outliers = outliersOf(aTargetId)) {
+    outliers->recordResponse(aTargetId, aSuccess, aLatencyMs, aNow);
+  }
+}
+
+void
+TargetTable::recordTimeout(const std::string& aTargetId,
+                           std::int64_t aElapsedMs,
+                           MonotonicTime aNow)
+{
+  if (OutlierDetector* outliers = outliersOf(aTargetId)) {
+    outliers->recordTimeout(aTargetId, aElapsedMs, aNow);
+  }
+}
+
+void
+TargetTable::recordRefusal(const std::string& aTargetId, RefusalReason aReason, MonotonicTime aNow)
+{
+  OutlierDetector* outliers = outliersOf(aTargetId);
+  if (outliers == nullptr) {
+    return;
+  }
+  if (aReason == RefusalReason::eExecutorUnreachable) {
+    outliers->recordResponse(aTargetId, false, 0, aNow);
+    return;
+  }
+  outliers->abandonProbe(aTargetId);
+  TargetLoad& load = mTargets.at(aTargetId).mLoad;
+  if (aReason == RefusalReason::eNoSlot || aReason == RefusalReason::eNoConnection) {
+    // Whatever the target counted, it has no room now.
+    load.recordReport(load.slots(), aNow);
+  } else if (aReason != RefusalReason::eDeadlinePassed) {
+    suspend(aTargetId);
+  }
+}
+
+void
+TargetTable::suspend(const std::string& aTargetId)
+{
+  mTargets.at(aTargetId).mSuspended = true;
+}
+
+std::size_t
+TargetTable::ejectedCount(const std::string& aEntryName) const
+{
+  const auto entry = mEntries.find(aEntryName);
+  return entry == mEntries.end() ? 0 : entry->second.mOutliers.ejectedCount();
+}
+
+std::size_t
+TargetTable::targetCount(const std::string& aEntryName) const
+{
+  const auto entry = mEntries.find(aEntryName);
+  return entry == mEntries.end() ? 0 : entry->second.mIds.size();
+}
+
+OutlierDetector*
+TargetTable::outliersOf(const std::string& aTargetId)
+{
+  const auto target = mTargets.find(aTargetId);
+  if (target == mTargets.end()) {
+    return nullptr;
+  }
+  const auto entry = mEntries.find(target->second.mDescription.entryName());
+  return entry == mEntries.end() ? nullptr : &entry->second.mOutliers;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/gateway/gateway_main.cpp
@@ -0,0 +1,57 @@
+#include "gateway/gateway.h"
+#include "observability/observability.h"
+#include "settings/settings.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(settings, "", "Settings file (JSON, GatewaySettings).");
+DEFINE_bool(check_settings, false, "Check the settings file and exit.");
+
+using namespace magnoliadrum;
+
+namespace {
+
+int
+runGateway(const GatewaySettings& aSettings)
+{
+  const Result<std::unique_ptr<EventLoop>> loop = EventLoop::create();
+  if (!isOk(loop)) {
+    logError("gateway cannot start", errorOf(loop));
+    return EXIT_FAILURE;
+  }
+  EventLoop& events = *valueOf(loop);
+  const Result<std::unique_ptr<GatewayProcess>> process = GatewayProcess::start(events, aSettings);
+  if (!isOk(process)) {
+    logError("gateway cannot start", errorOf(process));
+    return EXIT_FAILURE;
+  }
+  const auto onTerminate = [&]() { valueOf(process)->beginShutdown(); };
+  const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
+  const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
+  events.run();
+  return valueOf(process)->wasCutOff() ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+} // namespace
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  gflags::SetUsageMessage("magnoliadrum-gateway --settings FILE [--check-settings]");
+  gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
+  const Result<GatewaySettings> settings = readSettings<GatewaySettings>(FLAGS_settings);
+  if (!isOk(settings)) {
+    std::cerr << errorOf(settings).text() << "\n";
+    return EXIT_FAILURE;
+  }
+  if (FLAGS_check_settings) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  configureLogging(valueOf(settings).processId(), toText(valueOf(settings).logLevel()));
+  return runGateway(valueOf(settings));
+}
--- a/src/routing/RequestQueue.cpp
+++ b/src/routing/RequestQueue.cpp
@@ -5,15 +5,17 @@
 namespace magnoliadrum {
 
 RequestQueue::DropKey
-RequestQueue::Waiting::dropKey() const
+RequestQueue::dropKey(const QueuedRequest& aRequest)
 {
-  return { mItem.mWorkClass == WorkClass::eLatencyCritical, mItem.mDeadline, mArrival };
+  return { aRequest.mWorkClass == WorkClass::eLatencyCritical,
+           aRequest.mDeadline,
+           aRequest.mRequest };
 }
 
 RequestQueue::LeaveKey
-RequestQueue::Waiting::leaveKey() const
+RequestQueue::leaveKey(const QueuedRequest& aRequest)
 {
-  return { mItem.mWorkClass == WorkClass::eBatch, mArrival };
+  return { aRequest.mWorkClass == WorkClass::eBatch, aRequest.mRequest };
 }
 
 RequestQueue::RequestQueue(Bounds aBounds)
@@ -42,10 +44,10 @@
   if (entry == mEntries.end()) {
     return std::nullopt;
   }
-  for (const auto& [key, request] : entry->second.mByLeaving) {
+  for (const LeaveKey& key : entry->second.mByLeaving) {
     // An expired request stays for dropExpired(), so that its caller gets the reason.
-    if (mRequests.at(request).mItem.mDeadline > aNow) {
-      const std::uint64_t next = request;
+    if (mRequests.at(key.mRequest).mDeadline > aNow) {
+      const std::uint64_t next = key.mRequest;
       remove(next);
       return next;
     }
@@ -60,16 +62,16 @@
   if (position == mRequests.end()) {
     return false;
   }
-  const Waiting& waiting = position->second;
-  const auto entry = mEntries.find(waiting.mItem.mEntryName);
-  entry->second.mByLeaving.erase(waiting.leaveKey());
-  entry->second.mByDropping.erase(waiting.dropKey());
+  const QueuedRequest& request = position->second;
+  const auto entry = mEntries.find(request.mEntryName);
+  entry->second.mByLeaving.erase(leaveKey(request));
+  entry->second.mByDropping.erase(dropKey(request));
   if (entry->second.mByLeaving.empty()) {
     mEntries.erase(entry);
   }
-  mByDropping.erase(waiting.dropKey());
-  mByDeadline.erase({ waiting.mItem.mDeadline, waiting.mArrival });
-  mBytes -= waiting.mItem.mBytes;
+  mByDropping.erase(dropKey(request));
+  mByDeadline.erase({ request.mDeadline, request.mRequest });
+  mBytes -= request.mBytes;
   mRequests.erase(position);
   return true;
 }
@@ -78,7 +80,7 @@
 RequestQueue::dropExpired(MonotonicTime aNow)
 {
   std::vector<DroppedRequest> dropped;
-  while (!mByDeadline.empty() && mByDeadline.begin()->first.first <= aNow) {
+  while (!mByDeadline.empty() && mByDeadline.begin()->first <= aNow) {
     const std::uint64_t request = mByDeadline.begin()->second;
     remove(request);
     dropped.push_back({ request, RefusalReason::eDeadlinePassed });
@@ -107,14 +109,13 @@
 void
 RequestQueue::insert(const QueuedRequest& aRequest)
 {
-  const Waiting waiting{ aRequest, mNextArrival++ };
   EntryQueue& entry = mEntries[aRequest.mEntryName];
-  entry.mByLeaving.emplace(waiting.leaveKey(), aRequest.mRequest);
-  entry.mByDropping.emplace(waiting.dropKey(), aRequest.mRequest);
-  mByDropping.emplace(waiting.dropKey(), aRequest.mRequest);
-  mByDeadline.emplace(std::pair(aRequest.mDeadline, waiting.mArrival), aRequest.mRequest);
+  entry.mByLeaving.insert(leaveKey(aRequest));
+  entry.mByDropping.insert(dropKey(aRequest));
+  mByDropping.insert(dropKey(aRequest));
+  mByDeadline.emplace(aRequest.mDeadline, aRequest.mRequest);
   mBytes += aRequest.mBytes;
-  mRequests.emplace(aRequest.mRequest, waiting);
+  mRequests.emplace(aRequest.mRequest, aRequest);
 }
 
 void
@@ -122,10 +123,10 @@
 {
   while (size(aNew.mEntryName) > mBounds.mRequestsPerEntry) {
     const EntryQueue& entry = mEntries.at(aNew.mEntryName);
-    drop(entry.mByDropping.begin()->second, aNew.mRequest, aDropped);
+    drop(entry.mByDropping.begin()->mRequest, aNew.mRequest, aDropped);
   }
   while (mBytes > mBounds.mBytes) {
-    drop(mByDropping.begin()->second, aNew.mRequest, aDropped);
+    drop(mByDropping.begin()->mRequest, aNew.mRequest, aDropped);
   }
 }
 
--- a/src/routing/RequestQueue.h
+++ b/src/routing/RequestQueue.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -38,9 +39,10 @@
 /**
  * Requests that wait for a slot, bounded per entry by count and altogether by memory.
  *
- * Latency-critical requests leave before batch requests, the oldest first. When a bound is
- * exceeded, batch requests are dropped first and then those with the least time left, because they
- * are the least likely to be answered in time.
+ * Latency-critical requests leave before batch requests, the lowest request number first, so that a
+ * request that comes back after a refusal keeps its place. When a bound is exceeded, batch requests
+ * are dropped first and then those with the least time left, because they are the least likely to
+ * be answered in time.
  */
 class RequestQueue
 {
@@ -73,51 +75,44 @@
   std::size_t bytes() const { return mBytes; }
 
 private:
-  /** Order of dropping: batch first, then by remaining time, then by arrival. */
+  /** Order of dropping: batch first, then by remaining time. */
   struct DropKey
   {
     bool mLatencyCritical;
     Deadline mDeadline;
-    std::uint64_t mArrival;
+    std::uint64_t mRequest;
 
     friend auto operator<=>(const DropKey&, const DropKey&) = default;
   };
 
-  /** Order of leaving: latency-critical first, then by arrival. */
+  /** Order of leaving: latency-critical first, then by number. */
   struct LeaveKey
   {
     bool mBatch;
-    std::uint64_t mArrival;
+    std::uint64_t mRequest;
 
     friend auto operator<=>(const LeaveKey&, const LeaveKey&) = default;
   };
 
   struct EntryQueue
   {
-    std::map<LeaveKey, std::uint64_t> mByLeaving;
-    std::map<DropKey, std::uint64_t> mByDropping;
+    std::set<LeaveKey> mByLeaving;
+    std::set<DropKey> mByDropping;
   };
 
-  struct Waiting
-  {
-    QueuedRequest mItem;
-    std::uint64_t mArrival = 0;
-
-    DropKey dropKey() const;
-    LeaveKey leaveKey() const;
-  };
+  static DropKey dropKey(const QueuedRequest& aRequest);
+  static LeaveKey leaveKey(const QueuedRequest& aRequest);
 
   void insert(const QueuedRequest& aRequest);
   void dropOverflow(const QueuedRequest& aNew, std::vector<DroppedRequest>& aDropped);
   void drop(std::uint64_t aRequest, std::uint64_t aNew, std::vector<DroppedRequest>& aDropped);
 
   Bounds mBounds;
-  std::uint64_t mNextArrival = 0;
   std::size_t mBytes = 0;
-  std::unordered_map<std::uint64_t, Waiting> mRequests;
+  std::unordered_map<std::uint64_t, QueuedRequest> mRequests;
   std::map<std::string, EntryQueue> mEntries;
-  std::map<DropKey, std::uint64_t> mByDropping;
-  std::map<std::pair<Deadline, std::uint64_t>, std::uint64_t> mByDeadline;
+  std::set<DropKey> mByDropping;
+  std::set<std::pair<Deadline, std::uint64_t>> mByDeadline;
 };
 
 } // namespace magnoliadrum
--- a/src/routing/TargetLoad.cpp
+++ b/src/routing/TargetLoad.cpp
@@ -34,7 +34,9 @@
 bool
 TargetLoad::hasFreeSlot(MonotonicTime aNow) const
 {
-  return outstanding(aNow) <= static_cast<double>(mSlots) - 1 && mOwn < mSlots;
+  // The estimate, rounded, leaves a slot.
+  constexpr double kHalfSlot = 0.5;
+  return outstanding(aNow) < static_cast<double>(mSlots) - kHalfSlot && mOwn < mSlots;
 }
 
 } // namespace magnoliadrum
