Test the request router

The randomized test runs random callers, agents, connection losses and control delays over 1,000 seeds and checks each caller's outcome against what the executors ran.

--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -331,19 +331,21 @@
 GatewayProcess::continueShutdown(MonotonicTime aNow)
 {
   const bool isIdle = mRouter.isIdle() && mOperatorRequests == 0;
-  if (!isIdle) {
+  if (!isIdle && !mCutOff) {
     mIdleSince.reset();
   } else if (!mIdleSince) {
     mIdleSince = aNow;
   }
+  if (!isIdle && !mCutOff && aNow >= mShutdownDeadline) {
+    logError("shutdown cuts off requests", { { "operatorRequests", mOperatorRequests } });
+    mCutOff = true;
+    mIdleSince = aNow;
+    mRouter.cutOff(aNow);
+  }
   const bool isFlushed = mIdleSince && aNow.msSince(*mIdleSince) >= kFlushMs;
-  if (!isFlushed && aNow < mShutdownDeadline) {
+  if (!isFlushed) {
     return;
   }
-  mCutOff = !isIdle;
-  if (mCutOff) {
-    logError("shutdown cuts off requests", { { "operatorRequests", mOperatorRequests } });
-  }
   mTick.reset();
   mLink->sendHeartbeat();
   mLink->close();
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -58,10 +58,11 @@
   EventLoop& mLoop;
   GatewaySettings mSettings;
   std::string mIncarnation;
+  /** Before everything that holds responders, which must not outlive the server. */
+  std::unique_ptr<HttpServer> mServer;
   std::unique_ptr<ControlLink> mLink;
   RequestRouter mRouter;
   AgentConnections mAgents;
-  std::unique_ptr<HttpServer> mServer;
   EventHandlePointer mTick;
   std::map<std::uint64_t, HttpResponderPointer> mResponders;
   std::uint64_t mLastOperatorRequest = 0;
--- a/src/gateway/RequestRouter.cpp
+++ b/src/gateway/RequestRouter.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/CallerAnswers.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace magnoliadrum {
@@ -360,9 +361,7 @@
     finishWithout(dropped.mRequest, dropped.mReason, aNow);
   }
   while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
-    const std::uint64_t request = mDeadlines.begin()->second;
-    mDeadlines.erase(mDeadlines.begin());
-    expireRequest(request, aNow);
+    expireFirst(aNow);
   }
   expireAttempts(aNow);
   for (const std::string& name : mQueue.waitingEntries()) {
@@ -371,6 +370,22 @@
   }
 }
 
+void
+RequestRouter::expireFirst(MonotonicTime aNow)
+{
+  const auto [deadline, request] = *mDeadlines.begin();
+  mDeadlines.erase(mDeadlines.begin());
+  expireRequest(request, std::max(aNow, deadline));
+}
+
+void
+RequestRouter::cutOff(MonotonicTime aNow)
+{
+  while (!mDeadlines.empty()) {
+    expireFirst(aNow);
+  }
+}
+
 void
 RequestRouter::refuseWithoutTarget(const std::string& aEntryName, MonotonicTime aNow)
 {
--- a/src/gateway/RequestRouter.h
+++ b/src/gateway/RequestRouter.h
@@ -105,6 +105,9 @@
   /** Refuses every request from now on; those admitted before are finished. */
   void beginShutdown() { mShuttingDown = true; }
 
+  /** Ends all requests as if their deadlines had passed; for a shutdown that takes too long. */
+  void cutOff(MonotonicTime aNow);
+
   /** Whether every request has its response and every intent is recorded. */
   bool isIdle() const { return mRequests.empty(); }
 
@@ -216,6 +219,7 @@
                  const HttpAnswer* aAnswer);
   void forgetIfOver(std::uint64_t aRequest);
 
+  void expireFirst(MonotonicTime aNow);
   void expireRequest(std::uint64_t aRequest, MonotonicTime aNow);
   void expireAttempts(MonotonicTime aNow);
   void refuseWithoutTarget(const std::string& aEntryName, MonotonicTime aNow);
--- /dev/null
+++ b/src/gateway/RequestRouter_random_test.cpp
@@ -0,0 +1,219 @@
+#include "gateway/RouterFixture.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+using namespace magnoliadrum;
+
+namespace {
+
+constexpr int kTargets = 4;
+constexpr int kSteps = 400;
+
+/** What an executor and the network did with one dispatched message. */
+struct Delivery
+{
+  RouterFixture::Dispatch mDispatch;
+  bool mRan = false;
+  bool mLost = false;
+};
+
+/**
+ * Random callers, agents and control. Agents run or refuse what reaches them, and answer late,
+ * twice, from the wrong connection or not at all; connections break; control grants and commits in
+ * its own time.
+ */
+class RandomCluster
+{
+public:
+  explicit RandomCluster(unsigned aSeed)
+    : mRandom(aSeed)
+    , mFixture(5, aSeed)
+  {
+    mFixture.addTargets(kTargets);
+    for (std::uint64_t number = 1; number <= kTargets; number++) {
+      mConnections.push_back(number);
+    }
+  }
+
+  void run()
+  {
+    for (int step = 0; step < kSteps; step++) {
+      act();
+      takeDispatches();
+    }
+    for (int step = 0; step < 100; step++) {
+      mFixture.advance(200);
+      takeDispatches();
+      serveControl(1);
+    }
+    check();
+  }
+
+private:
+  std::size_t pick(std::size_t aCount)
+  {
+    return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(mRandom);
+  }
+
+  void act()
+  {
+    switch (pick(8)) {
+      case 0:
+      case 1:
+        submit();
+        return;
+      case 2:
+        mFixture.advance(static_cast<std::int64_t>(pick(40)));
+        return;
+      case 3:
+        serveControl(2);
+        return;
+      case 4:
+        breakConnection();
+        return;
+      case 5:
+        reportStatus();
+        return;
+      default:
+        deliver();
+    }
+  }
+
+  void submit()
+  {
+    const bool isRepeatable = pick(2) == 0;
+    const std::string key = isRepeatable ? "" : "key" + std::to_string(mSubmitted.size());
+    const auto deadlineMs = static_cast<std::int64_t>(1 + pick(300));
+    mSubmitted[mFixture.submit(deadlineMs, key)] = isRepeatable;
+  }
+
+  void serveControl(std::size_t aOneIn)
+  {
+    for (const auto& [request, message] : mFixture.mBegun) {
+      if (!mGranted.contains(request) && pick(aOneIn) == 0) {
+        mGranted.insert(request);
+        mFixture.grantIntent(request);
+      }
+    }
+    for (const auto& [request, message] : std::map(mFixture.mEnded)) {
+      if (!mCommitted.contains(request) && pick(aOneIn) == 0) {
+        mCommitted.insert(request);
+        mFixture.mRouter.intentEnded(request);
+      }
+    }
+  }
+
+  void breakConnection()
+  {
+    const std::size_t target = pick(kTargets);
+    const std::uint64_t old = mConnections[target];
+    mConnections[target] = ++mLastConnection;
+    for (Delivery& delivery : mDeliveries) {
+      delivery.mLost = delivery.mLost || delivery.mDispatch.mConnection == old;
+    }
+    mFixture.mRouter.connectionLost(old, mFixture.mNow);
+    mFixture.connect(static_cast<int>(target) + 1, mConnections[target]);
+  }
+
+  void reportStatus()
+  {
+    const std::size_t target = pick(kTargets);
+    mFixture.sendStatus(static_cast<int>(target) + 1, mConnections[target], pick(10) == 0);
+  }
+
+  /** Decides at once whether an executor runs what was dispatched; the answer comes later. */
+  void takeDispatches()
+  {
+    for (const RouterFixture::Dispatch& dispatch : mFixture.mDispatches) {
+      const bool ran = pick(4) != 0;
+      mDeliveries.push_back({ dispatch, ran, false });
+      mRuns[dispatch.mMessage.body()] += ran ? 1 : 0;
+    }
+    mFixture.mDispatches.clear();
+  }
+
+  void deliver()
+  {
+    if (mDeliveries.empty()) {
+      return;
+    }
+    Delivery delivery = mDeliveries[pick(mDeliveries.size())];
+    if (delivery.mLost) {
+      return;
+    }
+    if (pick(5) == 0) {
+      delivery.mDispatch.mConnection = mConnections[pick(kTargets)];
+    }
+    if (!delivery.mRan) {
+      const auto reasons = { RefusalReason::eNoSlot, RefusalReason::eNoLease };
+      mFixture.refuse(delivery.mDispatch, *(reasons.begin() + pick(reasons.size())));
+    } else if (pick(5) == 0) {
+      mFixture.fail(delivery.mDispatch);
+    } else {
+      mFixture.answer(delivery.mDispatch);
+    }
+  }
+
+  void check()
+  {
+    BOOST_TEST(mFixture.mRouter.isIdle());
+    for (const auto& [request, isRepeatable] : mSubmitted) {
+      const std::string body = std::to_string(request);
+      const std::string outcome = mFixture.outcome(request);
+      BOOST_REQUIRE(!outcome.empty());
+      if (outcome == "done") {
+        BOOST_TEST(mFixture.mAnswers.at(request).body() == body);
+        BOOST_TEST(mRuns[body] >= 1);
+      }
+      if (outcome == "not-run") {
+        BOOST_TEST(mRuns[body] == 0);
+      }
+      if (!isRepeatable) {
+        BOOST_TEST(mRuns[body] <= 1);
+        checkIntent(request, outcome);
+      }
+    }
+  }
+
+  void checkIntent(std::uint64_t aRequest, const std::string& aOutcome)
+  {
+    if (!mFixture.mBegun.contains(aRequest)) {
+      return;
+    }
+    BOOST_REQUIRE(mFixture.mEnded.contains(aRequest));
+    const IntentOutcome end = mFixture.mEnded.at(aRequest).outcome();
+    if (end == IntentOutcome::eNotRun) {
+      BOOST_TEST(mRuns[std::to_string(aRequest)] == 0);
+    }
+    if (end == IntentOutcome::eDone) {
+      BOOST_TEST(mRuns[std::to_string(aRequest)] == 1);
+    }
+    BOOST_TEST((aOutcome != "done" || end == IntentOutcome::eDone));
+  }
+
+  std::mt19937 mRandom;
+  RouterFixture mFixture;
+  std::vector<std::uint64_t> mConnections;
+  std::uint64_t mLastConnection = 100;
+  std::vector<Delivery> mDeliveries;
+  std::map<std::uint64_t, bool> mSubmitted;
+  std::map<std::string, int> mRuns;
+  std::set<std::uint64_t> mGranted;
+  std::set<std::uint64_t> mCommitted;
+};
+
+} // namespace
+
+// Guards against any interleaving that gives a caller two responses, another's response or a false
+// "not run", runs a non-repeatable request twice or leaves a request or a key behind.
+BOOST_AUTO_TEST_CASE(random_interleavings_keep_the_rules_of_requests)
+{
+  for (unsigned seed = 0; seed < 1000; seed++) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      RandomCluster(seed).run();
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/RequestRouter_test.cpp
@@ -0,0 +1,246 @@
+#include "gateway/RouterFixture.h"
+
+using namespace magnoliadrum;
+
+namespace {
+
+CatalogueEntry::Fields&
+nonRepeatable(CatalogueEntry::Fields& aFields)
+{
+  aFields.repeatable = false;
+  return aFields;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(request_reaches_a_target_and_its_response_the_caller)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  const std::uint64_t request = fixture.submit();
+  BOOST_REQUIRE(fixture.mDispatches.size() == 1);
+  const RequestDispatch& dispatch = fixture.mDispatches.front().mMessage;
+  // The agent's clock is ahead; 1% of the second until the deadline is allowed for drift.
+  BOOST_TEST(dispatch.deadlineMs() ==
+             fixture.mNow.ms() + RouterFixture::kClockOffsetMs + 1000 - 10);
+  BOOST_TEST(dispatch.session() == 1);
+  fixture.answer(fixture.mDispatches.front());
+  BOOST_TEST(fixture.outcome(request) == "done");
+  BOOST_TEST(fixture.mAnswers.at(request).body() == std::to_string(request));
+  BOOST_TEST(fixture.mRouter.isIdle());
+}
+
+// Guards against a response that is taken from an agent that never got the request.
+BOOST_AUTO_TEST_CASE(crossed_and_duplicate_responses_are_dropped)
+{
+  RouterFixture fixture;
+  fixture.addTargets(2);
+  const std::uint64_t request = fixture.submit();
+  RouterFixture::Dispatch crossed = fixture.mDispatches.front();
+  crossed.mConnection = crossed.mConnection == 1 ? 2 : 1;
+  fixture.answer(crossed);
+  BOOST_TEST(fixture.outcome(request).empty());
+  fixture.answer(fixture.mDispatches.front());
+  fixture.answer(fixture.mDispatches.front());
+  BOOST_TEST(fixture.outcome(request) == "done");
+}
+
+// Guards against work for targets that leave, are silent, are in a forbidden data centre or have a
+// new session.
+BOOST_AUTO_TEST_CASE(unusable_targets_get_no_requests)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  fixture.sendStatus(1, 1, true);
+  fixture.submit();
+  BOOST_TEST(fixture.mDispatches.empty(), "a leaving target got a request");
+  fixture.sendStatus(1, 1);
+  BOOST_TEST(fixture.mDispatches.size() == 1);
+  fixture.advance(301);
+  fixture.submit();
+  BOOST_TEST(fixture.mDispatches.size() == 1, "a silent target got a request");
+  fixture.sendStatus(2, 1);
+  BOOST_TEST(fixture.mDispatches.size() == 1, "a target with another session got a request");
+  fixture.addTargets(1, 2, "Temple");
+  BOOST_TEST(fixture.mDispatches.size() == 1, "a forbidden data centre got a request");
+}
+
+// Guards against callers that wait until their deadline although no target can serve them.
+BOOST_AUTO_TEST_CASE(entry_without_targets_refuses_after_a_short_wait)
+{
+  RouterFixture fixture;
+  const std::uint64_t waiting = fixture.submit(60000);
+  fixture.advance(900);
+  BOOST_TEST(fixture.reason(waiting).empty());
+  fixture.advance(200);
+  BOOST_TEST(fixture.reason(waiting) == "no-target");
+  BOOST_TEST(fixture.reason(fixture.submit()) == "no-target");
+}
+
+// Guards against acting on old configuration, and against the exception reaching entries that do
+// not ask for it.
+BOOST_AUTO_TEST_CASE(without_a_lease_only_entries_that_allow_it_are_served)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  fixture.mRouter.setLease({ false, true });
+  BOOST_TEST(fixture.reason(fixture.submit()) == "no-lease");
+  fixture.setEntry([](auto& aFields) { aFields.serveWithoutControl = true; });
+  fixture.submit();
+  BOOST_TEST(fixture.mDispatches.size() == 1);
+  BOOST_TEST(fixture.reason(fixture.submit(1000, "key")) == "no-lease");
+  fixture.mRouter.setLease({ false, false });
+  BOOST_TEST(fixture.reason(fixture.submit()) == "no-lease");
+}
+
+// Guards against a repetition after a lost response, and against none after a refusal.
+BOOST_AUTO_TEST_CASE(refused_requests_are_sent_to_another_target_and_lost_ones_only_if_repeatable)
+{
+  RouterFixture fixture;
+  fixture.addTargets(2);
+  const std::uint64_t refused = fixture.submit();
+  fixture.refuse(fixture.mDispatches.at(0), RefusalReason::eNoLease);
+  BOOST_REQUIRE(fixture.mDispatches.size() == 2);
+  BOOST_TEST(fixture.mDispatches.at(1).mConnection != fixture.mDispatches.at(0).mConnection);
+  fixture.answer(fixture.mDispatches.at(1));
+  BOOST_TEST(fixture.outcome(refused) == "done");
+
+  fixture.sendStatus(1, 1);
+  fixture.sendStatus(2, 2);
+  fixture.setEntry([](auto& aFields) { nonRepeatable(aFields); });
+  const std::uint64_t lost = fixture.submit(1000, "key");
+  fixture.grantIntent(lost);
+  fixture.mRouter.connectionLost(fixture.mDispatches.at(2).mConnection, fixture.mNow);
+  BOOST_TEST(fixture.mDispatches.size() == 3);
+  BOOST_TEST(fixture.outcome(lost) == "unknown");
+  BOOST_TEST((fixture.mEnded.at(lost).outcome() == IntentOutcome::eUnknown));
+}
+
+// Guards against "unknown" for a request of which no byte was written.
+BOOST_AUTO_TEST_CASE(unwritten_request_is_not_run)
+{
+  RouterFixture fixture;
+  fixture.addTargets(2);
+  fixture.mUnwritable = true;
+  const std::uint64_t request = fixture.submit(500);
+  fixture.advance(500);
+  BOOST_TEST(fixture.outcome(request) == "not-run");
+}
+
+// Guards against a slot that is used again while an executor still works on a request past its
+// deadline.
+BOOST_AUTO_TEST_CASE(slot_stays_taken_until_a_late_attempt_ends)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1, 1);
+  const std::uint64_t late = fixture.submit(100);
+  fixture.advance(100);
+  BOOST_TEST(fixture.outcome(late) == "unknown");
+  fixture.submit();
+  BOOST_TEST(fixture.mDispatches.size() == 1);
+  fixture.answer(fixture.mDispatches.front());
+  BOOST_TEST(fixture.mDispatches.size() == 2);
+}
+
+// Guards against an overload that is not refused, and against batch requests that push out urgent
+// ones.
+BOOST_AUTO_TEST_CASE(full_queue_refuses_as_not_run)
+{
+  RouterFixture fixture(1);
+  fixture.addTargets(1, 1);
+  fixture.submit();
+  const std::uint64_t waiting = fixture.submit(500);
+  const std::uint64_t shorter = fixture.submit(400);
+  BOOST_TEST(fixture.reason(shorter) == "queue-full");
+  const std::uint64_t longer = fixture.submit(600);
+  BOOST_TEST(fixture.reason(waiting) == "shed");
+  BOOST_TEST(fixture.reason(longer).empty());
+}
+
+BOOST_AUTO_TEST_CASE(non_repeatable_request_without_a_key_is_refused)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  fixture.setEntry([](auto& aFields) { nonRepeatable(aFields); });
+  BOOST_TEST(fixture.reason(fixture.submit()) == "key-required");
+  BOOST_TEST(fixture.mBegun.empty());
+}
+
+// Guards against a second run under a key that another request holds.
+BOOST_AUTO_TEST_CASE(key_that_is_taken_gives_the_stored_response_or_unknown)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  const auto submitAgainst = [&](IntentOutcome aOutcome, bool aDigestMatches) {
+    const std::uint64_t request = fixture.submit(1000, "key");
+    IntentRecord::Fields record{ .key = "key", .entryName = "svc", .outcome = aOutcome };
+    if (aOutcome == IntentOutcome::eDone) {
+      record.answer = valueOf(HttpAnswer::create({ .status = 201, .body = "stored" }));
+    }
+    fixture.mRouter.intentAnswered(
+      request,
+      valueOf(IntentStatus::create({ .requestId = "r",
+                                     .granted = false,
+                                     .digestMatches = aDigestMatches,
+                                     .intent = valueOf(IntentRecord::create(record)) })),
+      fixture.mNow);
+    return request;
+  };
+  const std::uint64_t done = submitAgainst(IntentOutcome::eDone, true);
+  BOOST_TEST(fixture.outcome(done) == "done");
+  BOOST_TEST(fixture.mAnswers.at(done).body() == "stored");
+  for (const IntentOutcome outcome : { IntentOutcome::eOpen, IntentOutcome::eUnknown }) {
+    const std::uint64_t request = submitAgainst(outcome, true);
+    BOOST_TEST(fixture.outcome(request) == "unknown");
+    BOOST_TEST(fixture.mAnswers.at(request).status() == 409);
+  }
+  const std::uint64_t other = submitAgainst(IntentOutcome::eDone, false);
+  BOOST_TEST(fixture.reason(other) == "invalid-request");
+  BOOST_TEST(fixture.mDispatches.empty());
+  BOOST_TEST(fixture.mEnded.empty());
+  BOOST_TEST(fixture.mRouter.isIdle());
+}
+
+// Guards against a lost outcome: the response comes after the deadline, and a resend should find
+// it.
+BOOST_AUTO_TEST_CASE(late_response_of_a_non_repeatable_request_is_recorded)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  const std::uint64_t request = fixture.submit(100, "key");
+  fixture.grantIntent(request);
+  fixture.advance(100);
+  BOOST_TEST(fixture.outcome(request) == "unknown");
+  BOOST_TEST(fixture.mEnded.empty());
+  fixture.answer(fixture.mDispatches.front());
+  BOOST_TEST((fixture.mEnded.at(request).outcome() == IntentOutcome::eDone));
+  fixture.mRouter.intentEnded(request);
+  BOOST_TEST(fixture.mRouter.isIdle());
+}
+
+// Guards against a caller that reads "not run", sends the key again and finds it taken.
+BOOST_AUTO_TEST_CASE(not_run_is_said_after_the_key_is_free)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  const std::uint64_t request = fixture.submit(1000, "key");
+  fixture.grantIntent(request);
+  fixture.refuse(fixture.mDispatches.front(), RefusalReason::eDeadlinePassed);
+  BOOST_TEST(fixture.outcome(request).empty());
+  BOOST_TEST((fixture.mEnded.at(request).outcome() == IntentOutcome::eNotRun));
+  fixture.mRouter.intentEnded(request);
+  BOOST_TEST(fixture.outcome(request) == "not-run");
+}
+
+// Guards against a key that stays taken when control grants it after the request was given up.
+BOOST_AUTO_TEST_CASE(key_granted_too_late_is_freed)
+{
+  RouterFixture fixture;
+  fixture.addTargets(1);
+  const std::uint64_t request = fixture.submit(100, "key");
+  fixture.advance(100);
+  BOOST_TEST(fixture.outcome(request) == "not-run");
+  fixture.grantIntent(request);
+  BOOST_TEST(fixture.mDispatches.empty());
+  BOOST_TEST((fixture.mEnded.at(request).outcome() == IntentOutcome::eNotRun));
+}
