--- /dev/null
+++ b/src/storage/LogStore.cpp
@@ -0,0 +1,361 @@
+#include "storage/LogStore.h"
+
+#include "storage/RecordFormat.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace magnoliadrum {
+
+namespace {
+
+const char* const kPrefix = "log-";
+const char* const kLoadStep = "log.load";
+constexpr int kNumberDigits = 20;
+constexpr std::int64_t kFormatVersion = 1;
+constexpr std::int64_t kUnknownTerm = -1;
+
+Error
+corrupt(const std::string& aPath, const std::string& aDetail)
+{
+  return Error::create(ErrorCode::eCorrupt, kLoadStep, aPath, aDetail);
+}
+
+std::optional<std::uint64_t>
+segmentNumber(const std::string& aName)
+{
+  const std::string prefix(kPrefix);
+  const bool matches = aName.starts_with(prefix) && aName.size() == prefix.size() + kNumberDigits &&
+                       aName.find_first_not_of("0123456789", prefix.size()) == std::string::npos;
+  if (!matches) {
+    return std::nullopt;
+  }
+  return std::stoull(aName.substr(prefix.size()));
+}
+
+std::string
+encodeRecordBody(const std::optional<HardState>& aHardState, const std::vector<LogEntry>& aEntries)
+{
+  nlohmann::json body = nlohmann::json::object();
+  if (aHardState) {
+    body["hardState"] = aHardState->toJson();
+  }
+  nlohmann::json entries = nlohmann::json::array();
+  for (const LogEntry& entry : aEntries) {
+    entries.push_back(entry.toJson());
+  }
+  body["entries"] = std::move(entries);
+  std::string bytes;
+  nlohmann::json::to_cbor(body, bytes);
+  return bytes;
+}
+
+bool
+isInteger(const nlohmann::json& aBody, const char* aName)
+{
+  return aBody.contains(aName) && aBody[aName].is_number_integer();
+}
+
+bool
+isHeader(const nlohmann::json& aBody)
+{
+  return isInteger(aBody, "format") && aBody["format"] == kFormatVersion &&
+         isInteger(aBody, "baseIndex") && isInteger(aBody, "baseTerm") && aBody.contains("reset") &&
+         aBody["reset"].is_boolean();
+}
+
+} // namespace
+
+LogStore::LogStore(FileOperations& aOperations, std::string aFolder, std::int64_t aSegmentBytes)
+  : mOperations(aOperations)
+  , mFolder(std::move(aFolder))
+  , mSegmentBytes(aSegmentBytes)
+{
+}
+
+LogStore::~LogStore()
+{
+  if (mFile) {
+    mOperations.close(*mFile);
+  }
+}
+
+std::string
+LogStore::pathOf(std::uint64_t aNumber) const
+{
+  std::ostringstream name;
+  name << kPrefix << std::setw(kNumberDigits) << std::setfill('0') << aNumber;
+  return joinPath(mFolder, name.str());
+}
+
+Result<std::unique_ptr<LogStore>>
+LogStore::open(FileOperations& aOperations, std::string aFolder, std::int64_t aSegmentBytes)
+{
+  std::unique_ptr<LogStore> store(new LogStore(aOperations, std::move(aFolder), aSegmentBytes));
+  const Result<Done> loaded = store->load();
+  if (!isOk(loaded)) {
+    return errorOf(loaded);
+  }
+  return store;
+}
+
+Result<Done>
+LogStore::load()
+{
+  Result<Done> created = mOperations.createFolder(mFolder);
+  if (!isOk(created)) {
+    return created;
+  }
+  const Result<std::vector<std::string>> names = mOperations.list(mFolder);
+  if (!isOk(names)) {
+    return errorOf(names);
+  }
+  std::vector<std::uint64_t> numbers;
+  for (const std::string& name : valueOf(names)) {
+    const std::optional<std::uint64_t> number = segmentNumber(name);
+    if (number) {
+      numbers.push_back(*number);
+    }
+  }
+  for (const std::uint64_t number : numbers) {
+    if (!mSegments.empty() && number != mSegments.back().number + 1) {
+      return corrupt(pathOf(number), "the segment before it is missing");
+    }
+    Result<Done> loaded = loadSegment(number, number == numbers.back());
+    if (!isOk(loaded)) {
+      return loaded;
+    }
+  }
+  mLoaded.hardState = mHardState;
+  // A new segment after each start, so that a segment is never appended to after it was read.
+  return startSegment(false);
+}
+
+Result<Done>
+LogStore::loadSegment(std::uint64_t aNumber, bool aIsLast)
+{
+  const std::string path = pathOf(aNumber);
+  const Result<std::string> bytes = mOperations.read(path);
+  if (!isOk(bytes)) {
+    return errorOf(bytes);
+  }
+  const ScannedRecords records = scanRecords(aNumber, valueOf(bytes));
+  const bool complete = records.validBytes == valueOf(bytes).size() && !records.payloads.empty();
+  if (!complete && (!aIsLast || records.validAfterInvalid)) {
+    return corrupt(
+      path, "invalid record at byte " + std::to_string(records.validBytes) + " before valid ones");
+  }
+  mSegments.push_back({ .number = aNumber });
+  bool header = true;
+  for (const std::string_view payload : records.payloads) {
+    Result<Done> loaded = loadRecord(payload, header, path);
+    if (!isOk(loaded)) {
+      return loaded;
+    }
+    header = false;
+  }
+  if (complete) {
+    return Done{};
+  }
+  mLoaded.tornBytes = static_cast<std::int64_t>(valueOf(bytes).size() - records.validBytes);
+  if (records.payloads.empty()) {
+    // A crash while the segment was started; it holds nothing.
+    mSegments.pop_back();
+    Result<Done> removed = mOperations.remove(path);
+    return isOk(removed) ? mOperations.syncFolder(mFolder) : removed;
+  }
+  return removeTornTail(path, static_cast<std::int64_t>(records.validBytes));
+}
+
+Result<Done>
+LogStore::removeTornTail(const std::string& aPath, std::int64_t aValidBytes)
+{
+  const Result<FileHandle> file = mOperations.open(aPath);
+  if (!isOk(file)) {
+    return errorOf(file);
+  }
+  Result<Done> done = mOperations.truncate(valueOf(file), aValidBytes);
+  if (isOk(done)) {
+    done = mOperations.sync(valueOf(file));
+  }
+  mOperations.close(valueOf(file));
+  return done;
+}
+
+Result<Done>
+LogStore::loadRecord(std::string_view aPayload, bool aIsHeader, const std::string& aPath)
+{
+  const nlohmann::json body = nlohmann::json::from_cbor(aPayload, true, false);
+  if (!body.is_object() || (aIsHeader && !isHeader(body))) {
+    return corrupt(aPath, "a record with a valid checksum cannot be decoded");
+  }
+  std::vector<std::string> faults;
+  if (body.contains("hardState")) {
+    mHardState = HardState::read(body["hardState"], "hardState", faults);
+  }
+  if (aIsHeader && (body["reset"].get<bool>() || mSegments.size() == 1)) {
+    mLoaded.entries.clear();
+    mLoaded.baseIndex = body["baseIndex"].get<std::int64_t>();
+    mLoaded.baseTerm = body["baseTerm"].get<std::int64_t>();
+    mLastIndex = mLoaded.baseIndex;
+    mLastTerm = mLoaded.baseTerm;
+  }
+  for (const nlohmann::json& json : body.value("entries", nlohmann::json::array())) {
+    LogEntry entry = LogEntry::read(json, "entry", faults);
+    if (!faults.empty()) {
+      break;
+    }
+    Result<Done> loaded = loadEntry(std::move(entry), aPath);
+    if (!isOk(loaded)) {
+      return loaded;
+    }
+  }
+  if (!faults.empty()) {
+    return corrupt(aPath, faults.front());
+  }
+  return Done{};
+}
+
+Result<Done>
+LogStore::loadEntry(LogEntry aEntry, const std::string& aPath)
+{
+  const std::int64_t index = aEntry.index();
+  if (index > mLastIndex + 1) {
+    return corrupt(aPath, "entry " + std::to_string(mLastIndex + 1) + " is missing");
+  }
+  if (index <= mLoaded.baseIndex) {
+    // The entries before were replaced by a segment whose start was compacted.
+    mLoaded.entries.clear();
+    mLoaded.baseIndex = index - 1;
+    mLoaded.baseTerm = kUnknownTerm;
+  }
+  mLoaded.entries.resize(static_cast<std::size_t>(index - 1 - mLoaded.baseIndex));
+  mLastIndex = index;
+  mLastTerm = aEntry.term();
+  mSegments.back().highestIndex = std::max(mSegments.back().highestIndex, index);
+  mLoaded.entries.push_back(std::move(aEntry));
+  return Done{};
+}
+
+Result<Done>
+LogStore::startSegment(bool aReset)
+{
+  if (mFile) {
+    mOperations.close(*mFile);
+    mFile.reset();
+  }
+  const std::uint64_t number = mSegments.empty() ? 1 : mSegments.back().number + 1;
+  const Result<FileHandle> file = mOperations.open(pathOf(number));
+  if (!isOk(file)) {
+    return errorOf(file);
+  }
+  mFile = valueOf(file);
+  mFileBytes = 0;
+  mSegments.push_back({ .number = number });
+  const nlohmann::json header = { { "format", kFormatVersion },
+                                  { "hardState", mHardState.toJson() },
+                                  { "baseIndex", mLastIndex },
+                                  { "baseTerm", mLastTerm },
+                                  { "reset", aReset } };
+  std::string bytes;
+  nlohmann::json::to_cbor(header, bytes);
+  Result<Done> written = write(bytes);
+  return isOk(written) ? mOperations.syncFolder(mFolder) : written;
+}
+
+Result<Done>
+LogStore::write(const std::string& aPayload)
+{
+  const std::string record =
+    encodeRecord(mSegments.back().number, static_cast<std::uint64_t>(mFileBytes), aPayload);
+  Result<Done> written = mOperations.append(*mFile, record);
+  if (!isOk(written)) {
+    return written;
+  }
+  mFileBytes += static_cast<std::int64_t>(record.size());
+  return mOperations.sync(*mFile);
+}
+
+Result<Done>
+LogStore::append(const std::optional<HardState>& aHardState, const std::vector<LogEntry>& aEntries)
+{
+  if (mFailure) {
+    return *mFailure;
+  }
+  if (!aHardState && aEntries.empty()) {
+    return Done{};
+  }
+  if (mFileBytes >= mSegmentBytes) {
+    Result<Done> started = guarded(startSegment(false));
+    if (!isOk(started)) {
+      return started;
+    }
+  }
+  assert(aEntries.empty() || aEntries.front().index() <= mLastIndex + 1);
+  Result<Done> written = guarded(write(encodeRecordBody(aHardState, aEntries)));
+  if (!isOk(written)) {
+    return written;
+  }
+  mHardState = aHardState.value_or(mHardState);
+  if (!aEntries.empty()) {
+    Segment& segment = mSegments.back();
+    mLastIndex = aEntries.back().index();
+    mLastTerm = aEntries.back().term();
+    segment.highestIndex = std::max(segment.highestIndex, mLastIndex);
+  }
+  return Done{};
+}
+
+Result<Done>
+LogStore::reset(std::int64_t aIndex, std::int64_t aTerm)
+{
+  if (mFailure) {
+    return *mFailure;
+  }
+  mLastIndex = aIndex;
+  mLastTerm = aTerm;
+  Result<Done> started = guarded(startSegment(true));
+  while (isOk(started) && mSegments.size() > 1) {
+    started = guarded(removeOldest());
+  }
+  return isOk(started) ? guarded(mOperations.syncFolder(mFolder)) : started;
+}
+
+Result<Done>
+LogStore::compact(std::int64_t aIndex)
+{
+  if (mFailure) {
+    return *mFailure;
+  }
+  Result<Done> done = Done{};
+  bool removed = false;
+  while (isOk(done) && mSegments.size() > 1 && mSegments.front().highestIndex <= aIndex) {
+    done = guarded(removeOldest());
+    removed = true;
+  }
+  return isOk(done) && removed ? guarded(mOperations.syncFolder(mFolder)) : done;
+}
+
+Result<Done>
+LogStore::removeOldest()
+{
+  Result<Done> removed = mOperations.remove(pathOf(mSegments.front().number));
+  if (isOk(removed)) {
+    mSegments.pop_front();
+  }
+  return removed;
+}
+
+Result<Done>
+LogStore::guarded(Result<Done> aResult)
+{
+  if (!isOk(aResult)) {
+    mFailure = errorOf(aResult);
+  }
+  return aResult;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/storage/RecordFormat.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/core.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** CRC32C (Castagnoli) over the concatenation of the parts. */
+std::uint32_t
+crc32c(std::initializer_list<std::string_view> aParts);
+
+/** Little-endian form of a number. */
+std::string
+toBytes32(std::uint32_t aNumber);
+std::string
+toBytes64(std::uint64_t aNumber);
+
+/** Reads what toBytes32() or toBytes64() wrote. Precondition: enough bytes at the offset. */
+std::uint32_t
+readBytes32(std::string_view aBytes, std::size_t aOffset);
+std::uint64_t
+readBytes64(std::string_view aBytes, std::size_t aOffset);
+
+/**
+ * Encodes one record: marker, length of the payload, checksum, payload.
+ *
+ * The checksum also covers the segment number and the offset of the record, so a copy of a record
+ * inside the payload of another one is not taken for a record.
+ */
+std::string
+encodeRecord(std::uint64_t aSegment, std::uint64_t aOffset, std::string_view aPayload);
+
+/** The records at the start of a segment. */
+struct ScannedRecords
+{
+  /** Views into the scanned bytes. */
+  std::vector<std::string_view> payloads;
+  /** Size of the valid records; what follows is torn or corrupt. */
+  std::size_t validBytes = 0;
+  /** A valid record follows an invalid one. */
+  bool validAfterInvalid = false;
+};
+
+ScannedRecords
+scanRecords(std::uint64_t aSegment, std::string_view aBytes);
+
+} // namespace magnoliadrum
