placement: learn sizes, interference and failures, and react to them

Ruled out: acting on the learned mean alone. While neighbours do not vary, the constant of the model takes the whole latency and nothing is ever throttled (ServiceGuardTest failed with 0 throttles). Uncertain pairs are now throttled on suspicion.

--- a/src/placement/PlacementLedger.cpp
+++ b/src/placement/PlacementLedger.cpp
@@ -221,6 +221,8 @@
   assigned.reservation = aReservation;
   holder.tasks.push_back(aTask);
   mOwners[entryOfTask.owner].used = mOwners[entryOfTask.owner].used.plus(aReservation);
+  holder.criticalTasks += entryOfTask.latencyCritical ? 1 : 0;
+  ++entryOfTask.placed;
   ++entryOfTask.perRack[holder.rack];
   changeReserved(aWorker, holder.reserved.plus(aReservation));
 }
@@ -238,6 +240,9 @@
   std::erase(holder.tasks, aTask);
   OwnerAccount& ownerOfTask = mOwners[entryOfTask.owner];
   ownerOfTask.used = ownerOfTask.used.minus(released.reservation);
+  --entryOfTask.placed;
+  const bool wasCritical = entryOfTask.latencyCritical && holder.criticalTasks > 0;
+  holder.criticalTasks -= wasCritical ? 1 : 0;
   const auto replicas = entryOfTask.perRack.find(holder.rack);
   if (replicas != entryOfTask.perRack.end() && --replicas->second <= 0) {
     entryOfTask.perRack.erase(replicas);
@@ -246,6 +251,7 @@
   released.worker = kNoIndex;
   released.reservation = {};
   released.cpuLimitMilli = 0;
+  released.isLimitedForService = false;
   changeReserved(holderIndex, reservedLess);
   markFreed(holderIndex);
 }
--- a/src/placement/PlacementRecords.h
+++ b/src/placement/PlacementRecords.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placement/InterferenceModel.h"
 #include "placement/PlacementView.h"
 #include "placement/ResourceAmount.h"
 
@@ -44,9 +45,13 @@
   /** What the VM reported as used in total. */
   ResourceAmount reportedUse;
   std::vector<TaskIndex> tasks;
+  /** Latency-critical ones among them. */
+  std::int32_t criticalTasks = 0;
   /** Service entries whose executors share the VM. */
   std::vector<EntryIndex> services;
   std::int64_t usageAtMs = -1;
+  /** Loads by entry in the latest report, which lags behind the tasks placed. */
+  std::vector<EntryLoad> measured;
   /** Entry for which the worker is kept free; kNoIndex when none. */
   EntryIndex heldFor = kNoIndex;
   std::int64_t heldUntilMs = 0;
@@ -60,8 +65,8 @@
   std::string taskId;
   EntryIndex entry = kNoIndex;
   WorkerIndex worker = kNoIndex;
-  /** Worker on which the last attempt failed; a retry avoids it. */
-  WorkerIndex failedOn = kNoIndex;
+  /** Name index of the target on which the last attempt failed; a retry avoids it. */
+  std::uint32_t failedOn = kNoIndex;
   TaskState state = TaskState::ePending;
   bool stopRequested = false;
   /** A decision about it is not confirmed by a view yet. */
@@ -80,10 +85,20 @@
   std::int64_t decidedAtMs = 0;
   std::int64_t startedAtMs = 0;
   std::uint64_t checkpointHash = 0;
+  std::int64_t stopDecidedAtMs = 0;
+  /** It ran long enough for its observed use to count instead of what its entry usually uses. */
+  bool hasSettled = false;
+  /** It was listed in a report since its start. */
+  bool hasReported = false;
+  /** Processor use in the latest report. */
+  std::int64_t lastCpuMilli = 0;
+  /** Highest use in the reports. */
   ResourceAmount observed;
   ResourceAmount reservation;
   /** Processor limit in force; 0 when none. */
   std::int64_t cpuLimitMilli = 0;
+  /** The limit is for a service, not for the capacity of the VM. */
+  bool isLimitedForService = false;
   float progress = 0;
   float checkpointProgress = 0;
 };
@@ -103,6 +118,9 @@
   std::int64_t replicas = 1;
   std::int64_t maxAttempts = 1;
   double objectiveMs = 0;
+  std::int64_t placed = 0;
+  /** Capacity of the VM with the most processor time that can run the entry; zero if unknown. */
+  ResourceAmount roomiest;
   /** Placed tasks per rack. */
   std::unordered_map<std::uint32_t, std::int32_t> perRack;
 
--- /dev/null
+++ b/src/placement/ServiceGuard_test.cpp
@@ -0,0 +1,126 @@
+#include "placement/PlacementFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+#include <deque>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** One service and one batch task on a worker; latency is seen aLag rounds late. */
+class GuardFixture : public PlacementFixture
+{
+public:
+  explicit GuardFixture(PolicySettings::Fields aWeights, bool aHasOtherWorker)
+    : mPolicy(options(aWeights), std::mt19937_64(1))
+  {
+    CatalogueEntry::Fields service = batch("service", 8000);
+    service.kind = EntryKind::eStanding;
+    service.workClass = WorkClass::eLatencyCritical;
+    service.objective = takeValue(Objective::create({ .latencyMs = 100, .share = 0.99 }));
+    mView.entries = { entry(service), entry(batch("noisy", 10000)) };
+    mView.workers = { worker(1) };
+    if (aHasOtherWorker) {
+      mView.workers.push_back(worker(2));
+    }
+    for (const char* name : { "service", "noisy" }) {
+      TaskView running = task(name, 0);
+      running.state = TaskState::eRunning;
+      running.session = 1;
+      running.epoch = 1;
+      mView.tasks.push_back(running);
+    }
+  }
+
+  static PlacementOptions options(PolicySettings::Fields aWeights)
+  {
+    PlacementOptions result;
+    result.settings = takeValue(PolicySettings::create(aWeights));
+    return result;
+  }
+
+  void run(int aRounds, std::size_t aLag)
+  {
+    for (int i = 0; i < aRounds; ++i, mNowMs += 1000) {
+      const bool isThere = mView.tasks.at(1).session == 1;
+      const std::int64_t cpu = mLimit > 0 ? std::min<std::int64_t>(mLimit, 20000) : 20000;
+      const double share = isThere ? static_cast<double>(cpu) / 32000 : 0;
+      mSamples.push_back({ 60 * std::exp(2.0 * share), share });
+      const auto [latency, seenShare] =
+        mSamples.at(mSamples.size() - 1 - std::min(aLag, mSamples.size() - 1));
+      TargetUsage::Fields usage;
+      usage.tasks = { takeValue(
+        TaskUsage::create({ .taskId = "noisy/0",
+                            .used = resources(static_cast<std::int64_t>(seenShare * 32000), 100),
+                            .progress = 0.1 })) };
+      mView.workers.at(0).usage = takeValue(TargetUsage::create(std::move(usage)));
+      mView.workers.at(0).usageAt = MonotonicTime::fromMs(mNowMs);
+      mView.services = { { "service", 1, latency, 100 } };
+      for (const PlacementDecision& decision :
+           mPolicy.decide(mView, MonotonicTime::fromMs(mNowMs))) {
+        carryOut(decision);
+      }
+    }
+  }
+
+  void carryOut(const PlacementDecision& aDecision)
+  {
+    TaskView& noisy = mView.tasks.at(1);
+    if (const auto* throttled = std::get_if<ThrottleDecision>(&aDecision)) {
+      mLimit = throttled->cpuMilli;
+      ++mThrottles;
+    } else if (std::holds_alternative<EvictDecision>(aDecision)) {
+      noisy.session = 0;
+      noisy.state = TaskState::ePending;
+      ++noisy.evictions;
+      mThrottlesBeforeEviction = mThrottles;
+      mLimit = 0;
+    } else if (const auto* placed = std::get_if<PlaceDecision>(&aDecision)) {
+      noisy.session = placed->session;
+      noisy.epoch = placed->epoch;
+      noisy.state = TaskState::eRunning;
+    }
+  }
+
+  PlacementPolicy mPolicy;
+  PlacementView mView;
+  std::int64_t mNowMs = 0;
+  std::int64_t mLimit = 0;
+  int mThrottles = 0;
+  int mThrottlesBeforeEviction = 0;
+  std::vector<std::pair<double, double>> mSamples;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServiceGuardTest)
+
+// Guards against evictions without a milder step first, and against a task that is put back beside
+// the service that it slows down.
+BOOST_AUTO_TEST_CASE(throttlesThenMovesOnceWhenTailLatencyMatters)
+{
+  GuardFixture guild({ .tailLatencyWeight = 10, .evictionWeight = 1, .throughputWeight = 1 }, true);
+  guild.run(600, 3);
+  BOOST_TEST(guild.mView.tasks.at(1).evictions <= 1);
+  BOOST_TEST(guild.mThrottles > 0);
+  BOOST_TEST(guild.mSamples.back().first <= 100);
+  BOOST_TEST((guild.mView.tasks.at(1).evictions == 0 || guild.mThrottlesBeforeEviction > 0));
+}
+
+// Guards against an eviction where evictions matter most and throttling is enough, and against a
+// limit that is lifted and set again with each swing of a signal that arrives 6 s late.
+BOOST_AUTO_TEST_CASE(throttlesWithoutOscillationWhenEvictionsMatter)
+{
+  GuardFixture delta({ .tailLatencyWeight = 1, .evictionWeight = 10, .throughputWeight = 5 },
+                     false);
+  delta.run(1200, 6);
+  BOOST_TEST(delta.mView.tasks.at(1).evictions == 0);
+  BOOST_TEST(delta.mThrottles > 0);
+  BOOST_TEST(delta.mThrottles <= 24);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace magnoliadrum
--- a/src/placement/WaitingTasks.cpp
+++ b/src/placement/WaitingTasks.cpp
@@ -4,10 +4,16 @@
 
 namespace {
 
+bool
+ranBefore(const TaskAccount& aTask)
+{
+  return aTask.attempts > 0 || aTask.observed != ResourceAmount{};
+}
+
 GroupIndex
 groupOf(const TaskAccount& aTask)
 {
-  return aTask.entry * 2 + (aTask.attempts > 0 ? 1 : 0);
+  return aTask.entry * 2 + (ranBefore(aTask) ? 1 : 0);
 }
 
 } // namespace
@@ -40,7 +46,7 @@
   }
   WaitingGroup& joined = mGroups[found];
   joined.entry = added.entry;
-  joined.isRetry = added.attempts > 0;
+  joined.ranBefore = ranBefore(added);
   if (!joined.listed) {
     joined.listed = true;
     joined.blockedAt.reset();
@@ -94,6 +100,16 @@
   return looked.places.front().task;
 }
 
+void
+WaitingTasks::rotate(GroupIndex aGroup)
+{
+  std::deque<WaitingGroup::Place>& places = mGroups[aGroup].places;
+  if (places.size() > 1) {
+    places.push_back(places.front());
+    places.pop_front();
+  }
+}
+
 bool
 WaitingTasks::hasWaiting(EntryIndex aEntry)
 {
--- a/src/placement/WaitingTasks.h
+++ b/src/placement/WaitingTasks.h
@@ -14,8 +14,9 @@
 using GroupIndex = std::uint32_t;
 
 /**
- * Waiting tasks of one entry that need the same room, oldest first. First attempts and retries are
- * separate groups, because a retry must avoid the worker on which it failed.
+ * Waiting tasks of one entry, oldest first. Tasks that never ran all need the same room and are one
+ * group; tasks that ran before are another, because each needs what it was seen to use and avoids
+ * the worker on which it failed.
  */
 struct WaitingGroup
 {
@@ -26,7 +27,7 @@
   };
 
   EntryIndex entry = kNoIndex;
-  bool isRetry = false;
+  bool ranBefore = false;
   /** It is among the groups to look at. */
   bool listed = false;
   std::deque<Place> places;
@@ -65,6 +66,9 @@
   /** Tells whether tasks of an entry wait for a worker. */
   bool hasWaiting(EntryIndex aEntry);
 
+  /** Moves the oldest task of a group behind the others. */
+  void rotate(GroupIndex aGroup);
+
   WaitingGroup& group(GroupIndex aGroup) { return mGroups[aGroup]; }
 
   /** Non-empty groups of one priority, by owner. */
@@ -90,7 +94,7 @@
   bool isLive(const WaitingGroup::Place& aPlace) const;
 
   PlacementLedger& mLedger;
-  /** Two per entry: first attempts, retries. */
+  /** Two per entry: tasks that never ran, tasks that ran before. */
   std::vector<WaitingGroup> mGroups;
   std::vector<GroupIndex> mNonEmpty;
   std::priority_queue<Sleeper> mSleepers;
--- a/src/placement/WorkerSelector.cpp
+++ b/src/placement/WorkerSelector.cpp
@@ -44,14 +44,15 @@
 {
   const WorkerAccount& asked = mLedger.worker(aWorker);
   const EntryAccount& placed = mLedger.entry(aRequest.entry);
-  if (!asked.open || asked.draining || aWorker == aRequest.avoid) {
+  if (!asked.open || asked.draining || asked.targetName == aRequest.avoidTarget) {
     return false;
   }
   if (!aRequest.need.fitsIn(asked.room()) || !placed.allows(asked.dataCentre)) {
     return false;
   }
-  if (asked.heldFor != kNoIndex && asked.heldFor != aRequest.entry &&
-      asked.heldUntilMs > aRequest.nowMs) {
+  const bool isHeld = asked.heldFor != kNoIndex && asked.heldFor != aRequest.entry &&
+                      asked.heldUntilMs > aRequest.nowMs;
+  if (isHeld && mLedger.entry(asked.heldFor).priority <= placed.priority) {
     return false;
   }
   if (aRequest.perRackLimit < 0) {
@@ -134,44 +135,52 @@
   return total - packing * full;
 }
 
-std::string
-WorkerSelector::impossibleReason(EntryIndex aEntry) const
+WorkerSelector::Feasibility
+WorkerSelector::feasibility(EntryIndex aEntry) const
 {
   const EntryAccount& asked = mLedger.entry(aEntry);
   if (!asked.known) {
-    return "the catalogue has no entry " + asked.name;
+    return { "the catalogue has no entry " + asked.name, {} };
   }
-  const OwnerAccount& ownerOfEntry = mLedger.owner(asked.owner);
   OwnerAccount idle;
-  idle.quota = ownerOfEntry.quota;
+  idle.quota = mLedger.owner(asked.owner).quota;
   if (!idle.admits(asked.declared)) {
-    return "one task needs more than the quota of its owner";
+    return { "one task needs more than the quota of its owner", {} };
   }
-  bool hasWorker = false;
   ResourceAmount largest;
+  ResourceAmount roomiest;
   for (const WorkerAccount& candidate : mLedger.workers()) {
     if (!candidate.open || !asked.allows(candidate.dataCentre)) {
       continue;
     }
-    if (asked.declared.fitsIn(candidate.capacity)) {
-      return {};
-    }
-    hasWorker = true;
     largest = largest.larger(candidate.capacity);
+    if (asked.declared.fitsIn(candidate.capacity) &&
+        candidate.capacity.cpuMilli >= roomiest.cpuMilli) {
+      roomiest = candidate.capacity;
+    }
+  }
+  if (roomiest != ResourceAmount{}) {
+    return { {}, roomiest };
   }
+  return { tooLargeReason(asked, largest), {} };
+}
+
+std::string
+WorkerSelector::tooLargeReason(const EntryAccount& aEntry, const ResourceAmount& aLargest) const
+{
   std::string sites;
-  for (const std::uint32_t dataCentre : asked.dataCentres) {
+  for (const std::uint32_t dataCentre : aEntry.dataCentres) {
     sites += (sites.empty() ? "" : ", ") + mLedger.dataCentreName(dataCentre);
   }
-  if (!hasWorker) {
+  if (aLargest == ResourceAmount{}) {
     return "no worker is registered in the allowed data centres (" + sites + ")";
   }
   const auto amount = [](const ResourceAmount& aAmount) {
     return std::to_string(aAmount.cpuMilli) + " mCPU, " + std::to_string(aAmount.memoryMb) +
            " MB, " + std::to_string(aAmount.accelerators) + " accelerators";
   };
-  return "needs " + amount(asked.declared) + "; the workers in " + sites + " have at most " +
-         amount(largest) + " (each the largest of its kind)";
+  return "needs " + amount(aEntry.declared) + "; the workers in " + sites +
+         " have at most, each resource taken by itself, " + amount(aLargest);
 }
 
 } // namespace magnoliadrum
--- a/src/placement/WorkerSelector.h
+++ b/src/placement/WorkerSelector.h
@@ -15,8 +15,8 @@
 {
   EntryIndex entry = kNoIndex;
   ResourceAmount need;
-  /** Never chosen; kNoIndex for none. */
-  WorkerIndex avoid = kNoIndex;
+  /** Name index of a target that is never chosen; kNoIndex for none. */
+  std::uint32_t avoidTarget = kNoIndex;
   /** Only the workers freed after this many events, when set. */
   std::optional<std::uint64_t> freedAfter;
   /** Replicas of the entry that one rack may hold; negative for no limit. */
@@ -48,10 +48,20 @@
   /** Tells whether all hard limits hold: session, drain, data centre, room, rack, held workers. */
   bool admits(WorkerIndex aWorker, const WorkerRequest& aRequest) const;
 
-  /** Returns why no registered worker could ever run the entry; empty when one could. */
-  std::string impossibleReason(EntryIndex aEntry) const;
+  /** Whether an entry can run at all. */
+  struct Feasibility
+  {
+    /** Why no registered worker could ever run the entry; empty when one could. */
+    std::string impossibleReason;
+    /** Capacity of the VM with the most processor time that could run it. */
+    ResourceAmount roomiest;
+  };
+
+  Feasibility feasibility(EntryIndex aEntry) const;
 
 private:
+  std::string tooLargeReason(const EntryAccount& aEntry, const ResourceAmount& aLargest) const;
+
   struct Best
   {
     WorkerIndex worker = kNoIndex;
