placement: decide a stop again when no view confirms it

Cause: the control service sends partial views, which do not repeat a task that did not change. A lost RequestStop left the task marked as stopping for ever, and its room was counted on.

--- a/src/placement/PlacementContext.cpp
+++ b/src/placement/PlacementContext.cpp
@@ -133,6 +133,7 @@
   TaskAccount& task = ledger.task(aTask);
   task.stopRequested = true;
   task.stopDecidedAtMs = nowMs;
+  unconfirmedStops.push_back(aTask);
   const std::int64_t session = ledger.worker(task.worker).session;
   decisions.emplace_back(EvictDecision{ task.taskId, task.epoch, session, aReason });
 }
--- a/src/placement/PlacementContext.h
+++ b/src/placement/PlacementContext.h
@@ -35,6 +35,8 @@
   std::vector<PlacementDecision> decisions;
   /** Tasks with a placement that no view has confirmed. */
   std::vector<TaskIndex> unconfirmed;
+  /** Tasks with a stop that no view has confirmed. */
+  std::vector<TaskIndex> unconfirmedStops;
   /** Workers with a new usage report in this round. */
   std::vector<WorkerIndex> reported;
   std::int64_t nowMs = 0;
--- a/src/placement/PlacementPolicy_test.cpp
+++ b/src/placement/PlacementPolicy_test.cpp
@@ -170,6 +170,23 @@
   BOOST_TEST(only<PlaceDecision>(round(6000)).at(0).epoch == 1);
 }
 
+// Guards against a stop whose command was lost: its room would be counted on for ever. The control
+// service sends partial views, which do not repeat a task that did not change.
+BOOST_AUTO_TEST_CASE(unconfirmedStopIsDecidedAgain)
+{
+  mView.entries = { entry(batch("a", 1000)) };
+  mView.workers = { worker(1), worker(2) };
+  mView.workers.at(0).draining = true;
+  mView.tasks = { task("a", 0) };
+  mView.tasks.at(0).state = TaskState::eRunning;
+  mView.tasks.at(0).session = 1;
+  BOOST_TEST(only<EvictDecision>(round(1)).size() == 1U);
+  mView = {};
+  mView.complete = false;
+  BOOST_TEST(round(1000).empty());
+  BOOST_TEST(only<EvictDecision>(round(6000)).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnoliadrum
--- a/src/placement/ViewIntake.cpp
+++ b/src/placement/ViewIntake.cpp
@@ -205,11 +205,11 @@
     task.checkpointHash = checkpoint;
     task.checkpointProgress = task.progress;
   }
-  // A stop that was decided is in flight until the view shows it or it counts as lost.
-  const bool isStopInFlight =
-    holdsRoom(aView) && task.stopDecidedAtMs > 0 &&
-    mContext.nowMs - task.stopDecidedAtMs < mContext.options.confirmWithinMs;
-  task.stopRequested = aView.stopRequested || isStopInFlight;
+  if (aView.stopRequested) {
+    task.stopDecidedAtMs = 0;
+  }
+  // A stop that was decided is in flight until a view shows it or it counts as lost.
+  task.stopRequested = aView.stopRequested || (holdsRoom(aView) && task.stopDecidedAtMs > 0);
   if (holdsRoom(aView)) {
     takeInHeld(*found, aView);
     return;
@@ -286,6 +286,7 @@
   mContext.waiting.remove(aTask);
   if (task.epoch != aView.epoch) {
     task.stopDecidedAtMs = 0;
+    task.stopRequested = aView.stopRequested;
   }
   task.parked = false;
   task.epoch = aView.epoch;
@@ -326,6 +327,18 @@
     mContext.waiting.add(index, mContext.nowMs);
   }
   mContext.unconfirmed = std::move(still);
+  std::erase_if(mContext.unconfirmedStops, [this](TaskIndex aTask) {
+    TaskAccount& task = mContext.ledger.task(aTask);
+    if (task.stopDecidedAtMs == 0) {
+      return true;
+    }
+    if (mContext.nowMs - task.stopDecidedAtMs < mContext.options.confirmWithinMs) {
+      return false;
+    }
+    task.stopDecidedAtMs = 0;
+    task.stopRequested = false;
+    return true;
+  });
 }
 
 } // namespace magnoliadrum
