Add the table of a worker's tasks

A start whose result is unknown is not sent again, because a worker that restarted in between would run the epoch twice; the next listing settles it. A rejected stop waits for a listing, because stops that are repeated at once kept the listing from ever being newer than the table. A completed task is reported again from time to time, because the publication or the stop that answers it may be lost.

--- /dev/null
+++ b/src/agent/TaskTableCalls.cpp
@@ -0,0 +1,289 @@
+#include "agent/TaskTable.h"
+
+#include <cassert>
+#include <set>
+#include <utility>
+
+// The part of TaskTable that deals with the worker: calls, their results and listings.
+
+namespace magnoliadrum {
+
+void
+TaskTable::enter(TaskItem& aItem, Phase aPhase)
+{
+  aItem.second.mPhase = aPhase;
+  aItem.second.mChangedAt = ++mEventCount;
+}
+
+void
+TaskTable::issueStart(TaskItem& aItem)
+{
+  assert(aItem.second.mStart);
+  enter(aItem, Phase::eStarting);
+  aItem.second.mCallInProgress = true;
+  mActions.push_back(StartAction{ *aItem.second.mStart, mLease.mLeaseUntil });
+}
+
+void
+TaskTable::issueStop(TaskItem& aItem)
+{
+  assert(aItem.second.mWantedStop);
+  enter(aItem, Phase::eStopping);
+  aItem.second.mCallInProgress = true;
+  aItem.second.mStopRejected = false;
+  mActions.push_back(
+    StopAction{ aItem.first.mTaskId, aItem.first.mEpoch, *aItem.second.mWantedStop });
+}
+
+void
+TaskTable::issuePublish(TaskItem& aItem)
+{
+  aItem.second.mCallInProgress = true;
+  mActions.push_back(PublishAction{ aItem.first.mTaskId, aItem.first.mEpoch });
+}
+
+void
+TaskTable::markRunning(TaskItem& aItem, MonotonicTime aNow)
+{
+  enter(aItem, Phase::eRunning);
+  report(aItem, TaskState::eRunning, aNow);
+  if (aItem.second.mWantedStop) {
+    issueStop(aItem);
+  }
+}
+
+void
+TaskTable::markCompleted(TaskItem& aItem, MonotonicTime aNow)
+{
+  enter(aItem, Phase::eCompleted);
+  aItem.second.mReserved = Resources();
+  // The stop came too late; a later one decides about the output.
+  aItem.second.mWantedStop.reset();
+  report(aItem, TaskState::eCompleted, aNow);
+}
+
+void
+TaskTable::end(TaskItem& aItem,
+               TaskState aState,
+               MonotonicTime aNow,
+               const std::string& aDetail,
+               const std::string& aCheckpoint)
+{
+  enter(aItem, Phase::eEnded);
+  aItem.second.mReserved = Resources();
+  aItem.second.mStart.reset();
+  aItem.second.mCallInProgress = false;
+  aItem.second.mEndedAt = aNow;
+  report(aItem, aState, aNow, aDetail, aCheckpoint);
+}
+
+void
+TaskTable::startEnded(const std::string& aTaskId,
+                      std::int64_t aEpoch,
+                      WorkerCallEnd aEnd,
+                      const std::string& aDetail,
+                      MonotonicTime aNow)
+{
+  TaskItem* item = find(aTaskId, aEpoch);
+  if (item == nullptr || item->second.mPhase != Phase::eStarting) {
+    return;
+  }
+  Task& task = item->second;
+  task.mCallInProgress = false;
+  switch (aEnd) {
+    case WorkerCallEnd::eDone:
+      markRunning(*item, aNow);
+      break;
+    case WorkerCallEnd::eRejected:
+      end(*item, TaskState::eRefused, aNow, aDetail);
+      break;
+    case WorkerCallEnd::eNotSent:
+      if (task.mWantedStop) {
+        end(*item, TaskState::eRefused, aNow, "stopped before the start");
+      } else {
+        enter(*item, Phase::eWaiting);
+      }
+      break;
+    case WorkerCallEnd::eUnknown:
+      // Not sent again: a worker that restarted in between would run the epoch a second time. The
+      // next listing tells whether it runs.
+      enter(*item, Phase::eStarting);
+      if (task.mWantedStop) {
+        issueStop(*item);
+      }
+      break;
+  }
+}
+
+void
+TaskTable::stopEnded(const std::string& aTaskId,
+                     std::int64_t aEpoch,
+                     WorkerCallEnd aEnd,
+                     const std::string& aCheckpoint,
+                     MonotonicTime aNow)
+{
+  TaskItem* item = find(aTaskId, aEpoch);
+  if (item == nullptr || item->second.mPhase != Phase::eStopping) {
+    return;
+  }
+  if (aEnd == WorkerCallEnd::eDone) {
+    end(*item, TaskState::eStopped, aNow, "stopped", aCheckpoint);
+    return;
+  }
+  enter(*item, Phase::eStopping);
+  item->second.mCallInProgress = false;
+  item->second.mStopRejected = aEnd == WorkerCallEnd::eRejected;
+}
+
+void
+TaskTable::publishEnded(const std::string& aTaskId,
+                        std::int64_t aEpoch,
+                        WorkerCallEnd aEnd,
+                        MonotonicTime aNow)
+{
+  TaskItem* item = find(aTaskId, aEpoch);
+  if (item == nullptr || item->second.mPhase != Phase::ePublishing) {
+    return;
+  }
+  item->second.mCallInProgress = false;
+  if (aEnd == WorkerCallEnd::eDone) {
+    end(*item, TaskState::ePublished, aNow);
+  } else if (aEnd == WorkerCallEnd::eRejected) {
+    end(*item, TaskState::eOutcomeUnknown, aNow, "the worker does not hold the output");
+  }
+}
+
+void
+TaskTable::claimed(const std::vector<WorkerTask>& aTasks, MonotonicTime aNow)
+{
+  assert(mTasks.empty());
+  for (const WorkerTask& listed : aTasks) {
+    TaskItem& item = insert(listed.mTaskId, listed.mEpoch);
+    item.second.mEntryName = listed.mEntryName;
+    item.second.mReserved = listed.mReserved;
+    enter(item, Phase::eStarting);
+    follow(item, listed, aNow);
+  }
+}
+
+void
+TaskTable::listed(const std::vector<WorkerTask>& aTasks, std::int64_t aMark, MonotonicTime aNow)
+{
+  std::set<TaskKey> present;
+  for (const WorkerTask& listed : aTasks) {
+    present.insert(TaskKey{ listed.mTaskId, listed.mEpoch });
+    TaskItem* item = find(listed.mTaskId, listed.mEpoch);
+    const bool isCurrent =
+      item != nullptr && item->second.mChangedAt <= aMark && !item->second.mCallInProgress;
+    if (isCurrent && item->second.mPhase != Phase::eEnded) {
+      follow(*item, listed, aNow);
+    }
+  }
+  for (TaskItem& item : mTasks) {
+    const bool isCurrent = item.second.mChangedAt <= aMark && !item.second.mCallInProgress;
+    if (isCurrent && !present.contains(item.first)) {
+      followMissing(item, aNow);
+    }
+  }
+}
+
+void
+TaskTable::follow(TaskItem& aItem, const WorkerTask& aListed, MonotonicTime aNow)
+{
+  Task& task = aItem.second;
+  switch (aListed.mState) {
+    case TaskState::eRunning:
+      task.mStopRejected = false;
+      if (task.mPhase == Phase::eStarting) {
+        markRunning(aItem, aNow);
+      }
+      break;
+    case TaskState::eCompleted: {
+      const bool isDiscard = task.mReport && task.mReport->state == TaskState::eCompleted;
+      task.mStopRejected = false;
+      if (mayRun(task) && !isDiscard) {
+        markCompleted(aItem, aNow);
+      }
+      break;
+    }
+    case TaskState::ePublished:
+    case TaskState::eFailed:
+      end(aItem, aListed.mState, aNow, aListed.mDetail, aListed.mCheckpoint);
+      break;
+    default:
+      end(aItem, TaskState::eStopped, aNow, aListed.mDetail, aListed.mCheckpoint);
+      break;
+  }
+}
+
+void
+TaskTable::followMissing(TaskItem& aItem, MonotonicTime aNow)
+{
+  switch (aItem.second.mPhase) {
+    case Phase::eStarting:
+      // The start may still be on its way; the stop makes the worker refuse it.
+      wantStop(aItem, StopMode::eKill, aNow);
+      break;
+    case Phase::eRunning:
+    case Phase::eCompleted:
+    case Phase::ePublishing:
+      end(aItem, TaskState::eStopped, aNow, "the worker no longer holds the task");
+      break;
+    default:
+      break;
+  }
+}
+
+void
+TaskTable::tick(MonotonicTime aNow)
+{
+  for (TaskItem& item : mTasks) {
+    retry(item, aNow);
+  }
+  forgetOld(aNow);
+}
+
+void
+TaskTable::retry(TaskItem& aItem, MonotonicTime aNow)
+{
+  Task& task = aItem.second;
+  // Control answers with a publication or, when the epoch is over, with a stop. Either may be lost.
+  const bool isForgotten = task.mPhase == Phase::eCompleted &&
+                           aNow.msSince(task.mReportedAt) >= mOptions.mCompletedRepeatMs;
+  if (isForgotten) {
+    task.mAcknowledged = false;
+  }
+  const bool isReportDue = aNow.msSince(task.mReportedAt) >= mOptions.mReportRepeatMs;
+  if (!task.mAcknowledged && isReportDue) {
+    sendReport(aItem, aNow);
+  }
+  if (task.mCallInProgress) {
+    return;
+  }
+  if (task.mPhase == Phase::eStopping) {
+    if (!task.mStopRejected) {
+      issueStop(aItem);
+    }
+    return;
+  }
+  if (!mLease.isValidAt(aNow)) {
+    return;
+  }
+  if (task.mPhase == Phase::eWaiting) {
+    issueStart(aItem);
+  } else if (task.mPhase == Phase::ePublishing) {
+    issuePublish(aItem);
+  }
+}
+
+void
+TaskTable::forgetOld(MonotonicTime aNow)
+{
+  std::erase_if(mTasks, [this, aNow](const TaskItem& aItem) {
+    const Task& task = aItem.second;
+    return task.mPhase == Phase::eEnded && task.mAcknowledged &&
+           aNow.msSince(task.mEndedAt) >= mOptions.mEndedMemoryMs;
+  });
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/agent/TaskTable_test.cpp
@@ -0,0 +1,279 @@
+#include "agent/TaskTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+
+namespace {
+
+constexpr std::int64_t kSession = 5;
+constexpr MonotonicTime kNow = MonotonicTime::fromMs(1000);
+constexpr std::int64_t kLeaseMs = 1000;
+
+Resources
+resources(std::int64_t aCpu, std::int64_t aMemory = 10, std::int64_t aAccelerators = 0)
+{
+  return valueOf(
+    Resources::create({ .cpuMilli = aCpu, .memoryMb = aMemory, .accelerators = aAccelerators }));
+}
+
+CatalogueEntry
+entryIn(const std::string& aDataCentre)
+{
+  return valueOf(CatalogueEntry::create({ .name = "plan",
+                                          .owner = "guild",
+                                          .kind = EntryKind::eBatch,
+                                          .workClass = WorkClass::eBatch,
+                                          .dataCentres = { aDataCentre } }));
+}
+
+template<typename Action>
+std::vector<Action>
+only(const std::vector<TaskAction>& aActions)
+{
+  std::vector<Action> found;
+  for (const TaskAction& action : aActions) {
+    if (const Action* match = std::get_if<Action>(&action)) {
+      found.push_back(*match);
+    }
+  }
+  return found;
+}
+
+struct Fixture
+{
+  Fixture() { mTable.leaseChanged({ kSession, kNow.plusMs(kLeaseMs) }, kNow); }
+
+  TaskDecision start(const std::string& aTask,
+                     std::int64_t aEpoch,
+                     const Resources& aResources = resources(100),
+                     std::int64_t aSession = kSession)
+  {
+    const TaskStart message = valueOf(TaskStart::create({ .session = aSession,
+                                                          .taskId = aTask,
+                                                          .epoch = aEpoch,
+                                                          .entryName = "plan",
+                                                          .workClass = WorkClass::eBatch,
+                                                          .resources = aResources }));
+    return mTable.start(message, &mEntry, mTime);
+  }
+
+  void startAndRun(const std::string& aTask, std::int64_t aEpoch)
+  {
+    BOOST_REQUIRE((start(aTask, aEpoch) == TaskDecision::eAccepted));
+    mTable.startEnded(aTask, aEpoch, WorkerCallEnd::eDone, "", mTime);
+    acknowledge(aTask, aEpoch, TaskState::eRunning);
+    mTable.takeActions();
+  }
+
+  TaskDecision stop(const std::string& aTask, std::int64_t aEpoch, StopMode aMode)
+  {
+    return mTable.stop(valueOf(TaskStop::create(
+                         { .session = kSession, .taskId = aTask, .epoch = aEpoch, .mode = aMode })),
+                       mTime);
+  }
+
+  TaskDecision publish(const std::string& aTask, std::int64_t aEpoch)
+  {
+    return mTable.publish(
+      valueOf(TaskPublish::create({ .session = kSession, .taskId = aTask, .epoch = aEpoch })),
+      mTime);
+  }
+
+  void acknowledge(const std::string& aTask, std::int64_t aEpoch, TaskState aState)
+  {
+    mTable.acknowledge(
+      valueOf(TaskReportAck::create({ .taskId = aTask, .epoch = aEpoch, .state = aState })), mTime);
+  }
+
+  void checkReport(TaskState aState, const std::string& aCheckpoint = "")
+  {
+    const auto reports = only<ReportAction>(mTable.takeActions());
+    BOOST_REQUIRE(reports.size() == 1);
+    BOOST_TEST(toText(reports[0].mReport.state()) == toText(aState));
+    BOOST_TEST(reports[0].mReport.checkpoint() == aCheckpoint);
+  }
+
+  MonotonicTime mTime = kNow;
+  CatalogueEntry mEntry = entryIn("Waco");
+  TaskTable mTable{ { .mCapacity = resources(1000, 100, 1), .mDataCentre = "Waco" } };
+};
+
+} // namespace
+
+// Guards against a start that an ended session or an expired lease still had on its way.
+BOOST_FIXTURE_TEST_CASE(start_without_the_current_session_or_lease_is_refused, Fixture)
+{
+  BOOST_TEST((start("a", 1, resources(1), kSession - 1) == TaskDecision::eWrongSession));
+  mTime = kNow.plusMs(kLeaseMs);
+  BOOST_TEST((start("a", 2) == TaskDecision::eNoLease));
+  BOOST_TEST(only<StartAction>(mTable.takeActions()).empty());
+}
+
+// Guards against a second start of one placement by a duplicate or a late message.
+BOOST_FIXTURE_TEST_CASE(epoch_is_started_once, Fixture)
+{
+  startAndRun("a", 3);
+  BOOST_TEST((start("a", 3) == TaskDecision::eRepeated));
+  checkReport(TaskState::eRunning);
+  BOOST_TEST((start("a", 2) == TaskDecision::eOldEpoch));
+  BOOST_TEST(mTable.takeActions().empty());
+}
+
+// Guards against an overcommitted VM, in each of its dimensions.
+BOOST_FIXTURE_TEST_CASE(start_that_does_not_fit_is_refused, Fixture)
+{
+  startAndRun("a", 1);
+  BOOST_TEST((start("cpu", 1, resources(901)) == TaskDecision::eDoesNotFit));
+  checkReport(TaskState::eRefused);
+  BOOST_TEST((start("memory", 1, resources(1, 91)) == TaskDecision::eDoesNotFit));
+  BOOST_TEST((start("accelerators", 1, resources(1, 1, 2)) == TaskDecision::eDoesNotFit));
+  BOOST_TEST((start("exact", 1, resources(900, 90, 1)) == TaskDecision::eAccepted));
+}
+
+// Guards against starts beside a claimed task whose size is not known.
+BOOST_FIXTURE_TEST_CASE(claimed_task_of_unknown_size_blocks_starts, Fixture)
+{
+  mTable.claimed({ { .mTaskId = "old", .mEpoch = 4 } }, kNow);
+  BOOST_TEST((start("a", 1) == TaskDecision::eDoesNotFit));
+  BOOST_TEST((start("old", 4) == TaskDecision::eRepeated));
+  mTable.listed({ { .mTaskId = "old", .mEpoch = 4, .mState = TaskState::eFailed } },
+                mTable.beginListing(),
+                kNow);
+  BOOST_TEST((start("b", 1) == TaskDecision::eAccepted));
+}
+
+// Guards against a task outside its data centres after the catalogue changed.
+BOOST_FIXTURE_TEST_CASE(data_centres_of_the_catalogue_are_kept, Fixture)
+{
+  startAndRun("a", 1);
+  mEntry = entryIn("Temple");
+  BOOST_TEST((start("b", 1) == TaskDecision::eNotAllowed));
+  mTable.takeActions();
+  mTable.entryChanged(mEntry, mTime);
+  BOOST_TEST(only<StopAction>(mTable.takeActions()).size() == 1);
+}
+
+// Guards against a stop that overtakes its start, after which the task would run unnoticed.
+BOOST_FIXTURE_TEST_CASE(stop_before_the_start_makes_the_start_ineffective, Fixture)
+{
+  BOOST_TEST((stop("a", 2, StopMode::eKill) == TaskDecision::eUnknownTask));
+  checkReport(TaskState::eStopped);
+  BOOST_TEST((start("a", 2) == TaskDecision::eRepeated));
+  BOOST_TEST(only<StartAction>(mTable.takeActions()).empty());
+}
+
+// Guards against a reservation that is given away while the task may still run.
+BOOST_FIXTURE_TEST_CASE(stop_holds_the_reservation_until_it_is_confirmed, Fixture)
+{
+  startAndRun("a", 1);
+  stop("a", 1, StopMode::eCheckpoint);
+  mTable.stopEnded("a", 1, WorkerCallEnd::eUnknown, "", mTime);
+  BOOST_TEST(mTable.reserved().cpuMilli() == 100);
+  mTable.takeActions();
+  mTable.tick(mTime);
+  BOOST_TEST(only<StopAction>(mTable.takeActions()).size() == 1);
+  mTable.stopEnded("a", 1, WorkerCallEnd::eDone, "checkpoint-1", mTime);
+  BOOST_TEST(mTable.reserved().cpuMilli() == 0);
+  checkReport(TaskState::eStopped, "checkpoint-1");
+}
+
+// Guards against a second run by a start call that is sent again after an unknown result.
+BOOST_FIXTURE_TEST_CASE(start_with_unknown_result_is_settled_by_a_listing, Fixture)
+{
+  start("a", 1);
+  start("b", 1);
+  mTable.takeActions();
+  mTable.startEnded("a", 1, WorkerCallEnd::eUnknown, "", mTime);
+  mTable.startEnded("b", 1, WorkerCallEnd::eUnknown, "", mTime);
+  mTable.tick(mTime);
+  BOOST_TEST(mTable.takeActions().empty());
+  mTable.listed({ { .mTaskId = "a", .mEpoch = 1 } }, mTable.beginListing(), mTime);
+  const std::vector<TaskAction> actions = mTable.takeActions();
+  BOOST_TEST(only<ReportAction>(actions).size() == 1);
+  BOOST_REQUIRE(only<StopAction>(actions).size() == 1);
+  BOOST_TEST(only<StopAction>(actions)[0].mTaskId == "b");
+}
+
+// Guards against a listing that was requested before the task started and declares it lost.
+BOOST_FIXTURE_TEST_CASE(older_listing_has_no_effect, Fixture)
+{
+  const std::int64_t mark = mTable.beginListing();
+  startAndRun("a", 1);
+  mTable.listed({}, mark, mTime);
+  BOOST_TEST(mTable.takeActions().empty());
+  mTable.listed({}, mTable.beginListing(), mTime);
+  checkReport(TaskState::eStopped);
+}
+
+// Guards against publication before the completion is committed, and against a lost confirmation.
+BOOST_FIXTURE_TEST_CASE(output_is_published_only_on_request, Fixture)
+{
+  startAndRun("a", 1);
+  mTable.listed({ { .mTaskId = "a", .mEpoch = 1, .mState = TaskState::eCompleted } },
+                mTable.beginListing(),
+                mTime);
+  checkReport(TaskState::eCompleted);
+  BOOST_TEST(mTable.reserved().cpuMilli() == 0);
+  BOOST_TEST((publish("a", 1) == TaskDecision::eAccepted));
+  mTable.publishEnded("a", 1, WorkerCallEnd::eUnknown, mTime);
+  mTable.tick(mTime);
+  BOOST_TEST(only<PublishAction>(mTable.takeActions()).size() == 2);
+  mTable.publishEnded("a", 1, WorkerCallEnd::eDone, mTime);
+  checkReport(TaskState::ePublished);
+  BOOST_TEST((publish("a", 1) == TaskDecision::eRepeated));
+  checkReport(TaskState::ePublished);
+}
+
+// Guards against a late kill that discards an output whose publication control has committed.
+BOOST_FIXTURE_TEST_CASE(completed_task_is_discarded_only_after_the_acknowledgement, Fixture)
+{
+  startAndRun("a", 1);
+  mTable.listed({ { .mTaskId = "a", .mEpoch = 1, .mState = TaskState::eCompleted } },
+                mTable.beginListing(),
+                mTime);
+  mTable.takeActions();
+  stop("a", 1, StopMode::eKill);
+  checkReport(TaskState::eCompleted);
+  acknowledge("a", 1, TaskState::eCompleted);
+  stop("a", 1, StopMode::eKill);
+  BOOST_TEST(only<StopAction>(mTable.takeActions()).size() == 1);
+}
+
+// Guards against a transition that control never learns of, also across sessions.
+BOOST_FIXTURE_TEST_CASE(report_is_repeated_until_acknowledged, Fixture)
+{
+  startAndRun("a", 1);
+  mTable.listed({ { .mTaskId = "a", .mEpoch = 1, .mState = TaskState::eFailed } },
+                mTable.beginListing(),
+                mTime);
+  checkReport(TaskState::eFailed);
+  mTable.leaseChanged({ kSession + 1, mTime.plusMs(kLeaseMs) }, mTime);
+  checkReport(TaskState::eFailed);
+  mTime = mTime.plusMs(kLeaseMs);
+  mTable.tick(mTime);
+  BOOST_TEST(mTable.takeActions().empty(), "a report without a lease is of no use");
+  mTable.leaseChanged({ kSession + 1, mTime.plusMs(kLeaseMs) }, mTime);
+  mTable.tick(mTime);
+  checkReport(TaskState::eFailed);
+  acknowledge("a", 1, TaskState::eRunning);
+  BOOST_TEST(!mTable.isIdle());
+  acknowledge("a", 1, TaskState::eFailed);
+  BOOST_TEST(mTable.isIdle());
+}
+
+// Guards against a shutdown that loses progress or takes new work.
+BOOST_FIXTURE_TEST_CASE(leaving_stops_tasks_with_a_checkpoint_and_refuses_starts, Fixture)
+{
+  startAndRun("a", 1);
+  start("b", 1);
+  mTable.takeActions();
+  mTable.leave(mTime);
+  const auto stops = only<StopAction>(mTable.takeActions());
+  BOOST_REQUIRE(stops.size() == 1);
+  BOOST_TEST(toText(stops[0].mMode) == "checkpoint");
+  BOOST_TEST((start("c", 1) == TaskDecision::eLeaving));
+  mTable.startEnded("b", 1, WorkerCallEnd::eDone, "", mTime);
+  BOOST_TEST(only<StopAction>(mTable.takeActions()).size() == 1);
+  BOOST_TEST(!mTable.isIdle());
+}
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -9,3 +9,4 @@
  */
 
 #include "agent/AdmissionGate.h"
+#include "agent/TaskTable.h"
