Add the agent process

It serves an executor's requests and runs a worker's tasks. A failure before a byte of a request was written counts as not run, every other one as unknown. The agent waits for an answer beyond the deadline, because the executor goes on to hold the slot. A shutdown announces that the target leaves and waits two heartbeats, so that gateways no longer have a request on its way when the connections close.

--- /dev/null
+++ b/src/agent/AgentService.cpp
@@ -0,0 +1,339 @@
+#include "agent/AgentService.h"
+
+#include "observability/observability.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Observed use changes all the time; sending it more often would exceed the control bandwidth. */
+constexpr std::int64_t kUsagePeriodMs = 1000;
+
+/** How often a shutdown checks whether the work in flight is over. */
+constexpr std::int64_t kShutdownCheckMs = 20;
+
+/** Time for the last messages to leave the socket buffers. */
+constexpr std::int64_t kFlushMs = 100;
+
+constexpr std::size_t kMaxHttpBodyBytes = 65536;
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+} // namespace
+
+AgentService::AgentService(EventLoop& aLoop, AgentSettings aSettings)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mIncarnation(newIncarnation())
+{
+}
+
+Result<std::unique_ptr<AgentService>>
+AgentService::start(EventLoop& aLoop, const AgentSettings& aSettings)
+{
+  std::unique_ptr<AgentService> service(new AgentService(aLoop, aSettings));
+  const Result<Done> listening = service->listen();
+  if (!isOk(listening)) {
+    return errorOf(listening);
+  }
+  service->connectControl();
+  return service;
+}
+
+Result<Done>
+AgentService::listen()
+{
+  const Hello hello = valueOf(Hello::create({ .processKind = ProcessKind::eAgent,
+                                              .processId = mSettings.processId(),
+                                              .incarnation = mIncarnation }));
+  MessageHandlers handlers;
+  handlers.onOpen = [this](MessageConnection& aConnection) { aConnection.send(status()); };
+  handlers.onMessage = [this](MessageConnection& aConnection, const Message& aMessage) {
+    onGatewayMessage(aConnection, aMessage);
+  };
+  handlers.onClosed = [](MessageConnection& /*aConnection*/, const Error& aError) {
+    logDebug("gateway connection lost", { { "detail", aError.text() } });
+  };
+  if (mSettings.targetKind() == TargetKind::eExecutor) {
+    Result<std::unique_ptr<RequestForwarder>> forwarder =
+      RequestForwarder::create(mLoop, mSettings, mMetrics);
+    if (!isOk(forwarder)) {
+      return errorOf(forwarder);
+    }
+    mForwarder = takeValue(std::move(forwarder));
+  } else {
+    TaskRunner::Handlers runnerHandlers{
+      .mSendReport = [this](const TaskReport& aReport) { mLink->send(aReport); },
+      .mOnSuperseded = [this]() { finishShutdown(true); }
+    };
+    Result<std::unique_ptr<TaskRunner>> runner =
+      TaskRunner::create(mLoop, mSettings, mMetrics, std::move(runnerHandlers));
+    if (!isOk(runner)) {
+      return errorOf(runner);
+    }
+    mRunner = takeValue(std::move(runner));
+  }
+  Result<std::unique_ptr<MessageServer>> server =
+    MessageServer::listen(mLoop, mSettings.listenAddress(), hello, handlers);
+  if (!isOk(server)) {
+    return errorOf(server);
+  }
+  mServer = takeValue(std::move(server));
+  if (mSettings.metricsAddress().empty()) {
+    return Done{};
+  }
+  Result<std::unique_ptr<HttpServer>> http =
+    HttpServer::listen(mLoop,
+                       mSettings.metricsAddress(),
+                       kMaxHttpBodyBytes,
+                       [this](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
+                         answerHttp(aRequest, aResponder);
+                       });
+  if (!isOk(http)) {
+    return errorOf(http);
+  }
+  mHttp = takeValue(std::move(http));
+  return Done{};
+}
+
+void
+AgentService::connectControl()
+{
+  ControlLinkOptions options{ .mProcessKind = ProcessKind::eAgent,
+                              .mProcessId = mSettings.processId(),
+                              .mIncarnation = mIncarnation,
+                              .mControlAddresses = mSettings.controlAddresses(),
+                              .mLeaseMs = mSettings.lease().leaseMs(),
+                              .mHeartbeatMs = mSettings.lease().heartbeatMs() };
+  mLink = ControlLink::create(mLoop, std::move(options), controlHandlers());
+  mLink->start();
+  mTick = mLoop.runEvery(mSettings.lease().heartbeatMs(), [this]() { tick(); });
+  tick();
+}
+
+ControlLinkHandlers
+AgentService::controlHandlers()
+{
+  ControlLinkHandlers handlers;
+  handlers.fillOpen = [this](SessionOpen::Fields& aFields) { return fillOpen(aFields); };
+  handlers.fillHeartbeat = [this](SessionHeartbeat::Fields& aFields) { fillHeartbeat(aFields); };
+  handlers.onSession = [this](std::int64_t /*aSession*/) { leaseChanged(); };
+  handlers.onLease = [this](Deadline /*aUntil*/) { leaseChanged(); };
+  handlers.onSessionLost = [this]() { leaseChanged(); };
+  handlers.onCatalogue = [this]() {
+    if (mRunner) {
+      mRunner->catalogueChanged(
+        [this](const std::string& aName) { return mLink->catalogue().findEntry(aName); });
+    }
+  };
+  handlers.onMessage = [this](const Message& aMessage) { onControlMessage(aMessage); };
+  return handlers;
+}
+
+bool
+AgentService::fillOpen(SessionOpen::Fields& aFields) const
+{
+  if (mRunner && !mRunner->isClaimed()) {
+    return false;
+  }
+  const bool sameAddress = mSettings.advertisedAddress().empty();
+  aFields.target = valueOf(TargetDescription::create(
+    { .targetId = mSettings.processId(),
+      .targetKind = mSettings.targetKind(),
+      .entryName = mSettings.entryName(),
+      .agentAddress = sameAddress ? mSettings.listenAddress() : mSettings.advertisedAddress(),
+      .dataCentre = mSettings.dataCentre(),
+      .rack = mSettings.rack(),
+      .capacity = mSettings.capacity(),
+      .slots = mSettings.slots(),
+      .connections = mSettings.connections() }));
+  if (mRunner) {
+    aFields.running = mRunner->running();
+  }
+  return true;
+}
+
+void
+AgentService::fillHeartbeat(SessionHeartbeat::Fields& aFields)
+{
+  aFields.leaving = mLeavingSince.has_value();
+  const TargetUsage current = usage();
+  const MonotonicTime now = mLoop.now();
+  if (current != mSentUsage && now.msSince(mUsageSentAt) >= kUsagePeriodMs) {
+    aFields.usage = current;
+    mSentUsage = current;
+    mUsageSentAt = now;
+  }
+}
+
+TargetUsage
+AgentService::usage() const
+{
+  if (mRunner) {
+    return mRunner->usage();
+  }
+  return valueOf(TargetUsage::create({ .outstanding = mForwarder->outstanding() }));
+}
+
+SessionLease
+AgentService::lease() const
+{
+  return { .mSession = mLink->session(), .mLeaseUntil = mLink->leaseUntil() };
+}
+
+void
+AgentService::leaseChanged()
+{
+  if (mFinished) {
+    return;
+  }
+  if (mRunner) {
+    mRunner->leaseChanged(lease());
+  }
+  sendStatus();
+}
+
+void
+AgentService::onControlMessage(const Message& aMessage)
+{
+  const auto findEntry = [this](const std::string& aName) {
+    return mLink->catalogue().findEntry(aName);
+  };
+  if (!mRunner || !mRunner->handle(aMessage, findEntry)) {
+    logWarning("unexpected message of control", { { "type", typeName(aMessage) } });
+  }
+}
+
+void
+AgentService::onGatewayMessage(MessageConnection& aConnection, const Message& aMessage)
+{
+  const auto* dispatch = std::get_if<RequestDispatch>(&aMessage);
+  if (dispatch == nullptr || !mForwarder) {
+    logWarning("unexpected message of a gateway",
+               { { "peer", aConnection.peer() }, { "type", typeName(aMessage) } });
+    aConnection.close("a message that this agent does not take");
+    return;
+  }
+  // A gateway that has gone cannot be answered; its request still runs to its end.
+  const std::weak_ptr<MessageConnection> gateway = aConnection.weak_from_this();
+  const auto reply = [gateway](const Message& aReply) {
+    if (const MessageConnectionPointer connection = gateway.lock()) {
+      connection->send(aReply);
+    }
+  };
+  mForwarder->dispatch(
+    *dispatch, lease(), mLink->catalogue().findEntry(dispatch->entryName()), reply);
+}
+
+AgentStatus
+AgentService::status() const
+{
+  return valueOf(AgentStatus::create({ .clockMs = mLoop.now().ms(),
+                                       .session = mLink ? mLink->session() : 0,
+                                       .outstanding = mForwarder ? mForwarder->outstanding() : 0,
+                                       .slots = mForwarder ? mForwarder->slots() : 0,
+                                       .leaving = mLeavingSince.has_value() }));
+}
+
+void
+AgentService::sendStatus()
+{
+  const AgentStatus message = status();
+  // Sending may close a connection, which changes the server's set.
+  const auto connections = mServer->connections();
+  for (const MessageConnectionPointer& connection : connections) {
+    connection->send(message);
+  }
+}
+
+void
+AgentService::tick()
+{
+  if (mRunner) {
+    mRunner->tick();
+  }
+  sendStatus();
+}
+
+void
+AgentService::beginShutdown()
+{
+  if (mLeavingSince) {
+    return;
+  }
+  logInfo("shutdown begins");
+  mLeavingSince = mLoop.now();
+  if (mForwarder) {
+    mForwarder->leave();
+  }
+  if (mRunner) {
+    mRunner->leave();
+  }
+  mLink->sendHeartbeat();
+  sendStatus();
+  mStop = mLoop.runEvery(kShutdownCheckMs, [this]() {
+    const std::int64_t elapsedMs = mLoop.now().msSince(*mLeavingSince);
+    // A request that a gateway sent before it knew must still be refused, not lose its connection.
+    const bool isKnown = elapsedMs >= 2 * mSettings.lease().heartbeatMs();
+    if (isKnown && !hasWork()) {
+      finishShutdown(false);
+    } else if (elapsedMs >= mSettings.shutdownMs()) {
+      finishShutdown(true);
+    }
+  });
+}
+
+bool
+AgentService::hasWork() const
+{
+  if (mRunner) {
+    return mRunner->isClaimed() && !mRunner->isIdle();
+  }
+  const auto isUnsent = [](const MessageConnectionPointer& aConnection) {
+    return aConnection->isOpen() && aConnection->unsentBytes() > 0;
+  };
+  const auto& connections = mServer->connections();
+  return mForwarder->outstanding() > 0 ||
+         std::any_of(connections.begin(), connections.end(), isUnsent);
+}
+
+void
+AgentService::finishShutdown(bool aCutOff)
+{
+  if (mFinished) {
+    return;
+  }
+  mFinished = true;
+  mCutOff = aCutOff;
+  logInfo("shutdown ends", { { "cutOff", aCutOff } });
+  // The handles may be running their callbacks now, so they stay until the loop has ended.
+  mLink->close();
+  mServer->stopAccepting();
+  mEnd = mLoop.runAt(mLoop.now().plusMs(kFlushMs), [this]() { mLoop.stop(); });
+}
+
+void
+AgentService::answerHttp(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
+{
+  const auto answer = [&aResponder](int aStatus, const std::string& aBody) {
+    aResponder->answer(valueOf(HttpAnswer::create({ .status = aStatus, .body = aBody })));
+  };
+  if (aRequest.mPath == "/metrics") {
+    const bool holdsLease = mLink->holdsLease(mLoop.now());
+    mMetrics.set("agent_lease_valid", "", holdsLease ? 1 : 0);
+    mMetrics.set("agent_control_bytes_sent", "", static_cast<double>(mLink->bytesSent()));
+    mMetrics.set("agent_control_bytes_received", "", static_cast<double>(mLink->bytesReceived()));
+    answer(kStatusOk, mMetrics.text());
+  } else if (aRequest.mPath == "/healthz") {
+    answer(mLink->holdsLease(mLoop.now()) ? kStatusOk : kStatusUnavailable, "");
+  } else {
+    answer(kStatusNotFound, "");
+  }
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/agent/AgentService.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "agent/RequestForwarder.h"
+#include "agent/TaskRunner.h"
+#include "session/session.h"
+#include "transport/transport.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace magnoliadrum {
+
+/** The agent process: connects control, the gateways and the target with each other. */
+class AgentService
+{
+public:
+  static Result<std::unique_ptr<AgentService>> start(EventLoop& aLoop,
+                                                     const AgentSettings& aSettings);
+
+  AgentService(const AgentService&) = delete;
+  AgentService& operator=(const AgentService&) = delete;
+
+  /**
+   * Leaves: announces it, refuses new work, finishes the requests in flight, stops the tasks with a
+   * checkpoint, closes the session, and stops the event loop.
+   */
+  void beginShutdown();
+
+  /** Whether the process ended with unfinished work or because another agent took its worker. */
+  bool wasCutOff() const { return mCutOff; }
+
+private:
+  AgentService(EventLoop& aLoop, AgentSettings aSettings);
+
+  Result<Done> listen();
+  void connectControl();
+  ControlLinkHandlers controlHandlers();
+  void onControlMessage(const Message& aMessage);
+  void onGatewayMessage(MessageConnection& aConnection, const Message& aMessage);
+  bool fillOpen(SessionOpen::Fields& aFields) const;
+  void fillHeartbeat(SessionHeartbeat::Fields& aFields);
+  void leaseChanged();
+  SessionLease lease() const;
+  TargetUsage usage() const;
+  AgentStatus status() const;
+  void sendStatus();
+  void tick();
+  bool hasWork() const;
+  void finishShutdown(bool aCutOff);
+  void answerHttp(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+
+  EventLoop& mLoop;
+  AgentSettings mSettings;
+  std::string mIncarnation;
+  MetricsRegistry mMetrics;
+  /** Of an executor. */
+  std::unique_ptr<RequestForwarder> mForwarder;
+  /** Of a worker. */
+  std::unique_ptr<TaskRunner> mRunner;
+  std::unique_ptr<ControlLink> mLink;
+  std::unique_ptr<MessageServer> mServer;
+  std::unique_ptr<HttpServer> mHttp;
+  EventHandlePointer mTick;
+  EventHandlePointer mStop;
+  EventHandlePointer mEnd;
+  std::optional<MonotonicTime> mLeavingSince;
+  TargetUsage mSentUsage;
+  MonotonicTime mUsageSentAt;
+  bool mFinished = false;
+  bool mCutOff = false;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/agent/ExecutorAdapter.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "generated/generated.h"
+#include "transport/transport.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace magnoliadrum {
+
+/** The executor cannot have run the request. */
+struct ExecutorNotReached
+{
+  std::string mDetail;
+};
+
+/** The executor may have run the request; no whole answer came. */
+struct ExecutorOutcomeUnknown
+{
+  std::string mDetail;
+};
+
+using ExecutorResult = std::variant<HttpAnswer, ExecutorNotReached, ExecutorOutcomeUnknown>;
+
+/** Forwards requests to the executor on the same VM over HTTP. */
+class ExecutorAdapter
+{
+public:
+  using Callback = std::function<void(ExecutorResult)>;
+
+  static Result<std::unique_ptr<ExecutorAdapter>> create(EventLoop& aLoop,
+                                                         const std::string& aAddress,
+                                                         std::size_t aConnections);
+
+  /** Sends a request and calls aCallback once, when the executor no longer works on it. */
+  void forward(const RequestDispatch& aRequest, Callback aCallback);
+
+private:
+  explicit ExecutorAdapter(std::unique_ptr<HttpClient> aClient);
+
+  std::unique_ptr<HttpClient> mClient;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/agent/RequestForwarder.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "agent/AdmissionGate.h"
+#include "agent/ExecutorAdapter.h"
+#include "observability/observability.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace magnoliadrum {
+
+/** Runs the requests that gateways dispatch: final check, forwarding, and the answer. */
+class RequestForwarder
+{
+public:
+  using Reply = std::function<void(const Message&)>;
+
+  static Result<std::unique_ptr<RequestForwarder>> create(EventLoop& aLoop,
+                                                          const AgentSettings& aSettings,
+                                                          MetricsRegistry& aMetrics);
+
+  RequestForwarder(const RequestForwarder&) = delete;
+  RequestForwarder& operator=(const RequestForwarder&) = delete;
+
+  /** Handles one request; aReply is called once with its answer, refusal or failure. */
+  void dispatch(const RequestDispatch& aRequest,
+                const SessionLease& aLease,
+                const CatalogueEntry* aEntry,
+                Reply aReply);
+
+  void leave() { mGate.leave(); }
+
+  std::int64_t outstanding() const { return mGate.outstanding(); }
+  std::int64_t slots() const { return mGate.limits().mSlots; }
+
+private:
+  RequestForwarder(EventLoop& aLoop,
+                   AdmissionGate::Limits aLimits,
+                   std::unique_ptr<ExecutorAdapter> aExecutor,
+                   MetricsRegistry& aMetrics);
+
+  void refuse(const RequestDispatch& aRequest,
+              RefusalReason aReason,
+              const std::string& aDetail,
+              const Reply& aReply);
+  void finish(const RequestDispatch& aRequest, const ExecutorResult& aResult, const Reply& aReply);
+  void fail(const RequestDispatch& aRequest, const std::string& aDetail, const Reply& aReply);
+
+  EventLoop& mLoop;
+  AdmissionGate mGate;
+  std::unique_ptr<ExecutorAdapter> mExecutor;
+  MetricsRegistry& mMetrics;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/agent/TaskRunner.cpp
@@ -0,0 +1,223 @@
+#include "agent/TaskRunner.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace magnoliadrum {
+
+TaskRunner::TaskRunner(EventLoop& aLoop,
+                       TaskTable::Options aOptions,
+                       std::unique_ptr<WorkerAdapter> aWorker,
+                       MetricsRegistry& aMetrics,
+                       Handlers aHandlers)
+  : mLoop(aLoop)
+  , mTable(std::move(aOptions))
+  , mWorker(std::move(aWorker))
+  , mMetrics(aMetrics)
+  , mHandlers(std::move(aHandlers))
+{
+  mWorker->onSuperseded(mHandlers.mOnSuperseded);
+}
+
+Result<std::unique_ptr<TaskRunner>>
+TaskRunner::create(EventLoop& aLoop,
+                   const AgentSettings& aSettings,
+                   MetricsRegistry& aMetrics,
+                   Handlers aHandlers)
+{
+  // A later start of the agent on this VM has a higher clock reading.
+  Result<std::unique_ptr<WorkerAdapter>> worker =
+    WorkerAdapter::create(aLoop, aSettings.targetAddress(), aLoop.now().ms());
+  if (!isOk(worker)) {
+    return errorOf(worker);
+  }
+  TaskTable::Options options{ .mCapacity = aSettings.capacity(),
+                              .mDataCentre = aSettings.dataCentre() };
+  return std::unique_ptr<TaskRunner>(new TaskRunner(
+    aLoop, std::move(options), takeValue(std::move(worker)), aMetrics, std::move(aHandlers)));
+}
+
+void
+TaskRunner::tick()
+{
+  if (!mClaimed) {
+    claim();
+    return;
+  }
+  list();
+  mTable.tick(mLoop.now());
+  carryOut();
+}
+
+void
+TaskRunner::claim()
+{
+  if (mCallInProgress) {
+    return;
+  }
+  mCallInProgress = true;
+  mWorker->claim([this](const Result<WorkerListing>& aListing) {
+    mCallInProgress = false;
+    if (!isOk(aListing)) {
+      logWarning("worker cannot be claimed", errorOf(aListing));
+      return;
+    }
+    mClaimed = true;
+    mTable.claimed(valueOf(aListing).mTasks, mLoop.now());
+    recordUsage(valueOf(aListing));
+    logInfo("worker claimed", { { "tasks", valueOf(aListing).mTasks.size() } });
+    carryOut();
+  });
+}
+
+void
+TaskRunner::list()
+{
+  if (mCallInProgress) {
+    return;
+  }
+  mCallInProgress = true;
+  const std::int64_t mark = mTable.beginListing();
+  mWorker->list([this, mark](const Result<WorkerListing>& aListing) {
+    mCallInProgress = false;
+    if (!isOk(aListing)) {
+      logWarning("worker does not list its tasks", errorOf(aListing));
+      return;
+    }
+    mTable.listed(valueOf(aListing).mTasks, mark, mLoop.now());
+    recordUsage(valueOf(aListing));
+    carryOut();
+  });
+}
+
+void
+TaskRunner::recordUsage(const WorkerListing& aListing)
+{
+  TargetUsage::Fields usage{ .used = aListing.mUsed };
+  for (const WorkerTask& task : aListing.mTasks) {
+    if (task.mState != TaskState::eRunning) {
+      continue;
+    }
+    const Result<TaskUsage> taskUsage =
+      TaskUsage::create({ .taskId = task.mTaskId,
+                          .used = task.mUsed,
+                          .progress = std::clamp(task.mProgress, 0.0, 1.0),
+                          .aliveAtMs = task.mAliveAtMs });
+    if (isOk(taskUsage)) {
+      usage.tasks.push_back(valueOf(taskUsage));
+    }
+  }
+  const Result<TargetUsage> target = TargetUsage::create(std::move(usage));
+  if (isOk(target)) {
+    mUsage = valueOf(target);
+  }
+}
+
+void
+TaskRunner::leaseChanged(const SessionLease& aLease)
+{
+  mTable.leaseChanged(aLease, mLoop.now());
+  carryOut();
+}
+
+void
+TaskRunner::catalogueChanged(const TaskTable::EntryLookup& aFindEntry)
+{
+  mTable.catalogueChanged(aFindEntry, mLoop.now());
+  carryOut();
+}
+
+bool
+TaskRunner::handle(const Message& aMessage, const TaskTable::EntryLookup& aFindEntry)
+{
+  const MonotonicTime now = mLoop.now();
+  if (const auto* start = std::get_if<TaskStart>(&aMessage)) {
+    const TaskDecision decision = mTable.start(*start, aFindEntry(start->entryName()), now);
+    note("task start", start->taskId(), start->epoch(), decision);
+  } else if (const auto* stop = std::get_if<TaskStop>(&aMessage)) {
+    note("task stop", stop->taskId(), stop->epoch(), mTable.stop(*stop, now));
+  } else if (const auto* throttle = std::get_if<TaskThrottle>(&aMessage)) {
+    note("task throttle", throttle->taskId(), throttle->epoch(), mTable.throttle(*throttle, now));
+  } else if (const auto* publish = std::get_if<TaskPublish>(&aMessage)) {
+    note("task publish", publish->taskId(), publish->epoch(), mTable.publish(*publish, now));
+  } else if (const auto* ack = std::get_if<TaskReportAck>(&aMessage)) {
+    mTable.acknowledge(*ack, now);
+  } else {
+    return false;
+  }
+  carryOut();
+  return true;
+}
+
+void
+TaskRunner::note(const char* aMessage,
+                 const std::string& aTaskId,
+                 std::int64_t aEpoch,
+                 TaskDecision aDecision)
+{
+  mMetrics.count("agent_task_messages",
+                 std::string("message=\"") + aMessage + "\",decision=\"" + toText(aDecision) +
+                   "\"");
+  logDebug(aMessage,
+           { { "task", aTaskId }, { "epoch", aEpoch }, { "decision", toText(aDecision) } });
+}
+
+void
+TaskRunner::leave()
+{
+  mTable.leave(mLoop.now());
+  carryOut();
+}
+
+void
+TaskRunner::carryOut()
+{
+  // A call that fails at once reports back from within its start; the loop below takes it up.
+  if (mCarryingOut) {
+    return;
+  }
+  mCarryingOut = true;
+  for (std::vector<TaskAction> actions = mTable.takeActions(); !actions.empty();
+       actions = mTable.takeActions()) {
+    for (const TaskAction& action : actions) {
+      std::visit([this](const auto& aAction) { perform(aAction); }, action);
+    }
+  }
+  mCarryingOut = false;
+}
+
+void
+TaskRunner::perform(const StartAction& aAction)
+{
+  const std::string taskId = aAction.mStart.taskId();
+  const std::int64_t epoch = aAction.mStart.epoch();
+  mWorker->start(aAction, [this, taskId, epoch](const WorkerCallResult& aResult) {
+    mTable.startEnded(taskId, epoch, aResult.mEnd, aResult.mDetail, mLoop.now());
+    carryOut();
+  });
+}
+
+void
+TaskRunner::perform(const StopAction& aAction)
+{
+  const std::string taskId = aAction.mTaskId;
+  const std::int64_t epoch = aAction.mEpoch;
+  mWorker->stop(aAction, [this, taskId, epoch](const WorkerCallResult& aResult) {
+    mTable.stopEnded(taskId, epoch, aResult.mEnd, aResult.mCheckpoint, mLoop.now());
+    carryOut();
+  });
+}
+
+void
+TaskRunner::perform(const PublishAction& aAction)
+{
+  const std::string taskId = aAction.mTaskId;
+  const std::int64_t epoch = aAction.mEpoch;
+  mWorker->publish(aAction, [this, taskId, epoch](const WorkerCallResult& aResult) {
+    mTable.publishEnded(taskId, epoch, aResult.mEnd, mLoop.now());
+    carryOut();
+  });
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/agent/TaskRunner.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "agent/TaskTable.h"
+#include "agent/WorkerAdapter.h"
+#include "observability/observability.h"
+
+#include <functional>
+#include <memory>
+
+namespace magnoliadrum {
+
+/** Runs TaskTable against a worker and the control leader. */
+class TaskRunner
+{
+public:
+  struct Handlers
+  {
+    /** Sends a report to the control leader; it may get lost. */
+    std::function<void(const TaskReport&)> mSendReport;
+    /** Another agent has claimed the worker; this process must end. */
+    std::function<void()> mOnSuperseded;
+  };
+
+  static Result<std::unique_ptr<TaskRunner>> create(EventLoop& aLoop,
+                                                    const AgentSettings& aSettings,
+                                                    MetricsRegistry& aMetrics,
+                                                    Handlers aHandlers);
+
+  TaskRunner(const TaskRunner&) = delete;
+  TaskRunner& operator=(const TaskRunner&) = delete;
+
+  bool isClaimed() const { return mClaimed; }
+  bool isIdle() const { return mTable.isIdle(); }
+  std::vector<RunningTask> running() const { return mTable.running(); }
+
+  /** Use as the worker reported it last. */
+  const TargetUsage& usage() const { return mUsage; }
+
+  void leaseChanged(const SessionLease& aLease);
+  void catalogueChanged(const TaskTable::EntryLookup& aFindEntry);
+
+  /** Handles a message of the leader about a task; false when it is none. */
+  bool handle(const Message& aMessage, const TaskTable::EntryLookup& aFindEntry);
+
+  /** Claims the worker, lists its tasks and repeats what is due. Called once per heartbeat. */
+  void tick();
+
+  void leave();
+
+private:
+  TaskRunner(EventLoop& aLoop,
+             TaskTable::Options aOptions,
+             std::unique_ptr<WorkerAdapter> aWorker,
+             MetricsRegistry& aMetrics,
+             Handlers aHandlers);
+
+  void claim();
+  void list();
+  void recordUsage(const WorkerListing& aListing);
+  void note(const char* aMessage,
+            const std::string& aTaskId,
+            std::int64_t aEpoch,
+            TaskDecision aDecision);
+  void carryOut();
+  void perform(const StartAction& aAction);
+  void perform(const StopAction& aAction);
+  void perform(const PublishAction& aAction);
+  void perform(const ThrottleAction& aAction) { mWorker->throttle(aAction); }
+  void perform(const LeaseAction& aAction) { mWorker->extendLease(aAction); }
+  void perform(const ReportAction& aAction) { mHandlers.mSendReport(aAction.mReport); }
+
+  EventLoop& mLoop;
+  TaskTable mTable;
+  std::unique_ptr<WorkerAdapter> mWorker;
+  MetricsRegistry& mMetrics;
+  Handlers mHandlers;
+  TargetUsage mUsage;
+  bool mClaimed = false;
+  bool mCallInProgress = false;
+  bool mCarryingOut = false;
+};
+
+} // namespace magnoliadrum
--- a/src/agent/TaskTable.cpp
+++ b/src/agent/TaskTable.cpp
@@ -288,13 +288,15 @@
 }
 
 void
-TaskTable::entryChanged(const CatalogueEntry& aEntry, MonotonicTime aNow)
+TaskTable::catalogueChanged(const EntryLookup& aFindEntry, MonotonicTime aNow)
 {
-  if (allowsHere(aEntry)) {
-    return;
-  }
   for (TaskItem& item : mTasks) {
-    if (item.second.mEntryName == aEntry.name() && mayRun(item.second)) {
+    if (!mayRun(item.second)) {
+      continue;
+    }
+    // Control stops the tasks of an entry that was deleted.
+    const CatalogueEntry* entry = aFindEntry(item.second.mEntryName);
+    if (entry != nullptr && !allowsHere(*entry)) {
       wantStop(item, StopMode::eCheckpoint, aNow);
     }
   }
--- a/src/agent/TaskTable.h
+++ b/src/agent/TaskTable.h
@@ -3,9 +3,11 @@
 #include "agent/SessionLease.h"
 #include "agent/TaskActions.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace magnoliadrum {
@@ -62,8 +64,11 @@
   TaskDecision publish(const TaskPublish& aPublish, MonotonicTime aNow);
   void acknowledge(const TaskReportAck& aAck, MonotonicTime aNow);
 
-  /** Stops the tasks of an entry that the catalogue no longer allows in this data centre. */
-  void entryChanged(const CatalogueEntry& aEntry, MonotonicTime aNow);
+  /** Finds an entry by its name; null when there is none. */
+  using EntryLookup = std::function<const CatalogueEntry*(const std::string&)>;
+
+  /** Stops the tasks that the catalogue no longer allows in this data centre. */
+  void catalogueChanged(const EntryLookup& aFindEntry, MonotonicTime aNow);
 
   void startEnded(const std::string& aTaskId,
                   std::int64_t aEpoch,
@@ -124,7 +129,10 @@
     std::string mTaskId;
     std::int64_t mEpoch = 0;
 
-    friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+    friend bool operator<(const TaskKey& aLeft, const TaskKey& aRight)
+    {
+      return std::tie(aLeft.mTaskId, aLeft.mEpoch) < std::tie(aRight.mTaskId, aRight.mEpoch);
+    }
   };
 
   struct Task
--- a/src/agent/TaskTable_test.cpp
+++ b/src/agent/TaskTable_test.cpp
@@ -150,7 +150,7 @@
   mEntry = entryIn("Temple");
   BOOST_TEST((start("b", 1) == TaskDecision::eNotAllowed));
   mTable.takeActions();
-  mTable.entryChanged(mEntry, mTime);
+  mTable.catalogueChanged([this](const std::string& /*aName*/) { return &mEntry; }, mTime);
   BOOST_TEST(only<StopAction>(mTable.takeActions()).size() == 1);
 }
 
--- /dev/null
+++ b/src/agent/WorkerAdapter.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "agent/TaskActions.h"
+#include "transport/transport.h"
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** What a worker lists. */
+struct WorkerListing
+{
+  std::vector<WorkerTask> mTasks;
+  Resources mUsed;
+};
+
+/** How a call ended, and the worker's text for a rejection. */
+struct WorkerCallResult
+{
+  WorkerCallEnd mEnd = WorkerCallEnd::eUnknown;
+  std::string mDetail;
+  /** Of a stop. */
+  std::string mCheckpoint;
+};
+
+/** Calls the worker on the same VM over HTTP with JSON bodies. */
+class WorkerAdapter
+{
+public:
+  using ListingCallback = std::function<void(Result<WorkerListing>)>;
+  using CallCallback = std::function<void(const WorkerCallResult&)>;
+
+  /** @param aToken identifies this agent process; higher than that of every earlier one */
+  static Result<std::unique_ptr<WorkerAdapter>> create(EventLoop& aLoop,
+                                                       const std::string& aAddress,
+                                                       std::int64_t aToken);
+
+  /** Called when the worker reports that an agent with a higher token has claimed it. */
+  void onSuperseded(std::function<void()> aCallback) { mOnSuperseded = std::move(aCallback); }
+
+  /** Takes the worker over and returns what it holds. */
+  void claim(ListingCallback aCallback);
+  void list(ListingCallback aCallback);
+
+  void start(const StartAction& aAction, CallCallback aCallback);
+  void stop(const StopAction& aAction, CallCallback aCallback);
+  void publish(const PublishAction& aAction, CallCallback aCallback);
+  void throttle(const ThrottleAction& aAction);
+  void extendLease(const LeaseAction& aAction);
+
+private:
+  WorkerAdapter(EventLoop& aLoop, std::unique_ptr<HttpClient> aClient, std::int64_t aToken);
+
+  void post(const std::string& aPath,
+            const nlohmann::json& aBody,
+            std::int64_t aTimeoutMs,
+            HttpClient::Callback aCallback);
+  void call(const std::string& aPath,
+            const nlohmann::json& aBody,
+            std::int64_t aTimeoutMs,
+            CallCallback aCallback);
+  WorkerCallResult readCall(const Result<HttpAnswer>& aResult) const;
+
+  EventLoop& mLoop;
+  std::unique_ptr<HttpClient> mClient;
+  std::int64_t mToken;
+  std::function<void()> mOnSuperseded;
+};
+
+} // namespace magnoliadrum
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -9,4 +9,5 @@
  */
 
 #include "agent/AdmissionGate.h"
+#include "agent/AgentService.h"
 #include "agent/TaskTable.h"
