Test the gateway process against stub control and agent

A body over the limit of evhttp closed the connection without an answer, so the server now takes a margin beyond the largest body and the gateway answers 413 with the outcome itself.

--- a/src/gateway/CallerAnswers.cpp
+++ b/src/gateway/CallerAnswers.cpp
@@ -53,6 +53,16 @@
     { .status = aStatus, .headers = std::move(aHeaders), .body = dumpJson(aBody) }));
 }
 
+HttpAnswer
+refusal(int aStatus, RefusalReason aReason, const std::string& aDetail)
+{
+  const char* outcome = outcomeText(RequestOutcome::eNotRun);
+  return jsonAnswer(
+    aStatus,
+    { header("X-Outcome", outcome), header("X-Reason", toText(aReason)) },
+    { { "outcome", outcome }, { "reason", toText(aReason) }, { "detail", aDetail } });
+}
+
 } // namespace
 
 const char*
@@ -87,11 +97,15 @@
 HttpAnswer
 refusalAnswer(RefusalReason aReason, const std::string& aDetail)
 {
-  const char* outcome = outcomeText(RequestOutcome::eNotRun);
-  return jsonAnswer(
-    statusOf(aReason),
-    { header("X-Outcome", outcome), header("X-Reason", toText(aReason)) },
-    { { "outcome", outcome }, { "reason", toText(aReason) }, { "detail", aDetail } });
+  return refusal(statusOf(aReason), aReason, aDetail);
+}
+
+HttpAnswer
+tooLargeAnswer(std::int64_t aMaxBytes)
+{
+  return refusal(kStatusTooLarge,
+                 RefusalReason::eInvalidRequest,
+                 "body is larger than " + std::to_string(aMaxBytes) + " bytes");
 }
 
 HttpAnswer
--- a/src/gateway/CallerAnswers.h
+++ b/src/gateway/CallerAnswers.h
@@ -19,6 +19,10 @@
 HttpAnswer
 refusalAnswer(RefusalReason aReason, const std::string& aDetail);
 
+/** The refusal of a request whose body is too large. */
+HttpAnswer
+tooLargeAnswer(std::int64_t aMaxBytes);
+
 /** The answer for a request that may have been run. */
 HttpAnswer
 unknownAnswer(int aStatus, const std::string& aDetail);
@@ -36,6 +40,7 @@
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusMethodNotAllowed = 405;
 inline constexpr int kStatusConflict = 409;
+inline constexpr int kStatusTooLarge = 413;
 inline constexpr int kStatusUnprocessable = 422;
 inline constexpr int kStatusTooManyRequests = 429;
 inline constexpr int kStatusInternalError = 500;
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -25,7 +25,13 @@
 
 constexpr std::int64_t kOperatorDeadlineMs = 10000;
 constexpr std::size_t kMaxOperatorRequests = 256;
-constexpr std::size_t kMinServerBodyBytes = std::size_t{ 256 } * 1024;
+
+/**
+ * The server takes this much more than the largest body, because beyond its limit it closes the
+ * connection without an answer. A body that is a little too large gets one, and operators' requests
+ * fit whatever the setting.
+ */
+constexpr std::size_t kBodyMarginBytes = std::size_t{ 1024 } * 1024;
 
 /** How long the end of an intent is sent again to control; later the intent stays open for the
  * operator. */
@@ -69,7 +75,7 @@
     new GatewayProcess(aLoop, std::move(aSettings), newIncarnation()));
   GatewayProcess* self = process.get();
   const std::size_t bodyBytes =
-    std::max(kMinServerBodyBytes, static_cast<std::size_t>(self->mSettings.maxBodyBytes()));
+    static_cast<std::size_t>(self->mSettings.maxBodyBytes()) + kBodyMarginBytes;
   Result<std::unique_ptr<HttpServer>> server =
     HttpServer::listen(aLoop,
                        self->mSettings.httpAddress(),
@@ -223,7 +229,7 @@
     return;
   }
   if (valueOf(call).mBody.size() > static_cast<std::size_t>(mSettings.maxBodyBytes())) {
-    aResponder->answer(refusalAnswer(RefusalReason::eInvalidRequest, "body is too large"));
+    aResponder->answer(tooLargeAnswer(mSettings.maxBodyBytes()));
     return;
   }
   const std::uint64_t number = mRouter.nextRequest();
--- /dev/null
+++ b/src/gateway/GatewayProcess_test.cpp
@@ -0,0 +1,336 @@
+#include "gateway/gateway.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+
+namespace {
+
+constexpr const char* kGatewayAddress = "127.0.0.1:39461";
+constexpr const char* kControlAddress = "127.0.0.1:39462";
+constexpr const char* kAgentAddress = "127.0.0.1:39463";
+constexpr std::int64_t kTestLimitMs = 20000;
+constexpr std::int64_t kHeartbeatMs = 50;
+constexpr std::int64_t kLeaseMs = 1500;
+constexpr std::size_t kMaxBodyBytes = 300000;
+
+Hello
+helloOf(ProcessKind aKind, const std::string& aProcessId)
+{
+  return valueOf(
+    Hello::create({ .processKind = aKind, .processId = aProcessId, .incarnation = "1" }));
+}
+
+/** A control leader that grants a session, announces one entry and one target and gives every key.
+ */
+class StubControl
+{
+public:
+  explicit StubControl(EventLoop& aLoop)
+    : mServer(takeValue(MessageServer::listen(aLoop,
+                                              kControlAddress,
+                                              helloOf(ProcessKind::eControl, "control"),
+                                              handlers())))
+  {
+  }
+
+  std::vector<IntentEnd> mEnded;
+  std::int64_t mCountedRequests = 0;
+  bool mSessionClosed = false;
+  bool mGrants = true;
+
+private:
+  MessageHandlers handlers()
+  {
+    return { [](MessageConnection& /*aLink*/) {},
+             [this](MessageConnection& aLink, const Message& aMessage) { take(aLink, aMessage); },
+             [](MessageConnection& /*aLink*/, const Error& /*aError*/) {} };
+  }
+
+  void take(MessageConnection& aLink, const Message& aMessage)
+  {
+    if (const auto* open = std::get_if<SessionOpen>(&aMessage)) {
+      if (mGrants) {
+        grant(aLink, *open);
+      }
+    } else if (const auto* heartbeat = std::get_if<SessionHeartbeat>(&aMessage)) {
+      for (const ServiceCounters& counters : heartbeat->counters()) {
+        mCountedRequests = counters.total();
+      }
+      aLink.send(valueOf(SessionRenewed::create(
+        { .session = 1, .leaseUntilMs = heartbeat->sentAtMs() + kLeaseMs, .term = 1 })));
+    } else if (const auto* begin = std::get_if<IntentBegin>(&aMessage)) {
+      aLink.send(
+        valueOf(IntentStatus::create({ .requestId = begin->requestId(), .granted = true })));
+    } else if (const auto* end = std::get_if<IntentEnd>(&aMessage)) {
+      mEnded.push_back(*end);
+      aLink.send(
+        valueOf(IntentStatus::create({ .requestId = end->requestId(), .granted = false })));
+    } else if (const auto* change = std::get_if<ChangeSubmit>(&aMessage)) {
+      const ChangeAnswer answer =
+        valueOf(ChangeAnswer::create({ .changeId = "c",
+                                       .outcome = ChangeOutcome::eConflict,
+                                       .version = 7,
+                                       .catalogueVersion = 9 }));
+      aLink.send(
+        valueOf(ChangeResult::create({ .requestId = change->requestId(), .answer = answer })));
+    } else if (std::holds_alternative<SessionClose>(aMessage)) {
+      mSessionClosed = true;
+    }
+  }
+
+  static void grant(MessageConnection& aLink, const SessionOpen& aOpen)
+  {
+    const CatalogueEntry entry =
+      valueOf(CatalogueEntry::create({ .name = "svc",
+                                       .owner = "guild",
+                                       .kind = EntryKind::eService,
+                                       .workClass = WorkClass::eLatencyCritical,
+                                       .dataCentres = { "Waco" } }));
+    const CatalogueRecord record = valueOf(CatalogueRecord::create(
+      { .recordName = "svc", .version = 1, .catalogueVersion = 1, .entry = entry }));
+    const TargetDescription target =
+      valueOf(TargetDescription::create({ .targetId = "agent",
+                                          .targetKind = TargetKind::eExecutor,
+                                          .entryName = "svc",
+                                          .agentAddress = kAgentAddress,
+                                          .dataCentre = "Waco",
+                                          .rack = "r",
+                                          .slots = 8 }));
+    aLink.send(valueOf(SessionGranted::create(
+      { .session = 1, .leaseUntilMs = aOpen.sentAtMs() + kLeaseMs, .term = 1 })));
+    aLink.send(valueOf(CatalogueUpdate::create(
+      { .term = 1, .complete = true, .fromVersion = 0, .toVersion = 1, .records = { record } })));
+    const TargetStatus status = valueOf(TargetStatus::create({ .target = target, .session = 5 }));
+    aLink.send(valueOf(TargetUpdate::create({ .term = 1, .version = 1, .targets = { status } })));
+  }
+
+  std::unique_ptr<MessageServer> mServer;
+};
+
+/** An agent that answers each request with its path after a delay. */
+class StubAgent
+{
+public:
+  explicit StubAgent(EventLoop& aLoop)
+    : mLoop(aLoop)
+    , mServer(takeValue(MessageServer::listen(aLoop,
+                                              kAgentAddress,
+                                              helloOf(ProcessKind::eAgent, "agent"),
+                                              handlers())))
+    , mHeartbeat(aLoop.runEvery(kHeartbeatMs, [this]() { sendStatus(); }))
+  {
+  }
+
+  std::int64_t mDelayMs = 0;
+  int mRequests = 0;
+
+private:
+  MessageHandlers handlers()
+  {
+    return { [](MessageConnection& /*aLink*/) {},
+             [this](MessageConnection& aLink, const Message& aMessage) { take(aLink, aMessage); },
+             [](MessageConnection& /*aLink*/, const Error& /*aError*/) {} };
+  }
+
+  void take(MessageConnection& aLink, const Message& aMessage)
+  {
+    const auto& dispatch = std::get<RequestDispatch>(aMessage);
+    mRequests++;
+    const Message answer = valueOf(RequestAnswer::create(
+      { .requestId = dispatch.requestId(),
+        .answer = valueOf(HttpAnswer::create({ .status = 200, .body = dispatch.path() })) }));
+    const MessageConnectionPointer link = aLink.shared_from_this();
+    mTimers.push_back(
+      mLoop.runAt(mLoop.now().plusMs(mDelayMs), [link, answer]() { link->send(answer); }));
+  }
+
+  void sendStatus()
+  {
+    const Message status = valueOf(AgentStatus::create(
+      { .clockMs = mLoop.now().ms(), .session = 5, .outstanding = 0, .slots = 8 }));
+    for (const MessageConnectionPointer& link : mServer->connections()) {
+      link->send(status);
+    }
+  }
+
+  EventLoop& mLoop;
+  std::unique_ptr<MessageServer> mServer;
+  EventHandlePointer mHeartbeat;
+  std::vector<EventHandlePointer> mTimers;
+};
+
+/** A gateway process with its surroundings, all on one event loop. */
+struct ProcessFixture
+{
+  ProcessFixture()
+    : mLoop(takeValue(EventLoop::create()))
+    , mControl(*mLoop)
+    , mAgent(*mLoop)
+    , mClient(takeValue(HttpClient::create(*mLoop, kGatewayAddress, 8)))
+    , mLimit(mLoop->runAt(mLoop->now().plusMs(kTestLimitMs), [this]() {
+      mTimedOut = true;
+      mLoop->stop();
+    }))
+  {
+    const LeaseSettings lease =
+      valueOf(LeaseSettings::create({ .leaseMs = kLeaseMs, .heartbeatMs = kHeartbeatMs }));
+    const GatewaySettings settings =
+      valueOf(GatewaySettings::create({ .processId = "gateway",
+                                        .httpAddress = kGatewayAddress,
+                                        .dataCentre = "Waco",
+                                        .controlAddresses = { kControlAddress },
+                                        .lease = lease,
+                                        .maxBodyBytes = kMaxBodyBytes,
+                                        .shutdownMs = 3000 }));
+    mGateway = takeValue(GatewayProcess::start(*mLoop, settings));
+  }
+
+  /** Runs the loop for a while. */
+  void runFor(std::int64_t aMs)
+  {
+    const EventHandlePointer stop =
+      mLoop->runAt(mLoop->now().plusMs(aMs), [this]() { mLoop->stop(); });
+    mLoop->run();
+    BOOST_REQUIRE(!mTimedOut);
+  }
+
+  HttpAnswer call(const std::string& aMethod,
+                  const std::string& aPath,
+                  const std::string& aBody = "",
+                  const std::vector<HttpHeader>& aHeaders = {})
+  {
+    std::optional<HttpAnswer> answer;
+    mClient->send({ aMethod, aPath, aHeaders, aBody, mLoop->now().plusMs(5000) },
+                  [&](const Result<HttpAnswer>& aResult) {
+                    BOOST_REQUIRE(isOk(aResult));
+                    answer = valueOf(aResult);
+                    mLoop->stop();
+                  });
+    mLoop->run();
+    BOOST_REQUIRE(answer.has_value());
+    return *answer;
+  }
+
+  static std::string header(const HttpAnswer& aAnswer, const std::string& aName)
+  {
+    for (const HttpHeader& header : aAnswer.headers()) {
+      if (header.name() == aName) {
+        return header.value();
+      }
+    }
+    return "";
+  }
+
+  std::unique_ptr<EventLoop> mLoop;
+  StubControl mControl;
+  StubAgent mAgent;
+  std::unique_ptr<HttpClient> mClient;
+  bool mTimedOut = false;
+  EventHandlePointer mLimit;
+  std::unique_ptr<GatewayProcess> mGateway;
+};
+
+HttpHeader
+headerOf(const std::string& aName, const std::string& aValue)
+{
+  return valueOf(HttpHeader::create({ .name = aName, .value = aValue }));
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(call_passes_through_an_agent, ProcessFixture)
+{
+  runFor(300);
+  const HttpAnswer answer = call("POST", "/call/svc/a/b?c=d", "body");
+  BOOST_TEST(answer.status() == 200);
+  BOOST_TEST(answer.body() == "/a/b?c=d");
+  BOOST_TEST(header(answer, "X-Outcome") == "done");
+  BOOST_TEST(call("GET", "/healthz").status() == 200);
+  const std::string metrics = call("GET", "/metrics").body();
+  BOOST_TEST(metrics.find("magnoliadrum_requests_good_total{entry=\"svc\"} 1") !=
+             std::string::npos);
+  runFor(2 * kHeartbeatMs);
+  BOOST_TEST(mControl.mCountedRequests == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(non_repeatable_call_records_its_response, ProcessFixture)
+{
+  runFor(300);
+  const HttpAnswer answer =
+    call("POST",
+         "/call/svc/x",
+         "",
+         { headerOf("X-Repeatable", "no"), headerOf("Idempotency-Key", "k") });
+  BOOST_TEST(header(answer, "X-Outcome") == "done");
+  runFor(100);
+  BOOST_REQUIRE(mControl.mEnded.size() == 1);
+  BOOST_TEST((mControl.mEnded.front().outcome() == IntentOutcome::eDone));
+  BOOST_TEST(mControl.mEnded.front().answer()->body() == "/x");
+}
+
+// Guards against malformed input that reaches a target or gets an unclear answer.
+BOOST_FIXTURE_TEST_CASE(malformed_requests_are_refused_with_a_reason, ProcessFixture)
+{
+  runFor(300);
+  BOOST_TEST(call("GET", "/nonsense").status() == 404);
+  BOOST_TEST(call("GET", "/v1/nonsense").status() == 404);
+  BOOST_TEST(call("DELETE", "/v1/status").status() == 405);
+  BOOST_TEST(call("PUT", "/v1/catalogue/x", "{").status() == 400);
+  const HttpAnswer faults = call("PUT", "/v1/catalogue/x", R"({"entry":{"name":3}})");
+  BOOST_TEST(faults.status() == 422);
+  BOOST_TEST(faults.body().find("entry.name: expected a string") != std::string::npos);
+  BOOST_TEST(header(call("GET", "/call/unknown/x"), "X-Reason") == "unknown-entry");
+  for (const HttpHeader& header : { headerOf("X-Deadline-Ms", "soon"),
+                                    headerOf("X-Deadline-Ms", "99999999999999999999"),
+                                    headerOf("X-Repeatable", "perhaps"),
+                                    headerOf("Idempotency-Key", std::string(201, 'k')) }) {
+    const HttpAnswer answer = call("POST", "/call/svc/x", "", { header });
+    BOOST_TEST(answer.status() == 400, header.name());
+    BOOST_TEST(ProcessFixture::header(answer, "X-Outcome") == "not-run");
+  }
+  BOOST_TEST(call("POST", "/call/%zz/x").status() == 400);
+  BOOST_TEST(call("POST", "/call/svc/x", std::string(kMaxBodyBytes + 1, 'b')).status() == 413);
+  BOOST_TEST(mAgent.mRequests == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(operator_request_passes_to_control, ProcessFixture)
+{
+  runFor(300);
+  const HttpAnswer answer =
+    call("PUT", "/v1/catalogue/svc", R"({"changeId":"c","expectedVersion":3})");
+  BOOST_TEST(answer.status() == 409);
+  BOOST_TEST(answer.body().find("\"version\":7") != std::string::npos);
+}
+
+// Guards against work on configuration that may be out of date.
+BOOST_FIXTURE_TEST_CASE(gateway_without_a_session_refuses, ProcessFixture)
+{
+  mControl.mGrants = false;
+  runFor(300);
+  BOOST_TEST(call("GET", "/healthz").status() == 503);
+  const HttpAnswer answer = call("POST", "/call/svc/x");
+  BOOST_TEST(header(answer, "X-Reason") == "no-lease");
+}
+
+// Guards against a planned stop that breaks off a request in flight.
+BOOST_FIXTURE_TEST_CASE(shutdown_finishes_requests_in_flight, ProcessFixture)
+{
+  runFor(300);
+  mAgent.mDelayMs = 600;
+  std::optional<HttpAnswer> answer;
+  mClient->send({ "POST", "/call/svc/slow", {}, "", mLoop->now().plusMs(5000) },
+                [&](const Result<HttpAnswer>& aResult) {
+                  BOOST_REQUIRE(isOk(aResult));
+                  answer = valueOf(aResult);
+                });
+  runFor(100);
+  mGateway->beginShutdown();
+  mLoop->run();
+  BOOST_REQUIRE(!mTimedOut);
+  BOOST_TEST(!mGateway->wasCutOff());
+  runFor(50);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->body() == "/slow");
+  BOOST_TEST(mControl.mSessionClosed);
+}
