--- a/src/storage/storage_test.cpp
+++ b/src/storage/LogStore_test.cpp
@@ -1,164 +1,14 @@
-#include "storage/storage.h"
-
+#include "storage/MemoryFileOperations_test.h"
 #include "storage/RecordFormat.h"
 
-#include <array>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
-#include <functional>
-#include <map>
 #include <unistd.h>
 
 using namespace magnoliadrum;
 
 namespace {
 
-const char* const kFolder = "data";
-
-template<typename T>
-std::string
-textOf(const Result<T>& aResult)
-{
-  return isOk(aResult) ? "no error" : errorOf(aResult).text();
-}
-
-/** What a crash leaves of bytes that were written but not synced. */
-enum class Unsynced
-{
-  eLost,
-  eHalf,
-  eKept
-};
-
-/** A file system in memory that can fail at the n-th change and lose what is not synced. */
-class MemoryFileOperations : public FileOperations
-{
-public:
-  struct File
-  {
-    std::string content;
-    std::size_t synced = 0;
-  };
-
-  /** The aCall-th change fails, counted from 1; 0 for none. A failing write leaves half of its
-   * bytes. */
-  void failAt(int aCall)
-  {
-    mFailAt = aCall;
-    mCalls = 0;
-  }
-
-  int changes() const { return mCalls; }
-
-  void crash(Unsynced aUnsynced)
-  {
-    mNames = aUnsynced == Unsynced::eKept ? mNames : mDurableNames;
-    for (auto& [name, file] : mNames) {
-      const std::size_t unsynced = file->content.size() - file->synced;
-      const std::size_t lost = aUnsynced == Unsynced::eLost   ? unsynced
-                               : aUnsynced == Unsynced::eHalf ? unsynced / 2
-                                                              : 0;
-      file->content.resize(file->content.size() - lost);
-      file->synced = file->content.size();
-    }
-    mDurableNames = mNames;
-    mFailAt = 0;
-  }
-
-  std::string& content(const std::string& aPath) { return mNames.at(aPath)->content; }
-  std::string lastPath() const { return mNames.rbegin()->first; }
-  std::string firstPath() const { return mNames.begin()->first; }
-
-  Result<Done> createFolder(const std::string& /*aPath*/) override { return change(); }
-
-  Result<std::vector<std::string>> list(const std::string& /*aFolder*/) override
-  {
-    std::vector<std::string> names;
-    for (const auto& [path, file] : mNames) {
-      names.push_back(path.substr(std::string(kFolder).size() + 1));
-    }
-    return names;
-  }
-
-  Result<std::string> read(const std::string& aPath) override
-  {
-    if (mNames.count(aPath) == 0) {
-      return Error::create(ErrorCode::eNotFound, "read", aPath, "no such file");
-    }
-    return content(aPath);
-  }
-
-  Result<FileHandle> open(const std::string& aPath) override
-  {
-    const Result<Done> changed = change();
-    if (!isOk(changed)) {
-      return errorOf(changed);
-    }
-    mNames.try_emplace(aPath, std::make_shared<File>());
-    mOpen.push_back(mNames.at(aPath));
-    return FileHandle{ static_cast<int>(mOpen.size()) - 1 };
-  }
-
-  Result<Done> append(FileHandle aFile, std::string_view aBytes) override
-  {
-    const Result<Done> changed = change();
-    file(aFile).content += aBytes.substr(0, isOk(changed) ? aBytes.size() : aBytes.size() / 2);
-    return changed;
-  }
-
-  Result<Done> sync(FileHandle aFile) override
-  {
-    return change([&] { file(aFile).synced = file(aFile).content.size(); });
-  }
-
-  Result<Done> truncate(FileHandle aFile, std::int64_t aBytes) override
-  {
-    return change([&] {
-      file(aFile).content.resize(static_cast<std::size_t>(aBytes));
-      file(aFile).synced = std::min(file(aFile).synced, file(aFile).content.size());
-    });
-  }
-
-  void close(FileHandle /*aFile*/) override {}
-
-  Result<Done> rename(const std::string& aFrom, const std::string& aTo) override
-  {
-    return change([&] {
-      mNames[aTo] = mNames.at(aFrom);
-      mNames.erase(aFrom);
-    });
-  }
-
-  Result<Done> remove(const std::string& aPath) override
-  {
-    return change([&] { mNames.erase(aPath); });
-  }
-
-  Result<Done> syncFolder(const std::string& /*aFolder*/) override
-  {
-    return change([&] { mDurableNames = mNames; });
-  }
-
-private:
-  File& file(FileHandle aFile) { return *mOpen.at(static_cast<std::size_t>(aFile)); }
-
-  Result<Done> change(const std::function<void()>& aEffect = [] {})
-  {
-    mCalls++;
-    if (mCalls == mFailAt) {
-      return Error::create(ErrorCode::eIo, "test", kFolder, "injected");
-    }
-    aEffect();
-    return Done{};
-  }
-
-  std::map<std::string, std::shared_ptr<File>> mNames;
-  std::map<std::string, std::shared_ptr<File>> mDurableNames;
-  std::vector<std::shared_ptr<File>> mOpen;
-  int mFailAt = 0;
-  int mCalls = 0;
-};
-
 LogEntry
 entry(std::int64_t aIndex, std::int64_t aTerm)
 {
@@ -285,32 +135,6 @@
   return sizes;
 }
 
-StoredSnapshot
-snapshot(std::int64_t aIndex)
-{
-  const Replica replica = valueOf(Replica::create({ .replicaId = "r", .address = "10.0.0.1:1" }));
-  return { .lastIndex = aIndex,
-           .lastTerm = 2,
-           .configuration = valueOf(GroupConfiguration::create({ .replicas = { replica } })),
-           .data = std::string("\x00\xfe", 2) + std::to_string(aIndex) };
-}
-
-std::int64_t
-loadedSnapshot(MemoryFileOperations& aFiles)
-{
-  const auto store = SnapshotStore::open(aFiles, kFolder);
-  BOOST_REQUIRE(isOk(store));
-  const auto loaded = valueOf(store)->load();
-  BOOST_REQUIRE_MESSAGE(isOk(loaded), textOf(loaded));
-  if (!valueOf(loaded)) {
-    return 0;
-  }
-  BOOST_TEST((*valueOf(loaded) == snapshot(valueOf(loaded)->lastIndex)));
-  return valueOf(loaded)->lastIndex;
-}
-
-constexpr std::array kUnsynced = { Unsynced::eLost, Unsynced::eHalf, Unsynced::eKept };
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(log_survives_a_failure_of_every_call)
@@ -420,90 +244,6 @@
   BOOST_TEST((errorOf(store).code() == ErrorCode::eCorrupt));
 }
 
-BOOST_AUTO_TEST_CASE(snapshot_store_keeps_the_old_or_the_new_snapshot_after_every_failure)
-{
-  for (const Unsynced unsynced : kUnsynced) {
-    bool reachedEnd = false;
-    for (int call = 1; !reachedEnd; call++) {
-      MemoryFileOperations files;
-      files.failAt(call);
-      std::int64_t saved = 0;
-      const auto store = SnapshotStore::open(files, kFolder);
-      while (isOk(store) && saved < 5 && isOk(valueOf(store)->save(snapshot(saved + 1)))) {
-        saved++;
-      }
-      reachedEnd = saved == 5;
-      if (isOk(store) && !reachedEnd) {
-        const int calls = files.changes();
-        BOOST_TEST(!isOk(valueOf(store)->save(snapshot(9))));
-        BOOST_TEST(files.changes() == calls, "the store wrote after a failure");
-      }
-      files.crash(unsynced);
-      const std::int64_t loaded = loadedSnapshot(files);
-      BOOST_TEST((loaded == saved || (!reachedEnd && loaded == saved + 1)), "call " << call);
-    }
-  }
-}
-
-BOOST_AUTO_TEST_CASE(corrupt_snapshot_is_replaced_by_the_one_before_it_or_refused)
-{
-  MemoryFileOperations original;
-  const auto store = SnapshotStore::open(original, kFolder);
-  BOOST_REQUIRE(isOk(valueOf(store)->save(snapshot(1))));
-  BOOST_REQUIRE(isOk(valueOf(store)->save(snapshot(2))));
-  BOOST_TEST(valueOf(store)->previousIndex() == 1);
-  const std::string first = original.firstPath();
-  const std::string last = original.lastPath();
-  for (std::size_t position = 0; position < original.content(last).size(); position++) {
-    MemoryFileOperations files;
-    for (const std::string& path : { first, last }) {
-      files.open(path);
-      files.content(path) = original.content(path);
-    }
-    files.content(last)[position] ^= 1;
-    BOOST_TEST(loadedSnapshot(files) == 1);
-    files.content(first)[position] ^= 1;
-    const auto reopened = SnapshotStore::open(files, kFolder);
-    const auto loaded = valueOf(reopened)->load();
-    BOOST_REQUIRE_MESSAGE(!isOk(loaded), "byte " << position);
-    BOOST_TEST((errorOf(loaded).code() == ErrorCode::eCorrupt));
-  }
-}
-
-BOOST_AUTO_TEST_CASE(identity_is_whole_or_absent_after_every_failure_and_never_changes)
-{
-  for (const Unsynced unsynced : kUnsynced) {
-    bool created = false;
-    for (int call = 1; !created; call++) {
-      MemoryFileOperations files;
-      files.failAt(call);
-      const auto identity = IdentityFile::create(files, kFolder);
-      created = isOk(identity);
-      files.crash(unsynced);
-      const auto loaded = IdentityFile::load(files, kFolder);
-      BOOST_REQUIRE(isOk(loaded));
-      if (created) {
-        BOOST_TEST((valueOf(loaded) == valueOf(identity)));
-        BOOST_TEST(!isOk(IdentityFile::create(files, kFolder)));
-      }
-    }
-  }
-}
-
-BOOST_AUTO_TEST_CASE(changed_identity_is_refused)
-{
-  MemoryFileOperations files;
-  BOOST_REQUIRE(isOk(IdentityFile::create(files, kFolder)));
-  std::string& content = files.content(files.lastPath());
-  for (std::size_t position = 0; position < content.size(); position++) {
-    content[position] ^= 1;
-    const auto loaded = IdentityFile::load(files, kFolder);
-    BOOST_REQUIRE_MESSAGE(!isOk(loaded), "byte " << position);
-    BOOST_TEST((errorOf(loaded).code() == ErrorCode::eCorrupt));
-    content[position] ^= 1;
-  }
-}
-
 BOOST_AUTO_TEST_CASE(files_of_the_operating_system_hold_what_was_stored)
 {
   const std::filesystem::path root =
@@ -514,17 +254,13 @@
     const auto identity = IdentityFile::create(files, folder);
     BOOST_REQUIRE_MESSAGE(isOk(identity), textOf(identity));
     const auto log = LogStore::open(files, folder, kSmallSegmentBytes);
-    const auto snapshots = SnapshotStore::open(files, folder);
     ExpectedLog expected;
     for (int step = 0; step < kLogSteps; step++) {
       BOOST_REQUIRE(isOk(logStep(step, valueOf(log).get(), expected)));
     }
-    BOOST_REQUIRE(isOk(valueOf(snapshots)->save(snapshot(40))));
     const auto reopened = LogStore::open(files, folder);
     BOOST_REQUIRE_MESSAGE(isOk(reopened), textOf(reopened));
     BOOST_TEST(expected.matches(valueOf(reopened)->takeLoaded()));
-    const auto loaded = valueOf(snapshots)->load();
-    BOOST_TEST((valueOf(loaded) == snapshot(40)));
     BOOST_TEST((valueOf(IdentityFile::load(files, folder)) == valueOf(identity)));
   }
   std::filesystem::remove_all(root);
