--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -11,6 +11,8 @@
 namespace {
 /** The metrics endpoint takes no bodies. */
 constexpr std::size_t kMaxMetricsBody = 1024;
+/** Lets the refusals that name the new leader reach the sockets before the process ends. */
+constexpr std::int64_t kLastMessagesMs = 50;
 constexpr std::int64_t kHttpOk = 200;
 constexpr std::int64_t kHttpNotFound = 404;
 constexpr std::int64_t kHttpUnavailable = 503;
@@ -163,7 +165,7 @@
       logWarning("leadership is not handed over", errorOf(aResult));
     }
     mServer->stopAccepting();
-    mLoop.stop();
+    mStop = mLoop.runAt(mLoop.now().plusMs(kLastMessagesMs), [this]() { mLoop.stop(); });
   });
 }
 
--- a/src/control/ControlProcess.h
+++ b/src/control/ControlProcess.h
@@ -50,6 +50,7 @@
   std::unique_ptr<MessageServer> mServer;
   std::unique_ptr<HttpServer> mHttpServer;
   EventHandlePointer mTick;
+  EventHandlePointer mStop;
   ConnectionId mNextConnection = 1;
   std::unordered_map<ConnectionId, std::weak_ptr<MessageConnection>> mConnections;
   std::unordered_map<const MessageConnection*, ConnectionId> mIds;
--- /dev/null
+++ b/src/control/ReplicatedCommandLog.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "control/CommandLog.h"
+#include "control/Replicator.h"
+#include "state/state.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** The command log on the replicated log: encodes commands and applies committed ones. */
+class ReplicatedCommandLog : public CommandLog
+{
+public:
+  /**
+   * Loads the data folder and the stored snapshot into aState. aFailed is called when the process
+   * must stop at once. Errors: eNotFound (empty data folder without --bootstrap or --join),
+   * eCorrupt, eIo.
+   */
+  static Result<std::unique_ptr<ReplicatedCommandLog>> create(
+    EventLoop& aLoop,
+    ReplicatorSettings aSettings,
+    std::unique_ptr<ReplicaTransport> aTransport,
+    ControlState& aState,
+    std::function<void(const Error&)> aFailed);
+
+  ReplicatedCommandLog(const ReplicatedCommandLog&) = delete;
+  ReplicatedCommandLog& operator=(const ReplicatedCommandLog&) = delete;
+
+  void setObserver(CommandLogObserver* aObserver) override { mObserver = aObserver; }
+  void propose(const Command& aCommand, CommandCallback aCallback) override;
+  bool isLeader() const override { return mReplicator->isLeader(); }
+  bool hasLeaderLease() const override { return mReplicator->hasLeaderLease(); }
+  MonotonicTime electedAt() const override { return mReplicator->electedAt(); }
+  std::int64_t term() const override { return mReplicator->term(); }
+  std::int64_t commitIndex() const override { return mReplicator->commitIndex(); }
+  std::string leaderId() const override { return mReplicator->leaderId(); }
+  std::string leaderAddress() const override { return mReplicator->leaderAddress(); }
+  std::vector<ReplicaStatus> replicas() const override { return mReplicator->replicas(); }
+  void changeMembership(const MembershipRequest& aRequest,
+                        std::function<void(const Result<Done>&)> aCallback) override;
+  void stepDown(std::function<void(const Result<Done>&)> aDone) override;
+  bool accepts(const Message& aMessage) const override { return Replicator::accepts(aMessage); }
+  void receive(const Message& aMessage, std::function<void(const Message&)> aReply) override;
+
+private:
+  ReplicatedCommandLog(ControlState& aState, std::function<void(const Error&)> aFailed);
+
+  ReplicatorCallbacks callbacks();
+  void apply(std::int64_t aIndex, std::string_view aCommand);
+  Result<Done> decodeSnapshot(std::string_view aSnapshot);
+  CommandResult resultOf(const ProposalResult& aResult) const;
+
+  ControlState& mState;
+  std::function<void(const Error&)> mFailed;
+  CommandLogObserver* mObserver = nullptr;
+  std::unique_ptr<Replicator> mReplicator;
+  /** Outcome of the last applied command, which is at mState.appliedIndex(). */
+  std::optional<Outcome> mLastOutcome;
+};
+
+} // namespace magnoliadrum
--- a/src/state/ControlState_test.cpp
+++ b/src/state/ControlState_test.cpp
@@ -271,6 +271,18 @@
   BOOST_TEST(copy.serviceLevel().rows("pickup").size() == 1U);
 }
 
+// Guards against finished tasks that are kept for ever after a restart, because their order is
+// lost.
+BOOST_AUTO_TEST_CASE(snapshot_holds_the_order_of_finished_tasks)
+{
+  Machine machine;
+  machine.createRun();
+  machine.apply(buildValue<CancelTask>({ .taskId = "recon/night" }));
+  const std::string bytes = machine.state().encodeSnapshot();
+  const SnapshotContent content = valueOf(decodeSnapshotContent(bytes, "test", "local"));
+  BOOST_TEST(std::get<StateSnapshot>(content).finished().size() == 1U);
+}
+
 // Guards against a replica that starts from a damaged snapshot.
 BOOST_AUTO_TEST_CASE(damaged_snapshot_is_an_error)
 {
