--- a/src/integration/Deployment.cpp
+++ b/src/integration/Deployment.cpp
@@ -311,13 +311,13 @@
   const std::string target = numbered(isExecutor ? "executor-" : "worker-", aNumber);
   const DeploymentShape& shape = mOptions.mShape;
   std::vector<std::string> flags = { "--listen=" + withPort(hostOf(target), kTargetPort),
-                                     "--history=" + historyFile(target) };
+                                     "--history=" + historyFile(target),
+                                     "--data_centre=" + dataCentre(aNumber) };
   if (isExecutor) {
     flags.push_back("--slots=" + std::to_string(shape.mExecutorSlots));
   } else {
     flags.push_back("--cpu_milli=" + std::to_string(shape.mWorkerCpuMilli));
     flags.push_back("--memory_mb=" + std::to_string(shape.mWorkerMemoryMb));
-    flags.push_back("--data_centre=" + dataCentre(aNumber));
   }
   mCommands[target] = { isExecutor ? "fake-executor" : "fake-worker", flags };
   mNames.push_back(target);
--- a/src/integration/FaultCell.cpp
+++ b/src/integration/FaultCell.cpp
@@ -62,12 +62,14 @@
 addPointCells(std::vector<FaultCell>& aCells)
 {
   for (const Step& step : kSteps) {
-    FaultCell cell{ step.mPath, step.mPoint, step.mPassage, step.mVictim, FaultEffect::eKill, step.mKillInCi };
+    FaultCell cell{ step.mPath,   step.mPoint,        step.mPassage,
+                    step.mVictim, FaultEffect::eKill, step.mKillInCi };
     aCells.push_back(cell);
     cell.mEffect = FaultEffect::eFreeze;
     cell.mInCi = false;
     aCells.push_back(cell);
-    if (step.mVictim != FaultVictim::eControlLeader && step.mVictim != FaultVictim::eControlFollower) {
+    if (step.mVictim != FaultVictim::eControlLeader &&
+        step.mVictim != FaultVictim::eControlFollower) {
       cell.mEffect = FaultEffect::eKillLate;
       aCells.push_back(cell);
     }
@@ -83,7 +85,8 @@
     const bool isVm = victim == FaultVictim::eWorkerVm;
     if (!isVm) {
       aCells.push_back({ "exit", "", 1, victim, FaultEffect::eTerminate, true });
-      aCells.push_back({ "any", "", 1, victim, FaultEffect::eFreeze, victim == FaultVictim::eWorkerAgent });
+      aCells.push_back(
+        { "any", "", 1, victim, FaultEffect::eFreeze, victim == FaultVictim::eWorkerAgent });
     }
     aCells.push_back({ "any", "", 1, victim, FaultEffect::eKillLate, isVm });
   }
--- a/src/integration/demo_main.cpp
+++ b/src/integration/demo_main.cpp
@@ -9,6 +9,7 @@
 DEFINE_string(programs, "build", "folder with the built programs");
 DEFINE_string(run_folder, "run/demo", "folder for settings, data, logs and histories; emptied");
 DEFINE_string(catalogue, "", "catalogue file; by default that of the example deployment");
+DEFINE_int32(controls, 3, "control VMs; with one, no control process is killed");
 DEFINE_int32(executors, 4, "executors");
 DEFINE_int32(workers, 4, "workers");
 DEFINE_double(rate, 200, "caller requests per second");
@@ -139,13 +140,13 @@
     }
     const EventHandlePointer killer =
       loop->runAt(loop->now().plusMs(FLAGS_kill_after_ms), [this, leader]() {
-        if (!leader.empty()) {
+        if (FLAGS_controls > 1 && !leader.empty()) {
           mDeployment.process(leader).kill();
         }
       });
     valueOf(generator)->start([&loop]() { loop->stop(); });
     loop->run();
-    return report(valueOf(generator)->result()) && !leader.empty();
+    return report(valueOf(generator)->result()) && (FLAGS_controls == 1 || !leader.empty());
   }
 
   static bool report(const LoadResult& aResult)
@@ -196,6 +197,7 @@
   options.mProgramFolder = FLAGS_programs;
   options.mRunFolder = FLAGS_run_folder;
   options.mShape = shape.withTargets(FLAGS_executors, FLAGS_workers);
+  options.mShape.mControls = FLAGS_controls;
   Result<std::unique_ptr<Deployment>> deployment = Deployment::create(options);
   if (!isOk(deployment)) {
     std::cerr << errorOf(deployment).text() << "\n";
