--- /dev/null
+++ b/src/testbench/PolicyExperimentCost.cpp
@@ -0,0 +1,166 @@
+#include "testbench/PolicyExperimentCost.h"
+
+#include "placement/placement.h"
+
+#include <chrono>
+#include <iomanip>
+#include <string>
+
+namespace magnoliadrum {
+
+namespace {
+
+constexpr int kEntries = 560;
+constexpr int kDataCentres = 16;
+constexpr int kWorkersPerRack = 40;
+constexpr std::int64_t kCpuMilli = 64000;
+constexpr std::int64_t kMemoryMb = 250000;
+constexpr int kRounds = 20;
+
+double
+microsecondsOf(const std::chrono::steady_clock::time_point& aFrom)
+{
+  const auto passed = std::chrono::steady_clock::now() - aFrom;
+  return std::chrono::duration<double, std::micro>(passed).count();
+}
+
+WorkerView
+workerNumber(int aNumber)
+{
+  TargetDescription::Fields fields;
+  fields.targetId = "worker-" + std::to_string(aNumber);
+  fields.targetKind = TargetKind::eWorker;
+  fields.agentAddress = "127.0.0.1:1";
+  fields.dataCentre = "dc-" + std::to_string(aNumber % kDataCentres);
+  fields.rack = "rack-" + std::to_string(aNumber / kWorkersPerRack);
+  fields.capacity = takeValue(Resources::create({ .cpuMilli = kCpuMilli, .memoryMb = kMemoryMb }));
+  WorkerView view;
+  view.session = aNumber + 1;
+  view.target = takeValue(TargetDescription::create(std::move(fields)));
+  if (aNumber % 2 == 0) {
+    view.services = { "service" };
+  }
+  return view;
+}
+
+CatalogueEntry
+entryNumber(int aNumber, std::mt19937_64& aRandom)
+{
+  CatalogueEntry::Fields fields;
+  fields.name = "entry-" + std::to_string(aNumber);
+  fields.owner = "team-" + std::to_string(aNumber);
+  fields.kind = EntryKind::eBatch;
+  fields.workClass = WorkClass::eBatch;
+  const auto cpu = static_cast<std::int64_t>(1000 + aRandom() % 15000);
+  fields.resources = takeValue(Resources::create({ .cpuMilli = cpu, .memoryMb = cpu * 3 }));
+  for (int i = 0; i < kDataCentres; ++i) {
+    fields.dataCentres.push_back("dc-" + std::to_string(i));
+  }
+  return takeValue(CatalogueEntry::create(std::move(fields)));
+}
+
+TaskView
+taskNumber(int aNumber)
+{
+  TaskView task;
+  task.entryName = "entry-" + std::to_string(aNumber % kEntries);
+  task.taskId = task.entryName + "/" + std::to_string(aNumber);
+  return task;
+}
+
+void
+measure(int aWorkers, int aTasks, std::uint64_t aSeed, std::ostream& aOut)
+{
+  std::mt19937_64 random(aSeed);
+  PlacementView view;
+  view.complete = false;
+  for (int i = 0; i < kEntries; ++i) {
+    view.entries.push_back(entryNumber(i, random));
+  }
+  for (int i = 0; i < aWorkers; ++i) {
+    view.workers.push_back(workerNumber(i));
+  }
+  PlacementOptions options;
+  options.maxDecisions = 0;
+  PlacementPolicy empty(options, random);
+  empty.decide(view, MonotonicTime::fromMs(0));
+  const std::size_t workerBytes = empty.accountBytes();
+  for (int i = 0; i < aTasks; ++i) {
+    view.tasks.push_back(taskNumber(i));
+  }
+  options.maxDecisions = 1000000;
+  PlacementPolicy policy(options, random);
+  auto from = std::chrono::steady_clock::now();
+  const std::vector<PlacementDecision> placed = policy.decide(view, MonotonicTime::fromMs(0));
+  const double firstRound = microsecondsOf(from);
+  // Each further round ends the tasks of some workers, which gives room to as many others.
+  const PlacementView running = [&] {
+    PlacementView confirmed;
+    confirmed.complete = false;
+    for (const PlacementDecision& decision : placed) {
+      if (const auto* placement = std::get_if<PlaceDecision>(&decision)) {
+        TaskView task;
+        task.taskId = placement->taskId;
+        task.entryName = task.taskId.substr(0, task.taskId.find('/'));
+        task.state = TaskState::eRunning;
+        task.session = placement->session;
+        task.epoch = placement->epoch;
+        confirmed.tasks.push_back(std::move(task));
+      }
+    }
+    return confirmed;
+  }();
+  policy.decide(running, MonotonicTime::fromMs(1000));
+  const std::size_t perRound = std::max<std::size_t>(1, running.tasks.size() / 50);
+  std::size_t decisions = 0;
+  double decisionTime = 0;
+  double idleTime = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    PlacementView changed;
+    changed.complete = false;
+    for (std::size_t i = 0; i < perRound; ++i) {
+      const std::size_t ended = static_cast<std::size_t>(round) * perRound + i;
+      if (ended < running.tasks.size()) {
+        changed.tasks.push_back(running.tasks[ended]);
+        changed.tasks.back().state = TaskState::eCompleted;
+        changed.tasks.back().session = 0;
+      }
+    }
+    const std::int64_t nowMs = 1000 + (round + 1) * 20;
+    from = std::chrono::steady_clock::now();
+    decisions += policy.decide(changed, MonotonicTime::fromMs(nowMs)).size();
+    decisionTime += microsecondsOf(from);
+    PlacementView nothing;
+    nothing.complete = false;
+    from = std::chrono::steady_clock::now();
+    policy.decide(nothing, MonotonicTime::fromMs(nowMs + 10));
+    idleTime += microsecondsOf(from);
+  }
+  const std::size_t bytes = policy.accountBytes();
+  aOut << std::setw(9) << aWorkers << std::setw(9) << aTasks << std::setw(9) << placed.size()
+       << std::fixed << std::setprecision(1) << std::setw(14)
+       << firstRound / static_cast<double>(std::max<std::size_t>(1, placed.size())) << std::setw(12)
+       << decisions << std::setw(14)
+       << decisionTime / static_cast<double>(std::max<std::size_t>(1, decisions)) << std::setw(14)
+       << idleTime / kRounds << std::setw(14) << workerBytes / static_cast<std::size_t>(aWorkers)
+       << std::setw(12) << (bytes - workerBytes) / static_cast<std::size_t>(aTasks) << "\n";
+}
+
+} // namespace
+
+void
+printPlacementCost(std::uint64_t aSeed, std::ostream& aOut)
+{
+  aOut << std::setw(9) << "workers" << std::setw(9) << "tasks" << std::setw(9) << "placed"
+       << std::setw(14) << "us/first" << std::setw(12) << "decisions" << std::setw(14)
+       << "us/decision" << std::setw(14) << "us/idle round" << std::setw(14) << "B/worker"
+       << std::setw(12) << "B/task"
+       << "\n";
+  for (const int workers : { 11, 110, 1100, 7100 }) {
+    for (const int tasks : { 500, 5000, 50000 }) {
+      measure(workers, tasks, aSeed, aOut);
+    }
+  }
+}
+
+} // namespace magnoliadrum
