--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayProcess.h"
 
+#include "faults/faults.h"
 #include "gateway/CallerAnswers.h"
 #include "gateway/CallerRequest.h"
 #include "gateway/OperatorInterface.h"
@@ -156,6 +157,7 @@
   if (position == mResponders.end()) {
     return;
   }
+  faultPoint("gateway.respond");
   const HttpResponderPointer responder = position->second;
   mResponders.erase(position);
   responder->answer(aAnswer);
@@ -164,7 +166,9 @@
 bool
 GatewayProcess::dispatch(std::uint64_t aConnection, const RequestDispatch& aMessage)
 {
-  return mAgents.send(aConnection, Message(aMessage));
+  const bool isSent = mAgents.send(aConnection, Message(aMessage));
+  faultPoint("gateway.dispatch.sent");
+  return isSent;
 }
 
 void
@@ -178,6 +182,7 @@
     }
     const auto* status = std::get_if<IntentStatus>(&valueOf(aAnswer));
     if (status != nullptr) {
+      faultPoint("gateway.intent.answered");
       mRouter.intentAnswered(aRequest, *status, mLoop.now());
       return;
     }
@@ -191,6 +196,7 @@
 void
 GatewayProcess::endIntent(std::uint64_t aRequest, const IntentEnd& aMessage)
 {
+  faultPoint("gateway.intent.end");
   const Deadline deadline = mLoop.now().plusMs(kIntentEndMs);
   mLink->call(Message(aMessage), deadline, [this, aRequest](const Result<Message>& aAnswer) {
     if (!isOk(aAnswer)) {
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -1,3 +1,4 @@
+#include "faults/faults.h"
 #include "gateway/gateway.h"
 #include "observability/observability.h"
 #include "settings/settings.h"
@@ -8,6 +9,7 @@
 #include <iostream>
 
 DEFINE_string(settings, "", "Settings file (JSON, GatewaySettings).");
+DEFINE_string(fault_points_file, "", "For tests: file of fault points that SIGUSR1 arms.");
 DEFINE_bool(check_settings, false, "Check the settings file and exit.");
 
 using namespace magnoliadrum;
@@ -31,6 +33,7 @@
   const auto onTerminate = [&]() { valueOf(process)->beginShutdown(); };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
+  const auto faults = FaultPointFile::watch(events, FLAGS_fault_points_file);
   events.run();
   return valueOf(process)->wasCutOff() ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/src/routing/RequestQueue.h
+++ b/src/routing/RequestQueue.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -82,7 +83,11 @@
     Deadline mDeadline;
     std::uint64_t mRequest;
 
-    friend auto operator<=>(const DropKey&, const DropKey&) = default;
+    friend bool operator<(const DropKey& aLeft, const DropKey& aRight)
+    {
+      return std::tie(aLeft.mLatencyCritical, aLeft.mDeadline, aLeft.mRequest) <
+             std::tie(aRight.mLatencyCritical, aRight.mDeadline, aRight.mRequest);
+    }
   };
 
   /** Order of leaving: latency-critical first, then by number. */
@@ -91,7 +96,10 @@
     bool mBatch;
     std::uint64_t mRequest;
 
-    friend auto operator<=>(const LeaveKey&, const LeaveKey&) = default;
+    friend bool operator<(const LeaveKey& aLeft, const LeaveKey& aRight)
+    {
+      return std::tie(aLeft.mBatch, aLeft.mRequest) < std::tie(aRight.mBatch, aRight.mRequest);
+    }
   };
 
   struct EntryQueue
