--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -142,9 +142,8 @@
 {
   HttpAnswer::Fields answer{ .status = kHttpNotFound };
   if (aRequest.mPath == "/metrics") {
-    mService.writeMetrics(mMetrics);
     answer.status = kHttpOk;
-    answer.body = mMetrics.text();
+    answer.body = mService.metricsText();
   } else if (aRequest.mPath == "/healthz") {
     const bool healthy = !mLog.leaderAddress().empty() && !mShuttingDown;
     answer.status = healthy ? kHttpOk : kHttpUnavailable;
--- a/src/control/ControlProcess.h
+++ b/src/control/ControlProcess.h
@@ -46,7 +46,6 @@
   ControlSettings mSettings;
   CommandLog& mLog;
   ControlService mService;
-  MetricsRegistry mMetrics;
   std::unique_ptr<MessageServer> mServer;
   std::unique_ptr<HttpServer> mHttpServer;
   EventHandlePointer mTick;
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -68,6 +68,7 @@
     mContext.mState.takeChangedTasks();
     return;
   }
+  countCommand(aCommand, aOutcome);
   const auto* admitted = std::get_if<SessionAdmitted>(&aOutcome);
   if (admitted != nullptr && admitted->mRecord.processKind() == ProcessKind::eGateway) {
     mServiceLevel.open(admitted->mRecord.processId(), admitted->mRecord.incarnation());
@@ -131,9 +132,13 @@
   if (!mLeads) {
     return;
   }
-  mSessions.endExpired();
-  mTasks.tick();
   const MonotonicTime now = mContext.mNow();
+  // After a blocked loop the waiting heartbeats are read first, so that a session whose process is
+  // well does not end because of it.
+  if (now.msSince(std::exchange(mTickAt, now)) <= kBlockedMs) {
+    mSessions.endExpired();
+  }
+  mTasks.tick();
   if (now.msSince(mSecondAt) >= kSecondMs) {
     mSecondAt = now;
     mTasks.checkSilence();
@@ -180,10 +185,18 @@
 }
 
 void
-ControlService::writeMetrics(MetricsRegistry& aMetrics) const
+ControlService::countCommand(const Command& aCommand, const Outcome& aOutcome)
+{
+  const char* result = std::holds_alternative<Error>(aOutcome) ? "refused" : "applied";
+  mMetrics.count("control_commands",
+                 std::string("type=\"") + typeName(aCommand) + "\",result=\"" + result + "\"");
+}
+
+std::string
+ControlService::metricsText()
 {
-  const auto set = [&aMetrics](const char* aName, std::int64_t aValue) {
-    aMetrics.set(aName, "", static_cast<double>(aValue));
+  const auto set = [this](const char* aName, std::int64_t aValue) {
+    mMetrics.set(aName, "", static_cast<double>(aValue));
   };
   set("control_is_leader", mLeads ? 1 : 0);
   set("control_term", mContext.mLog.term());
@@ -191,16 +204,29 @@
   set("control_applied_index", mContext.mState.appliedIndex());
   set("control_catalogue_version", mContext.mState.catalogue().version());
   set("control_sessions", static_cast<std::int64_t>(mContext.mState.sessions().all().size()));
+  setTaskGauges();
+  return mMetrics.text();
+}
+
+void
+ControlService::setTaskGauges()
+{
   std::map<std::string, std::int64_t> tasksByState;
   for (int state = 0; state <= static_cast<int>(TaskState::eRefused); state++) {
     tasksByState[toText(static_cast<TaskState>(state))] = 0;
   }
+  std::int64_t evictions = 0;
+  std::int64_t attempts = 0;
   for (const auto& [taskId, task] : mContext.mState.tasks().all()) {
     tasksByState[toText(task.state())]++;
+    evictions += task.evictions();
+    attempts += task.attempts();
   }
   for (const auto& [state, count] : tasksByState) {
-    aMetrics.set("control_tasks", "state=\"" + state + "\"", static_cast<double>(count));
+    mMetrics.set("control_tasks", "state=\"" + state + "\"", static_cast<double>(count));
   }
+  mMetrics.set("control_task_evictions", "", static_cast<double>(evictions));
+  mMetrics.set("control_task_failed_attempts", "", static_cast<double>(attempts));
 }
 
 } // namespace magnoliadrum
--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -36,8 +36,8 @@
   /** Does what time makes due. To be called every kTickMs. */
   void tick();
 
-  /** Writes gauges about the log, the sessions and the tasks. */
-  void writeMetrics(MetricsRegistry& aMetrics) const;
+  /** Returns the metrics in text form: the log, the sessions, the tasks and the commands. */
+  std::string metricsText();
 
 private:
   /** Rows are committed this often, which bounds what a leader change loses. */
@@ -45,6 +45,8 @@
   /** Latencies are handed to placement this often: long enough for a meaningful 99th percentile. */
   static constexpr std::int64_t kObserveMs = 5000;
   static constexpr std::int64_t kSecondMs = 1000;
+  /** A longer time between two ticks means that the loop was blocked and heartbeats wait. */
+  static constexpr std::int64_t kBlockedMs = 4 * kTickMs;
 
   void onApplied(const Command& aCommand, const Outcome& aOutcome) override;
   void onLeadership(bool aLeads) override;
@@ -59,13 +61,17 @@
 
   void flushServiceLevel();
   void observeLatencies();
+  void countCommand(const Command& aCommand, const Outcome& aOutcome);
+  void setTaskGauges();
 
   ControlContext mContext;
   SessionService mSessions;
   TaskService mTasks;
   RequestService mRequests;
   ServiceLevelCollector mServiceLevel;
+  MetricsRegistry mMetrics;
   bool mLeads = false;
+  MonotonicTime mTickAt;
   MonotonicTime mSecondAt;
   MonotonicTime mObservedAt;
   MonotonicTime mFlushedAt;
--- a/src/control/ControlService_test.cpp
+++ b/src/control/ControlService_test.cpp
@@ -69,6 +69,8 @@
 {
   mNow = mNow.plusMs(kExpiryMs);
   mService.tick();
+  BOOST_TEST(mPosted.empty(), "the first tick after a blocked loop ends no session");
+  mService.tick();
   mService.onMessage(kAgent,
                      buildValue<SessionHeartbeat>(
                        { .session = mSession, .processId = "vm-1", .sentAtMs = mNow.ms() }));
