--- a/src/agent/RequestForwarder.cpp
+++ b/src/agent/RequestForwarder.cpp
@@ -1,5 +1,6 @@
 #include "agent/RequestForwarder.h"
 
+#include "faults/faults.h"
 #include <cassert>
 #include <utility>
 
@@ -53,6 +54,7 @@
                            const CatalogueEntry* aEntry,
                            Reply aReply)
 {
+  faultPoint("dispatch.received");
   assert(aReply);
   if (const auto reason = mGate.admit(aRequest, aLease, aEntry, mLoop.now())) {
     refuse(aRequest, *reason, "", aReply);
@@ -87,6 +89,7 @@
                          const ExecutorResult& aResult,
                          const Reply& aReply)
 {
+  faultPoint("executor.answered");
   mGate.release(aRequest.requestId());
   if (const auto* notReached = std::get_if<ExecutorNotReached>(&aResult)) {
     refuse(aRequest, RefusalReason::eExecutorUnreachable, notReached->mDetail, aReply);
--- a/src/agent/TaskRunner.cpp
+++ b/src/agent/TaskRunner.cpp
@@ -1,5 +1,6 @@
 #include "agent/TaskRunner.h"
 
+#include "faults/faults.h"
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -190,9 +191,11 @@
 void
 TaskRunner::perform(const StartAction& aAction)
 {
+  faultPoint("task.start.received");
   const std::string taskId = aAction.mStart.taskId();
   const std::int64_t epoch = aAction.mStart.epoch();
   mWorker->start(aAction, [this, taskId, epoch](const WorkerCallResult& aResult) {
+    faultPoint("worker.started");
     mTable.startEnded(taskId, epoch, aResult.mEnd, aResult.mDetail, mLoop.now());
     carryOut();
   });
@@ -201,6 +204,7 @@
 void
 TaskRunner::perform(const StopAction& aAction)
 {
+  faultPoint("task.stop.received");
   const std::string taskId = aAction.mTaskId;
   const std::int64_t epoch = aAction.mEpoch;
   mWorker->stop(aAction, [this, taskId, epoch](const WorkerCallResult& aResult) {
@@ -212,9 +216,11 @@
 void
 TaskRunner::perform(const PublishAction& aAction)
 {
+  faultPoint("task.publish.received");
   const std::string taskId = aAction.mTaskId;
   const std::int64_t epoch = aAction.mEpoch;
   mWorker->publish(aAction, [this, taskId, epoch](const WorkerCallResult& aResult) {
+    faultPoint("worker.published");
     mTable.publishEnded(taskId, epoch, aResult.mEnd, mLoop.now());
     carryOut();
   });
--- a/src/agent/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -1,4 +1,5 @@
 #include "agent/agent.h"
+#include "faults/faults.h"
 #include "observability/observability.h"
 #include "settings/settings.h"
 
@@ -8,6 +9,7 @@
 #include <iostream>
 
 DEFINE_string(settings, "", "settings file (JSON, AgentSettings)");
+DEFINE_string(fault_points_file, "", "for tests: file of fault points that SIGUSR1 arms");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 
 using namespace magnoliadrum;
@@ -23,6 +25,7 @@
     return EXIT_FAILURE;
   }
   EventLoop& events = *valueOf(loop);
+  events.setSourceHost(hostOfAddress(aSettings.listenAddress()));
   const Result<std::unique_ptr<AgentService>> service = AgentService::start(events, aSettings);
   if (!isOk(service)) {
     logError("agent cannot start", errorOf(service));
@@ -31,6 +34,7 @@
   const auto onTerminate = [&service]() { valueOf(service)->beginShutdown(); };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
+  const auto faults = FaultPointFile::watch(events, FLAGS_fault_points_file);
   events.run();
   return valueOf(service)->wasCutOff() ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/src/control/RequestService.cpp
+++ b/src/control/RequestService.cpp
@@ -1,6 +1,7 @@
 #include "control/RequestService.h"
 
 #include "control/TextBounds.h"
+#include "faults/faults.h"
 #include "state/BuildValue.h"
 #include "transport/MessageConnection.h"
 
@@ -161,6 +162,7 @@
 void
 RequestService::onRequest(ConnectionId aConnection, const ChangeSubmit& aRequest)
 {
+  faultPoint("change.propose");
   const Asker asker{ aConnection, aRequest.requestId() };
   if (!canAnswer(asker)) {
     return;
@@ -368,6 +370,7 @@
 void
 RequestService::onRequest(ConnectionId aConnection, const IntentBegin& aRequest)
 {
+  faultPoint("intent.open");
   const auto intent = buildValue<IntentRecord>({ .key = aRequest.key(),
                                                  .entryName = aRequest.entryName(),
                                                  .requestDigest = aRequest.requestDigest(),
@@ -381,6 +384,7 @@
 void
 RequestService::onRequest(ConnectionId aConnection, const IntentEnd& aRequest)
 {
+  faultPoint("intent.settle");
   proposeIntent({ aConnection, aRequest.requestId() },
                 buildValue<SettleIntent>({ .key = aRequest.key(),
                                            .entryName = aRequest.entryName(),
--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -1,5 +1,6 @@
 #include "control/SessionService.h"
 
+#include "faults/faults.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
@@ -56,6 +57,7 @@
 void
 SessionService::onOpen(ConnectionId aConnection, const SessionOpen& aMessage)
 {
+  faultPoint("session.admit");
   if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader);
     return;
@@ -136,6 +138,7 @@
 void
 SessionService::onHeartbeat(ConnectionId aConnection, const SessionHeartbeat& aMessage)
 {
+  faultPoint("session.renew");
   if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader, aMessage.session());
     return;
@@ -273,6 +276,7 @@
 void
 SessionService::proposeEnd(std::int64_t aSession, const std::string& aReason)
 {
+  faultPoint("session.expire");
   mLeases.markEnding(aSession);
   const auto command = buildValue<ExpireSession>({ .session = aSession, .reason = aReason });
   mContext.mLog.propose(command, [this, aSession](const CommandResult& aResult) {
@@ -301,6 +305,7 @@
 void
 SessionService::pushCatalogue(std::int64_t aSession)
 {
+  faultPoint("change.spread");
   const auto position = mLive.find(aSession);
   if (position == mLive.end() || !position->second.mConnection) {
     return;
--- a/src/control/TaskService.cpp
+++ b/src/control/TaskService.cpp
@@ -1,6 +1,7 @@
 #include "control/TaskService.h"
 
 #include "control/TextBounds.h"
+#include "faults/faults.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
@@ -77,6 +78,7 @@
 void
 TaskService::onReport(ConnectionId aConnection, const TaskReport& aReport)
 {
+  faultPoint("task.report");
   const std::int64_t session = mSessions.sessionOf(aConnection);
   if (!mContext.mLog.isLeader() || session == 0 || session != aReport.session()) {
     // The agent opens a session with the leader and sends the report again under its number.
@@ -104,6 +106,7 @@
 void
 TaskService::onReportCommitted(std::int64_t aSession, const TaskReport& aReport)
 {
+  faultPoint("task.report.committed");
   acknowledge(aSession, aReport);
   const bool isOnWorker =
     aReport.state() == TaskState::eRunning || aReport.state() == TaskState::eCompleted;
@@ -189,6 +192,7 @@
 void
 TaskService::carryOut(const PlacementDecision& aDecision)
 {
+  faultPoint("task.place");
   if (const auto* placement = std::get_if<PlaceDecision>(&aDecision)) {
     propose(commandFor(*placement));
   } else if (const auto* eviction = std::get_if<EvictDecision>(&aDecision)) {
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlProcess.h"
 #include "control/InMemoryCommandLog.h"
+#include "faults/faults.h"
 #include "settings/settings.h"
 
 #include <csignal>
@@ -7,6 +8,7 @@
 #include <gflags/gflags.h>
 
 DEFINE_string(settings, "", "settings file (JSON)");
+DEFINE_string(fault_points_file, "", "for tests: file of fault points that SIGUSR1 arms");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 DEFINE_bool(bootstrap, false, "first start of a new group; needs initialReplicas in the settings");
 DEFINE_bool(join, false, "start with an empty data folder and wait to be added to a group");
@@ -27,6 +29,7 @@
     return kExitFailure;
   }
   const auto loop = takeValue(std::move(created));
+  loop->setSourceHost(hostOfAddress(aSettings.listenAddress()));
   ControlState state;
   InMemoryCommandLog log(
     state,
@@ -42,6 +45,7 @@
   const auto onTerminate = loop->onSignal(SIGTERM, [&]() { valueOf(process)->shutDown(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&]() { valueOf(process)->shutDown(); });
   logInfo("control started", { { "address", aSettings.listenAddress() } });
+  const auto faults = FaultPointFile::watch(*loop, FLAGS_fault_points_file);
   loop->run();
   return 0;
 }
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -25,6 +25,7 @@
     return EXIT_FAILURE;
   }
   EventLoop& events = *valueOf(loop);
+  events.setSourceHost(hostOfAddress(aSettings.httpAddress()));
   const Result<std::unique_ptr<GatewayProcess>> process = GatewayProcess::start(events, aSettings);
   if (!isOk(process)) {
     logError("gateway cannot start", errorOf(process));
--- a/src/integration/Deployment.cpp
+++ b/src/integration/Deployment.cpp
@@ -11,10 +11,12 @@
 namespace {
 
 constexpr int kControlPort = 7000;
-constexpr int kAgentPort = 7100;
+constexpr int kExecutorAgentPort = 7100;
+constexpr int kWorkerAgentPort = 7200;
 constexpr int kGatewayPort = 8080;
 constexpr int kMetricsPort = 9100;
-constexpr int kTargetPort = 9000;
+constexpr int kExecutorPort = 9000;
+constexpr int kWorkerPort = 9500;
 constexpr int kProxyControlPort = 7900;
 
 /** Behind the fault proxy, the processes listen on their usual port plus this. */
@@ -34,6 +36,18 @@
   return aPrefix + std::to_string(aNumber);
 }
 
+int
+agentPort(TargetKind aKind)
+{
+  return aKind == TargetKind::eExecutor ? kExecutorAgentPort : kWorkerAgentPort;
+}
+
+int
+targetPort(TargetKind aKind)
+{
+  return aKind == TargetKind::eExecutor ? kExecutorPort : kWorkerPort;
+}
+
 /** Two runs at the same time get different networks, because the process id differs. */
 std::string
 networkOfThisProcess()
@@ -84,11 +98,31 @@
 std::string
 Deployment::addHost(const std::string& aName)
 {
-  const std::string host = mNetwork + std::to_string(mHosts.size() + 1);
+  const auto known = mHosts.find(aName);
+  if (known != mHosts.end()) {
+    return known->second;
+  }
+  const std::string host = mNetwork + std::to_string(++mLastHost);
   mHosts[aName] = host;
   return host;
 }
 
+std::string
+Deployment::faultFile(const std::string& aName) const
+{
+  return mOptions.mRunFolder + "/" + aName + ".faults";
+}
+
+std::vector<std::string>
+Deployment::programFlags(const std::string& aName) const
+{
+  std::vector<std::string> flags = { "--settings=" + settingsFile(aName) };
+  if (mOptions.mWithFaultPoints) {
+    flags.push_back("--fault_points_file=" + faultFile(aName));
+  }
+  return flags;
+}
+
 std::string
 Deployment::hostOf(const std::string& aName) const
 {
@@ -229,7 +263,7 @@
     if (!isOk(written)) {
       return written;
     }
-    mCommands[name] = { "magnoliadrum-gateway", { "--settings=" + settingsFile(name) } };
+    mCommands[name] = { "magnoliadrum-gateway", programFlags(name) };
     mNames.push_back(name);
   }
   for (const TargetKind kind : { TargetKind::eExecutor, TargetKind::eWorker }) {
@@ -267,7 +301,7 @@
     { "snapshotEveryEntries", mOptions.mSnapshotEveryEntries },
     { "lease", leaseJson() },
   };
-  mCommands[name] = { "magnoliadrum-control", { "--settings=" + settingsFile(name) } };
+  mCommands[name] = { "magnoliadrum-control", programFlags(name) };
   mNames.push_back(name);
   return writeFile(settingsFile(name), settings);
 }
@@ -278,14 +312,15 @@
   const bool isExecutor = aKind == TargetKind::eExecutor;
   const std::string target = numbered(isExecutor ? "executor-" : "worker-", aNumber);
   const std::string name = "agent-" + target;
-  const std::string host = addHost(target);
+  const std::string host = addHost(numbered("vm-", aNumber));
+  mHosts[target] = host;
   mHosts[name] = host;
   const int offset = mOptions.mWithFaultProxy ? kHiddenPortOffset : 0;
   nlohmann::json settings = { { "processId", target },
-                              { "listenAddress", withPort(host, kAgentPort + offset) },
-                              { "advertisedAddress", withPort(host, kAgentPort) },
+                              { "listenAddress", withPort(host, agentPort(aKind) + offset) },
+                              { "advertisedAddress", withPort(host, agentPort(aKind)) },
                               { "targetKind", toText(aKind) },
-                              { "targetAddress", withPort(host, kTargetPort) },
+                              { "targetAddress", withPort(host, targetPort(aKind)) },
                               { "dataCentre", dataCentre(aNumber) },
                               { "rack", rack(aNumber) },
                               { "controlAddresses", controlAddressesJson() },
@@ -299,7 +334,7 @@
                              { "memoryMb", mOptions.mShape.mWorkerMemoryMb } };
   }
   addTargetProgram(aKind, aNumber);
-  mCommands[name] = { "magnoliadrum-agent", { "--settings=" + settingsFile(name) } };
+  mCommands[name] = { "magnoliadrum-agent", programFlags(name) };
   mNames.push_back(name);
   return writeFile(settingsFile(name), settings);
 }
@@ -310,7 +345,7 @@
   const bool isExecutor = aKind == TargetKind::eExecutor;
   const std::string target = numbered(isExecutor ? "executor-" : "worker-", aNumber);
   const DeploymentShape& shape = mOptions.mShape;
-  std::vector<std::string> flags = { "--listen=" + withPort(hostOf(target), kTargetPort),
+  std::vector<std::string> flags = { "--listen=" + withPort(hostOf(target), targetPort(aKind)),
                                      "--history=" + historyFile(target),
                                      "--data_centre=" + dataCentre(aNumber) };
   if (isExecutor) {
@@ -340,7 +375,7 @@
   }
   for (const TargetKind kind : { TargetKind::eExecutor, TargetKind::eWorker }) {
     for (const std::string& target : targetNames(kind)) {
-      addLink(target, kAgentPort);
+      addLink(target, agentPort(kind));
     }
   }
   mCommands[name] = { "fault-proxy",
--- a/src/integration/Deployment.h
+++ b/src/integration/Deployment.h
@@ -37,10 +37,13 @@
   /** All connections between VMs run through one fault proxy. */
   bool mWithFaultProxy = false;
   std::int64_t mSnapshotEveryEntries = 20000;
+  /** Our processes watch the file faultFile(). */
+  bool mWithFaultPoints = false;
 };
 
 /**
- * A deployment of real processes on loopback. Each VM has an IP address of its own in 127.0.0.0/8.
+ * A deployment of real processes on loopback. Each VM has an IP address of its own in 127.0.0.0/8;
+ * executor-N and worker-N share one, because services and tasks share machines.
  *
  * Names of processes: control-N, gateway-N, executor-N and worker-N (the targets), agent-executor-N
  * and agent-worker-N, fault-proxy.
@@ -84,6 +87,8 @@
   std::string logFile(const std::string& aName) const;
   std::string dataFolder(const std::string& aControl) const;
   std::string settingsFile(const std::string& aName) const;
+  /** File from which a process arms fault points at SIGUSR1. */
+  std::string faultFile(const std::string& aName) const;
   std::string faultProxyAddress() const;
   const DeploymentShape& shape() const { return mOptions.mShape; }
   const std::string& runFolder() const { return mOptions.mRunFolder; }
@@ -101,6 +106,7 @@
   void addTargetProgram(TargetKind aKind, int aNumber);
   Result<Done> addFaultProxy();
   std::string addHost(const std::string& aName);
+  std::vector<std::string> programFlags(const std::string& aName) const;
   nlohmann::json leaseJson() const;
   nlohmann::json controlAddressesJson() const;
   std::string dataCentre(int aNumber) const;
@@ -115,6 +121,7 @@
 
   DeploymentOptions mOptions;
   std::string mNetwork;
+  int mLastHost = 0;
   std::vector<std::string> mNames;
   std::map<std::string, std::string> mHosts;
   std::map<std::string, Command> mCommands;
--- a/src/integration/FaultCell.cpp
+++ b/src/integration/FaultCell.cpp
@@ -18,33 +18,30 @@
   { "session", "session.admit", FaultVictim::eControlLeader, 1, false },
   { "session", "session.renew", FaultVictim::eControlLeader, 20, false },
   { "session", "session.expire", FaultVictim::eControlLeader, 1, false },
-  { "log", "log.append", FaultVictim::eControlLeader, 10, false },
-  { "log", "log.sync", FaultVictim::eControlLeader, 10, true },
-  { "log", "log.synced", FaultVictim::eControlLeader, 10, false },
-  { "log", "log.synced", FaultVictim::eControlFollower, 10, true },
-  { "log", "log.append", FaultVictim::eControlFollower, 10, false },
+  { "log", "file.append", FaultVictim::eControlLeader, 10, false },
+  { "log", "file.sync", FaultVictim::eControlLeader, 10, true },
+  { "log", "file.synced", FaultVictim::eControlLeader, 10, false },
+  { "log", "file.synced", FaultVictim::eControlFollower, 10, true },
+  { "log", "file.append", FaultVictim::eControlFollower, 10, false },
   { "catalogue", "change.propose", FaultVictim::eControlLeader, 2, false },
-  { "catalogue", "change.committed", FaultVictim::eControlLeader, 2, true },
-  { "catalogue", "change.spread", FaultVictim::eControlLeader, 2, false },
-  { "request", "request.admit", FaultVictim::eGateway, 5, false },
-  { "request", "request.intent.granted", FaultVictim::eGateway, 3, true },
-  { "request", "request.dispatched", FaultVictim::eGateway, 5, true },
-  { "request", "request.answered", FaultVictim::eGateway, 5, false },
+  { "catalogue", "change.spread", FaultVictim::eControlLeader, 2, true },
+  { "request", "gateway.intent.answered", FaultVictim::eGateway, 3, true },
+  { "request", "gateway.dispatch.sent", FaultVictim::eGateway, 5, true },
+  { "request", "gateway.respond", FaultVictim::eGateway, 5, false },
+  { "request", "gateway.intent.end", FaultVictim::eGateway, 3, false },
   { "request", "intent.open", FaultVictim::eControlLeader, 3, false },
   { "request", "intent.settle", FaultVictim::eControlLeader, 3, true },
   { "request", "dispatch.received", FaultVictim::eExecutorAgent, 5, false },
-  { "request", "executor.sent", FaultVictim::eExecutorAgent, 5, true },
-  { "request", "executor.answered", FaultVictim::eExecutorAgent, 5, false },
+  { "request", "executor.answered", FaultVictim::eExecutorAgent, 5, true },
   { "task", "task.place", FaultVictim::eControlLeader, 1, false },
   { "task", "task.report", FaultVictim::eControlLeader, 2, true },
+  { "task", "task.report.committed", FaultVictim::eControlLeader, 2, false },
   { "task", "task.start.received", FaultVictim::eWorkerAgent, 1, false },
   { "task", "worker.started", FaultVictim::eWorkerAgent, 1, true },
-  { "task", "task.completed", FaultVictim::eWorkerAgent, 1, false },
   { "task", "task.publish.received", FaultVictim::eWorkerAgent, 1, true },
   { "task", "worker.published", FaultVictim::eWorkerAgent, 1, false },
-  { "snapshot", "snapshot.write", FaultVictim::eControlLeader, 1, false },
-  { "snapshot", "snapshot.rename", FaultVictim::eControlLeader, 1, false },
-  { "snapshot", "snapshot.rename", FaultVictim::eControlFollower, 1, true },
+  { "snapshot", "file.rename", FaultVictim::eControlLeader, 1, false },
+  { "snapshot", "file.rename", FaultVictim::eControlFollower, 1, true },
 };
 
 constexpr FaultVictim kVictims[] = { FaultVictim::eControlLeader, FaultVictim::eControlFollower,
@@ -75,7 +72,7 @@
     }
   }
   aCells.push_back(
-    { "log", "log.sync", 10, FaultVictim::eControlLeader, FaultEffect::eExit, true });
+    { "log", "file.sync", 10, FaultVictim::eControlLeader, FaultEffect::eExit, true });
 }
 
 void
--- a/src/storage/FileOperations.cpp
+++ b/src/storage/FileOperations.cpp
@@ -1,5 +1,6 @@
 #include "storage/FileOperations.h"
 
+#include "faults/faults.h"
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
@@ -133,6 +134,7 @@
 Result<Done>
 PosixFileOperations::append(FileHandle aFile, std::string_view aBytes)
 {
+  faultPoint("file.append");
   while (!aBytes.empty()) {
     const ssize_t count = ::write(static_cast<int>(aFile), aBytes.data(), aBytes.size());
     if (count < 0 && errno == EINTR) {
@@ -149,11 +151,13 @@
 Result<Done>
 PosixFileOperations::sync(FileHandle aFile)
 {
+  faultPoint("file.sync");
   // Not repeated after an error: the kernel may have dropped the pages, so a second call could
   // succeed although the data is lost.
   if (::fdatasync(static_cast<int>(aFile)) != 0) {
     return systemError("file.sync", nameOf(aFile));
   }
+  faultPoint("file.synced");
   return Done{};
 }
 
@@ -175,6 +179,7 @@
 Result<Done>
 PosixFileOperations::rename(const std::string& aFrom, const std::string& aTo)
 {
+  faultPoint("file.rename");
   if (::rename(aFrom.c_str(), aTo.c_str()) != 0) {
     return systemError("file.rename", aTo);
   }
--- a/src/transport/SocketAddress.cpp
+++ b/src/transport/SocketAddress.cpp
@@ -75,4 +75,11 @@
   return address;
 }
 
+std::string
+hostOfAddress(const std::string& aAddress)
+{
+  const Result<SocketAddress> address = SocketAddress::parse(aAddress);
+  return isOk(address) ? valueOf(address).host() : "";
+}
+
 } // namespace magnoliadrum
--- a/src/transport/SocketAddress.h
+++ b/src/transport/SocketAddress.h
@@ -36,4 +36,8 @@
   int mPort = 0;
 };
 
+/** Returns the host of "IP:port", or an empty text when aAddress is malformed. */
+std::string
+hostOfAddress(const std::string& aAddress);
+
 } // namespace magnoliadrum
