--- a/src/consensus/consensus_test.cpp
+++ b/src/consensus/consensus_test.cpp
@@ -159,6 +159,26 @@
   BOOST_TEST(node->commitIndex() == 2);
 }
 
+// Guards against a commit of an entry of an earlier term by counting: another leader may still
+// replace it. The simulation seldom reaches that state.
+BOOST_AUTO_TEST_CASE(entry_of_an_earlier_term_is_committed_only_with_one_of_the_own_term)
+{
+  std::vector<LogEntry> entries = groupOf({ "a", "b", "c" });
+  entries.push_back(makeChecked<LogEntry>({ .index = 2, .term = 2, .data = "old" }));
+  const auto node = makeNode("a", entries, 4);
+  const std::int64_t now = elect(*node, { "b" }, 0);
+  const auto acknowledge = [&](std::int64_t aIndex) {
+    settle(*node, now);
+    node->receive(
+      makeChecked<AppendReply>(
+        { .term = 5, .followerId = "b", .success = true, .matchIndex = aIndex, .round = 1 }),
+      at(now));
+    return node->commitIndex();
+  };
+  BOOST_TEST(acknowledge(2) == 0);
+  BOOST_TEST(acknowledge(3) == 3);
+}
+
 // Guards against a crashed leader that wins its unsynced term again with other entries.
 BOOST_AUTO_TEST_CASE(nothing_of_a_new_term_leaves_before_the_term_is_stored)
 {
