Add the replicator: storage, proposals, bootstrap and connections of a control replica

ReplicaDriver stores each output of ConsensusNode with one sync before its messages leave. A new group is founded by the replica with the lowest address after all initial replicas have granted a pre-vote of term 1, which a member of an existing group refuses; so a founder that lost its data folder cannot create a second group.

--- /dev/null
+++ b/src/control/PendingProposals.cpp
@@ -0,0 +1,75 @@
+#include "control/PendingProposals.h"
+
+#include <limits>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+const char* const kStep = "log.propose";
+} // namespace
+
+void
+PendingProposals::add(std::int64_t aIndex, std::int64_t aTerm, ProposalCallback aCallback)
+{
+  mProposals.emplace(aIndex, Proposal{ .term = aTerm, .callback = std::move(aCallback) });
+}
+
+std::vector<PendingProposals::Settled>
+PendingProposals::applied(std::int64_t aIndex, std::int64_t aTerm)
+{
+  std::vector<Settled> settled;
+  const auto [first, last] = mProposals.equal_range(aIndex);
+  for (auto position = first; position != last; ++position) {
+    Proposal& proposal = position->second;
+    if (proposal.term == aTerm) {
+      settled.push_back({ std::move(proposal.callback), aIndex });
+      continue;
+    }
+    const Error error = Error::create(
+      ErrorCode::eNotLeader, kStep, "local", "the entry of another leader was committed instead");
+    settled.push_back({ std::move(proposal.callback), ProposalFailure{ error, false } });
+  }
+  mProposals.erase(first, last);
+  return settled;
+}
+
+std::vector<PendingProposals::Settled>
+PendingProposals::replacedUpTo(std::int64_t aIndex)
+{
+  return giveUpTo(aIndex, "the entry was replaced by a snapshot of the leader");
+}
+
+void
+PendingProposals::setLeads(bool aLeads, Deadline aLimit)
+{
+  if (mLeads && !aLeads) {
+    mLimit = aLimit;
+  }
+  mLeads = aLeads;
+}
+
+std::vector<PendingProposals::Settled>
+PendingProposals::expired(MonotonicTime aNow)
+{
+  if (mLeads || aNow < mLimit) {
+    return {};
+  }
+  return giveUpTo(std::numeric_limits<std::int64_t>::max(),
+                  "the leadership was lost before the entry was committed");
+}
+
+std::vector<PendingProposals::Settled>
+PendingProposals::giveUpTo(std::int64_t aIndex, const char* aDetail)
+{
+  std::vector<Settled> settled;
+  const auto end = mProposals.upper_bound(aIndex);
+  for (auto position = mProposals.begin(); position != end; ++position) {
+    const Error error = Error::create(ErrorCode::eUnavailable, kStep, "local", aDetail);
+    settled.push_back({ std::move(position->second.callback), ProposalFailure{ error, true } });
+  }
+  mProposals.erase(mProposals.begin(), end);
+  return settled;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/ReplicaDriver.cpp
@@ -0,0 +1,494 @@
+#include "control/ReplicaDriver.h"
+
+#include "observability/observability.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Timeouts are checked this often in each heartbeat period. */
+constexpr std::int64_t kTicksPerHeartbeat = 4;
+
+/** A hand-over, and a proposal of a former leader, is given up after this many election timeouts.
+ */
+constexpr std::int64_t kGiveUpElectionTimeouts = 2;
+
+const char* const kStep = "log.propose";
+
+ConsensusSettings
+consensusSettings(const ReplicatorSettings& aSettings, const std::string& aReplicaId)
+{
+  ConsensusSettings settings;
+  settings.replicaId = aReplicaId;
+  settings.electionTimeoutMs = aSettings.electionTimeoutMs;
+  settings.heartbeatMs = aSettings.heartbeatMs;
+  return settings;
+}
+
+std::optional<ConsensusMessage>
+toConsensus(const Message& aMessage)
+{
+  return std::visit(
+    [](const auto& aBody) -> std::optional<ConsensusMessage> {
+      if constexpr (std::is_constructible_v<ConsensusMessage, decltype(aBody)>) {
+        return ConsensusMessage(aBody);
+      } else {
+        return std::nullopt;
+      }
+    },
+    aMessage);
+}
+
+/** The replica that sent a request; empty for an answer. */
+std::string
+requesterOf(const ConsensusMessage& aMessage)
+{
+  return std::visit(
+    [](const auto& aBody) -> std::string {
+      if constexpr (requires { aBody.leaderId(); }) {
+        return aBody.leaderId();
+      } else if constexpr (requires { aBody.candidateId(); }) {
+        return aBody.candidateId();
+      } else {
+        return "";
+      }
+    },
+    aMessage);
+}
+
+} // namespace
+
+ReplicaDriver::ReplicaDriver(EventLoop& aLoop,
+                             ReplicatorSettings aSettings,
+                             std::unique_ptr<ReplicaTransport> aTransport,
+                             ReplicatorCallbacks aCallbacks,
+                             std::unique_ptr<ReplicaStorage> aStorage)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mTransport(std::move(aTransport))
+  , mCallbacks(std::move(aCallbacks))
+  , mStorage(std::move(aStorage))
+{
+}
+
+Result<Done>
+ReplicaDriver::start()
+{
+  ConsensusStart stored = mStorage->takeStart();
+  const ConsensusSnapshotPointer snapshot = stored.snapshot;
+  createNode(std::move(stored));
+  if (snapshot) {
+    Result<Done> installed = install(*snapshot);
+    if (!isOk(installed)) {
+      return installed;
+    }
+  }
+  const bool empty = mNode->log().lastIndex() == 0;
+  // Sorted, so that all initial replicas choose the same founder whatever the order in their files.
+  std::vector<std::string> initial = mSettings.initialReplicas;
+  std::sort(initial.begin(), initial.end());
+  if (empty && mSettings.start == ReplicaStart::eBootstrap) {
+    if (std::find(initial.begin(), initial.end(), mSettings.address) == initial.end()) {
+      return Error::create(ErrorCode::eInvalid,
+                           "replica.start",
+                           mSettings.address,
+                           "the address is not one of initialReplicas");
+    }
+    if (initial.front() == mSettings.address) {
+      mFounder.emplace(replicaId(), initial);
+    }
+  }
+  mTransport->setAnswerHandler(
+    [this](const std::string& aAddress, const Message& aMessage) { onAnswer(aAddress, aMessage); });
+  const std::int64_t period = std::max<std::int64_t>(1, mSettings.heartbeatMs / kTicksPerHeartbeat);
+  mTick = mLoop.runEvery(period, [this] { tick(); });
+  logInfo("replica started",
+          { { "replica", replicaId() },
+            { "term", mNode->term() },
+            { "snapshot", mNode->snapshotIndex() },
+            { "last", mNode->log().lastIndex() } });
+  return Done{};
+}
+
+void
+ReplicaDriver::createNode(ConsensusStart aStart)
+{
+  std::random_device device;
+  const std::uint64_t seed = (std::uint64_t{ device() } << 32U) | device();
+  mNode = std::make_unique<ConsensusNode>(consensusSettings(mSettings, replicaId()),
+                                          std::move(aStart),
+                                          std::mt19937_64(seed),
+                                          mLoop.now());
+}
+
+void
+ReplicaDriver::tick()
+{
+  if (mFailed) {
+    return;
+  }
+  mNode->tick(mLoop.now());
+  updateFounder();
+  flush();
+}
+
+void
+ReplicaDriver::receive(const Message& aMessage, std::function<void(const Message&)> aReply)
+{
+  const std::optional<ConsensusMessage> message = toConsensus(aMessage);
+  if (mFailed || !message) {
+    return;
+  }
+  const std::string requester = requesterOf(*message);
+  if (!requester.empty()) {
+    mReplyPaths[requester] = std::move(aReply);
+  }
+  mNode->receive(*message, mLoop.now());
+  scheduleFlush();
+}
+
+void
+ReplicaDriver::onAnswer(const std::string& aAddress, const Message& aMessage)
+{
+  const std::optional<ConsensusMessage> message = toConsensus(aMessage);
+  if (mFailed || !message) {
+    return;
+  }
+  const auto* vote = std::get_if<VoteReply>(&aMessage);
+  if (mFounder && vote != nullptr) {
+    isFailed(mFounder->onAnswer(aAddress, *vote));
+    return;
+  }
+  mNode->receive(*message, mLoop.now());
+  scheduleFlush();
+}
+
+void
+ReplicaDriver::propose(std::string aCommand, ProposalCallback aCallback)
+{
+  if (!isLeader() || mStepDown) {
+    const Error error = Error::create(
+      ErrorCode::eNotLeader, kStep, replicaId(), "the replica does not lead, or hands over");
+    settleLater(std::move(aCallback), ProposalFailure{ error, false });
+    return;
+  }
+  trackProposal(mNode->propose(std::move(aCommand)), std::move(aCallback));
+}
+
+void
+ReplicaDriver::changeMembership(MembershipOperation aOperation,
+                                const std::string& aReplicaId,
+                                const std::string& aAddress,
+                                ProposalCallback aCallback)
+{
+  trackProposal(mNode->changeMembership(aOperation, aReplicaId, aAddress, mLoop.now()),
+                std::move(aCallback));
+}
+
+void
+ReplicaDriver::trackProposal(const Result<std::int64_t>& aIndex, ProposalCallback aCallback)
+{
+  if (!isOk(aIndex)) {
+    settleLater(std::move(aCallback), ProposalFailure{ errorOf(aIndex), false });
+    return;
+  }
+  mPending.add(valueOf(aIndex), mNode->term(), std::move(aCallback));
+  scheduleFlush();
+}
+
+void
+ReplicaDriver::settleLater(ProposalCallback aCallback, ProposalResult aResult)
+{
+  mSettled.push_back({ std::move(aCallback), std::move(aResult) });
+  scheduleFlush();
+}
+
+void
+ReplicaDriver::stepDown(std::function<void(const Result<Done>&)> aDone)
+{
+  if (mStepDown) {
+    // The request under way answers both callers.
+    mStepDown->done = [first = std::move(mStepDown->done),
+                       second = std::move(aDone)](const Result<Done>& aResult) {
+      first(aResult);
+      second(aResult);
+    };
+    return;
+  }
+  mStepDown = { .done = std::move(aDone),
+                .led = mNode->role() == ConsensusRole::eLeader,
+                .limit =
+                  mLoop.now().plusMs(mSettings.electionTimeoutMs * kGiveUpElectionTimeouts) };
+  scheduleFlush();
+}
+
+void
+ReplicaDriver::scheduleFlush()
+{
+  if (std::exchange(mFlushScheduled, true)) {
+    return;
+  }
+  // The posted function runs after the callbacks that are due, so what they propose and receive is
+  // stored with one sync.
+  mLoop.post([this, alive = std::weak_ptr<bool>(mAlive)] {
+    if (!alive.expired()) {
+      flush();
+    }
+  });
+}
+
+void
+ReplicaDriver::flush()
+{
+  mFlushScheduled = false;
+  if (!mFailed) {
+    continueStepDown();
+  }
+  while (!mFailed && flushOnce()) {
+  }
+  if (mFailed) {
+    return;
+  }
+  takeSnapshot();
+  if (mFailed) {
+    return;
+  }
+  updateLeadership();
+  updateConnections();
+  call(mPending.expired(mLoop.now()));
+  call(std::exchange(mSettled, {}));
+  checkStepDown();
+}
+
+bool
+ReplicaDriver::flushOnce()
+{
+  const ConsensusOutput output = mNode->takeOutput(mLoop.now());
+  send(output.earlyMessages);
+  if (isFailed(mStorage->store(output))) {
+    return false;
+  }
+  send(output.messages);
+  if (output.snapshot && isFailed(install(*output.snapshot))) {
+    return false;
+  }
+  for (const LogEntry& entry : output.committed) {
+    apply(entry);
+  }
+  if (!output.entries.empty()) {
+    mNode->onStored(output.entries.back().index(), output.entries.back().term());
+  }
+  return output.hardState || output.snapshot || !output.entries.empty() ||
+         !output.messages.empty() || !output.committed.empty();
+}
+
+void
+ReplicaDriver::send(const std::vector<OutgoingMessage>& aMessages)
+{
+  for (const OutgoingMessage& outgoing : aMessages) {
+    const Message message =
+      std::visit([](const auto& aBody) { return Message(aBody); }, outgoing.message);
+    if (!requesterOf(outgoing.message).empty()) {
+      const std::string address = addressOf(outgoing.receiverId);
+      if (!address.empty()) {
+        mTransport->send(address, message);
+      }
+      continue;
+    }
+    const auto path = mReplyPaths.find(outgoing.receiverId);
+    if (path != mReplyPaths.end()) {
+      path->second(message);
+    }
+  }
+}
+
+Result<Done>
+ReplicaDriver::install(const ConsensusSnapshot& aSnapshot)
+{
+  mAppliedIndex = aSnapshot.lastIndex;
+  Result<Done> decoded = mCallbacks.decodeSnapshot(aSnapshot.data);
+  call(mPending.replacedUpTo(aSnapshot.lastIndex));
+  return decoded;
+}
+
+void
+ReplicaDriver::apply(const LogEntry& aEntry)
+{
+  assert(aEntry.index() == mAppliedIndex + 1);
+  mAppliedIndex = aEntry.index();
+  if (aEntry.kind() == LogEntryKind::eCommand) {
+    mCallbacks.apply(aEntry.index(), aEntry.data());
+  }
+  call(mPending.applied(aEntry.index(), aEntry.term()));
+}
+
+void
+ReplicaDriver::call(const std::vector<PendingProposals::Settled>& aSettled)
+{
+  for (const PendingProposals::Settled& settled : aSettled) {
+    settled.callback(settled.result);
+  }
+}
+
+void
+ReplicaDriver::takeSnapshot()
+{
+  if (mAppliedIndex - mNode->snapshotIndex() < mSettings.snapshotEveryEntries) {
+    return;
+  }
+  const auto snapshot = std::make_shared<const ConsensusSnapshot>(
+    mNode->describeSnapshot(mAppliedIndex, mCallbacks.encodeSnapshot()));
+  if (!isFailed(mStorage->saveSnapshot(*snapshot))) {
+    mNode->compact(snapshot);
+  }
+}
+
+void
+ReplicaDriver::updateLeadership()
+{
+  std::optional<std::int64_t> leading;
+  if (mNode->leadsCurrentTerm()) {
+    leading = mNode->term();
+  }
+  const Deadline limit = mLoop.now().plusMs(mSettings.electionTimeoutMs * kGiveUpElectionTimeouts);
+  mPending.setLeads(leading.has_value(), limit);
+  if (leading == mLeadingTerm) {
+    return;
+  }
+  const bool led = mLeadingTerm.has_value();
+  mLeadingTerm = leading;
+  if (led) {
+    logInfo("leadership lost", { { "replica", replicaId() }, { "term", mNode->term() } });
+    mCallbacks.leadershipChanged(false);
+  }
+  if (leading) {
+    logInfo("leadership won", { { "replica", replicaId() }, { "term", mNode->term() } });
+    mCallbacks.leadershipChanged(true);
+  }
+}
+
+void
+ReplicaDriver::continueStepDown()
+{
+  if (!mStepDown || mNode->role() != ConsensusRole::eLeader) {
+    return;
+  }
+  // Repeated, because a hand-over to a replica that failed meanwhile is cancelled.
+  const Result<Done> handover = mNode->transferLeadership(mLoop.now());
+  if (!isOk(handover)) {
+    finishStepDown(handover);
+  }
+}
+
+void
+ReplicaDriver::checkStepDown()
+{
+  if (!mStepDown) {
+    return;
+  }
+  const bool leads = mNode->role() == ConsensusRole::eLeader;
+  const bool otherLeads = !leads && !mNode->leaderId().empty();
+  const bool expired = mLoop.now() >= mStepDown->limit;
+  // The proposals in flight are committed by the other leader, so their callers get a result.
+  const bool settled = mPending.size() == 0 || expired;
+  if ((!leads && !mStepDown->led) || (otherLeads && settled)) {
+    finishStepDown(Done{});
+  } else if (expired) {
+    finishStepDown(Error::create(
+      ErrorCode::eTimeout, "log.stepDown", replicaId(), "no other replica took the leadership"));
+  }
+}
+
+void
+ReplicaDriver::finishStepDown(const Result<Done>& aResult)
+{
+  const auto done = std::move(mStepDown->done);
+  mStepDown.reset();
+  done(aResult);
+}
+
+void
+ReplicaDriver::updateFounder()
+{
+  if (!mFounder || mFailed) {
+    return;
+  }
+  if (mNode->log().lastIndex() > 0) {
+    mFounder.reset();
+    return;
+  }
+  const std::optional<GroupConfiguration> configuration = mFounder->configuration();
+  if (!configuration) {
+    for (const std::string& address : mFounder->unanswered()) {
+      mTransport->send(address, mFounder->question());
+    }
+    return;
+  }
+  mFounder.reset();
+  Result<ConsensusStart> founded = mStorage->found(*configuration);
+  if (!isOk(founded)) {
+    fail(errorOf(founded));
+    return;
+  }
+  createNode(takeValue(std::move(founded)));
+  logInfo("group founded", { { "replica", replicaId() } });
+}
+
+void
+ReplicaDriver::updateConnections()
+{
+  const std::int64_t index = mNode->log().configurationIndex();
+  if (mFounder || index == mConnectedConfiguration) {
+    return;
+  }
+  mConnectedConfiguration = index;
+  std::vector<std::string> addresses;
+  for (const Replica& replica : mNode->configuration().replicas()) {
+    addresses.push_back(replica.address());
+  }
+  mTransport->keepOnly(addresses);
+}
+
+bool
+ReplicaDriver::isLeader() const
+{
+  return !mFailed && mLeadingTerm && mNode->leadsCurrentTerm() && mNode->term() == *mLeadingTerm;
+}
+
+bool
+ReplicaDriver::hasLeaderLease() const
+{
+  return !mFailed && mNode->hasLeaderLease(mLoop.now());
+}
+
+std::string
+ReplicaDriver::addressOf(const std::string& aReplicaId) const
+{
+  const Replica* replica = findReplica(mNode->configuration(), aReplicaId);
+  return replica == nullptr ? "" : replica->address();
+}
+
+bool
+ReplicaDriver::isFailed(const Result<Done>& aResult)
+{
+  if (isOk(aResult)) {
+    return false;
+  }
+  fail(errorOf(aResult));
+  return true;
+}
+
+void
+ReplicaDriver::fail(const Error& aError)
+{
+  mFailed = true;
+  mTick.reset();
+  logError("replica stops", aError);
+  mCallbacks.failed(aError);
+}
+
+} // namespace magnoliadrum
--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -13,6 +13,8 @@
 namespace magnoliadrum {
 
 class EventLoop;
+class FileOperations;
+class ReplicaDriver;
 
 /** Sends messages to the other replicas. Messages may be lost, and are dropped while unconnected.
  */
@@ -47,7 +49,7 @@
   /** IP:port under which the other replicas reach this one. */
   std::string address;
   ReplicaStart start = ReplicaStart::eExisting;
-  /** IP:port of all replicas of a new group. The first one creates the group's configuration. */
+  /** IP:port of all replicas of a new group. The lowest one creates the group's configuration. */
   std::vector<std::string> initialReplicas;
   std::int64_t electionTimeoutMs = 1000;
   std::int64_t heartbeatMs = 100;
@@ -93,19 +95,23 @@
  * The replicated log of one control replica: joins ConsensusNode, LogStore and SnapshotStore with
  * the event loop and the transport.
  *
- * All proposals and messages of one loop iteration share one sync.
+ * All proposals and messages of one loop iteration share one sync. No callback may destroy this
+ * object.
  */
 class Replicator
 {
 public:
   /**
-   * Loads the data folder and applies the stored snapshot. Errors: eNotFound (empty data folder and
-   * eExisting), eCorrupt, eIo.
+   * Loads the data folder and applies the stored snapshot. aFiles is for tests; null stands for the
+   * operating system's files. Errors: eNotFound (no identity and eExisting), eConflict (another
+   * process uses the folder), eInvalid (initialReplicas), eCorrupt, eIo.
    */
-  static Result<std::unique_ptr<Replicator>> create(EventLoop& aLoop,
-                                                    ReplicatorSettings aSettings,
-                                                    std::unique_ptr<ReplicaTransport> aTransport,
-                                                    ReplicatorCallbacks aCallbacks);
+  static Result<std::unique_ptr<Replicator>> create(
+    EventLoop& aLoop,
+    ReplicatorSettings aSettings,
+    std::unique_ptr<ReplicaTransport> aTransport,
+    ReplicatorCallbacks aCallbacks,
+    std::unique_ptr<FileOperations> aFiles = nullptr);
 
   Replicator(const Replicator&) = delete;
   Replicator& operator=(const Replicator&) = delete;
@@ -161,11 +167,9 @@
   std::vector<ReplicaStatus> replicas() const;
 
 private:
-  class Implementation;
+  explicit Replicator(std::unique_ptr<ReplicaDriver> aDriver);
 
-  explicit Replicator(std::unique_ptr<Implementation> aImplementation);
-
-  std::unique_ptr<Implementation> mImplementation;
+  std::unique_ptr<ReplicaDriver> mDriver;
 };
 
 } // namespace magnoliadrum
--- a/src/storage/IdentityFile.cpp
+++ b/src/storage/IdentityFile.cpp
@@ -67,8 +67,9 @@
     return errorOf(names);
   }
   for (const std::string& name : valueOf(names)) {
-    // A crash before the rename leaves only the temporary file.
-    if (name != std::string(kName) + kTemporaryExtension) {
+    // A crash before the rename leaves only the temporary file; a file system of its own may have
+    // the folder lost+found.
+    if (name != std::string(kName) + kTemporaryExtension && name != "lost+found") {
       return Error::create(
         ErrorCode::eConflict, "identity.create", aFolder, "the folder already holds " + name);
     }
