--- a/src/gateway/CallerAnswers.cpp
+++ b/src/gateway/CallerAnswers.cpp
@@ -31,6 +31,52 @@
   }
 }
 
+const char*
+describe(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::eNoLease:
+      return "the gateway has no valid lease from control";
+    case RefusalReason::eUnknownEntry:
+      return "the catalogue has no such entry";
+    case RefusalReason::eWrongSession:
+      return "the target has a new session that is not announced yet";
+    case RefusalReason::eWrongTarget:
+      return "the target does not serve this entry";
+    case RefusalReason::eDeadlinePassed:
+      return "the deadline passed before the request could be run";
+    case RefusalReason::eNoSlot:
+      return "no target has a free slot";
+    case RefusalReason::eNoConnection:
+      return "no connection to a target is open";
+    case RefusalReason::eLeaving:
+      return "the target takes no new requests";
+    case RefusalReason::eRateLimit:
+      return "the rate limit of the entry or its owner is reached";
+    case RefusalReason::eConcurrencyLimit:
+      return "the concurrency limit of the entry or its owner is reached";
+    case RefusalReason::eQueueFull:
+      return "too many requests are waiting";
+    case RefusalReason::eNoTarget:
+      return "no target in the allowed data centres is available";
+    case RefusalReason::eShed:
+      return "the request was dropped in favour of others under overload";
+    case RefusalReason::eKeyRequired:
+      return "a request that may not be repeated needs an Idempotency-Key";
+    case RefusalReason::eControlUnavailable:
+      return "control did not give the Idempotency-Key in time";
+    case RefusalReason::eShuttingDown:
+      return "the gateway is shutting down";
+    case RefusalReason::eRetryBudget:
+      return "a target refused the request and the retry budget is used up";
+    case RefusalReason::eExecutorUnreachable:
+      return "the executor cannot be reached";
+    case RefusalReason::eInvalidRequest:
+      return "the request cannot be passed on to this entry";
+  }
+  return "";
+}
+
 HttpHeader
 header(const std::string& aName, const std::string& aValue)
 {
@@ -97,7 +143,7 @@
 HttpAnswer
 refusalAnswer(RefusalReason aReason, const std::string& aDetail)
 {
-  return refusal(statusOf(aReason), aReason, aDetail);
+  return refusal(statusOf(aReason), aReason, aDetail.empty() ? describe(aReason) : aDetail);
 }
 
 HttpAnswer
--- a/src/gateway/CallerAnswers.h
+++ b/src/gateway/CallerAnswers.h
@@ -15,9 +15,12 @@
 HttpAnswer
 doneAnswer(const HttpAnswer& aAnswer);
 
-/** The refusal of a request that was not run, with the headers X-Outcome and X-Reason. */
+/**
+ * The refusal of a request that was not run, with the headers X-Outcome and X-Reason. An empty
+ * detail is replaced by a description of the reason.
+ */
 HttpAnswer
-refusalAnswer(RefusalReason aReason, const std::string& aDetail);
+refusalAnswer(RefusalReason aReason, const std::string& aDetail = "");
 
 /** The refusal of a request whose body is too large. */
 HttpAnswer
--- a/src/gateway/EntryStatistics.cpp
+++ b/src/gateway/EntryStatistics.cpp
@@ -80,20 +80,17 @@
     const auto set = [&](const char* aName, std::int64_t aValue) {
       aMetrics.set(aName, labels, static_cast<double>(aValue));
     };
-    set("magnoliadrum_requests_total", statistics.mTotal);
-    set("magnoliadrum_requests_good_total", statistics.mGood);
-    set("magnoliadrum_requests_refused_total", statistics.mRefused);
-    set("magnoliadrum_requests_unknown_total", statistics.mUnknown);
+    set("requests_total", statistics.mTotal);
+    set("requests_good_total", statistics.mGood);
+    set("requests_refused_total", statistics.mRefused);
+    set("requests_unknown_total", statistics.mUnknown);
     if (statistics.mLatency.total() > 0) {
-      aMetrics.set("magnoliadrum_request_latency_ms",
-                   labels + ",quantile=\"0.5\"",
-                   statistics.mLatency.quantile(0.5));
-      aMetrics.set("magnoliadrum_request_latency_ms",
-                   labels + ",quantile=\"0.99\"",
-                   statistics.mLatency.quantile(0.99));
-      aMetrics.set("magnoliadrum_request_latency_ms",
-                   labels + ",quantile=\"0.999\"",
-                   statistics.mLatency.quantile(0.999));
+      aMetrics.set(
+        "request_latency_ms", labels + ",quantile=\"0.5\"", statistics.mLatency.quantile(0.5));
+      aMetrics.set(
+        "request_latency_ms", labels + ",quantile=\"0.99\"", statistics.mLatency.quantile(0.99));
+      aMetrics.set(
+        "request_latency_ms", labels + ",quantile=\"0.999\"", statistics.mLatency.quantile(0.999));
     }
   }
 }
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -281,10 +281,8 @@
   MetricsRegistry metrics;
   mRouter.writeMetrics(metrics);
   const bool holdsLease = mLink->holdsLease(mLoop.now());
-  metrics.set("magnoliadrum_gateway_lease_held", "", holdsLease ? 1 : 0);
-  metrics.set("magnoliadrum_gateway_catalogue_version",
-              "",
-              static_cast<double>(mLink->catalogue().version()));
+  metrics.set("gateway_lease_held", "", holdsLease ? 1 : 0);
+  metrics.set("gateway_catalogue_version", "", static_cast<double>(mLink->catalogue().version()));
   return textAnswer(kStatusOk, "text/plain; version=0.0.4", metrics.text());
 }
 
--- a/src/gateway/RequestRouter.cpp
+++ b/src/gateway/RequestRouter.cpp
@@ -211,7 +211,10 @@
                                 MonotonicTime aNow)
 {
   if (!aStatus.digestMatches()) {
-    finishWithout(aRequest, RefusalReason::eInvalidRequest, aNow);
+    finishWithout(aRequest,
+                  RefusalReason::eInvalidRequest,
+                  aNow,
+                  "the Idempotency-Key belongs to another request");
     return;
   }
   const std::optional<IntentRecord>& intent = aStatus.intent();
--- a/src/gateway/RequestRouter.h
+++ b/src/gateway/RequestRouter.h
@@ -207,7 +207,10 @@
   void retry(std::uint64_t aRequest, MonotonicTime aNow);
 
   void finishDone(std::uint64_t aRequest, const HttpAnswer& aAnswer, MonotonicTime aNow);
-  void finishWithout(std::uint64_t aRequest, RefusalReason aReason, MonotonicTime aNow);
+  void finishWithout(std::uint64_t aRequest,
+                     RefusalReason aReason,
+                     MonotonicTime aNow,
+                     const std::string& aDetail = "");
   void finishUnknown(std::uint64_t aRequest,
                      int aStatus,
                      const std::string& aDetail,
--- a/src/gateway/RequestRouterOutcome.cpp
+++ b/src/gateway/RequestRouterOutcome.cpp
@@ -208,7 +208,10 @@
 }
 
 void
-RequestRouter::finishWithout(std::uint64_t aRequest, RefusalReason aReason, MonotonicTime aNow)
+RequestRouter::finishWithout(std::uint64_t aRequest,
+                             RefusalReason aReason,
+                             MonotonicTime aNow,
+                             const std::string& aDetail)
 {
   Request& state = mRequests.at(aRequest);
   if (state.mLedger.finish() == RequestOutcome::eUnknown) {
@@ -216,7 +219,7 @@
     return;
   }
   mRefusals[toText(aReason)]++;
-  const HttpAnswer answer = refusalAnswer(aReason, "");
+  const HttpAnswer answer = refusalAnswer(aReason, aDetail);
   mStatistics.record(state.mEntry, { RequestOutcome::eNotRun, aReason, answer.status(), 0 });
   endIntent(aRequest, state, IntentOutcome::eNotRun, nullptr);
   if (state.mIntent == IntentState::eEnding && aNow < state.mCall.mDeadline) {
@@ -254,7 +257,7 @@
                          MonotonicTime aNow)
 {
   mRefusals[toText(aReason)]++;
-  const HttpAnswer answer = refusalAnswer(aReason, "");
+  const HttpAnswer answer = refusalAnswer(aReason);
   if (aEntry != nullptr) {
     const std::int64_t latencyMs = aNow.msSince(aCall.mArrivedAt);
     mStatistics.record(*aEntry, { RequestOutcome::eNotRun, aReason, answer.status(), latencyMs });
@@ -398,14 +401,14 @@
   const auto set = [&](const char* aName, const std::string& aLabels, auto aValue) {
     aMetrics.set(aName, aLabels, static_cast<double>(aValue));
   };
-  set("magnoliadrum_gateway_requests_in_progress", "", mRequests.size());
-  set("magnoliadrum_gateway_attempts_in_progress", "", mAttempts.size());
-  set("magnoliadrum_gateway_queue_requests", "", mQueue.size());
-  set("magnoliadrum_gateway_queue_bytes", "", mQueue.bytes());
-  set("magnoliadrum_gateway_retries_total", "", mRetries);
-  set("magnoliadrum_gateway_unexpected_messages_total", "", mUnexpectedMessages);
+  set("gateway_requests_in_progress", "", mRequests.size());
+  set("gateway_attempts_in_progress", "", mAttempts.size());
+  set("gateway_queue_requests", "", mQueue.size());
+  set("gateway_queue_bytes", "", mQueue.bytes());
+  set("gateway_retries_total", "", mRetries);
+  set("gateway_unexpected_messages_total", "", mUnexpectedMessages);
   for (const auto& [reason, count] : mRefusals) {
-    set("magnoliadrum_gateway_refusals_total", "reason=\"" + reason + "\"", count);
+    set("gateway_refusals_total", "reason=\"" + reason + "\"", count);
   }
   if (mCatalogue == nullptr) {
     return;
@@ -413,8 +416,8 @@
   for (const auto& [name, record] : mCatalogue->records()) {
     if (record.entry() && mTargets.targetCount(name) > 0) {
       const std::string labels = "entry=\"" + name + "\"";
-      set("magnoliadrum_gateway_targets", labels, mTargets.targetCount(name));
-      set("magnoliadrum_gateway_targets_ejected", labels, mTargets.ejectedCount(name));
+      set("gateway_targets", labels, mTargets.targetCount(name));
+      set("gateway_targets_ejected", labels, mTargets.ejectedCount(name));
     }
   }
 }
