--- a/src/testbench/FakeWorker.cpp
+++ b/src/testbench/FakeWorker.cpp
@@ -256,7 +256,7 @@
   task.mStopping = true;
   const Key key = item->first;
   task.mStopTimer = mLoop.runAt(mLoop.now().plusMs(mOptions.mCheckpointMs),
-                            [this, key, aResponder]() { finishStop(key, aResponder); });
+                                [this, key, aResponder]() { finishStop(key, aResponder); });
 }
 
 void
