--- a/src/control/ReplicatedCommandLog.cpp
+++ b/src/control/ReplicatedCommandLog.cpp
@@ -1,5 +1,7 @@
 #include "control/ReplicatedCommandLog.h"
 
+#include "storage/storage.h"
+
 #include <cassert>
 #include <utility>
 #include <variant>
