--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "generated/generated.h"
+#include "storage/FileOperations.h"
 
 #include <functional>
 #include <memory>
@@ -13,7 +14,7 @@
 namespace magnoliadrum {
 
 class EventLoop;
-class FileOperations;
+
 class ReplicaDriver;
 
 /** Sends messages to the other replicas. Messages may be lost, and are dropped while unconnected.
