placement: limit processor use only beside busy processors

Cause: batch tasks were throttled when reservations exceeded a VM's processor time, although declared time that no task uses is idle.

--- a/src/placement/RoomMaker.cpp
+++ b/src/placement/RoomMaker.cpp
@@ -46,23 +46,28 @@
 void
 RoomMaker::limitProcessorUse(WorkerIndex aWorker)
 {
+  // As for memory, only expected use counts: limits beside idle processors gain nothing.
+  const WorkerAccount& worker = mContext.ledger.worker(aWorker);
+  std::int64_t excess = -worker.capacity.cpuMilli;
   std::vector<std::pair<std::int64_t, TaskIndex>> overusers;
-  for (const TaskIndex index : mContext.ledger.worker(aWorker).tasks) {
+  for (const TaskIndex index : worker.tasks) {
     const TaskAccount& task = mContext.ledger.task(index);
     const EntryAccount& entry = mContext.ledger.entry(task.entry);
-    const std::int64_t over = mContext.needOfTask(task).cpuMilli - entry.declared.cpuMilli;
-    if (!entry.latencyCritical && task.hasSettled && over > 0) {
-      overusers.emplace_back(over, index);
+    const std::int64_t expected = mContext.expectedCpu(task);
+    excess += task.stopRequested ? 0 : expected;
+    if (!entry.latencyCritical && task.hasSettled && expected > entry.declared.cpuMilli) {
+      overusers.emplace_back(expected - entry.declared.cpuMilli, index);
     }
   }
   std::sort(overusers.rbegin(), overusers.rend());
   for (const auto& [over, index] : overusers) {
-    const std::int64_t excess = -mContext.ledger.worker(aWorker).room().cpuMilli;
     if (excess <= 0 || mContext.isFull()) {
       return;
     }
-    const std::int64_t before = mContext.ledger.task(index).reservation.cpuMilli;
-    limit(index, std::max<std::int64_t>(1, before - std::min(excess, over)), "uses more than fits");
+    const std::int64_t cut = std::min(excess, over);
+    const std::int64_t expected = mContext.expectedCpu(mContext.ledger.task(index));
+    excess -= cut;
+    limit(index, std::max<std::int64_t>(1, expected - cut), "uses more than fits");
   }
 }
 
