--- a/src/integration/FaultScenario.cpp
+++ b/src/integration/FaultScenario.cpp
@@ -1,6 +1,7 @@
 #include "integration/FaultScenario.h"
 
 #include "cli/CommandLine.h"
+#include "testbench/HistoryChecker.h"
 
 #include <algorithm>
 #include <csignal>
@@ -714,6 +715,32 @@
 void
 FaultScenario::checkHistories()
 {
+  HistoryChecker::Options options;
+  options.mRequireFinished = mReport.mViolations.empty();
+  // A checkpoint is committed after it is written, so a worker that dies in between loses it.
+  options.mAllowOlderCheckpoints = mCell.mVictim == FaultVictim::eWorkerVm;
+  HistoryChecker checker(options);
+  std::vector<std::string> files = { mDeployment->runFolder() + "/callers.history.jsonl" };
+  for (const TargetKind kind : { TargetKind::eExecutor, TargetKind::eWorker }) {
+    for (const std::string& target : mDeployment->targetNames(kind)) {
+      files.push_back(mDeployment->historyFile(target));
+    }
+  }
+  for (const std::string& file : files) {
+    const Result<Done> added = checker.addFile(file);
+    if (!isOk(added)) {
+      violation(errorOf(added).text());
+    }
+  }
+  std::ostringstream entries;
+  entries << std::ifstream(mDeployment->runFolder() + "/catalogue.json").rdbuf();
+  const Result<Done> set = checker.setEntries(entries.str());
+  if (!isOk(set)) {
+    violation(errorOf(set).text());
+  }
+  for (const HistoryViolation& found : checker.check()) {
+    violation(found.mRule + ": " + found.mDetail);
+  }
 }
 
 } // namespace magnoliadrum
