--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all packages build test lint format demo faults clean
+.PHONY: all packages build test lint format demo faults capacity clean
 
 all: build
 
@@ -14,7 +14,22 @@
 	cmake --build $(BUILD) -j $(JOBS)
 
 test: build
-	ctest --test-dir $(BUILD) --output-on-failure
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+	$(BUILD)/magnoliadrum-faults --programs=$(BUILD) --cells=ci --jobs=$(CELL_JOBS)
+
+demo: build
+	$(BUILD)/magnoliadrum-demo --programs=$(BUILD) --run_folder=run/demo
+
+# The fault matrix: CELLS is all, ci, or the start of the names of the cells to run.
+CELLS ?= all
+SEED ?= 1
+CELL_JOBS ?= 3
+faults: build
+	$(BUILD)/magnoliadrum-faults --programs=$(BUILD) --cells=$(CELLS) --seed=$(SEED) --jobs=$(CELL_JOBS)
+
+# Capacity slopes for docs/CAPACITY.md.
+capacity: build
+	$(BUILD)/magnoliadrum-capacity --programs=$(BUILD)
 
 format: packages
 	tools/check_format.sh --write
