Run the control process on the replicated log

The log in memory moves to the tests. A storage failure ends the process at once without cleaning up, because a replica must not send anything from a state that is not synced.

--- a/src/control/ChangeTracker_test.cpp
+++ b/src/control/ChangeTracker_test.cpp
@@ -16,7 +16,7 @@
 {
   CatalogueEntry::Fields entry = taskEntry(aName, EntryKind::eBatch).fields();
   entry.payload = std::string(aPayloadBytes, 'x');
-  aCatalogue.apply(entryChange(aName, 0, buildValue<CatalogueEntry>(entry)));
+  aCatalogue.apply(entryChange(aName, 0, entry));
 }
 
 } // namespace
@@ -109,7 +109,7 @@
   }
   CatalogueEntry::Fields changed = taskEntry("e0", EntryKind::eBatch).fields();
   changed.urgent = true;
-  catalogue.apply(entryChange("again", 1, buildValue<CatalogueEntry>(changed)));
+  catalogue.apply(entryChange("again", 1, changed));
   ChangeTracker tracker;
   tracker.open(1, "g1");
   std::vector<CatalogueUpdate> updates;
--- a/src/control/ControlService_test.cpp
+++ b/src/control/ControlService_test.cpp
@@ -18,7 +18,7 @@
 {
   RunningRun()
   {
-    mSession = open(kAgent, admitAgent("vm-1", "i1"));
+    mSession = open(kAgent, admitWorker("vm-1", "i1"));
     submitRun();
     advance(200);
     report(kAgent, mSession, 1, TaskState::eRunning);
@@ -33,7 +33,7 @@
 // Guards against a path that no single class covers: submission to publication.
 BOOST_FIXTURE_TEST_CASE(run_is_placed_started_completed_and_published, ServiceHarness)
 {
-  const std::int64_t session = open(kAgent, admitAgent("vm-1", "i1"));
+  const std::int64_t session = open(kAgent, admitWorker("vm-1", "i1"));
   submitRun();
   BOOST_TEST(take<TaskSubmitted>(kOperator).size() == 1U);
   advance(200);
@@ -50,7 +50,7 @@
 // Guards against a second run elsewhere while the lease of the first may still hold.
 BOOST_FIXTURE_TEST_CASE(task_is_placed_elsewhere_only_after_the_session_expired, RunningRun)
 {
-  const std::int64_t other = open(kOtherAgent, admitAgent("vm-2", "i1"));
+  const std::int64_t other = open(kOtherAgent, admitWorker("vm-2", "i1"));
   for (int step = 0; step < 14; step++) {
     heartbeat(kOtherAgent, other, "vm-2");
     advance(100);
@@ -75,10 +75,10 @@
                      buildValue<SessionHeartbeat>(
                        { .session = mSession, .processId = "vm-1", .sentAtMs = mNow.ms() }));
   BOOST_TEST(take<SessionRenewed>(kAgent).empty());
-  BOOST_TEST(open(kAgent, admitAgent("vm-1", "i1")) == 0);
+  BOOST_TEST(open(kAgent, admitWorker("vm-1", "i1")) == 0);
   settle();
   BOOST_TEST((task().state() == TaskState::ePending));
-  BOOST_TEST(open(kAgent, admitAgent("vm-1", "i1")) > mSession);
+  BOOST_TEST(open(kAgent, admitWorker("vm-1", "i1")) > mSession);
 }
 
 // Guards against sessions and tasks that a leader change loses, and against orders that the old
@@ -93,7 +93,7 @@
   mLog.setLeads(true, mNow);
   advance(kExpiryMs);
   const std::int64_t applied = mState.appliedIndex();
-  BOOST_TEST(open(kOtherAgent, admitAgent("vm-1", "i1")) == mSession);
+  BOOST_TEST(open(kOtherAgent, admitWorker("vm-1", "i1")) == mSession);
   BOOST_TEST(mState.appliedIndex() == applied);
   BOOST_TEST(task().session() == mSession);
   report(kOtherAgent, mSession, 1, TaskState::eCompleted);
@@ -107,7 +107,7 @@
   mLog.setLeaderLease(false);
   heartbeat(kAgent, mSession, "vm-1");
   BOOST_TEST(take<SessionRenewed>(kAgent).empty());
-  BOOST_TEST(open(kOtherAgent, admitAgent("vm-2", "i1")) == 0);
+  BOOST_TEST(open(kOtherAgent, admitWorker("vm-2", "i1")) == 0);
   deliver(kOperator, buildValue<CatalogueQuery>({ .requestId = "q" }));
   BOOST_TEST((take<OperationFailed>(kOperator).at(0).code() == FailureCode::eUnavailable));
 }
@@ -119,8 +119,7 @@
     return buildValue<RunningTask>({ .taskId = aTaskId, .epoch = 1 });
   };
   const std::int64_t session =
-    open(kOtherAgent,
-         admitAgent("vm-1", "i2", TargetKind::eWorker, { listed(kRun), listed("recon/stray") }));
+    open(kOtherAgent, admitWorker("vm-1", "i2", { listed(kRun), listed("recon/stray") }));
   BOOST_TEST(session > mSession);
   BOOST_TEST(task().session() == session);
   BOOST_TEST((take<SessionRefused>(kAgent).at(0).reason() == SessionRefusal::eUnknownSession));
@@ -135,7 +134,7 @@
 BOOST_FIXTURE_TEST_CASE(late_report_is_acknowledged_and_its_run_stopped, RunningRun)
 {
   advance(kExpiryMs);
-  const std::int64_t session = open(kAgent, admitAgent("vm-1", "i1"));
+  const std::int64_t session = open(kAgent, admitWorker("vm-1", "i1"));
   advance(200);
   mSent.clear();
   const std::int64_t epoch = task().epoch();
@@ -155,7 +154,7 @@
   report(kAgent, mSession, 1, TaskState::eCompleted);
   report(kAgent, mSession, 1, TaskState::eCompleted);
   BOOST_TEST(take<TaskReportAck>(kAgent).size() == 2U);
-  const std::int64_t other = open(kOtherAgent, admitAgent("vm-2", "i1"));
+  const std::int64_t other = open(kOtherAgent, admitWorker("vm-2", "i1"));
   report(kOtherAgent, other, 1, TaskState::eStopped);
   report(kOtherAgent, mSession, 1, TaskState::eStopped);
   BOOST_TEST((task().state() == TaskState::eCompleted));
@@ -166,7 +165,7 @@
 {
   const std::int64_t gateway = openGateway(kGateway, "g1");
   mSent.clear();
-  change(entryChange("c1", 0, taskEntry("recon", EntryKind::eBatch)));
+  change(entryChange("c1", 0, taskEntry("recon", EntryKind::eBatch).fields()));
   const std::vector<CatalogueUpdate> updates = take<CatalogueUpdate>(kGateway);
   BOOST_REQUIRE(updates.size() == 1U);
   BOOST_TEST(updates[0].toVersion() == 1);
@@ -183,7 +182,7 @@
 BOOST_FIXTURE_TEST_CASE(gateways_learn_of_drained_and_lost_executors, ServiceHarness)
 {
   const std::int64_t gateway = openGateway(kGateway, "g1");
-  open(kAgent, admitAgent("ex-1", "i1", TargetKind::eExecutor));
+  open(kAgent, admitExecutor("ex-1"));
   BOOST_TEST(take<TargetUpdate>(kGateway).back().targets().size() == 1U);
   deliver(
     kOperator,
@@ -236,7 +235,7 @@
 {
   CatalogueEntry::Fields entry = taskEntry("recon", EntryKind::eBatch).fields();
   entry.serveWithoutControl = true;
-  change(entryChange("c1", 0, buildValue<CatalogueEntry>(entry)));
+  change(entryChange("c1", 0, entry));
   const ChangeAnswer answer = take<ChangeResult>(kOperator).at(0).answer();
   BOOST_TEST((answer.outcome() == ChangeOutcome::eInvalid));
   BOOST_TEST(answer.faults().size() == 1U);
--- a/src/control/InMemoryCommandLog.cpp
+++ b/src/control/InMemoryCommandLog_test.cpp
@@ -1,4 +1,4 @@
-#include "control/InMemoryCommandLog.h"
+#include "control/InMemoryCommandLog_test.h"
 
 #include <cassert>
 #include <utility>
--- a/src/control/InMemoryCommandLog.h
+++ b/src/control/InMemoryCommandLog_test.h
@@ -6,7 +6,7 @@
 namespace magnoliadrum {
 
 /**
- * A log of a single replica that is lost with the process, for tests and trials. A command is
+ * A log of a single replica that is lost with the process, for tests. A command is
  * committed at once and applied from the next call of the poster.
  */
 class InMemoryCommandLog : public CommandLog
--- a/src/control/ServiceLevelCollector_test.cpp
+++ b/src/control/ServiceLevelCollector_test.cpp
@@ -72,7 +72,7 @@
 BOOST_AUTO_TEST_CASE(standing_task_without_sign_of_life_is_silent)
 {
   ServiceHarness harness;
-  harness.change(entryChange("w", 0, taskEntry("watch", EntryKind::eStanding)));
+  harness.change(entryChange("w", 0, taskEntry("watch", EntryKind::eStanding).fields()));
   SilenceMonitor monitor;
   const MonotonicTime now = harness.mNow;
   BOOST_TEST(monitor.silentTasks(harness.mState, now).empty());
--- a/src/control/TaskDispatcher_test.cpp
+++ b/src/control/TaskDispatcher_test.cpp
@@ -14,9 +14,9 @@
   PlacedRun()
   {
     apply(buildValue<ApplyChange>(
-      { .change = entryChange("c", 0, taskEntry("recon", EntryKind::eBatch)) }));
+      { .change = entryChange("c", 0, taskEntry("recon", EntryKind::eBatch).fields()) }));
     apply(buildValue<CreateTask>({ .taskId = kRun, .entryName = "recon" }));
-    apply(admitAgent("vm-1", "i1"));
+    apply(admitWorker("vm-1", "i1"));
     apply(buildValue<PlaceTask>({ .taskId = kRun, .epoch = 1, .session = 1 }));
   }
 
--- a/src/control/control_fixture_test.h
+++ b/src/control/control_fixture_test.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "control/ControlService.h"
-#include "control/InMemoryCommandLog.h"
-#include "state/BuildValue.h"
+#include "control/InMemoryCommandLog_test.h"
+#include "state/state_fixture_test.h"
 
 #include <deque>
 #include <functional>
@@ -16,46 +16,23 @@
 inline const char* const kRun = "recon/night";
 
 inline AdmitSession
-admitAgent(const std::string& aProcessId,
-           const std::string& aIncarnation,
-           TargetKind aKind = TargetKind::eWorker,
-           std::vector<RunningTask> aRunning = {})
+admitExecutor(const std::string& aProcessId)
 {
-  return buildValue<AdmitSession>(
-    { .processId = aProcessId,
-      .processKind = ProcessKind::eAgent,
-      .incarnation = aIncarnation,
-      .target = buildValue<TargetDescription>(
-        { .targetId = aProcessId,
-          .targetKind = aKind,
-          .entryName = aKind == TargetKind::eExecutor ? "pickup" : "",
-          .agentAddress = "127.0.0.1:7000",
-          .dataCentre = "Tulcea",
-          .rack = "r1",
-          .capacity = buildValue<Resources>({ .cpuMilli = 4000, .memoryMb = 1000 }) }),
-      .running = std::move(aRunning) });
+  AdmitSession::Fields fields = admitWorker(aProcessId, "i1").fields();
+  TargetDescription::Fields target = fields.target->fields();
+  target.targetKind = TargetKind::eExecutor;
+  target.entryName = "pickup";
+  fields.target = buildValue<TargetDescription>(target);
+  return buildValue<AdmitSession>(std::move(fields));
 }
 
 inline CatalogueEntry
 taskEntry(const std::string& aName, EntryKind aKind)
 {
-  return buildValue<CatalogueEntry>(
-    { .name = aName,
-      .owner = "delta",
-      .kind = aKind,
-      .workClass = WorkClass::eBatch,
-      .resources = buildValue<Resources>({ .cpuMilli = 1000, .memoryMb = 100 }),
-      .dataCentres = { "Tulcea" },
-      .payload = "from the entry" });
-}
-
-inline CatalogueChange
-entryChange(const std::string& aChangeId, std::int64_t aExpected, const CatalogueEntry& aEntry)
-{
-  return buildValue<CatalogueChange>({ .changeId = aChangeId,
-                                       .recordName = aEntry.name(),
-                                       .expectedVersion = aExpected,
-                                       .entry = aEntry });
+  CatalogueEntry::Fields fields =
+    aKind == EntryKind::eStanding ? standingEntry(aName, 1) : batchEntry(aName);
+  fields.payload = "from the entry";
+  return buildValue<CatalogueEntry>(std::move(fields));
 }
 
 /** A control service on a log in memory, with a clock that the test moves. */
@@ -175,7 +152,7 @@
   /** Creates entry 'recon' and its run 'recon/night'. */
   void submitRun()
   {
-    change(entryChange("recon", 0, taskEntry("recon", EntryKind::eBatch)));
+    change(entryChange("recon", 0, taskEntry("recon", EntryKind::eBatch).fields()));
     deliver(kOperator,
             buildValue<TaskSubmit>({ .requestId = "t", .entryName = "recon", .runKey = "night" }));
   }
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -1,14 +1,16 @@
+#include "control/ConnectionReplicaTransport.h"
 #include "control/ControlProcess.h"
-#include "control/InMemoryCommandLog.h"
-#include "faults/faults.h"
+#include "control/ReplicatedCommandLog.h"
+#include "session/Incarnation.h"
 #include "settings/settings.h"
+#include "state/BuildValue.h"
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <gflags/gflags.h>
 
-DEFINE_string(settings, "", "settings file (JSON)");
-DEFINE_string(fault_points_file, "", "for tests: file of fault points that SIGUSR1 arms");
+DEFINE_string(settings, "", "settings file (JSON, ControlSettings)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 DEFINE_bool(bootstrap, false, "first start of a new group; needs initialReplicas in the settings");
 DEFINE_bool(join, false, "start with an empty data folder and wait to be added to a group");
@@ -19,6 +21,49 @@
 
 constexpr int kExitFailure = 1;
 
+ReplicaStart
+replicaStart()
+{
+  if (FLAGS_bootstrap) {
+    return ReplicaStart::eBootstrap;
+  }
+  return FLAGS_join ? ReplicaStart::eJoin : ReplicaStart::eExisting;
+}
+
+ReplicatorSettings
+replicatorSettings(const ControlSettings& aSettings)
+{
+  ReplicatorSettings settings;
+  settings.dataFolder = aSettings.dataFolder();
+  settings.address = aSettings.advertisedAddress().empty() ? aSettings.listenAddress()
+                                                           : aSettings.advertisedAddress();
+  settings.start = replicaStart();
+  settings.initialReplicas = aSettings.initialReplicas();
+  settings.electionTimeoutMs = aSettings.electionTimeoutMs();
+  settings.heartbeatMs = aSettings.replicationHeartbeatMs();
+  settings.snapshotEveryEntries = aSettings.snapshotEveryEntries();
+  return settings;
+}
+
+std::unique_ptr<ReplicaTransport>
+replicaTransport(EventLoop& aLoop, const ControlSettings& aSettings)
+{
+  return std::make_unique<ConnectionReplicaTransport>(
+    aLoop,
+    buildValue<Hello>({ .processKind = ProcessKind::eControl,
+                        .processId = aSettings.processId(),
+                        .incarnation = newIncarnation() }),
+    aSettings.electionTimeoutMs());
+}
+
+/** A replica whose storage failed must not send another message, so nothing is cleaned up. */
+void
+stopAtOnce(const Error& aError)
+{
+  logError("the replicated log failed", aError);
+  std::_Exit(kExitFailure);
+}
+
 int
 runControl(const ControlSettings& aSettings)
 {
@@ -29,23 +74,21 @@
     return kExitFailure;
   }
   const auto loop = takeValue(std::move(created));
-  loop->setSourceHost(hostOfAddress(aSettings.listenAddress()));
   ControlState state;
-  InMemoryCommandLog log(
-    state,
-    [&loop](std::function<void()> aFunction) { loop->post(std::move(aFunction)); },
-    aSettings.advertisedAddress().empty() ? aSettings.listenAddress()
-                                          : aSettings.advertisedAddress());
-  auto process = ControlProcess::start(*loop, aSettings, state, log);
+  auto log = ReplicatedCommandLog::create(
+    *loop, replicatorSettings(aSettings), replicaTransport(*loop, aSettings), state, stopAtOnce);
+  if (!isOk(log)) {
+    logError("the replicated log cannot start", errorOf(log));
+    return kExitFailure;
+  }
+  auto process = ControlProcess::start(*loop, aSettings, state, *valueOf(log));
   if (!isOk(process)) {
     logError("control cannot start", errorOf(process));
     return kExitFailure;
   }
-  log.setLeads(true, loop->now());
   const auto onTerminate = loop->onSignal(SIGTERM, [&]() { valueOf(process)->shutDown(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&]() { valueOf(process)->shutDown(); });
   logInfo("control started", { { "address", aSettings.listenAddress() } });
-  const auto faults = FaultPointFile::watch(*loop, FLAGS_fault_points_file);
   loop->run();
   return 0;
 }
@@ -67,5 +110,9 @@
   if (FLAGS_check_settings) {
     return 0;
   }
+  if (FLAGS_bootstrap && FLAGS_join) {
+    std::fprintf(stderr, "--bootstrap and --join exclude each other\n");
+    return magnoliadrum::kExitFailure;
+  }
   return magnoliadrum::runControl(magnoliadrum::valueOf(settings));
 }
