state: a returning worker settles an unknown outcome

Cause: a task whose completion was committed became outcome-unknown when its session expired, and stayed so even when the VM had only been cut off, so a batch task could never end although its output was intact. Ruled out: running it again, because the output may have been published. Before: the new test saw outcome-unknown after the worker returned; after: completed (and published) or published.

--- a/src/state/TaskRegistry.cpp
+++ b/src/state/TaskRegistry.cpp
@@ -405,6 +405,9 @@
 {
   std::vector<RunningTask> strays;
   for (const RunningTask& listed : aListed) {
+    if (settleUnknownOutcome(listed, aSession)) {
+      continue;
+    }
     const TaskRecord* task = mTable.find(listed.taskId());
     const bool placedThere = task != nullptr && isHeld(task->state()) && aEndedSession != 0 &&
                              task->session() == aEndedSession && task->epoch() == listed.epoch();
@@ -426,6 +429,31 @@
   return strays;
 }
 
+bool
+TaskRegistry::settleUnknownOutcome(const RunningTask& aListed, const SessionRecord& aSession)
+{
+  const TaskRecord* task = mTable.find(aListed.taskId());
+  const bool isSameRun = task != nullptr && task->state() == TaskState::eOutcomeUnknown &&
+                         task->epoch() == aListed.epoch() &&
+                         task->targetId() == aSession.target()->targetId();
+  if (!isSameRun) {
+    return false;
+  }
+  TaskRecord::Fields fields = task->fields();
+  if (aListed.state() == TaskState::ePublished) {
+    finish(std::move(fields), TaskState::ePublished);
+    return true;
+  }
+  if (aListed.state() != TaskState::eCompleted) {
+    return false;
+  }
+  // The worker still holds the output, so it was not published, and no other run was started.
+  fields.state = TaskState::eCompleted;
+  fields.session = aSession.session();
+  store(std::move(fields));
+  return true;
+}
+
 void
 TaskRegistry::followEntry(const std::string& aEntryName,
                           const Catalogue& aCatalogue,
--- a/src/state/TaskRegistry.h
+++ b/src/state/TaskRegistry.h
@@ -79,6 +79,8 @@
   Outcome moveCompleted(const TaskRecord& aTask, const MoveTask& aCommand);
   Outcome failRun(const TaskRecord& aTask, TaskRecord::Fields aFields, const Catalogue& aCatalogue);
   Outcome completeRun(const TaskRecord& aTask, TaskRecord::Fields aFields);
+  /** Ends or resumes an unknown outcome that the worker which ran the task can tell. */
+  bool settleUnknownOutcome(const RunningTask& aListed, const SessionRecord& aSession);
   void wantStanding(const CatalogueEntry& aEntry);
   void stopOutside(const CatalogueEntry& aEntry, const SessionRegistry& aSessions);
   void requestStopOf(const TaskRecord& aTask, const std::string& aDetail);
--- a/src/state/TaskRegistry_test.cpp
+++ b/src/state/TaskRegistry_test.cpp
@@ -110,6 +110,23 @@
 }
 
 // Guards against tasks that an agent restart stops although the worker still runs them, and against
+// Guards against a batch task that never ends although its VM was only cut off: the worker still
+// holds the output, which was not published, or it has published it.
+BOOST_AUTO_TEST_CASE(returning_worker_settles_an_unknown_outcome)
+{
+  for (const TaskState listed : { TaskState::eCompleted, TaskState::ePublished }) {
+    RunningRun run;
+    run.apply(report(kRun, 1, TaskState::eCompleted));
+    run.expire(run.mSession);
+    BOOST_TEST((run.task(kRun).state() == TaskState::eOutcomeUnknown));
+    run.apply(admitWorker("other", "i", { running(kRun, 1, listed) }));
+    BOOST_TEST((run.task(kRun).state() == TaskState::eOutcomeUnknown));
+    const std::int64_t back = run.admit(admitWorker("vm-1", "i2", { running(kRun, 1, listed) }));
+    BOOST_TEST((run.task(kRun).state() == listed));
+    BOOST_TEST(run.task(kRun).session() == (listed == TaskState::eCompleted ? back : 0));
+  }
+}
+
 // tasks that stay placed although the worker lost them.
 BOOST_FIXTURE_TEST_CASE(restarted_agent_keeps_the_listed_tasks, RunningRun)
 {
