Give up the tasks of a silent worker when its last lease is over

The agent of a worker that had died went on to hold its session, so its tasks were never placed again and new ones waited for it. It now stops renewing the lease, refuses starts, announces that the target takes no new work, and reports the tasks as stopped once the last lease that the worker can have got is over.

--- a/src/agent/AgentService.cpp
+++ b/src/agent/AgentService.cpp
@@ -161,7 +161,8 @@
 void
 AgentService::fillHeartbeat(SessionHeartbeat::Fields& aFields)
 {
-  aFields.leaving = mLeavingSince.has_value();
+  // Control would go on to place tasks on a worker that answers nothing.
+  aFields.leaving = mLeavingSince.has_value() || (mRunner && mRunner->isWorkerSilent());
   const TargetUsage current = usage();
   const MonotonicTime now = mLoop.now();
   if (current != mSentUsage && now.msSince(mUsageSentAt) >= kUsagePeriodMs) {
--- a/src/agent/TaskRunner.cpp
+++ b/src/agent/TaskRunner.cpp
@@ -33,7 +33,9 @@
     return errorOf(worker);
   }
   TaskTable::Options options{ .mCapacity = aSettings.capacity(),
-                              .mDataCentre = aSettings.dataCentre() };
+                              .mDataCentre = aSettings.dataCentre(),
+                              .mLeaseMs = aSettings.lease().leaseMs(),
+                              .mWorkerSilenceMs = aSettings.lease().leaseMs() / 2 };
   return std::unique_ptr<TaskRunner>(new TaskRunner(
     aLoop, std::move(options), takeValue(std::move(worker)), aMetrics, std::move(aHandlers)));
 }
--- a/src/agent/TaskRunner.h
+++ b/src/agent/TaskRunner.h
@@ -30,6 +30,7 @@
   TaskRunner& operator=(const TaskRunner&) = delete;
 
   bool isClaimed() const { return mClaimed; }
+  bool isWorkerSilent() const { return mTable.isWorkerSilent(mLoop.now()); }
   bool isIdle() const { return mTable.isIdle(); }
   std::vector<RunningTask> running() const { return mTable.running(); }
 
--- a/src/agent/TaskTable.cpp
+++ b/src/agent/TaskTable.cpp
@@ -49,6 +49,8 @@
       return "does not fit the VM";
     case TaskDecision::eLeaving:
       return "the agent is shutting down";
+    case TaskDecision::eWorkerSilent:
+      return "the worker does not answer";
     case TaskDecision::eStillHeld:
       return "an older epoch is still held";
     case TaskDecision::eUnknownTask:
@@ -80,7 +82,8 @@
     }
     anyHeld = anyHeld || mayRun(item.second);
   }
-  if (anyHeld) {
+  if (anyHeld && !isWorkerSilent(aNow)) {
+    mLeaseAtWorker = std::max(mLeaseAtWorker, mLease.mLeaseUntil);
     mActions.push_back(LeaseAction{ mLease.mLeaseUntil });
   }
 }
@@ -132,6 +135,9 @@
   if (aEntry == nullptr || aEntry->kind() == EntryKind::eService || !allowsHere(*aEntry)) {
     return TaskDecision::eNotAllowed;
   }
+  if (isWorkerSilent(aNow)) {
+    return TaskDecision::eWorkerSilent;
+  }
   return fits(aStart.resources()) ? TaskDecision::eAccepted : TaskDecision::eDoesNotFit;
 }
 
--- a/src/agent/TaskTable.h
+++ b/src/agent/TaskTable.h
@@ -23,6 +23,7 @@
   eNotAllowed,   /**< Refused: the catalogue does not allow the task here. */
   eDoesNotFit,   /**< Refused: the VM does not hold the resources. */
   eLeaving,      /**< Refused: the agent is shutting down. */
+  eWorkerSilent, /**< Refused: the worker does not answer. */
   eStillHeld,    /**< Refused: an older epoch has not ended here. */
   eUnknownTask   /**< The task is not held. */
 };
@@ -44,6 +45,10 @@
   {
     Resources mCapacity;
     std::string mDataCentre;
+    /** Length of a lease. */
+    std::int64_t mLeaseMs = 6000;
+    /** A worker that has not listed its tasks for this long counts as silent. */
+    std::int64_t mWorkerSilenceMs = 3000;
     /** An unacknowledged report is sent again after this time. */
     std::int64_t mReportRepeatMs = 1000;
     /** A completed task that is neither published nor stopped is reported again after this time. */
@@ -95,9 +100,18 @@
   /** Compares with the worker's tasks; those that changed after aMark was taken are left alone. */
   void listed(const std::vector<WorkerTask>& aTasks, std::int64_t aMark, MonotonicTime aNow);
 
-  /** Repeats reports and calls that are due. */
+  /** Repeats reports and calls that are due, and gives up the tasks of a silent worker. */
   void tick(MonotonicTime aNow);
 
+  /**
+   * Whether the worker has not answered for too long. Then its leases are not renewed, nothing is
+   * started, and its tasks end with the last lease that it can have got.
+   */
+  bool isWorkerSilent(MonotonicTime aNow) const
+  {
+    return aNow.msSince(mWorkerAnsweredAt) >= mOptions.mWorkerSilenceMs;
+  }
+
   /** Refuses every further start and stops all tasks with a checkpoint. */
   void leave(MonotonicTime aNow);
 
@@ -194,12 +208,16 @@
 
   void follow(TaskItem& aItem, const WorkerTask& aListed, MonotonicTime aNow);
   void followMissing(TaskItem& aItem, MonotonicTime aNow);
+  void giveUp(TaskItem& aItem, MonotonicTime aNow);
   void retry(TaskItem& aItem, MonotonicTime aNow);
   void forgetOld(MonotonicTime aNow);
 
   Options mOptions;
   SessionLease mLease;
   bool mLeaving = false;
+  MonotonicTime mWorkerAnsweredAt;
+  /** End of the last lease that was sent to the worker. */
+  MonotonicTime mLeaseAtWorker;
   std::int64_t mEventCount = 0;
   TaskMap mTasks;
   std::vector<TaskAction> mActions;
--- a/src/agent/TaskTableCalls.cpp
+++ b/src/agent/TaskTableCalls.cpp
@@ -1,5 +1,6 @@
 #include "agent/TaskTable.h"
 
+#include <algorithm>
 #include <cassert>
 #include <set>
 #include <utility>
@@ -21,6 +22,7 @@
   assert(aItem.second.mStart);
   enter(aItem, Phase::eStarting);
   aItem.second.mCallInProgress = true;
+  mLeaseAtWorker = std::max(mLeaseAtWorker, mLease.mLeaseUntil);
   mActions.push_back(StartAction{ *aItem.second.mStart, mLease.mLeaseUntil });
 }
 
@@ -157,6 +159,9 @@
 TaskTable::claimed(const std::vector<WorkerTask>& aTasks, MonotonicTime aNow)
 {
   assert(mTasks.empty());
+  mWorkerAnsweredAt = aNow;
+  // The lease that the earlier agent process gave the worker is not known.
+  mLeaseAtWorker = aNow.plusMs(mOptions.mLeaseMs);
   for (const WorkerTask& listed : aTasks) {
     TaskItem& item = insert(listed.mTaskId, listed.mEpoch);
     item.second.mEntryName = listed.mEntryName;
@@ -169,6 +174,7 @@
 void
 TaskTable::listed(const std::vector<WorkerTask>& aTasks, std::int64_t aMark, MonotonicTime aNow)
 {
+  mWorkerAnsweredAt = aNow;
   std::set<TaskKey> present;
   for (const WorkerTask& listed : aTasks) {
     present.insert(TaskKey{ listed.mTaskId, listed.mEpoch });
@@ -177,6 +183,9 @@
       item != nullptr && item->second.mChangedAt <= aMark && !item->second.mCallInProgress;
     if (isCurrent && item->second.mPhase != Phase::eEnded) {
       follow(*item, listed, aNow);
+    } else if (isCurrent && listed.mState == TaskState::eRunning) {
+      // It was given up while the worker was silent; nobody else renews its lease.
+      mActions.push_back(StopAction{ listed.mTaskId, listed.mEpoch, StopMode::eKill });
     }
   }
   for (TaskItem& item : mTasks) {
@@ -237,12 +246,27 @@
 void
 TaskTable::tick(MonotonicTime aNow)
 {
+  const bool isSilent = isWorkerSilent(aNow);
   for (TaskItem& item : mTasks) {
+    if (isSilent && mayRun(item.second)) {
+      giveUp(item, aNow);
+    }
     retry(item, aNow);
   }
   forgetOld(aNow);
 }
 
+void
+TaskTable::giveUp(TaskItem& aItem, MonotonicTime aNow)
+{
+  if (aItem.second.mPhase == Phase::eWaiting) {
+    end(aItem, TaskState::eRefused, aNow, "the worker does not answer");
+  } else if (aNow > mLeaseAtWorker) {
+    // The worker has stopped the task by itself, or is not running at all.
+    end(aItem, TaskState::eStopped, aNow, "the worker does not answer and its lease is over");
+  }
+}
+
 void
 TaskTable::retry(TaskItem& aItem, MonotonicTime aNow)
 {
