--- a/src/gateway/GatewayProcess_test.cpp
+++ b/src/gateway/GatewayProcess_test.cpp
@@ -1,19 +1,42 @@
 #include "gateway/gateway.h"
 
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace magnoliadrum;
 
 namespace {
 
-constexpr const char* kGatewayAddress = "127.0.0.1:39461";
-constexpr const char* kControlAddress = "127.0.0.1:39462";
-constexpr const char* kAgentAddress = "127.0.0.1:39463";
 constexpr std::int64_t kTestLimitMs = 20000;
 constexpr std::int64_t kHeartbeatMs = 50;
 constexpr std::int64_t kLeaseMs = 1500;
 constexpr std::size_t kMaxBodyBytes = 300000;
 
+/** An address that nothing listens on, because several test runs may share the machine. */
+std::string
+freeAddress()
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  BOOST_REQUIRE(::bind(socket, generic, length) == 0);
+  BOOST_REQUIRE(::getsockname(socket, generic, &length) == 0);
+  ::close(socket);
+  return SocketAddress::format(generic);
+}
+
+struct Addresses
+{
+  std::string mGateway = freeAddress();
+  std::string mControl = freeAddress();
+  std::string mAgent = freeAddress();
+};
+
 Hello
 helloOf(ProcessKind aKind, const std::string& aProcessId)
 {
@@ -26,9 +49,10 @@
 class StubControl
 {
 public:
-  explicit StubControl(EventLoop& aLoop)
-    : mServer(takeValue(MessageServer::listen(aLoop,
-                                              kControlAddress,
+  StubControl(EventLoop& aLoop, const Addresses& aAddresses)
+    : mAddresses(aAddresses)
+    , mServer(takeValue(MessageServer::listen(aLoop,
+                                              mAddresses.mControl,
                                               helloOf(ProcessKind::eControl, "control"),
                                               handlers())))
   {
@@ -79,7 +103,7 @@
     }
   }
 
-  static void grant(MessageConnection& aLink, const SessionOpen& aOpen)
+  void grant(MessageConnection& aLink, const SessionOpen& aOpen) const
   {
     const CatalogueEntry entry =
       valueOf(CatalogueEntry::create({ .name = "svc",
@@ -93,7 +117,7 @@
       valueOf(TargetDescription::create({ .targetId = "agent",
                                           .targetKind = TargetKind::eExecutor,
                                           .entryName = "svc",
-                                          .agentAddress = kAgentAddress,
+                                          .agentAddress = mAddresses.mAgent,
                                           .dataCentre = "Waco",
                                           .rack = "r",
                                           .slots = 8 }));
@@ -105,6 +129,7 @@
     aLink.send(valueOf(TargetUpdate::create({ .term = 1, .version = 1, .targets = { status } })));
   }
 
+  Addresses mAddresses;
   std::unique_ptr<MessageServer> mServer;
 };
 
@@ -112,10 +137,10 @@
 class StubAgent
 {
 public:
-  explicit StubAgent(EventLoop& aLoop)
+  StubAgent(EventLoop& aLoop, const Addresses& aAddresses)
     : mLoop(aLoop)
     , mServer(takeValue(MessageServer::listen(aLoop,
-                                              kAgentAddress,
+                                              aAddresses.mAgent,
                                               helloOf(ProcessKind::eAgent, "agent"),
                                               handlers())))
     , mHeartbeat(aLoop.runEvery(kHeartbeatMs, [this]() { sendStatus(); }))
@@ -165,9 +190,9 @@
 {
   ProcessFixture()
     : mLoop(takeValue(EventLoop::create()))
-    , mControl(*mLoop)
-    , mAgent(*mLoop)
-    , mClient(takeValue(HttpClient::create(*mLoop, kGatewayAddress, 8)))
+    , mControl(*mLoop, mAddresses)
+    , mAgent(*mLoop, mAddresses)
+    , mClient(takeValue(HttpClient::create(*mLoop, mAddresses.mGateway, 8)))
     , mLimit(mLoop->runAt(mLoop->now().plusMs(kTestLimitMs), [this]() {
       mTimedOut = true;
       mLoop->stop();
@@ -177,9 +202,9 @@
       valueOf(LeaseSettings::create({ .leaseMs = kLeaseMs, .heartbeatMs = kHeartbeatMs }));
     const GatewaySettings settings =
       valueOf(GatewaySettings::create({ .processId = "gateway",
-                                        .httpAddress = kGatewayAddress,
+                                        .httpAddress = mAddresses.mGateway,
                                         .dataCentre = "Waco",
-                                        .controlAddresses = { kControlAddress },
+                                        .controlAddresses = { mAddresses.mControl },
                                         .lease = lease,
                                         .maxBodyBytes = kMaxBodyBytes,
                                         .shutdownMs = 3000 }));
@@ -223,6 +248,7 @@
   }
 
   std::unique_ptr<EventLoop> mLoop;
+  Addresses mAddresses;
   StubControl mControl;
   StubAgent mAgent;
   std::unique_ptr<HttpClient> mClient;
--- a/src/gateway/RequestRouter.cpp
+++ b/src/gateway/RequestRouter.cpp
@@ -253,8 +253,15 @@
                             state.mCall.mEntryName,
                             state.mEntry.workClass(),
                             state.mCall.mDeadline,
-                            state.mCall.bytes() };
-  for (const DroppedRequest& dropped : mQueue.push(item, aNow)) {
+                            state.mCall.bytes(),
+                            state.mCall.mDeadline.msSince(state.mCall.mArrivedAt) };
+  finishDropped(mQueue.push(item, aNow), aNow);
+}
+
+void
+RequestRouter::finishDropped(const std::vector<DroppedRequest>& aDropped, MonotonicTime aNow)
+{
+  for (const DroppedRequest& dropped : aDropped) {
     finishWithout(dropped.mRequest, dropped.mReason, aNow);
   }
 }
@@ -267,13 +274,11 @@
     if (entry != nullptr && !mTargets.hasFreeTarget(*entry, aNow)) {
       return;
     }
-    const std::optional<std::uint64_t> next = mQueue.pop(aEntryName, aNow);
-    if (!next) {
-      return;
-    }
-    if (!dispatch(*next, aNow)) {
+    const PoppedRequest next = mQueue.pop(aEntryName, aNow, mResponseTimes[aEntryName].neededMs());
+    finishDropped(next.mDropped, aNow);
+    if (next.mRequest && !dispatch(*next.mRequest, aNow)) {
       // The free target has no recent clock reading; the request waits for the next one.
-      addToQueue(*next, aNow);
+      addToQueue(*next.mRequest, aNow);
       return;
     }
   }
@@ -360,9 +365,7 @@
 void
 RequestRouter::tick(MonotonicTime aNow)
 {
-  for (const DroppedRequest& dropped : mQueue.dropExpired(aNow)) {
-    finishWithout(dropped.mRequest, dropped.mReason, aNow);
-  }
+  finishDropped(mQueue.dropExpired(aNow), aNow);
   while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
     expireFirst(aNow);
   }
@@ -396,8 +399,12 @@
   if (entry == nullptr || !lacksTarget(*entry, aNow)) {
     return;
   }
-  while (const auto request = mQueue.pop(aEntryName, aNow)) {
-    finishWithout(*request, RefusalReason::eNoTarget, aNow);
+  while (mQueue.size(aEntryName) > 0) {
+    const PoppedRequest next = mQueue.pop(aEntryName, aNow, 0);
+    finishDropped(next.mDropped, aNow);
+    if (next.mRequest) {
+      finishWithout(*next.mRequest, RefusalReason::eNoTarget, aNow);
+    }
   }
 }
 
--- a/src/gateway/RequestRouter.h
+++ b/src/gateway/RequestRouter.h
@@ -191,6 +191,7 @@
 
   void enqueue(std::uint64_t aRequest, MonotonicTime aNow);
   void addToQueue(std::uint64_t aRequest, MonotonicTime aNow);
+  void finishDropped(const std::vector<DroppedRequest>& aDropped, MonotonicTime aNow);
   void pump(const std::string& aEntryName, MonotonicTime aNow);
   std::optional<RefusalReason> dispatchRefusal(const Request& aState, MonotonicTime aNow) const;
   bool dispatch(std::uint64_t aRequest, MonotonicTime aNow);
@@ -235,6 +236,7 @@
   OwnerLimits mLimits;
   RequestQueue mQueue;
   std::map<std::string, RetryBudget> mRetryBudgets;
+  std::map<std::string, ResponseTime> mResponseTimes;
   EntryStatistics mStatistics;
   std::uint64_t mLastRequest = 0;
   /** Memory of the requests that have no response yet. */
--- a/src/routing/RequestQueue.cpp
+++ b/src/routing/RequestQueue.cpp
@@ -1,5 +1,6 @@
 #include "routing/RequestQueue.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace magnoliadrum {
@@ -37,22 +38,26 @@
   return dropped;
 }
 
-std::optional<std::uint64_t>
-RequestQueue::pop(const std::string& aEntryName, MonotonicTime aNow)
+PoppedRequest
+RequestQueue::pop(const std::string& aEntryName, MonotonicTime aNow, std::int64_t aNeededMs)
 {
-  const auto entry = mEntries.find(aEntryName);
-  if (entry == mEntries.end()) {
-    return std::nullopt;
-  }
-  for (const LeaveKey& key : entry->second.mByLeaving) {
-    // An expired request stays for dropExpired(), so that its caller gets the reason.
-    if (mRequests.at(key.mRequest).mDeadline > aNow) {
-      const std::uint64_t next = key.mRequest;
-      remove(next);
-      return next;
+  PoppedRequest popped;
+  while (!popped.mRequest && size(aEntryName) > 0) {
+    const std::uint64_t next = mEntries.at(aEntryName).mByLeaving.begin()->mRequest;
+    const QueuedRequest& request = mRequests.at(next);
+    const std::int64_t leftMs = request.mDeadline.msSince(aNow);
+    const bool isHopeless = leftMs < std::min(aNeededMs, request.mAllowedMs / 2);
+    const bool othersWait = size(aEntryName) > 1;
+    remove(next);
+    if (leftMs <= 0) {
+      popped.mDropped.push_back({ next, RefusalReason::eDeadlinePassed });
+    } else if (othersWait && isHopeless) {
+      popped.mDropped.push_back({ next, RefusalReason::eShed });
+    } else {
+      popped.mRequest = next;
     }
   }
-  return std::nullopt;
+  return popped;
 }
 
 bool
--- a/src/routing/RequestQueue.h
+++ b/src/routing/RequestQueue.h
@@ -25,6 +25,8 @@
   Deadline mDeadline;
   /** Memory that the waiting request holds. */
   std::size_t mBytes = 0;
+  /** Time that its caller gave it altogether. */
+  std::int64_t mAllowedMs = 0;
 };
 
 /** A request that left the queue without being dispatched. */
@@ -37,6 +39,14 @@
   friend bool operator==(const DroppedRequest&, const DroppedRequest&) = default;
 };
 
+/** What RequestQueue::pop() took out of the queue. */
+struct PoppedRequest
+{
+  /** The request to dispatch; nothing when none can be. */
+  std::optional<std::uint64_t> mRequest;
+  std::vector<DroppedRequest> mDropped;
+};
+
 /**
  * Requests that wait for a slot, bounded per entry by count and altogether by memory.
  *
@@ -59,8 +69,17 @@
   /** Adds a request and returns what is dropped for it, possibly the request itself. */
   std::vector<DroppedRequest> push(const QueuedRequest& aRequest, MonotonicTime aNow);
 
-  /** Removes and returns the next request of an entry whose deadline has not passed. */
-  std::optional<std::uint64_t> pop(const std::string& aEntryName, MonotonicTime aNow);
+  /**
+   * Removes the next request of an entry whose deadline has not passed.
+   *
+   * Under overload a queue in order of arrival hands out requests whose time is nearly up; they
+   * time out at the target and waste its slots, until no response is in time any more. So a request
+   * with less than aNeededMs left, or than half of the time that its caller gave it if that is
+   * less, is dropped as long as another one waits behind it.
+   *
+   * @param aNeededMs usual time of a response of the entry; 0 when it is not known
+   */
+  PoppedRequest pop(const std::string& aEntryName, MonotonicTime aNow, std::int64_t aNeededMs);
 
   /** Removes a request; false when it is not in the queue. */
   bool remove(std::uint64_t aRequest);
--- /dev/null
+++ b/src/routing/ResponseTime.cpp
@@ -0,0 +1,24 @@
+#include "routing/ResponseTime.h"
+
+namespace magnoliadrum {
+
+namespace {
+/** Weight of a new sample: the mean follows a change within about a hundred responses. */
+constexpr double kSampleWeight = 0.02;
+constexpr double kNeededFactor = 2;
+} // namespace
+
+void
+ResponseTime::record(std::int64_t aMs)
+{
+  const auto sample = static_cast<double>(aMs);
+  mMeanMs += (mMeanMs == 0 ? 1 : kSampleWeight) * (sample - mMeanMs);
+}
+
+std::int64_t
+ResponseTime::neededMs() const
+{
+  return static_cast<std::int64_t>(kNeededFactor * mMeanMs);
+}
+
+} // namespace magnoliadrum
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -12,6 +12,7 @@
 #include "routing/OwnerLimits.h"
 #include "routing/RequestLedger.h"
 #include "routing/RequestQueue.h"
+#include "routing/ResponseTime.h"
 #include "routing/RetryBudget.h"
 #include "routing/TargetLoad.h"
 #include "routing/TargetSelector.h"
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -16,7 +16,7 @@
 QueuedRequest
 waiting(std::uint64_t aRequest, WorkClass aClass, std::int64_t aDeadlineMs, std::size_t aBytes = 1)
 {
-  return { aRequest, "entry", aClass, at(aDeadlineMs), aBytes };
+  return { aRequest, "entry", aClass, at(aDeadlineMs), aBytes, aDeadlineMs };
 }
 
 constexpr WorkClass kCritical = WorkClass::eLatencyCritical;
@@ -160,10 +160,10 @@
   queue.push(waiting(1, kBatch, 1000), at(0));
   queue.push(waiting(2, kCritical, 1000), at(0));
   queue.push(waiting(3, kCritical, 500), at(0));
-  BOOST_TEST((queue.pop("entry", at(0)) == 2));
-  BOOST_TEST((queue.pop("entry", at(0)) == 3));
-  BOOST_TEST((queue.pop("entry", at(0)) == 1));
-  BOOST_TEST(!queue.pop("entry", at(0)).has_value());
+  BOOST_TEST((queue.pop("entry", at(0), 0).mRequest == 2));
+  BOOST_TEST((queue.pop("entry", at(0), 0).mRequest == 3));
+  BOOST_TEST((queue.pop("entry", at(0), 0).mRequest == 1));
+  BOOST_TEST(!queue.pop("entry", at(0), 0).mRequest.has_value());
   BOOST_TEST(queue.bytes() == 0);
 }
 
@@ -186,9 +186,9 @@
 BOOST_AUTO_TEST_CASE(memory_bound_holds_over_all_entries)
 {
   RequestQueue queue({ 100, 100 });
-  queue.push({ 1, "a", kBatch, at(1000), 60 }, at(0));
+  queue.push({ 1, "a", kBatch, at(1000), 60, 1000 }, at(0));
   const std::vector<DroppedRequest> dropped{ { 1, RefusalReason::eShed } };
-  BOOST_TEST((queue.push({ 2, "b", kCritical, at(1000), 60 }, at(0)) == dropped));
+  BOOST_TEST((queue.push({ 2, "b", kCritical, at(1000), 60, 1000 }, at(0)) == dropped));
   BOOST_TEST(queue.bytes() == 60);
 }
 
@@ -198,12 +198,32 @@
   RequestQueue queue({ 10, 100 });
   queue.push(waiting(1, kCritical, 100), at(0));
   queue.push(waiting(2, kBatch, 200), at(0));
-  BOOST_TEST((queue.pop("entry", at(100)) == 2));
+  const PoppedRequest popped = queue.pop("entry", at(100), 0);
+  BOOST_TEST((popped.mRequest == 2));
   const std::vector<DroppedRequest> expired{ { 1, RefusalReason::eDeadlinePassed } };
-  BOOST_TEST((queue.dropExpired(at(100)) == expired));
+  BOOST_TEST((popped.mDropped == expired));
+  queue.push(waiting(1, kCritical, 200), at(100));
+  BOOST_TEST((queue.dropExpired(at(200)) == expired));
   BOOST_TEST(queue.size() == 0);
 }
 
+// Guards against an overloaded queue that hands out only requests that are about to time out.
+BOOST_AUTO_TEST_CASE(hopeless_requests_are_shed_while_others_wait)
+{
+  RequestQueue queue({ 10, 100 });
+  queue.push(waiting(1, kCritical, 110), at(0));
+  queue.push(waiting(2, kCritical, 200), at(0));
+  queue.push(waiting(3, kCritical, 110), at(0));
+  const PoppedRequest popped = queue.pop("entry", at(100), 20);
+  const std::vector<DroppedRequest> shed{ { 1, RefusalReason::eShed } };
+  BOOST_TEST((popped.mDropped == shed));
+  BOOST_TEST((popped.mRequest == 2));
+  BOOST_TEST((queue.pop("entry", at(100), 20).mRequest == 3), "the last one gets its chance");
+  queue.push(waiting(4, kCritical, 30), at(0));
+  queue.push(waiting(5, kCritical, 30), at(0));
+  BOOST_TEST((queue.pop("entry", at(10), 100).mRequest == 4), "short deadlines are not hopeless");
+}
+
 namespace {
 
 /** Four targets with 20 ms each, of which "a" is then made to fail or to be slow. */
--- a/src/testbench/RoutingExperiment.cpp
+++ b/src/testbench/RoutingExperiment.cpp
@@ -210,8 +210,9 @@
   {
     const Deadline deadline =
       MonotonicTime::fromMs((mSubmittedUs[aRequest] + kDeadlineUs) / kUsPerMs);
-    drop(mQueue.push({ aRequest, kEntry, WorkClass::eLatencyCritical, deadline, 1 },
-                     mSimulation.now()));
+    drop(mQueue.push(
+      { aRequest, kEntry, WorkClass::eLatencyCritical, deadline, 1, kDeadlineUs / kUsPerMs },
+      mSimulation.now()));
   }
 
   void drop(const std::vector<DroppedRequest>& aDropped)
@@ -222,8 +223,9 @@
   void pump()
   {
     while (mQueue.size() > 0 && !free().empty()) {
-      const auto request = mQueue.pop(kEntry, mSimulation.now());
-      if (!request || !dispatch(*request)) {
+      const PoppedRequest popped = mQueue.pop(kEntry, mSimulation.now(), mResponseTime.neededMs());
+      drop(popped.mDropped);
+      if (!popped.mRequest || !dispatch(*popped.mRequest)) {
         return;
       }
     }
@@ -286,6 +288,7 @@
     mLoads[aTarget].recordReport(mExecutors[aTarget].outstanding(), mSimulation.now());
     const std::int64_t latencyMs = (mSimulation.nowUs() - aStartedUs) / kUsPerMs;
     mOutliers.recordResponse(std::to_string(aTarget), true, latencyMs, mSimulation.now());
+    mResponseTime.record(latencyMs);
     const std::int64_t elapsedUs = mSimulation.nowUs() - mSubmittedUs[aRequest];
     if (elapsedUs > kDeadlineUs) {
       mScore.mTimedOut++;
@@ -323,6 +326,7 @@
   bool mEject;
   std::vector<TargetLoad> mLoads;
   std::vector<bool> mKnownLeaving;
+  ResponseTime mResponseTime;
   std::uint64_t mNextRequest = 0;
   std::vector<std::int64_t> mSubmittedUs;
 };
