Let reports of other gateways' load fade faster

At 90% load the routing experiment gave a 99th percentile of 67 ms with a half-life of 20 ms, 75 ms with 50 ms and 85 ms with 250 ms; the price is more refusals by agents.

--- a/src/routing/TargetLoad.cpp
+++ b/src/routing/TargetLoad.cpp
@@ -7,7 +7,11 @@
 namespace magnoliadrum {
 
 namespace {
-constexpr double kOthersHalfLifeMs = 50;
+/**
+ * In the routing experiment a longer half-life saves refusals and leaves slots idle: at 90% load
+ * and 2 gateways the 99th percentile was 67 ms with 20 ms, 75 ms with 50 ms and 85 ms with 250 ms.
+ */
+constexpr double kOthersHalfLifeMs = 20;
 } // namespace
 
 void
--- a/src/routing/TargetLoad.h
+++ b/src/routing/TargetLoad.h
@@ -11,7 +11,7 @@
  *
  * Several gateways use the same target. A gateway knows its own requests exactly; the target
  * reports the total with each message. The difference is what the other gateways have there, and
- * that knowledge ages: it halves every 50 ms, so that a report from a past moment of full load does
+ * that knowledge ages: it halves every 20 ms, so that a report from a past moment of full load does
  * not keep the target idle until its next status. Trying too early costs one refusal.
  */
 class TargetLoad
