placement: keep only slowing entries away from a troubled service

Cause: while a service was being helped, its worker got no batch work at all, also of entries that do not slow it down. Memory margins did not follow the eviction weight.

--- a/src/placement/PlacementContext.cpp
+++ b/src/placement/PlacementContext.cpp
@@ -10,6 +10,8 @@
 constexpr double kLatencyWithoutObjective = 2;
 /** Spare processor time costs throughput and protects the tail, so it follows the weights. */
 constexpr double kMostCpuDeviations = 1.3;
+/** Covers about nine of ten tasks; up to twice as much where evictions matter most. */
+constexpr double kMemoryDeviations = 1.3;
 /** Start of a process and reading of its checkpoint. */
 constexpr double kRestartMs = 5000;
 constexpr float kNearEnd = 0.9F;
@@ -36,11 +38,25 @@
     return entry.declared;
   }
   // What was learned may exceed every VM, but only a declared size makes a task impossible.
+  const ResourceAmount learned = sizes.use(aEntry, cpuDeviations(), memoryDeviations());
+  return entry.declared.larger(learned.smaller(entry.roomiest));
+}
+
+double
+PlacementContext::cpuDeviations() const
+{
   const PolicySettings& weights = options.settings;
   const double sum = weights.tailLatencyWeight() + weights.throughputWeight();
-  const double deviations = sum > 0 ? kMostCpuDeviations * weights.tailLatencyWeight() / sum : 0;
-  const ResourceAmount learned = sizes.use(aEntry, deviations).smaller(entry.roomiest);
-  return entry.declared.larger(learned);
+  return sum > 0 ? kMostCpuDeviations * weights.tailLatencyWeight() / sum : 0;
+}
+
+double
+PlacementContext::memoryDeviations() const
+{
+  const PolicySettings& weights = options.settings;
+  const double sum =
+    weights.tailLatencyWeight() + weights.throughputWeight() + weights.evictionWeight();
+  return kMemoryDeviations * (1 + (sum > 0 ? weights.evictionWeight() / sum : 0));
 }
 
 ResourceAmount
--- a/src/placement/PlacementContext.h
+++ b/src/placement/PlacementContext.h
@@ -48,6 +48,10 @@
   /** Returns what to reserve for a new task of an entry. */
   ResourceAmount needOf(EntryIndex aEntry) const;
 
+  /** Standard deviations of the learned use that are reserved on top of its mean. */
+  double cpuDeviations() const;
+  double memoryDeviations() const;
+
   /** Returns what to reserve for a task that runs or was observed before. */
   ResourceAmount needOfTask(const TaskAccount& aTask) const;
 
--- a/src/placement/ServiceGuard.cpp
+++ b/src/placement/ServiceGuard.cpp
@@ -375,14 +375,14 @@
     if (watch == mWatches.end()) {
       continue;
     }
-    if (watch->second.step != Step::eNone) {
-      return std::nullopt;
-    }
     const double effect =
       mContext.interference.factor(service, aEntry) * static_cast<double>(cpu) / capacity;
     if (effect < kSmallestEffect / 3) {
       continue;
     }
+    if (watch->second.step != Step::eNone) {
+      return std::nullopt;
+    }
     const std::vector<EntryLoad> loads = mContext.loadsOn(aWorker, service);
     const double before = mContext.interference.predictMs(service, watch->second.load, loads);
     if (before * std::exp(effect) > margin() * mContext.latencyGoalMs(service)) {
--- a/src/placement/SizeEstimator.cpp
+++ b/src/placement/SizeEstimator.cpp
@@ -8,8 +8,6 @@
 
 /** Weight of a new sample once many are known; follows a changed entry within about 20 tasks. */
 constexpr double kLowestGain = 0.1;
-/** Standard deviations above the mean that cover about nine of ten values of a bell curve. */
-constexpr double kMemoryDeviations = 1.3;
 
 double
 gain(std::int64_t aSamples)
@@ -60,14 +58,14 @@
 }
 
 ResourceAmount
-SizeEstimator::use(std::uint32_t aEntry, double aCpuDeviations) const
+SizeEstimator::use(std::uint32_t aEntry, double aCpuDeviations, double aMemoryDeviations) const
 {
   if (aEntry >= mByEntry.size() || mByEntry[aEntry].samples == 0) {
     return {};
   }
   const Learned& asked = mByEntry[aEntry];
   return { static_cast<std::int64_t>(asked.cpuMilli.high(aCpuDeviations)),
-           static_cast<std::int64_t>(asked.memoryMb.high(kMemoryDeviations)),
+           static_cast<std::int64_t>(asked.memoryMb.high(aMemoryDeviations)),
            0 };
 }
 
--- a/src/placement/SizeEstimator.h
+++ b/src/placement/SizeEstimator.h
@@ -23,11 +23,12 @@
   void learnRunTime(std::uint32_t aEntry, std::int64_t aRunMs);
 
   /**
-   * Memory that about nine of ten tasks stay within, and the mean processor use plus aCpuDeviations
-   * standard deviations; zero before anything is learned. Processor time can be throttled, memory
-   * cannot.
+   * Mean use plus the given numbers of standard deviations; zero before anything is learned.
+   * Processor time can be throttled and memory cannot, so they need different safety.
    */
-  ResourceAmount use(std::uint32_t aEntry, double aCpuDeviations = 0) const;
+  ResourceAmount use(std::uint32_t aEntry,
+                     double aCpuDeviations = 0,
+                     double aMemoryDeviations = 0) const;
 
   /** Mean run time; zero before anything is learned. */
   double runMs(std::uint32_t aEntry) const;
