--- /dev/null
+++ b/src/control/Replicator_test.cpp
@@ -0,0 +1,400 @@
+#include "control/ConnectionReplicaTransport.h"
+#include "control/PendingProposals.h"
+#include "control/Replicator.h"
+#include "storage/storage.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <numeric>
+#include <unistd.h>
+
+using namespace magnoliadrum;
+
+namespace {
+
+constexpr std::int64_t kElectionTimeoutMs = 200;
+constexpr std::int64_t kWaitMs = 20000;
+
+/** The files of the operating system, with a counter of syncs and one that fails. */
+class CountingFileOperations : public PosixFileOperations
+{
+public:
+  struct Counters
+  {
+    int syncs = 0;
+    bool fails = false;
+  };
+
+  explicit CountingFileOperations(std::shared_ptr<Counters> aCounters)
+    : mCounters(std::move(aCounters))
+  {
+  }
+
+  Result<Done> sync(FileHandle aFile) override
+  {
+    mCounters->syncs++;
+    if (mCounters->fails) {
+      return Error::create(ErrorCode::eIo, "test", "local", "injected");
+    }
+    return PosixFileOperations::sync(aFile);
+  }
+
+private:
+  std::shared_ptr<Counters> mCounters;
+};
+
+Hello
+helloOf(const std::string& aName)
+{
+  return valueOf(Hello::create(
+    { .processKind = ProcessKind::eControl, .processId = aName, .incarnation = "1" }));
+}
+
+/** One replica as a process would hold it; its state is the sequence of the applied commands. */
+struct TestReplica
+{
+  std::string address;
+  std::unique_ptr<MessageServer> server;
+  std::unique_ptr<Replicator> replicator;
+  std::vector<std::string> applied;
+  std::vector<bool> leadership;
+  std::optional<Error> failure;
+  std::shared_ptr<CountingFileOperations::Counters> files =
+    std::make_shared<CountingFileOperations::Counters>();
+};
+
+/** Replicas on loopback connections, in one event loop. */
+class Group
+{
+public:
+  Group()
+    : mLoop(takeValue(EventLoop::create()))
+    , mRoot(std::filesystem::temp_directory_path() /
+            ("replicator_test." + std::to_string(getpid())))
+  {
+  }
+
+  ~Group()
+  {
+    mReplicas.clear();
+    std::filesystem::remove_all(mRoot);
+  }
+
+  Group(const Group&) = delete;
+  Group& operator=(const Group&) = delete;
+
+  std::string folder(int aNumber) const { return (mRoot / std::to_string(aNumber)).string(); }
+
+  static std::string address(int aNumber) { return "127.0.0.1:" + std::to_string(39441 + aNumber); }
+
+  /** Starts a replica; the error of a start that is refused is returned. */
+  Result<Done> start(int aNumber, ReplicaStart aStart, int aInitialReplicas = 3)
+  {
+    TestReplica& replica = mReplicas[aNumber];
+    replica.address = address(aNumber);
+    ReplicatorSettings settings{ .dataFolder = folder(aNumber),
+                                 .address = replica.address,
+                                 .start = aStart,
+                                 .initialReplicas = {},
+                                 .electionTimeoutMs = kElectionTimeoutMs,
+                                 .heartbeatMs = 20,
+                                 .snapshotEveryEntries = 30 };
+    for (int number = 0; number < aInitialReplicas; number++) {
+      settings.initialReplicas.push_back(address(number));
+    }
+    const Hello hello = helloOf(replica.address);
+    auto created = Replicator::create(
+      *mLoop,
+      settings,
+      std::make_unique<ConnectionReplicaTransport>(*mLoop, hello, 3 * kElectionTimeoutMs),
+      callbacksOf(replica),
+      std::make_unique<CountingFileOperations>(replica.files));
+    if (!isOk(created)) {
+      return errorOf(created);
+    }
+    replica.replicator = takeValue(std::move(created));
+    MessageHandlers handlers;
+    handlers.onOpen = [](MessageConnection& /*aConnection*/) {};
+    handlers.onMessage = [&replica](MessageConnection& aConnection, const Message& aMessage) {
+      const std::weak_ptr<MessageConnection> connection = aConnection.weak_from_this();
+      replica.replicator->receive(aMessage, [connection](const Message& aReply) {
+        if (const auto open = connection.lock()) {
+          open->send(aReply);
+        }
+      });
+    };
+    handlers.onClosed = [](MessageConnection& /*aConnection*/, const Error& /*aError*/) {};
+    auto server = MessageServer::listen(*mLoop, replica.address, hello, handlers);
+    BOOST_REQUIRE(isOk(server));
+    replica.server = takeValue(std::move(server));
+    return Done{};
+  }
+
+  void stop(int aNumber) { mReplicas.erase(aNumber); }
+
+  TestReplica& at(int aNumber) { return mReplicas.at(aNumber); }
+
+  /** Runs the loop until a condition holds. */
+  void waitFor(const std::string& aWhat, const std::function<bool()>& aCondition)
+  {
+    const Deadline limit = mLoop->now().plusMs(kWaitMs);
+    const auto timer = mLoop->runEvery(2, [&] {
+      if (aCondition() || mLoop->now() >= limit) {
+        mLoop->stop();
+      }
+    });
+    mLoop->run();
+    BOOST_REQUIRE_MESSAGE(aCondition(), aWhat);
+  }
+
+  TestReplica* leader()
+  {
+    for (auto& [number, replica] : mReplicas) {
+      if (replica.replicator && replica.replicator->isLeader()) {
+        return &replica;
+      }
+    }
+    return nullptr;
+  }
+
+  TestReplica& waitForLeader()
+  {
+    waitFor("no leader", [&] { return leader() != nullptr; });
+    return *leader();
+  }
+
+  /** Proposes commands in one loop iteration and waits for all results. */
+  void proposeAll(TestReplica& aReplica, int aCount)
+  {
+    int done = 0;
+    for (int number = 0; number < aCount; number++) {
+      const std::string command = "command " + std::to_string(mCommands++);
+      aReplica.replicator->propose(command, [&, command](const ProposalResult& aResult) {
+        BOOST_TEST(std::holds_alternative<std::int64_t>(aResult));
+        BOOST_TEST(aReplica.applied.back() == command, "the callback follows its own apply");
+        done++;
+      });
+    }
+    BOOST_TEST(done == 0, "a callback was called from within propose()");
+    waitFor("proposals are not done", [&] { return done == aCount; });
+  }
+
+  void waitForAgreement(std::size_t aCommands)
+  {
+    waitFor("replicas do not agree", [&] {
+      return std::all_of(mReplicas.begin(), mReplicas.end(), [&](const auto& aEntry) {
+        return aEntry.second.applied == mReplicas.begin()->second.applied &&
+               aEntry.second.applied.size() == aCommands;
+      });
+    });
+  }
+
+  void startAll()
+  {
+    for (const int number : { 2, 0, 1 }) {
+      BOOST_REQUIRE(isOk(start(number, ReplicaStart::eBootstrap)));
+    }
+  }
+
+private:
+  static ReplicatorCallbacks callbacksOf(TestReplica& aReplica)
+  {
+    ReplicatorCallbacks callbacks;
+    callbacks.apply = [&aReplica](std::int64_t /*aIndex*/, std::string_view aCommand) {
+      aReplica.applied.emplace_back(aCommand);
+    };
+    callbacks.encodeSnapshot = [&aReplica] {
+      return std::accumulate(
+        aReplica.applied.begin(),
+        aReplica.applied.end(),
+        std::string(),
+        [](const std::string& aAll, const std::string& aNext) { return aAll + aNext + "\n"; });
+    };
+    callbacks.decodeSnapshot = [&aReplica](std::string_view aSnapshot) -> Result<Done> {
+      aReplica.applied.clear();
+      for (std::size_t start = 0; start < aSnapshot.size();) {
+        const std::size_t end = aSnapshot.find('\n', start);
+        aReplica.applied.emplace_back(aSnapshot.substr(start, end - start));
+        start = end + 1;
+      }
+      return Done{};
+    };
+    callbacks.leadershipChanged = [&aReplica](bool aLeads) {
+      aReplica.leadership.push_back(aLeads);
+    };
+    callbacks.failed = [&aReplica](const Error& aError) { aReplica.failure = aError; };
+    return callbacks;
+  }
+
+  std::unique_ptr<EventLoop> mLoop;
+  std::filesystem::path mRoot;
+  std::map<int, TestReplica> mReplicas;
+  int mCommands = 0;
+};
+
+std::string
+failureCode(const ProposalResult& aResult)
+{
+  const auto* failure = std::get_if<ProposalFailure>(&aResult);
+  if (failure == nullptr) {
+    return "done";
+  }
+  return errorCodeName(failure->error.code()) + std::string(failure->outcomeUnknown ? "?" : "");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(new_group_agrees_and_keeps_everything_over_a_restart_of_all)
+{
+  Group group;
+  group.startAll();
+  TestReplica& leader = group.waitForLeader();
+  const int before = leader.files->syncs;
+  group.proposeAll(leader, 100);
+  BOOST_TEST(leader.files->syncs - before <= 10, "proposals of one iteration share a sync");
+  group.waitForAgreement(100);
+  BOOST_TEST(leader.replicator->replicas().size() == 3u);
+  for (int number = 0; number < 3; number++) {
+    group.stop(number);
+  }
+  for (int number = 0; number < 3; number++) {
+    BOOST_REQUIRE(isOk(group.start(number, ReplicaStart::eExisting)));
+  }
+  group.proposeAll(group.waitForLeader(), 5);
+  group.waitForAgreement(105);
+}
+
+// Guards against a planned stop that loses or fails the proposals in flight.
+BOOST_AUTO_TEST_CASE(step_down_hands_over_and_the_proposals_in_flight_succeed)
+{
+  Group group;
+  group.startAll();
+  TestReplica& leader = group.waitForLeader();
+  std::vector<std::string> results;
+  const auto record = [&](const ProposalResult& aResult) {
+    results.push_back(failureCode(aResult));
+  };
+  std::optional<Result<Done>> done;
+  leader.replicator->propose("in flight", record);
+  leader.replicator->stepDown([&](const Result<Done>& aResult) { done = aResult; });
+  leader.replicator->propose("too late", record);
+  group.waitFor("no hand-over", [&] { return done.has_value(); });
+  BOOST_TEST(isOk(*done));
+  BOOST_TEST((results == std::vector<std::string>{ "not-leader", "done" } ||
+              results == std::vector<std::string>{ "done", "not-leader" }));
+  BOOST_TEST(!leader.replicator->isLeader());
+  group.waitFor("no other leader",
+                [&] { return group.leader() != nullptr && group.leader() != &leader; });
+  BOOST_TEST(leader.leadership.back() == false);
+  BOOST_TEST(leader.replicator->leaderAddress() == group.leader()->address);
+  done.reset();
+  leader.replicator->stepDown([&](const Result<Done>& aResult) { done = aResult; });
+  group.waitFor("a follower has nothing to hand over", [&] { return done.has_value(); });
+  BOOST_TEST(isOk(*done));
+}
+
+// Guards against a replica that answers from state that is not durable.
+BOOST_AUTO_TEST_CASE(replica_whose_disk_fails_stops_and_the_others_go_on)
+{
+  Group group;
+  group.startAll();
+  TestReplica& failing = group.waitForLeader();
+  failing.files->fails = true;
+  bool called = false;
+  failing.replicator->propose("x", [&](const ProposalResult& /*aResult*/) { called = true; });
+  group.waitFor("no failure", [&] { return failing.failure.has_value(); });
+  BOOST_TEST((failing.failure->code() == ErrorCode::eIo));
+  BOOST_TEST(!failing.replicator->isLeader());
+  BOOST_TEST(!failing.replicator->hasLeaderLease());
+  const int syncs = failing.files->syncs;
+  group.proposeAll(group.waitForLeader(), 3);
+  BOOST_TEST(!called);
+  BOOST_TEST(failing.files->syncs == syncs, "the replica wrote after the failure");
+}
+
+// Guards against a second group beside the first, and against an identity that is used again.
+BOOST_AUTO_TEST_CASE(replica_that_lost_its_data_folder_neither_founds_a_group_nor_votes)
+{
+  Group group;
+  group.startAll();
+  group.proposeAll(group.waitForLeader(), 3);
+  const std::string oldId = group.at(0).replicator->replicaId();
+  group.stop(0);
+  std::filesystem::remove_all(group.folder(0));
+  const Result<Done> refused = group.start(0, ReplicaStart::eExisting);
+  BOOST_REQUIRE(!isOk(refused));
+  BOOST_TEST((errorOf(refused).code() == ErrorCode::eNotFound));
+  BOOST_REQUIRE(isOk(group.start(0, ReplicaStart::eBootstrap)));
+  BOOST_TEST(group.at(0).replicator->replicaId() != oldId);
+  group.waitFor("the founder found a group",
+                [&] { return group.at(0).failure.has_value() || !group.at(0).applied.empty(); });
+  BOOST_TEST(!group.at(0).replicator->isLeader());
+  group.proposeAll(group.waitForLeader(), 3);
+}
+
+BOOST_AUTO_TEST_CASE(replica_joins_by_snapshot_is_promoted_and_replaces_another)
+{
+  Group group;
+  group.startAll();
+  TestReplica& leader = group.waitForLeader();
+  group.proposeAll(leader, 1200);
+  group.proposeAll(leader, 40);
+  BOOST_REQUIRE(isOk(group.start(3, ReplicaStart::eJoin)));
+  const auto change = [&](MembershipOperation aOperation, const TestReplica& aReplica) {
+    std::optional<std::string> code;
+    leader.replicator->changeMembership(
+      aOperation,
+      aReplica.replicator->replicaId(),
+      aReplica.address,
+      [&](const ProposalResult& aResult) { code = failureCode(aResult); });
+    group.waitFor("no result of a membership change", [&] { return code.has_value(); });
+    return *code;
+  };
+  BOOST_TEST(change(MembershipOperation::eAdd, group.at(3)) == "done");
+  group.waitForAgreement(1240);
+  BOOST_TEST(change(MembershipOperation::ePromote, group.at(3)) == "done");
+  const int removed = &leader == &group.at(0) ? 1 : 0;
+  BOOST_TEST(change(MembershipOperation::eRemove, group.at(removed)) == "done");
+  group.stop(removed);
+  group.proposeAll(leader, 5);
+  group.waitForAgreement(1245);
+  BOOST_TEST(leader.replicator->replicas().size() == 3u);
+}
+
+// Guards against a failure that says "not run" although the next leader may commit the entry.
+BOOST_AUTO_TEST_CASE(proposal_of_a_former_leader_is_unknown_until_another_entry_takes_its_place)
+{
+  PendingProposals pending;
+  std::map<int, std::string> results;
+  const auto callbackOf = [&](int aNumber) {
+    return [&results, aNumber](const ProposalResult& aResult) {
+      results[aNumber] = failureCode(aResult);
+    };
+  };
+  const auto call = [](const std::vector<PendingProposals::Settled>& aSettled) {
+    for (const auto& settled : aSettled) {
+      settled.callback(settled.result);
+    }
+  };
+  pending.setLeads(true, MonotonicTime());
+  for (const int index : { 5, 6, 7, 8 }) {
+    pending.add(index, 2, callbackOf(index));
+  }
+  call(pending.expired(MonotonicTime::fromMs(1000)));
+  BOOST_TEST(results.empty());
+  pending.setLeads(false, MonotonicTime::fromMs(2000));
+  call(pending.expired(MonotonicTime::fromMs(1999)));
+  call(pending.replacedUpTo(5));
+  call(pending.applied(6, 2));
+  pending.add(7, 4, callbackOf(70));
+  call(pending.applied(7, 4));
+  call(pending.expired(MonotonicTime::fromMs(2000)));
+  const std::map<int, std::string> expected = {
+    { 5, "unavailable?" }, { 6, "done" }, { 7, "not-leader" }, { 8, "unavailable?" }, { 70, "done" }
+  };
+  BOOST_TEST((results == expected));
+  BOOST_TEST(pending.size() == 0u);
+}
