--- a/src/control/RequestService.cpp
+++ b/src/control/RequestService.cpp
@@ -1,5 +1,7 @@
 #include "control/RequestService.h"
 
+#include "control/TextBounds.h"
+#include "faults/faults.h"
 #include "state/BuildValue.h"
 #include "transport/MessageConnection.h"
 
@@ -70,9 +72,9 @@
     aAsker.mConnection,
     buildValue<OperationFailed>({ .requestId = aAsker.mRequestId,
                                   .code = failureCodeOf(aError.code()),
-                                  .step = aError.step().substr(0, kMaxStepBytes),
-                                  .peer = aError.peer().substr(0, kMaxStepBytes),
-                                  .detail = aError.detail().substr(0, kMaxFailureDetailBytes),
+                                  .step = shortenText(aError.step(), kMaxStepBytes),
+                                  .peer = shortenText(aError.peer(), kMaxStepBytes),
+                                  .detail = shortenText(aError.detail(), kMaxFailureDetailBytes),
                                   .leaderAddress = mContext.mLog.leaderAddress() }));
 }
 
@@ -160,6 +162,7 @@
 void
 RequestService::onRequest(ConnectionId aConnection, const ChangeSubmit& aRequest)
 {
+  faultPoint("change.propose");
   const Asker asker{ aConnection, aRequest.requestId() };
   if (!canAnswer(asker)) {
     return;
@@ -367,6 +370,7 @@
 void
 RequestService::onRequest(ConnectionId aConnection, const IntentBegin& aRequest)
 {
+  faultPoint("intent.open");
   const auto intent = buildValue<IntentRecord>({ .key = aRequest.key(),
                                                  .entryName = aRequest.entryName(),
                                                  .requestDigest = aRequest.requestDigest(),
@@ -380,6 +384,7 @@
 void
 RequestService::onRequest(ConnectionId aConnection, const IntentEnd& aRequest)
 {
+  faultPoint("intent.settle");
   proposeIntent({ aConnection, aRequest.requestId() },
                 buildValue<SettleIntent>({ .key = aRequest.key(),
                                            .entryName = aRequest.entryName(),
--- a/src/control/TaskService.cpp
+++ b/src/control/TaskService.cpp
@@ -1,5 +1,7 @@
 #include "control/TaskService.h"
 
+#include "control/TextBounds.h"
+#include "faults/faults.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
@@ -13,12 +15,6 @@
 /** Bound of the detail fields of commands. */
 constexpr std::size_t kMaxDetailBytes = 2000;
 
-std::string
-shortened(const std::string& aDetail)
-{
-  return aDetail.substr(0, kMaxDetailBytes);
-}
-
 Command
 commandFor(const PlaceDecision& aDecision)
 {
@@ -31,7 +27,7 @@
 {
   return buildValue<RequestStop>({ .taskId = aDecision.taskId,
                                    .epoch = aDecision.epoch,
-                                   .detail = shortened(aDecision.reason) });
+                                   .detail = shortenText(aDecision.reason, kMaxDetailBytes) });
 }
 
 Command
@@ -40,7 +36,7 @@
   return buildValue<MoveTask>({ .taskId = aDecision.taskId,
                                 .epoch = aDecision.epoch,
                                 .state = TaskState::eImpossible,
-                                .detail = shortened(aDecision.reason) });
+                                .detail = shortenText(aDecision.reason, kMaxDetailBytes) });
 }
 
 } // namespace
@@ -82,6 +78,7 @@
 void
 TaskService::onReport(ConnectionId aConnection, const TaskReport& aReport)
 {
+  faultPoint("task.report");
   const std::int64_t session = mSessions.sessionOf(aConnection);
   if (!mContext.mLog.isLeader() || session == 0 || session != aReport.session()) {
     // The agent opens a session with the leader and sends the report again under its number.
@@ -109,6 +106,7 @@
 void
 TaskService::onReportCommitted(std::int64_t aSession, const TaskReport& aReport)
 {
+  faultPoint("task.report.committed");
   acknowledge(aSession, aReport);
   const bool isOnWorker =
     aReport.state() == TaskState::eRunning || aReport.state() == TaskState::eCompleted;
@@ -194,6 +192,7 @@
 void
 TaskService::carryOut(const PlacementDecision& aDecision)
 {
+  faultPoint("task.place");
   if (const auto* placement = std::get_if<PlaceDecision>(&aDecision)) {
     propose(commandFor(*placement));
   } else if (const auto* eviction = std::get_if<EvictDecision>(&aDecision)) {
--- a/src/gateway/CallerAnswers.h
+++ b/src/gateway/CallerAnswers.h
@@ -15,9 +15,16 @@
 HttpAnswer
 doneAnswer(const HttpAnswer& aAnswer);
 
-/** The refusal of a request that was not run, with the headers X-Outcome and X-Reason. */
+/**
+ * The refusal of a request that was not run, with the headers X-Outcome and X-Reason. An empty
+ * detail is replaced by a description of the reason.
+ */
 HttpAnswer
-refusalAnswer(RefusalReason aReason, const std::string& aDetail);
+refusalAnswer(RefusalReason aReason, const std::string& aDetail = "");
+
+/** The refusal of a request whose body is too large. */
+HttpAnswer
+tooLargeAnswer(std::int64_t aMaxBytes);
 
 /** The answer for a request that may have been run. */
 HttpAnswer
@@ -36,6 +43,7 @@
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusMethodNotAllowed = 405;
 inline constexpr int kStatusConflict = 409;
+inline constexpr int kStatusTooLarge = 413;
 inline constexpr int kStatusUnprocessable = 422;
 inline constexpr int kStatusTooManyRequests = 429;
 inline constexpr int kStatusInternalError = 500;
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayProcess.h"
 
+#include "faults/faults.h"
 #include "gateway/CallerAnswers.h"
 #include "gateway/CallerRequest.h"
 #include "gateway/OperatorInterface.h"
@@ -25,7 +26,13 @@
 
 constexpr std::int64_t kOperatorDeadlineMs = 10000;
 constexpr std::size_t kMaxOperatorRequests = 256;
-constexpr std::size_t kMinServerBodyBytes = std::size_t{ 256 } * 1024;
+
+/**
+ * The server takes this much more than the largest body, because beyond its limit it closes the
+ * connection without an answer. A body that is a little too large gets one, and operators' requests
+ * fit whatever the setting.
+ */
+constexpr std::size_t kBodyMarginBytes = std::size_t{ 1024 } * 1024;
 
 /** How long the end of an intent is sent again to control; later the intent stays open for the
  * operator. */
@@ -69,7 +76,7 @@
     new GatewayProcess(aLoop, std::move(aSettings), newIncarnation()));
   GatewayProcess* self = process.get();
   const std::size_t bodyBytes =
-    std::max(kMinServerBodyBytes, static_cast<std::size_t>(self->mSettings.maxBodyBytes()));
+    static_cast<std::size_t>(self->mSettings.maxBodyBytes()) + kBodyMarginBytes;
   Result<std::unique_ptr<HttpServer>> server =
     HttpServer::listen(aLoop,
                        self->mSettings.httpAddress(),
@@ -150,6 +157,7 @@
   if (position == mResponders.end()) {
     return;
   }
+  faultPoint("gateway.respond");
   const HttpResponderPointer responder = position->second;
   mResponders.erase(position);
   responder->answer(aAnswer);
@@ -158,7 +166,9 @@
 bool
 GatewayProcess::dispatch(std::uint64_t aConnection, const RequestDispatch& aMessage)
 {
-  return mAgents.send(aConnection, Message(aMessage));
+  const bool isSent = mAgents.send(aConnection, Message(aMessage));
+  faultPoint("gateway.dispatch.sent");
+  return isSent;
 }
 
 void
@@ -172,6 +182,7 @@
     }
     const auto* status = std::get_if<IntentStatus>(&valueOf(aAnswer));
     if (status != nullptr) {
+      faultPoint("gateway.intent.answered");
       mRouter.intentAnswered(aRequest, *status, mLoop.now());
       return;
     }
@@ -185,6 +196,7 @@
 void
 GatewayProcess::endIntent(std::uint64_t aRequest, const IntentEnd& aMessage)
 {
+  faultPoint("gateway.intent.end");
   const Deadline deadline = mLoop.now().plusMs(kIntentEndMs);
   mLink->call(Message(aMessage), deadline, [this, aRequest](const Result<Message>& aAnswer) {
     if (!isOk(aAnswer)) {
@@ -223,7 +235,7 @@
     return;
   }
   if (valueOf(call).mBody.size() > static_cast<std::size_t>(mSettings.maxBodyBytes())) {
-    aResponder->answer(refusalAnswer(RefusalReason::eInvalidRequest, "body is too large"));
+    aResponder->answer(tooLargeAnswer(mSettings.maxBodyBytes()));
     return;
   }
   const std::uint64_t number = mRouter.nextRequest();
@@ -269,10 +281,8 @@
   MetricsRegistry metrics;
   mRouter.writeMetrics(metrics);
   const bool holdsLease = mLink->holdsLease(mLoop.now());
-  metrics.set("magnoliadrum_gateway_lease_held", "", holdsLease ? 1 : 0);
-  metrics.set("magnoliadrum_gateway_catalogue_version",
-              "",
-              static_cast<double>(mLink->catalogue().version()));
+  metrics.set("gateway_lease_held", "", holdsLease ? 1 : 0);
+  metrics.set("gateway_catalogue_version", "", static_cast<double>(mLink->catalogue().version()));
   return textAnswer(kStatusOk, "text/plain; version=0.0.4", metrics.text());
 }
 
