--- a/src/state/TaskRegistry_test.cpp
+++ b/src/state/TaskRegistry_test.cpp
@@ -109,7 +109,6 @@
   BOOST_TEST(isError(place(kRun, 2, other), ErrorCode::eConflict));
 }
 
-// Guards against tasks that an agent restart stops although the worker still runs them, and against
 // Guards against a batch task that never ends although its VM was only cut off: the worker still
 // holds the output, which was not published, or it has published it.
 BOOST_AUTO_TEST_CASE(returning_worker_settles_an_unknown_outcome)
@@ -127,6 +126,7 @@
   }
 }
 
+// Guards against tasks that an agent restart stops although the worker still runs them, and against
 // tasks that stay placed although the worker lost them.
 BOOST_FIXTURE_TEST_CASE(restarted_agent_keeps_the_listed_tasks, RunningRun)
 {
