--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -41,7 +41,7 @@
 
 private:
   /** Rows are committed this often, which bounds what a leader change loses. */
-  static constexpr std::int64_t kFlushMs = 10000;
+  static constexpr std::int64_t kFlushMs = 2000;
   /** Latencies are handed to placement this often: long enough for a meaningful 99th percentile. */
   static constexpr std::int64_t kObserveMs = 5000;
   static constexpr std::int64_t kSecondMs = 1000;
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -1,6 +1,7 @@
 #include "control/ConnectionReplicaTransport.h"
 #include "control/ControlProcess.h"
 #include "control/ReplicatedCommandLog.h"
+#include "faults/faults.h"
 #include "session/Incarnation.h"
 #include "settings/settings.h"
 #include "state/BuildValue.h"
@@ -14,6 +15,7 @@
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 DEFINE_bool(bootstrap, false, "first start of a new group; needs initialReplicas in the settings");
 DEFINE_bool(join, false, "start with an empty data folder and wait to be added to a group");
+DEFINE_string(fault_points_file, "", "for tests: file of fault points that SIGUSR1 arms");
 
 namespace magnoliadrum {
 
@@ -74,6 +76,7 @@
     return kExitFailure;
   }
   const auto loop = takeValue(std::move(created));
+  const auto faults = FaultPointFile::watch(*loop, FLAGS_fault_points_file);
   ControlState state;
   auto log = ReplicatedCommandLog::create(
     *loop, replicatorSettings(aSettings), replicaTransport(*loop, aSettings), state, stopAtOnce);
