--- a/src/placement/PlacementContext.h
+++ b/src/placement/PlacementContext.h
@@ -48,9 +48,16 @@
   /** Returns what to reserve for a new task of an entry. */
   ResourceAmount needOf(EntryIndex aEntry) const;
 
+  /** Standard deviations of the learned use that are reserved on top of its mean. */
+  double cpuDeviations() const;
+  double memoryDeviations() const;
+
   /** Returns what to reserve for a task that runs or was observed before. */
   ResourceAmount needOfTask(const TaskAccount& aTask) const;
 
+  /** Returns the memory that a task is expected to use. */
+  std::int64_t expectedMemory(const TaskAccount& aTask) const;
+
   /** Returns the expected processor use of a task under its limit. */
   std::int64_t expectedCpu(const TaskAccount& aTask) const;
 
--- a/src/placement/RoomMaker.cpp
+++ b/src/placement/RoomMaker.cpp
@@ -46,23 +46,28 @@
 void
 RoomMaker::limitProcessorUse(WorkerIndex aWorker)
 {
+  // As for memory, only expected use counts: limits beside idle processors gain nothing.
+  const WorkerAccount& worker = mContext.ledger.worker(aWorker);
+  std::int64_t excess = -worker.capacity.cpuMilli;
   std::vector<std::pair<std::int64_t, TaskIndex>> overusers;
-  for (const TaskIndex index : mContext.ledger.worker(aWorker).tasks) {
+  for (const TaskIndex index : worker.tasks) {
     const TaskAccount& task = mContext.ledger.task(index);
     const EntryAccount& entry = mContext.ledger.entry(task.entry);
-    const std::int64_t over = mContext.needOfTask(task).cpuMilli - entry.declared.cpuMilli;
-    if (!entry.latencyCritical && task.hasSettled && over > 0) {
-      overusers.emplace_back(over, index);
+    const std::int64_t expected = mContext.expectedCpu(task);
+    excess += task.stopRequested ? 0 : expected;
+    if (!entry.latencyCritical && task.hasSettled && expected > entry.declared.cpuMilli) {
+      overusers.emplace_back(expected - entry.declared.cpuMilli, index);
     }
   }
   std::sort(overusers.rbegin(), overusers.rend());
   for (const auto& [over, index] : overusers) {
-    const std::int64_t excess = -mContext.ledger.worker(aWorker).room().cpuMilli;
     if (excess <= 0 || mContext.isFull()) {
       return;
     }
-    const std::int64_t before = mContext.ledger.task(index).reservation.cpuMilli;
-    limit(index, std::max<std::int64_t>(1, before - std::min(excess, over)), "uses more than fits");
+    const std::int64_t cut = std::min(excess, over);
+    const std::int64_t expected = mContext.expectedCpu(mContext.ledger.task(index));
+    excess -= cut;
+    limit(index, std::max<std::int64_t>(1, expected - cut), "uses more than fits");
   }
 }
 
@@ -104,18 +109,23 @@
 void
 RoomMaker::restoreMemory(WorkerIndex aWorker)
 {
+  // What tasks declare and do not use costs no memory, so only the expected use counts here; the
+  // larger of both counts when a task is placed.
   const WorkerAccount& worker = mContext.ledger.worker(aWorker);
-  std::int64_t excess = -worker.room().memoryMb;
+  std::int64_t excess = -worker.capacity.memoryMb;
   for (const TaskIndex index : worker.tasks) {
     const TaskAccount& task = mContext.ledger.task(index);
-    excess -= task.stopRequested ? task.reservation.memoryMb : 0;
+    excess += task.stopRequested ? 0 : mContext.expectedMemory(task);
+  }
+  if (excess <= 0) {
+    return;
   }
   const std::vector<TaskIndex> victims = victimsByCost(aWorker);
   // One task that is large enough costs less than several cheap ones.
   const auto single = std::find_if(victims.begin(), victims.end(), [&](TaskIndex aVictim) {
-    return mContext.ledger.task(aVictim).reservation.memoryMb >= excess;
+    return mContext.expectedMemory(mContext.ledger.task(aVictim)) >= excess;
   });
-  if (excess > 0 && single != victims.end()) {
+  if (single != victims.end()) {
     mContext.evict(*single, "memory of the VM is exceeded");
     return;
   }
@@ -123,7 +133,7 @@
     if (excess <= 0 || mContext.isFull()) {
       return;
     }
-    excess -= mContext.ledger.task(index).reservation.memoryMb;
+    excess -= mContext.expectedMemory(mContext.ledger.task(index));
     mContext.evict(index, "memory of the VM is exceeded");
   }
 }
--- a/src/placement/ServiceGuard.cpp
+++ b/src/placement/ServiceGuard.cpp
@@ -366,19 +366,23 @@
     mContext.sizes.use(aEntry).cpuMilli,
     mContext.sizes.use(aEntry).cpuMilli > 0 ? 0 : mContext.ledger.entry(aEntry).declared.cpuMilli);
   double total = 0;
-  for (const EntryIndex service : mContext.servicesOn(aWorker)) {
+  // Most workers hold no latency-critical task, and a copy of the list costs more than the rest.
+  const bool hasCritical = worker.criticalTasks > 0;
+  const std::vector<EntryIndex> found =
+    hasCritical ? mContext.servicesOn(aWorker) : std::vector<EntryIndex>();
+  for (const EntryIndex service : hasCritical ? found : worker.services) {
     const auto watch = mWatches.find({ worker.session, service });
     if (watch == mWatches.end()) {
       continue;
     }
-    if (watch->second.step != Step::eNone) {
-      return std::nullopt;
-    }
     const double effect =
       mContext.interference.factor(service, aEntry) * static_cast<double>(cpu) / capacity;
     if (effect < kSmallestEffect / 3) {
       continue;
     }
+    if (watch->second.step != Step::eNone) {
+      return std::nullopt;
+    }
     const std::vector<EntryLoad> loads = mContext.loadsOn(aWorker, service);
     const double before = mContext.interference.predictMs(service, watch->second.load, loads);
     if (before * std::exp(effect) > margin() * mContext.latencyGoalMs(service)) {
--- a/src/placement/SizeEstimator.h
+++ b/src/placement/SizeEstimator.h
@@ -22,8 +22,13 @@
   /** Takes in the run time of one finished task. */
   void learnRunTime(std::uint32_t aEntry, std::int64_t aRunMs);
 
-  /** Use that about nine of ten tasks stay within; zero before anything is learned. */
-  ResourceAmount use(std::uint32_t aEntry) const;
+  /**
+   * Mean use plus the given numbers of standard deviations; zero before anything is learned.
+   * Processor time can be throttled and memory cannot, so they need different safety.
+   */
+  ResourceAmount use(std::uint32_t aEntry,
+                     double aCpuDeviations = 0,
+                     double aMemoryDeviations = 0) const;
 
   /** Mean run time; zero before anything is learned. */
   double runMs(std::uint32_t aEntry) const;
@@ -35,7 +40,7 @@
     double variance = 0;
 
     void add(double aValue, double aGain);
-    double high() const;
+    double high(double aDeviations) const;
   };
 
   struct Learned
