Tests use loopback addresses of their own

Cause: the tests listened on fixed ports of 127.0.0.1 within the range of outgoing ports, so tests that ran at once, and outgoing connections, took them from each other; session, testbench, agent and control failed in one run at -j 4 and passed alone.

--- a/src/agent/AgentService_test.cpp
+++ b/src/agent/AgentService_test.cpp
@@ -1,4 +1,5 @@
 #include "agent/AgentService.h"
+#include "transport/LoopbackHost.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -9,9 +10,9 @@
 
 namespace {
 
-constexpr const char* kControl = "127.0.0.1:39601";
-constexpr const char* kAgent = "127.0.0.1:39602";
-constexpr const char* kTarget = "127.0.0.1:39603";
+const std::string kControl = loopbackHost(1) + ":7001";
+const std::string kAgent = loopbackHost(1) + ":7002";
+const std::string kTarget = loopbackHost(1) + ":7003";
 constexpr std::int64_t kSession = 3;
 constexpr std::int64_t kLimitMs = 20000;
 
--- a/src/control/Replicator_test.cpp
+++ b/src/control/Replicator_test.cpp
@@ -2,6 +2,7 @@
 #include "control/PendingProposals.h"
 #include "control/Replicator.h"
 #include "storage/storage.h"
+#include "transport/LoopbackHost.h"
 
 #include <array>
 #include <boost/test/unit_test.hpp>
@@ -89,7 +90,10 @@
 
   std::string folder(int aNumber) const { return (mRoot / std::to_string(aNumber)).string(); }
 
-  static std::string address(int aNumber) { return "127.0.0.1:" + std::to_string(39441 + aNumber); }
+  static std::string address(int aNumber)
+  {
+    return loopbackHost(1) + ":" + std::to_string(7001 + aNumber);
+  }
 
   /** Starts a replica; the error of a start that is refused is returned. */
   Result<Done> start(int aNumber, ReplicaStart aStart, int aInitialReplicas = 3)
--- a/src/integration/Deployment.cpp
+++ b/src/integration/Deployment.cpp
@@ -1,9 +1,10 @@
 #include "integration/Deployment.h"
 
+#include "transport/LoopbackHost.h"
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <unistd.h>
 #include <utility>
 
 namespace magnoliadrum {
@@ -48,16 +49,6 @@
   return aKind == TargetKind::eExecutor ? kExecutorPort : kWorkerPort;
 }
 
-/** Two runs at the same time get different networks, because the process id differs. */
-std::string
-networkOfThisProcess()
-{
-  constexpr int kOctet = 250;
-  const int process = static_cast<int>(getpid());
-  return "127." + std::to_string(1 + process % kOctet) + "." +
-         std::to_string(1 + process / kOctet % kOctet) + ".";
-}
-
 } // namespace
 
 DeploymentTiming
@@ -73,7 +64,6 @@
 
 Deployment::Deployment(DeploymentOptions aOptions)
   : mOptions(std::move(aOptions))
-  , mNetwork(networkOfThisProcess())
 {
 }
 
@@ -102,7 +92,7 @@
   if (known != mHosts.end()) {
     return known->second;
   }
-  const std::string host = mNetwork + std::to_string(++mLastHost);
+  const std::string host = loopbackHost(++mLastHost);
   mHosts[aName] = host;
   return host;
 }
--- a/src/integration/Deployment.h
+++ b/src/integration/Deployment.h
@@ -120,7 +120,6 @@
   };
 
   DeploymentOptions mOptions;
-  std::string mNetwork;
   int mLastHost = 0;
   std::vector<std::string> mNames;
   std::map<std::string, std::string> mHosts;
--- a/src/session/session_test.cpp
+++ b/src/session/session_test.cpp
@@ -1,4 +1,5 @@
 #include "session/session.h"
+#include "transport/LoopbackHost.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -6,8 +7,8 @@
 
 namespace {
 
-constexpr const char* kLeader = "127.0.0.1:39431";
-constexpr const char* kFollower = "127.0.0.1:39432";
+const std::string kLeader = loopbackHost(1) + ":7001";
+const std::string kFollower = loopbackHost(1) + ":7002";
 constexpr std::int64_t kTestLimitMs = 20000;
 constexpr std::int64_t kLeaseMs = 3000;
 
--- a/src/testbench/FaultProxy_test.cpp
+++ b/src/testbench/FaultProxy_test.cpp
@@ -1,5 +1,6 @@
 #include "testbench/FaultProxy.h"
 #include "testbench/FrameSplitter.h"
+#include "transport/LoopbackHost.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,8 +8,8 @@
 
 namespace {
 
-constexpr const char* kServer = "127.0.0.1:39451";
-constexpr const char* kProxy = "127.0.0.1:39452";
+const std::string kServer = loopbackHost(1) + ":7001";
+const std::string kProxy = loopbackHost(1) + ":7002";
 constexpr std::int64_t kTestLimitMs = 20000;
 
 /** A server behind the proxy and a client in front of it; collects the ids that arrive at the
--- a/src/transport/transport_test.cpp
+++ b/src/transport/transport_test.cpp
@@ -1,3 +1,4 @@
+#include "transport/LoopbackHost.h"
 #include "transport/transport.h"
 
 #include <boost/test/unit_test.hpp>
@@ -9,8 +10,8 @@
 
 namespace {
 
-constexpr const char* kAddress = "127.0.0.1:39411";
-constexpr const char* kSilentAddress = "127.0.0.1:39412";
+const std::string kAddress = loopbackHost(1) + ":7001";
+const std::string kSilentAddress = loopbackHost(1) + ":7002";
 constexpr std::size_t kMaxBody = 1000;
 
 /** The whole test ends at this deadline even when the awaited callback never comes. */
@@ -135,8 +136,8 @@
     seen = aError;
     mLoop->stop();
   };
-  const auto connection =
-    takeValue(MessageConnection::connect(*mLoop, "127.0.0.1:39499", helloOf("c"), handlers));
+  const auto connection = takeValue(
+    MessageConnection::connect(*mLoop, loopbackHost(1) + ":7099", helloOf("c"), handlers));
   runUntilStopped();
   BOOST_TEST((seen && seen->code() == ErrorCode::eUnavailable));
 }
@@ -174,7 +175,7 @@
       sUnanswered.push_back(aOut);
     }));
   const auto silent = takeValue(HttpClient::create(*mLoop, kAddress, 1));
-  const auto absent = takeValue(HttpClient::create(*mLoop, "127.0.0.1:39499", 1));
+  const auto absent = takeValue(HttpClient::create(*mLoop, loopbackHost(1) + ":7099", 1));
   std::optional<ErrorCode> silentCode;
   std::optional<ErrorCode> absentCode;
   constexpr std::int64_t kShortMs = 200;
