--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -135,6 +135,9 @@
     base = std::min(base, mLeader->indexCovered(since));
   }
   mLog.compact(std::max(base, lastIndex - mSettings.maxRetainedEntries));
+  while (mLog.baseIndex() < lastIndex && mLog.dataBytes() > mSettings.maxRetainedBytes) {
+    mLog.compact(mLog.baseIndex() + 1);
+  }
 }
 
 bool
--- a/src/consensus/ConsensusSimulation_test.cpp
+++ b/src/consensus/ConsensusSimulation_test.cpp
@@ -24,6 +24,7 @@
   settings.snapshotChunkBytes = 32;
   settings.retainedEntries = 5;
   settings.maxRetainedEntries = 100;
+  settings.maxRetainedBytes = 1000;
   settings.promotionLagEntries = 3;
   return settings;
 }
--- a/src/consensus/ConsensusTypes.h
+++ b/src/consensus/ConsensusTypes.h
@@ -36,6 +36,8 @@
    * snapshot would need the next one if the entries after the first were dropped meanwhile.
    */
   std::int64_t maxRetainedEntries = 50000;
+  /** Bytes kept at most below the snapshot; an entry may hold the answer to a request. */
+  std::size_t maxRetainedBytes = std::size_t{ 32 } << 20;
   /** A non-voter that lags the commit index by at most this many entries may be promoted. */
   std::int64_t promotionLagEntries = 100;
 };
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -76,6 +76,7 @@
     assert(isOk(configuration));
     mConfigurations[aEntry.index()] = takeValue(std::move(configuration));
   }
+  mDataBytes += aEntry.data().size();
   mEntries.push_back(std::move(aEntry));
 }
 
@@ -83,8 +84,10 @@
 ReplicatedLog::truncateFrom(std::int64_t aIndex)
 {
   assert(aIndex > mBaseIndex);
-  const std::int64_t kept = std::min(aIndex - 1, lastIndex()) - mBaseIndex;
-  mEntries.resize(static_cast<std::size_t>(kept));
+  while (lastIndex() >= aIndex) {
+    mDataBytes -= mEntries.back().data().size();
+    mEntries.pop_back();
+  }
   mConfigurations.erase(mConfigurations.lower_bound(aIndex), mConfigurations.end());
 }
 
@@ -96,9 +99,11 @@
   }
   const std::optional<std::int64_t> term = termAt(aIndex);
   assert(term.has_value());
-  const auto dropped = static_cast<std::ptrdiff_t>(aIndex - mBaseIndex);
-  mEntries.erase(mEntries.begin(), mEntries.begin() + dropped);
-  mBaseIndex = aIndex;
+  while (mBaseIndex < aIndex) {
+    mDataBytes -= mEntries.front().data().size();
+    mEntries.pop_front();
+    mBaseIndex++;
+  }
   mBaseTerm = *term;
   const auto inEffect = std::prev(mConfigurations.upper_bound(aIndex));
   mConfigurations.erase(mConfigurations.begin(), inEffect);
@@ -110,6 +115,7 @@
                      const GroupConfiguration& aConfiguration)
 {
   mEntries.clear();
+  mDataBytes = 0;
   mBaseIndex = aIndex;
   mBaseTerm = aTerm;
   mConfigurations = { { aIndex, aConfiguration } };
--- a/src/consensus/ReplicatedLog.h
+++ b/src/consensus/ReplicatedLog.h
@@ -30,6 +30,9 @@
   /** Precondition: baseIndex() < aIndex <= lastIndex(). */
   const LogEntry& at(std::int64_t aIndex) const;
 
+  /** Size of the data of all entries. */
+  std::size_t dataBytes() const { return mDataBytes; }
+
   /** Entries from aFirst on, within both limits, but at least one when there is one. */
   std::vector<LogEntry> slice(std::int64_t aFirst,
                               std::size_t aMaxEntries,
@@ -69,6 +72,7 @@
   std::int64_t mBaseIndex = 0;
   std::int64_t mBaseTerm = 0;
   std::deque<LogEntry> mEntries;
+  std::size_t mDataBytes = 0;
   /** By index of the entry; the one at or below the base comes from the snapshot. */
   std::map<std::int64_t, GroupConfiguration> mConfigurations = { { 0, GroupConfiguration() } };
 };
--- a/src/control/ReplicaDriver.cpp
+++ b/src/control/ReplicaDriver.cpp
@@ -17,6 +17,9 @@
  */
 constexpr std::int64_t kGiveUpElectionTimeouts = 2;
 
+/** A snapshot is also taken after this many bytes of commands, which are all held in memory. */
+constexpr std::size_t kMaxBytesBetweenSnapshots = std::size_t{ 64 } << 20;
+
 const char* const kStep = "log.propose";
 
 ConsensusSettings
@@ -144,7 +147,7 @@
     return;
   }
   const std::string requester = requesterOf(*message);
-  if (!requester.empty()) {
+  if (!requester.empty() && aReply) {
     mReplyPaths[requester] = std::move(aReply);
   }
   mNode->receive(*message, mLoop.now());
@@ -154,17 +157,12 @@
 void
 ReplicaDriver::onAnswer(const std::string& aAddress, const Message& aMessage)
 {
-  const std::optional<ConsensusMessage> message = toConsensus(aMessage);
-  if (mFailed || !message) {
-    return;
-  }
   const auto* vote = std::get_if<VoteReply>(&aMessage);
-  if (mFounder && vote != nullptr) {
+  if (mFounder && vote != nullptr && !mFailed) {
     isFailed(mFounder->onAnswer(aAddress, *vote));
     return;
   }
-  mNode->receive(*message, mLoop.now());
-  scheduleFlush();
+  receive(aMessage, {});
 }
 
 void
@@ -321,6 +319,7 @@
   assert(aEntry.index() == mAppliedIndex + 1);
   mAppliedIndex = aEntry.index();
   if (aEntry.kind() == LogEntryKind::eCommand) {
+    mBytesSinceSnapshot += aEntry.data().size();
     mCallbacks.apply(aEntry.index(), aEntry.data());
   }
   call(mPending.applied(aEntry.index(), aEntry.term()));
@@ -337,9 +336,11 @@
 void
 ReplicaDriver::takeSnapshot()
 {
-  if (mAppliedIndex - mNode->snapshotIndex() < mSettings.snapshotEveryEntries) {
+  const std::int64_t entries = mAppliedIndex - mNode->snapshotIndex();
+  if (entries < mSettings.snapshotEveryEntries && mBytesSinceSnapshot < kMaxBytesBetweenSnapshots) {
     return;
   }
+  mBytesSinceSnapshot = 0;
   const auto snapshot = std::make_shared<const ConsensusSnapshot>(
     mNode->describeSnapshot(mAppliedIndex, mCallbacks.encodeSnapshot()));
   if (!isFailed(mStorage->saveSnapshot(*snapshot))) {
--- a/src/control/ReplicaDriver.h
+++ b/src/control/ReplicaDriver.h
@@ -93,6 +93,8 @@
   bool mFlushScheduled = false;
   bool mFailed = false;
   std::int64_t mAppliedIndex = 0;
+  /** Size of the commands applied since the last snapshot. */
+  std::size_t mBytesSinceSnapshot = 0;
   /** Term in which this replica leads and has reported so. */
   std::optional<std::int64_t> mLeadingTerm;
   std::optional<StepDown> mStepDown;
