--- a/src/testbench/FakeExecutor.h
+++ b/src/testbench/FakeExecutor.h
@@ -47,12 +47,12 @@
 public:
   struct Options
   {
-    std::string mListenAddress;
-    std::string mHistoryFile;
-    std::string mDataCentre;
+    std::string mListenAddress{};
+    std::string mHistoryFile{};
+    std::string mDataCentre{};
     std::int64_t mSlots = 8;
     std::uint64_t mSeed = 1;
-    ExecutorBehaviour mBehaviour;
+    ExecutorBehaviour mBehaviour{};
   };
 
   static Result<std::unique_ptr<FakeExecutor>> start(EventLoop& aLoop, const Options& aOptions);
--- a/src/testbench/FakeWorker.h
+++ b/src/testbench/FakeWorker.h
@@ -40,10 +40,10 @@
 public:
   struct Options
   {
-    std::string mListenAddress;
-    std::string mHistoryFile;
-    std::string mDataCentre;
-    Resources mCapacity;
+    std::string mListenAddress{};
+    std::string mHistoryFile{};
+    std::string mDataCentre{};
+    Resources mCapacity{};
     /** Usage is reported as it was this long ago. */
     std::int64_t mUsageLagMs = 2000;
     /** Share of starts that fail at once. */
