Move repeatable requests away from a target that has gone silent

In a trial with an agent frozen for 4 s, 12 requests of 16 concurrent callers waited for their 2 s deadline and ended as unknown although another target was free.

--- a/src/gateway/RequestRouter.cpp
+++ b/src/gateway/RequestRouter.cpp
@@ -355,6 +355,8 @@
                          aChoice.mTargetId,
                          aNow,
                          state.mCall.mDeadline.plusMs(kLateAnswerMs),
+                         false,
+                         state.mCall.mEntryName,
                          false };
   const auto position = mAttempts.emplace(id, attempt).first;
   if (!mActions.dispatch(aChoice.mConnection, valueOf(message))) {
@@ -370,6 +372,7 @@
     expireFirst(aNow);
   }
   expireAttempts(aNow);
+  abandonSilentAttempts(aNow);
   for (const std::string& name : mQueue.waitingEntries()) {
     pump(name, aNow);
     refuseWithoutTarget(name, aNow);
--- a/src/gateway/RequestRouter.h
+++ b/src/gateway/RequestRouter.h
@@ -153,6 +153,9 @@
     /** The attempt is given up when nothing is heard of it until then. */
     Deadline mGiveUpAt;
     bool mTimeoutRecorded = false;
+    std::string mEntryName;
+    /** The request went on to another target; this attempt only counts for the load of its own. */
+    bool mAbandoned = false;
   };
 
   enum class AttemptEnd
@@ -226,6 +229,8 @@
   void expireFirst(MonotonicTime aNow);
   void expireRequest(std::uint64_t aRequest, MonotonicTime aNow);
   void expireAttempts(MonotonicTime aNow);
+  bool shouldAbandon(const Attempt& aAttempt, MonotonicTime aNow) const;
+  void abandonSilentAttempts(MonotonicTime aNow);
   void refuseWithoutTarget(const std::string& aEntryName, MonotonicTime aNow);
 
   RouterOptions mOptions;
--- a/src/gateway/RequestRouterOutcome.cpp
+++ b/src/gateway/RequestRouterOutcome.cpp
@@ -110,8 +110,11 @@
   const Attempt attempt = aAttempt->second;
   mAttempts.erase(aAttempt);
   recordEnd(attempt, aReport, aNow);
+  if (attempt.mAbandoned) {
+    pump(attempt.mEntryName, aNow);
+    return;
+  }
   Request& state = mRequests.at(attempt.mRequest);
-  const std::string entryName = state.mCall.mEntryName;
   state.mOpenAttempt = false;
   state.mLastRefusal = aReport.mReason;
   if (state.mLedger.outcome()) {
@@ -127,7 +130,7 @@
       finishUnknown(attempt.mRequest, kStatusBadGateway, "the response was lost", aNow);
     }
   }
-  pump(entryName, aNow);
+  pump(attempt.mEntryName, aNow);
 }
 
 RequestStep
@@ -371,7 +374,7 @@
     return;
   }
   for (auto& [id, attempt] : mAttempts) {
-    if (attempt.mRequest == aRequest) {
+    if (attempt.mRequest == aRequest && !attempt.mAbandoned) {
       attempt.mTimeoutRecorded = true;
       mTargets.recordTimeout(attempt.mTargetId, aNow.msSince(attempt.mStartedAt), aNow);
     }
@@ -394,6 +397,48 @@
   }
 }
 
+bool
+RequestRouter::shouldAbandon(const Attempt& aAttempt, MonotonicTime aNow) const
+{
+  if (aAttempt.mAbandoned || !mTargets.isSilent(aAttempt.mTargetId, aNow)) {
+    return false;
+  }
+  const Request& state = mRequests.at(aAttempt.mRequest);
+  if (state.mLedger.outcome() || !state.mLedger.isRepeatable() || state.mCallerGone) {
+    return false;
+  }
+  const CatalogueEntry* entry = mCatalogue->findEntry(aAttempt.mEntryName);
+  return entry != nullptr && entry->repeatable() && mTargets.hasFreeTarget(*entry, aNow);
+}
+
+void
+RequestRouter::abandonSilentAttempts(MonotonicTime aNow)
+{
+  std::vector<std::string> silent;
+  for (const auto& [id, attempt] : mAttempts) {
+    if (shouldAbandon(attempt, aNow)) {
+      silent.push_back(id);
+    }
+  }
+  for (const std::string& id : silent) {
+    Attempt& attempt = mAttempts.at(id);
+    RetryBudget& budget =
+      mRetryBudgets.try_emplace(attempt.mEntryName, mOptions.mRetryShare).first->second;
+    // Without budget the response may still come, so the request goes on waiting.
+    if (!shouldAbandon(attempt, aNow) || !budget.takeRetry()) {
+      continue;
+    }
+    attempt.mAbandoned = true;
+    attempt.mTimeoutRecorded = true;
+    mTargets.recordTimeout(attempt.mTargetId, aNow.msSince(attempt.mStartedAt), aNow);
+    Request& state = mRequests.at(attempt.mRequest);
+    state.mOpenAttempt = false;
+    state.mLedger.failed(attempt.mNumber, attempt.mConnection);
+    mRetries++;
+    enqueue(attempt.mRequest, aNow);
+  }
+}
+
 void
 RequestRouter::writeMetrics(MetricsRegistry& aMetrics) const
 {
--- a/src/gateway/RequestRouter_random_test.cpp
+++ b/src/gateway/RequestRouter_random_test.cpp
@@ -65,7 +65,7 @@
         submit();
         return;
       case 2:
-        mFixture.advance(static_cast<std::int64_t>(pick(40)));
+        mFixture.advance(static_cast<std::int64_t>(pick(60)));
         return;
       case 3:
         serveControl(2);
@@ -85,7 +85,7 @@
   {
     const bool isRepeatable = pick(2) == 0;
     const std::string key = isRepeatable ? "" : "key" + std::to_string(mSubmitted.size());
-    const auto deadlineMs = static_cast<std::int64_t>(1 + pick(300));
+    const auto deadlineMs = static_cast<std::int64_t>(1 + pick(1000));
     mSubmitted[mFixture.submit(deadlineMs, key)] = isRepeatable;
   }
 
--- a/src/gateway/RequestRouter_test.cpp
+++ b/src/gateway/RequestRouter_test.cpp
@@ -127,6 +127,29 @@
   BOOST_TEST(fixture.outcome(request) == "not-run");
 }
 
+// Guards against callers that wait for a frozen agent although another target is free.
+BOOST_AUTO_TEST_CASE(repeatable_request_leaves_a_silent_target)
+{
+  RouterFixture fixture;
+  fixture.addTargets(2);
+  const std::uint64_t moved = fixture.submit(5000);
+  const std::uint64_t kept = fixture.submit(5000, "key");
+  fixture.grantIntent(kept);
+  BOOST_REQUIRE(fixture.mDispatches.size() == 2);
+  const RouterFixture::Dispatch first = fixture.mDispatches.at(0);
+  const std::uint64_t other = first.mConnection == 1 ? 2 : 1;
+  fixture.advance(301);
+  fixture.sendStatus(static_cast<int>(other), other);
+  fixture.advance(1);
+  BOOST_REQUIRE(fixture.mDispatches.size() == 3);
+  BOOST_TEST(fixture.mDispatches.at(2).mConnection == other);
+  fixture.answer(first);
+  BOOST_TEST(fixture.outcome(moved).empty(), "the abandoned attempt is settled");
+  fixture.answer(fixture.mDispatches.at(2));
+  BOOST_TEST(fixture.outcome(moved) == "done");
+  BOOST_TEST(fixture.outcome(kept).empty());
+}
+
 // Guards against a slot that is used again while an executor still works on a request past its
 // deadline.
 BOOST_AUTO_TEST_CASE(slot_stays_taken_until_a_late_attempt_ends)
--- a/src/gateway/TargetTable.cpp
+++ b/src/gateway/TargetTable.cpp
@@ -92,13 +92,25 @@
   target.mLoad.recordReport(aStatus.outstanding(), aNow);
 }
 
+bool
+TargetTable::isSilent(const Target& aTarget, MonotonicTime aNow) const
+{
+  return !aTarget.mStatus || aNow.msSince(aTarget.mStatusAt) > mSilenceMs;
+}
+
+bool
+TargetTable::isSilent(const std::string& aTargetId, MonotonicTime aNow) const
+{
+  return isSilent(mTargets.at(aTargetId), aNow);
+}
+
 bool
 TargetTable::isUsable(const Target& aTarget, const CatalogueEntry& aEntry, MonotonicTime aNow) const
 {
   if (!aTarget.mAnnounced || aTarget.mLeaving || aTarget.mConnection == 0 || aTarget.mSuspended) {
     return false;
   }
-  if (!aTarget.mStatus || aNow.msSince(aTarget.mStatusAt) > mSilenceMs) {
+  if (isSilent(aTarget, aNow)) {
     return false;
   }
   // The agent has opened another session than the announced one: the announcement is out of date.
--- a/src/gateway/TargetTable.h
+++ b/src/gateway/TargetTable.h
@@ -64,6 +64,9 @@
   /** Whether any target could get requests of aEntry, leaving its load aside. */
   bool hasUsableTarget(const CatalogueEntry& aEntry, MonotonicTime aNow) const;
 
+  /** Whether the agent of a target has sent no status for too long. */
+  bool isSilent(const std::string& aTargetId, MonotonicTime aNow) const;
+
   /** Counts a request on the chosen target until endAttempt(). */
   void beginAttempt(const TargetChoice& aChoice);
 
@@ -112,6 +115,7 @@
     OutlierDetector mOutliers;
   };
 
+  bool isSilent(const Target& aTarget, MonotonicTime aNow) const;
   bool isUsable(const Target& aTarget, const CatalogueEntry& aEntry, MonotonicTime aNow) const;
   std::vector<std::string> freeTargets(const CatalogueEntry& aEntry, MonotonicTime aNow) const;
   OutlierDetector* outliersOf(const std::string& aTargetId);
--- a/src/routing/RequestLedger.h
+++ b/src/routing/RequestLedger.h
@@ -69,6 +69,8 @@
   /** The outcome; nothing while the request is in progress. */
   std::optional<RequestOutcome> outcome() const { return mOutcome; }
 
+  bool isRepeatable() const { return mRepeatable; }
+
   bool hasOpenAttempt() const;
 
   /** Whether an executor may have run any attempt. */
