--- a/src/gateway/RequestRouter_test.cpp
+++ b/src/gateway/RequestRouter_test.cpp
@@ -150,6 +150,30 @@
   BOOST_TEST(fixture.outcome(kept).empty());
 }
 
+// Guards against an entry without service because its only reachable target was ejected before the
+// others were lost.
+BOOST_AUTO_TEST_CASE(ejected_target_is_used_when_no_other_is_usable)
+{
+  RouterFixture fixture;
+  fixture.addTargets(2);
+  for (int request = 0; request < 40; request++) {
+    fixture.submit();
+    const RouterFixture::Dispatch last = fixture.mDispatches.back();
+    if (last.mConnection == 1) {
+      fixture.fail(last);
+    }
+    if (fixture.mDispatches.back().mConnection == 2) {
+      fixture.answer(fixture.mDispatches.back());
+    }
+  }
+  fixture.submit();
+  BOOST_TEST(fixture.mDispatches.back().mConnection == 2, "target 1 is ejected");
+  fixture.answer(fixture.mDispatches.back());
+  fixture.mRouter.connectionLost(2, fixture.mNow);
+  fixture.submit();
+  BOOST_TEST(fixture.mDispatches.back().mConnection == 1);
+}
+
 // Guards against a slot that is used again while an executor still works on a request past its
 // deadline.
 BOOST_AUTO_TEST_CASE(slot_stays_taken_until_a_late_attempt_ends)
--- a/src/gateway/TargetTable.cpp
+++ b/src/gateway/TargetTable.cpp
@@ -131,14 +131,26 @@
   if (entry == mEntries.end()) {
     return free;
   }
+  const OutlierDetector& outliers = entry->second.mOutliers;
+  std::vector<std::string> freeThoughEjected;
+  bool hasHealthy = false;
   for (const std::string& id : entry->second.mIds) {
     const Target& target = mTargets.at(id);
+    if (!isUsable(target, aEntry, aNow)) {
+      continue;
+    }
     const bool isEjected =
-      entry->second.mOutliers.availability(id, aNow) == OutlierDetector::Availability::eEjected;
-    if (!isEjected && isUsable(target, aEntry, aNow) && target.mLoad.hasFreeSlot(aNow)) {
-      free.push_back(id);
+      outliers.availability(id, aNow) == OutlierDetector::Availability::eEjected;
+    hasHealthy = hasHealthy || !isEjected;
+    if (target.mLoad.hasFreeSlot(aNow)) {
+      (isEjected ? freeThoughEjected : free).push_back(id);
     }
   }
+  // When all others are silent or leave, a target that is slow or fails at times is better than
+  // none.
+  if (!hasHealthy) {
+    return freeThoughEjected;
+  }
   return free;
 }
 
