--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -1,9 +1,9 @@
 #include "control/SessionService.h"
 
+#include "faults/faults.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
-#include <cassert>
 #include <utility>
 #include <variant>
 
@@ -19,6 +19,7 @@
 void
 SessionService::startTerm()
 {
+  mTermStarted = true;
   std::vector<std::int64_t> sessions;
   mLive.clear();
   mByConnection.clear();
@@ -35,6 +36,7 @@
 void
 SessionService::endTerm()
 {
+  mTermStarted = false;
   for (const auto& [connection, session] : std::exchange(mByConnection, {})) {
     refuse(connection, SessionRefusal::eNotLeader, session);
   }
@@ -55,7 +57,8 @@
 void
 SessionService::onOpen(ConnectionId aConnection, const SessionOpen& aMessage)
 {
-  if (!mContext.mLog.isLeader()) {
+  faultPoint("session.admit");
+  if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader);
     return;
   }
@@ -81,7 +84,7 @@
                            const SessionOpen& aMessage,
                            const CommandResult& aResult)
 {
-  if (!mContext.mLog.isLeader()) {
+  if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader);
     return;
   }
@@ -135,7 +138,8 @@
 void
 SessionService::onHeartbeat(ConnectionId aConnection, const SessionHeartbeat& aMessage)
 {
-  if (!mContext.mLog.isLeader()) {
+  faultPoint("session.renew");
+  if (!leads()) {
     refuse(aConnection, SessionRefusal::eNotLeader, aMessage.session());
     return;
   }
@@ -180,7 +184,7 @@
 {
   const SessionRecord* record = mContext.mState.sessions().find(aMessage.session());
   const bool known = record != nullptr && record->processId() == aMessage.processId();
-  if (mContext.mLog.isLeader() && known && !mLeases.isEnding(aMessage.session())) {
+  if (leads() && known && !mLeases.isEnding(aMessage.session())) {
     proposeEnd(aMessage.session(), "the process closed its session");
   }
 }
@@ -260,6 +264,10 @@
 void
 SessionService::endExpired()
 {
+  // Without a majority the end cannot be committed, and the next leader decides anew.
+  if (!mContext.mayAnswer()) {
+    return;
+  }
   for (const std::int64_t session : mLeases.expired(mContext.mNow())) {
     proposeEnd(session, "the lease is over");
   }
@@ -268,6 +276,7 @@
 void
 SessionService::proposeEnd(std::int64_t aSession, const std::string& aReason)
 {
+  faultPoint("session.expire");
   mLeases.markEnding(aSession);
   const auto command = buildValue<ExpireSession>({ .session = aSession, .reason = aReason });
   mContext.mLog.propose(command, [this, aSession](const CommandResult& aResult) {
@@ -296,6 +305,7 @@
 void
 SessionService::pushCatalogue(std::int64_t aSession)
 {
+  faultPoint("change.spread");
   const auto position = mLive.find(aSession);
   if (position == mLive.end() || !position->second.mConnection) {
     return;
--- a/src/gateway/RequestRouter.h
+++ b/src/gateway/RequestRouter.h
@@ -191,6 +191,7 @@
 
   void enqueue(std::uint64_t aRequest, MonotonicTime aNow);
   void addToQueue(std::uint64_t aRequest, MonotonicTime aNow);
+  void finishDropped(const std::vector<DroppedRequest>& aDropped, MonotonicTime aNow);
   void pump(const std::string& aEntryName, MonotonicTime aNow);
   std::optional<RefusalReason> dispatchRefusal(const Request& aState, MonotonicTime aNow) const;
   bool dispatch(std::uint64_t aRequest, MonotonicTime aNow);
@@ -207,7 +208,10 @@
   void retry(std::uint64_t aRequest, MonotonicTime aNow);
 
   void finishDone(std::uint64_t aRequest, const HttpAnswer& aAnswer, MonotonicTime aNow);
-  void finishWithout(std::uint64_t aRequest, RefusalReason aReason, MonotonicTime aNow);
+  void finishWithout(std::uint64_t aRequest,
+                     RefusalReason aReason,
+                     MonotonicTime aNow,
+                     const std::string& aDetail = "");
   void finishUnknown(std::uint64_t aRequest,
                      int aStatus,
                      const std::string& aDetail,
@@ -232,6 +236,7 @@
   OwnerLimits mLimits;
   RequestQueue mQueue;
   std::map<std::string, RetryBudget> mRetryBudgets;
+  std::map<std::string, ResponseTime> mResponseTimes;
   EntryStatistics mStatistics;
   std::uint64_t mLastRequest = 0;
   /** Memory of the requests that have no response yet. */
