placement: keep the room of tasks whose worker is listed later

Cause: a partial view may list a running task before its worker; the task was then never accounted, and its room was given to others. The random test used complete views only, while the control service sends partial ones.

--- a/src/placement/PlacementPolicy_test.cpp
+++ b/src/placement/PlacementPolicy_test.cpp
@@ -233,6 +233,22 @@
   BOOST_TEST(only<PlaceDecision>(round(21000)).size() == 3U);
 }
 
+// Guards against room that is given away twice when a partial view lists a running task before its
+// worker.
+BOOST_AUTO_TEST_CASE(taskListedBeforeItsWorkerHoldsItsRoom)
+{
+  mView.complete = false;
+  mView.entries = { entry(batch("a", 20000)) };
+  mView.tasks = { task("a", 0), task("a", 1) };
+  mView.tasks.at(0).state = TaskState::eRunning;
+  mView.tasks.at(0).session = 1;
+  round(0);
+  mView = {};
+  mView.complete = false;
+  mView.workers = { worker(1) };
+  BOOST_TEST(only<PlaceDecision>(round(1000)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace magnoliadrum
--- a/src/placement/PlacementRandomized_test.cpp
+++ b/src/placement/PlacementRandomized_test.cpp
@@ -14,8 +14,10 @@
 class RandomCluster : public PlacementFixture
 {
 public:
-  explicit RandomCluster(unsigned aSeed)
-    : mRandom(aSeed)
+  /** With aPartialViews only the first view is complete, as the control service does it. */
+  RandomCluster(unsigned aSeed, bool aPartialViews)
+    : mPartialViews(aPartialViews)
+    , mRandom(aSeed)
     , mPolicy(PlacementOptions{}, std::mt19937_64(aSeed))
   {
     for (int i = 0; i < 8; ++i) {
@@ -28,7 +30,8 @@
     changeWorkers();
     changeTasks();
     reportUsage(aNowMs);
-    PlacementView view = mView;
+    PlacementView view = mPartialViews && aNowMs > 0 ? changes() : mView;
+    mLast = mView;
     for (const char* service : { "e0", "e1" }) {
       for (const WorkerView& worker : mView.workers) {
         view.services.push_back({ service, worker.session, 5.0 + below(300), 100 });
@@ -47,6 +50,37 @@
 
   std::int64_t amountBelow(int aLimit) { return below(aLimit); }
 
+  /** What differs from the last view. Removed workers come before the tasks that they held. */
+  PlacementView changes() const
+  {
+    PlacementView result;
+    result.complete = false;
+    result.workers = mView.workers;
+    for (const WorkerView& worker : mLast.workers) {
+      const auto isSame = [&](const WorkerView& aOther) {
+        return aOther.session == worker.session;
+      };
+      if (std::none_of(mView.workers.begin(), mView.workers.end(), isSame)) {
+        result.removedSessions.push_back(worker.session);
+      }
+    }
+    std::map<std::string, TaskView> before;
+    for (const TaskView& task : mLast.tasks) {
+      before.emplace(task.taskId, task);
+    }
+    for (const TaskView& task : mView.tasks) {
+      const auto known = before.find(task.taskId);
+      if (known == before.end() || known->second != task) {
+        result.tasks.push_back(task);
+      }
+      before.erase(task.taskId);
+    }
+    for (const auto& [taskId, gone] : before) {
+      result.removedTasks.push_back(taskId);
+    }
+    return result;
+  }
+
   void addEntry(int aNumber)
   {
     CatalogueEntry::Fields fields =
@@ -209,9 +243,11 @@
     find(aDecision.taskId).state = TaskState::ePending;
   }
 
+  bool mPartialViews;
   std::mt19937_64 mRandom;
   PlacementPolicy mPolicy;
   PlacementView mView;
+  PlacementView mLast;
   std::map<std::string, ResourceAmount> mUsed;
   std::map<std::string, std::int64_t> mLimits;
   std::int64_t mNextSession = 1;
@@ -232,7 +268,7 @@
   for (unsigned seed = 1; seed <= 20; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed)
     {
-      RandomCluster cluster(seed);
+      RandomCluster cluster(seed, seed % 2 == 0);
       for (std::int64_t now = 0; now < 400000; now += 1000) {
         cluster.step(now);
       }
--- a/src/placement/ViewIntake.cpp
+++ b/src/placement/ViewIntake.cpp
@@ -47,6 +47,7 @@
     mContext.topologyChanged = true;
   }
   if (aView.complete) {
+    mOrphans.clear();
     dropUnlisted(aView);
   }
   for (const std::int64_t session : aView.removedSessions) {
@@ -97,6 +98,7 @@
 void
 ViewIntake::removeWorker(std::int64_t aSession)
 {
+  mOrphans.erase(aSession);
   if (mContext.ledger.findWorker(aSession)) {
     mContext.ledger.removeWorker(aSession);
     mContext.topologyChanged = true;
@@ -115,11 +117,33 @@
   if (!before || wasDraining != worker.draining || capacityBefore != worker.capacity) {
     mContext.topologyChanged = true;
   }
+  if (!before) {
+    adoptOrphans(found);
+  }
   if (aView.usageAt && aView.usageAt->ms() > worker.usageAtMs) {
     takeInUsage(found, aView);
   }
 }
 
+void
+ViewIntake::adoptOrphans(WorkerIndex aWorker)
+{
+  const auto orphans = mOrphans.extract(mContext.ledger.worker(aWorker).session);
+  if (orphans.empty()) {
+    return;
+  }
+  for (const Orphan& orphan : orphans.mapped()) {
+    const std::optional<TaskIndex> found = mContext.ledger.findTask(orphan.taskId);
+    if (!found) {
+      continue;
+    }
+    const TaskAccount& task = mContext.ledger.task(*found);
+    if (task.epoch == orphan.epoch && task.worker == kNoIndex && !task.waiting && !task.parked) {
+      mContext.ledger.assign(*found, aWorker, mContext.needOf(task.entry).larger(task.observed));
+    }
+  }
+}
+
 void
 ViewIntake::takeInUsage(WorkerIndex aWorker, const WorkerView& aView)
 {
@@ -308,10 +332,14 @@
   task.attempts = static_cast<std::int32_t>(aView.attempts);
   task.unconfirmed = false;
   const std::optional<WorkerIndex> holder = mContext.ledger.findWorker(aView.session);
-  if (!holder || task.worker == *holder) {
+  if (holder && task.worker == *holder) {
     return;
   }
   mContext.ledger.release(aTask);
+  if (!holder) {
+    mOrphans[aView.session].push_back({ task.taskId, task.epoch });
+    return;
+  }
   task.startedAtMs = mContext.nowMs;
   mContext.ledger.assign(aTask, *holder, mContext.needOf(task.entry).larger(task.observed));
 }
--- a/src/placement/ViewIntake.h
+++ b/src/placement/ViewIntake.h
@@ -4,6 +4,9 @@
 #include "placement/TaskPlacer.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace magnoliadrum {
 
@@ -36,8 +39,19 @@
   void noteFailure(TaskIndex aTask, std::int64_t aAttempts);
   void forget(TaskIndex aTask);
 
+  /** A held task whose worker no view has listed yet. */
+  struct Orphan
+  {
+    std::string taskId;
+    std::int64_t epoch;
+  };
+
+  void adoptOrphans(WorkerIndex aWorker);
+
   PlacementContext& mContext;
   TaskPlacer& mPlacer;
+  /** By session. */
+  std::map<std::int64_t, std::vector<Orphan>> mOrphans;
 };
 
 } // namespace magnoliadrum
