--- a/src/testbench/FakeTargets_test.cpp
+++ b/src/testbench/FakeTargets_test.cpp
@@ -1,5 +1,6 @@
 #include "testbench/FakeExecutor.h"
 #include "testbench/FakeWorker.h"
+#include "transport/LoopbackHost.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -9,7 +10,7 @@
 
 namespace {
 
-constexpr const char* kAddress = "127.0.0.1:39701";
+const std::string kAddress = loopbackHost(1) + ":7003";
 constexpr std::int64_t kLimitMs = 10000;
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
