--- a/src/placement/ResourceAmount.h
+++ b/src/placement/ResourceAmount.h
@@ -3,8 +3,8 @@
 #include "generated/generated.h"
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace magnoliadrum {
 
@@ -69,7 +69,13 @@
   }
 
   friend bool operator==(const ResourceAmount&, const ResourceAmount&) = default;
-  friend auto operator<=>(const ResourceAmount&, const ResourceAmount&) = default;
+
+  /** An order for use as a key; it says nothing about which amount fits into which. */
+  friend bool operator<(const ResourceAmount& aLeft, const ResourceAmount& aRight)
+  {
+    return std::tie(aLeft.cpuMilli, aLeft.memoryMb, aLeft.accelerators) <
+           std::tie(aRight.cpuMilli, aRight.memoryMb, aRight.accelerators);
+  }
 };
 
 } // namespace magnoliadrum
