Replace a control VM under the same address; release closed connections; rename state's TaskTable

Replace: adding before removing was refused because two members cannot have one address; the cell member/lose-two showed it. Connections: the server kept those that its own side closed. Names: state and agent both defined TaskTable, so no program could link both.

--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -327,11 +327,41 @@
     { { "operation", aOperation }, { "replicaId", aReplicaId }, { "address", aAddress } });
 }
 
+Result<bool>
+CommandLine::hasMemberAt(const std::string& aReplicaId, const std::string& aAddress)
+{
+  const Result<GatewayAnswer> answer = mClient.request("GET", "/v1/status");
+  if (!isOk(answer)) {
+    return errorOf(answer);
+  }
+  const Result<ClusterStatus> status =
+    ClusterStatus::fromJson(valueOf(answer).mBody, "read status", "gateway");
+  if (!isOk(status)) {
+    return errorOf(status);
+  }
+  for (const ReplicaStatus& replica : valueOf(status).replicas()) {
+    if (replica.replicaId() == aReplicaId) {
+      return replica.address() == aAddress;
+    }
+  }
+  return Error::create(ErrorCode::eNotFound, "replace", aReplicaId, "no such replica");
+}
+
 ExitStatus
 CommandLine::replaceMember(const std::string& aOldId,
                            const std::string& aNewId,
                            const std::string& aAddress)
 {
+  const Result<bool> sharesAddress = hasMemberAt(aOldId, aAddress);
+  if (!isOk(sharesAddress)) {
+    return fail(errorOf(sharesAddress));
+  }
+  // Two members cannot have one address. The old replica is gone from it then, so removing it first
+  // costs no quorum that the group could still have had.
+  const bool removeFirst = valueOf(sharesAddress);
+  if (removeFirst && changeMember("remove", aOldId, "") != ExitStatus::eSuccess) {
+    return ExitStatus::eFailure;
+  }
   const ExitStatus added = changeMember("add", aNewId, aAddress);
   if (added != ExitStatus::eSuccess) {
     return added;
@@ -348,10 +378,10 @@
     return fail(errorOf(answer));
   }
   if (!valueOf(answer).isSuccess()) {
-    mErr << aNewId << " has not caught up; " << aOldId << " stays\n";
+    mErr << aNewId << " has not caught up and stays a non-voter\n";
     return fail(valueOf(answer));
   }
-  return changeMember("remove", aOldId, "");
+  return removeFirst ? ExitStatus::eSuccess : changeMember("remove", aOldId, "");
 }
 
 ExitStatus
--- a/src/cli/CommandLine.h
+++ b/src/cli/CommandLine.h
@@ -55,6 +55,8 @@
   ExitStatus changeMember(const std::string& aOperation,
                           const std::string& aReplicaId,
                           const std::string& aAddress);
+  /** Whether a member has that address; an error when there is no such member. */
+  Result<bool> hasMemberAt(const std::string& aReplicaId, const std::string& aAddress);
   ExitStatus replaceMember(const std::string& aOldId,
                            const std::string& aNewId,
                            const std::string& aAddress);
--- a/src/control/RequestService.cpp
+++ b/src/control/RequestService.cpp
@@ -255,7 +255,7 @@
 std::vector<TaskRecord>
 RequestService::listTasks(const TaskQuery& aRequest) const
 {
-  const TaskTable& tasks = mContext.mState.tasks();
+  const TaskIndex& tasks = mContext.mState.tasks();
   if (!aRequest.taskId().empty()) {
     const TaskRecord* task = tasks.find(aRequest.taskId());
     return task != nullptr ? std::vector<TaskRecord>{ *task } : std::vector<TaskRecord>();
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -76,6 +76,7 @@
     return kExitFailure;
   }
   const auto loop = takeValue(std::move(created));
+  loop->setSourceHost(hostOfAddress(aSettings.listenAddress()));
   const auto faults = FaultPointFile::watch(*loop, FLAGS_fault_points_file);
   ControlState state;
   auto log = ReplicatedCommandLog::create(
--- a/src/integration/FaultScenario.cpp
+++ b/src/integration/FaultScenario.cpp
@@ -547,8 +547,10 @@
   }
   std::string newId;
   const Result<Done> identified = waitFor("the new identity", kStartLimitMs, [&]() {
-    std::ifstream file(mDeployment->dataFolder(lost) + "/identity");
-    file >> newId;
+    std::ifstream file(mDeployment->dataFolder(lost) + "/identity.json");
+    constexpr bool kThrow = false;
+    const nlohmann::json identity = nlohmann::json::parse(file, nullptr, kThrow);
+    newId = identity.is_object() ? identity.value("replicaId", "") : "";
     return !newId.empty();
   });
   if (!isOk(identified)) {
--- a/src/state/ControlState.h
+++ b/src/state/ControlState.h
@@ -46,7 +46,7 @@
 
   const Catalogue& catalogue() const { return mCatalogue; }
   const SessionRegistry& sessions() const { return mSessions; }
-  const TaskTable& tasks() const { return mTasks.table(); }
+  const TaskIndex& tasks() const { return mTasks.table(); }
   const IntentRegistry& intents() const { return mIntents; }
   const ServiceLevelHistory& serviceLevel() const { return mServiceLevel; }
 
--- a/src/state/PlacementCheck.cpp
+++ b/src/state/PlacementCheck.cpp
@@ -32,7 +32,7 @@
 };
 
 ResourceSum
-declaredResources(const TaskTable& aTable, const Catalogue& aCatalogue, std::int64_t aSession)
+declaredResources(const TaskIndex& aTable, const Catalogue& aCatalogue, std::int64_t aSession)
 {
   ResourceSum sum;
   for (const std::string& taskId : aTable.heldBy(aSession)) {
@@ -47,7 +47,7 @@
 } // namespace
 
 std::optional<std::string>
-findPlacementFault(const TaskTable& aTable,
+findPlacementFault(const TaskIndex& aTable,
                    const Catalogue& aCatalogue,
                    const CatalogueEntry* aEntry,
                    const SessionRecord* aSession)
--- a/src/state/PlacementCheck.h
+++ b/src/state/PlacementCheck.h
@@ -2,7 +2,7 @@
 
 #include "generated/generated.h"
 #include "state/Catalogue.h"
-#include "state/TaskTable.h"
+#include "state/TaskIndex.h"
 
 #include <optional>
 #include <string>
@@ -19,7 +19,7 @@
  * @param aSession null when the session is not open
  */
 std::optional<std::string>
-findPlacementFault(const TaskTable& aTable,
+findPlacementFault(const TaskIndex& aTable,
                    const Catalogue& aCatalogue,
                    const CatalogueEntry* aEntry,
                    const SessionRecord* aSession);
--- a/src/state/TaskTable.cpp
+++ b/src/state/TaskIndex.cpp
@@ -1,4 +1,4 @@
-#include "state/TaskTable.h"
+#include "state/TaskIndex.h"
 
 #include "state/BuildValue.h"
 #include "state/TaskRules.h"
@@ -45,10 +45,10 @@
 
 } // namespace
 
-TaskTable
-TaskTable::fromSnapshot(const StateSnapshot& aSnapshot)
+TaskIndex
+TaskIndex::fromSnapshot(const StateSnapshot& aSnapshot)
 {
-  TaskTable table;
+  TaskIndex table;
   table.mEpochFloor = aSnapshot.epochFloor();
   for (const TaskRecord& task : aSnapshot.tasks()) {
     table.mTasks.emplace(task.taskId(), task);
@@ -59,7 +59,7 @@
 }
 
 void
-TaskTable::writeTo(StateSnapshot::Fields& aSnapshot) const
+TaskIndex::writeTo(StateSnapshot::Fields& aSnapshot) const
 {
   aSnapshot.epochFloor = mEpochFloor;
   for (const auto& [taskId, task] : mTasks) {
@@ -69,26 +69,26 @@
 }
 
 const TaskRecord*
-TaskTable::find(const std::string& aTaskId) const
+TaskIndex::find(const std::string& aTaskId) const
 {
   const auto position = mTasks.find(aTaskId);
   return position != mTasks.end() ? &position->second : nullptr;
 }
 
 const std::set<std::string>&
-TaskTable::heldBy(std::int64_t aSession) const
+TaskIndex::heldBy(std::int64_t aSession) const
 {
   return tasksUnder(mHeld, aSession);
 }
 
 const std::set<std::string>&
-TaskTable::ofEntry(const std::string& aEntryName) const
+TaskIndex::ofEntry(const std::string& aEntryName) const
 {
   return tasksUnder(mByEntry, aEntryName);
 }
 
 void
-TaskTable::put(TaskRecord aTask)
+TaskIndex::put(TaskRecord aTask)
 {
   const std::string taskId = aTask.taskId();
   const bool finished = isTerminal(aTask.state());
@@ -109,7 +109,7 @@
 }
 
 void
-TaskTable::rememberFinished(const std::string& aTaskId)
+TaskIndex::rememberFinished(const std::string& aTaskId)
 {
   mFinished.push_back(aTaskId);
   if (mFinished.size() > kFinishedTasks) {
@@ -120,7 +120,7 @@
 }
 
 void
-TaskTable::remove(const std::string& aTaskId)
+TaskIndex::remove(const std::string& aTaskId)
 {
   const auto position = mTasks.find(aTaskId);
   if (position == mTasks.end()) {
@@ -133,13 +133,13 @@
 }
 
 std::set<std::string>
-TaskTable::takeChanged()
+TaskIndex::takeChanged()
 {
   return std::exchange(mChanged, {});
 }
 
 void
-TaskTable::removeFromIndices(const TaskRecord& aTask)
+TaskIndex::removeFromIndices(const TaskRecord& aTask)
 {
   eraseFrom(mHeld, aTask.session(), aTask.taskId());
   eraseFrom(mByEntry, aTask.entryName(), aTask.taskId());
@@ -147,7 +147,7 @@
 }
 
 void
-TaskTable::addToIndices(const TaskRecord& aTask)
+TaskIndex::addToIndices(const TaskRecord& aTask)
 {
   mByEntry[aTask.entryName()].insert(aTask.taskId());
   if (isHeld(aTask.state())) {
--- a/src/state/TaskTable.h
+++ b/src/state/TaskIndex.h
@@ -16,12 +16,12 @@
  * A finished batch task is kept, so that its run key finds it, until kFinishedTasks later ones have
  * finished; its payload is dropped. At 45,000 jobs a day that is more than four days.
  */
-class TaskTable
+class TaskIndex
 {
 public:
   static constexpr std::size_t kFinishedTasks = 200000;
 
-  static TaskTable fromSnapshot(const StateSnapshot& aSnapshot);
+  static TaskIndex fromSnapshot(const StateSnapshot& aSnapshot);
   void writeTo(StateSnapshot::Fields& aSnapshot) const;
 
   /** Returns a task; null when there is none. */
--- a/src/state/TaskRegistry.cpp
+++ b/src/state/TaskRegistry.cpp
@@ -46,7 +46,7 @@
 TaskRegistry::fromSnapshot(const StateSnapshot& aSnapshot)
 {
   TaskRegistry registry;
-  registry.mTable = TaskTable::fromSnapshot(aSnapshot);
+  registry.mTable = TaskIndex::fromSnapshot(aSnapshot);
   return registry;
 }
 
--- a/src/state/TaskRegistry.h
+++ b/src/state/TaskRegistry.h
@@ -4,7 +4,7 @@
 #include "state/Catalogue.h"
 #include "state/Outcome.h"
 #include "state/SessionRegistry.h"
-#include "state/TaskTable.h"
+#include "state/TaskIndex.h"
 
 #include <cstdint>
 #include <set>
@@ -28,7 +28,7 @@
   static TaskRegistry fromSnapshot(const StateSnapshot& aSnapshot);
   void writeTo(StateSnapshot::Fields& aSnapshot) const { mTable.writeTo(aSnapshot); }
 
-  const TaskTable& table() const { return mTable; }
+  const TaskIndex& table() const { return mTable; }
   std::set<std::string> takeChanged() { return mTable.takeChanged(); }
 
   /** Creates a run of a batch entry. */
@@ -85,7 +85,7 @@
   void stopOutside(const CatalogueEntry& aEntry, const SessionRegistry& aSessions);
   void requestStopOf(const TaskRecord& aTask, const std::string& aDetail);
 
-  TaskTable mTable;
+  TaskIndex mTable;
 };
 
 } // namespace magnoliadrum
--- a/src/transport/MessageConnection.h
+++ b/src/transport/MessageConnection.h
@@ -15,10 +15,10 @@
 namespace magnoliadrum {
 
 /** Largest encoded message. */
-inline constexpr std::size_t kMaxMessageBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 4 } * 1024 * 1024;
 
 /** A peer that does not read is disconnected when this much waits for it. */
-inline constexpr std::size_t kMaxUnsentBytes = 32 * 1024 * 1024;
+inline constexpr std::size_t kMaxUnsentBytes = std::size_t{ 32 } * 1024 * 1024;
 
 /** A connection on which both Hello messages have not arrived after this time is closed. */
 inline constexpr std::int64_t kHelloTimeoutMs = 3000;
--- a/src/transport/MessageServer.cpp
+++ b/src/transport/MessageServer.cpp
@@ -75,6 +75,10 @@
 void
 MessageServer::onAccepted(int aSocket, const std::string& aPeer)
 {
+  // close() calls no handler, so connections that this side closed are released here.
+  std::erase_if(mConnections, [](const MessageConnectionPointer& aConnection) {
+    return aConnection->isClosed();
+  });
   mConnections.insert(
     MessageConnection::accept(mLoop, aSocket, aPeer, mOwnHello, connectionHandlers()));
 }
--- a/src/transport/transport_test.cpp
+++ b/src/transport/transport_test.cpp
@@ -128,6 +128,29 @@
   BOOST_TEST(seen->peer().find("127.0.0.1:") == 0U);
 }
 
+// Guards against connections that this side closes being kept for ever.
+BOOST_FIXTURE_TEST_CASE(closed_connections_are_released_by_the_server, LoopFixture)
+{
+  MessageHandlers closing = ignoringHandlers();
+  closing.onOpen = [](MessageConnection& aConnection) {
+    const MessageConnectionPointer connection = aConnection.shared_from_this();
+    connection->close("test");
+  };
+  const auto server =
+    takeValue(MessageServer::listen(*mLoop, kAddress, helloOf("server"), closing));
+  MessageHandlers client = ignoringHandlers();
+  client.onClosed = [&](MessageConnection& /*aConnection*/, const Error& /*aError*/) {
+    mLoop->stop();
+  };
+  constexpr int kConnections = 5;
+  for (int number = 0; number < kConnections; number++) {
+    const auto connection =
+      takeValue(MessageConnection::connect(*mLoop, kAddress, helloOf("client"), client));
+    runUntilStopped();
+  }
+  BOOST_TEST(server->connections().size() <= 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(refused_connection_is_reported, LoopFixture)
 {
   MessageHandlers handlers = ignoringHandlers();
