--- a/src/integration/CapacityProbe.cpp
+++ b/src/integration/CapacityProbe.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-constexpr int kFewSessions = 200;
-constexpr int kManySessions = 1600;
+constexpr int kFewSessions = 100;
+constexpr int kManySessions = 400;
 constexpr std::int64_t kSettleMs = 3000;
 constexpr std::int64_t kMeasureMs = 6000;
-constexpr std::int64_t kCallLimitMs = 60000;
-constexpr int kCatalogueChanges = 2000;
-constexpr int kTasks = 20000;
-constexpr int kIntents = 5000;
+constexpr std::int64_t kCallLimitMs = 30000;
+constexpr int kCatalogueChanges = 300;
+constexpr int kTasks = 5000;
+constexpr int kIntents = 1000;
 constexpr int kConcurrency = 64;
 constexpr double kMsPerSecond = 1000;
 constexpr double kBytesPerKb = 1024;
--- a/src/integration/capacity_main.cpp
+++ b/src/integration/capacity_main.cpp
@@ -16,7 +16,7 @@
   gflags::SetUsageMessage(
     "Measures what one more session, entry, task or intent costs the control group.");
   gflags::ParseCommandLineFlags(&aCount, &aValues, true);
-  configureLogging("capacity", "warn");
+  configureLogging("capacity", "error");
   Result<std::unique_ptr<CapacityProbe>> probe =
     CapacityProbe::create(FLAGS_programs, FLAGS_run_folder);
   if (!isOk(probe)) {
--- a/src/testbench/bench_main.cpp
+++ b/src/testbench/bench_main.cpp
@@ -1,5 +1,6 @@
 #include "testbench/PolicyExperiment.h"
 #include "testbench/PolicyExperimentCost.h"
+#include "testbench/RoutingExperiment.h"
 
 #include <gflags/gflags.h>
 #include <iostream>
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -51,8 +51,9 @@
   return result;
 }
 
-HttpResponder::HttpResponder(evhttp_request* aRequest)
+HttpResponder::HttpResponder(evhttp_request* aRequest, std::shared_ptr<const bool> aStopping)
   : mRequest(aRequest)
+  , mStopping(std::move(aStopping))
 {
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_set_closecb(
@@ -83,6 +84,9 @@
   evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   addHeaders(headers, aAnswer.headers());
+  if (*mStopping) {
+    evhttp_add_header(headers, "Connection", "close");
+  }
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, aAnswer.body().data(), aAnswer.body().size());
   evhttp_send_reply(request, static_cast<int>(aAnswer.status()), nullptr, body);
@@ -132,6 +136,7 @@
 void
 HttpServer::stopAccepting()
 {
+  *mStopping = true;
   if (mSocket != nullptr) {
     evhttp_del_accept_socket(mServer, static_cast<evhttp_bound_socket*>(mSocket));
     mSocket = nullptr;
@@ -155,7 +160,7 @@
   evhttp_connection_get_peer(evhttp_request_get_connection(aRequest), &host, &port);
   request.mPeer =
     (host == nullptr ? std::string("unknown") : std::string(host)) + ":" + std::to_string(port);
-  mHandler(std::move(request), std::make_shared<HttpResponder>(aRequest));
+  mHandler(std::move(request), std::make_shared<HttpResponder>(aRequest, mStopping));
 }
 
 } // namespace magnoliadrum
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -37,7 +37,8 @@
 class HttpResponder
 {
 public:
-  explicit HttpResponder(evhttp_request* aRequest);
+  /** aStopping becomes true when the server stops; then the answer tells the caller that the connection ends. */
+  HttpResponder(evhttp_request* aRequest, std::shared_ptr<const bool> aStopping);
   HttpResponder(const HttpResponder&) = delete;
   HttpResponder& operator=(const HttpResponder&) = delete;
   ~HttpResponder();
@@ -53,6 +54,7 @@
 
 private:
   evhttp_request* mRequest;
+  std::shared_ptr<const bool> mStopping;
   std::function<void()> mOnGone;
 };
 
@@ -74,7 +76,10 @@
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
 
-  /** Refuses new connections from now on; requests on open connections are still handled. */
+  /**
+   * Refuses new connections from now on. Requests on open connections are still handled, and their answers close the
+   * connection, so that no caller sends another request on one that is about to end.
+   */
   void stopAccepting();
 
 private:
@@ -85,6 +90,7 @@
   Handler mHandler;
   evhttp* mServer;
   void* mSocket = nullptr;
+  std::shared_ptr<bool> mStopping = std::make_shared<bool>(false);
 };
 
 } // namespace magnoliadrum
--- a/src/transport/transport_test.cpp
+++ b/src/transport/transport_test.cpp
@@ -188,6 +188,28 @@
   BOOST_TEST(valueOf(*result).body() == "POST /a/b 1 2!");
 }
 
+// Guards against a caller that sends its next request on a connection which a planned stop then closes.
+BOOST_FIXTURE_TEST_CASE(stopping_server_announces_the_end_of_the_connection, LoopFixture)
+{
+  std::unique_ptr<HttpServer> server;
+  server = takeValue(HttpServer::listen(
+    *mLoop, kAddress, kMaxBody, [&](const HttpRequest&, const HttpResponderPointer& aOut) {
+      server->stopAccepting();
+      aOut->answer(valueOf(HttpAnswer::create({ .status = 200 })));
+    }));
+  const auto client = takeValue(HttpClient::create(*mLoop, kAddress, 1));
+  bool announced = false;
+  client->send(getCall(*mLoop, "/"), [&](const Result<HttpAnswer>& aResult) {
+    BOOST_REQUIRE(isOk(aResult));
+    for (const HttpHeader& header : valueOf(aResult).headers()) {
+      announced = announced || (header.name() == "Connection" && header.value() == "close");
+    }
+    mLoop->stop();
+  });
+  runUntilStopped();
+  BOOST_TEST(announced);
+}
+
 // Guards against reporting "not run" for a request that the target may have seen, and the other way
 // round.
 BOOST_FIXTURE_TEST_CASE(errors_tell_whether_the_request_was_written, LoopFixture)
