--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -138,6 +138,7 @@
   if (now.msSince(std::exchange(mTickAt, now)) <= kBlockedMs) {
     mSessions.endExpired();
   }
+  mSessions.announceTargets();
   mTasks.tick();
   if (now.msSince(mSecondAt) >= kSecondMs) {
     mSecondAt = now;
--- a/src/control/ControlService_test.cpp
+++ b/src/control/ControlService_test.cpp
@@ -183,10 +183,13 @@
 {
   const std::int64_t gateway = openGateway(kGateway, "g1");
   open(kAgent, admitExecutor("ex-1"));
+  // Changes of the table are announced once per tick.
+  mService.tick();
   BOOST_TEST(take<TargetUpdate>(kGateway).back().targets().size() == 1U);
   deliver(
     kOperator,
     buildValue<TargetDrainRequest>({ .requestId = "d", .targetId = "ex-1", .draining = true }));
+  mService.tick();
   BOOST_TEST(take<TargetUpdate>(kGateway).at(0).targets().at(0).leaving());
   for (int step = 0; step < 20; step++) {
     heartbeat(kGateway, gateway, "g1");
--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -173,7 +173,7 @@
   }
   if (std::exchange(live.mLeaving, aMessage.leaving()) != aMessage.leaving()) {
     mListener.onSessionChanged(aMessage.session());
-    updateTargets();
+    mTargetsChanged = true;
   }
   pushCatalogue(aMessage.session());
   mListener.onHeartbeat(*record, aMessage);
@@ -212,13 +212,13 @@
       "session ended",
       { { "session", ended->mSession }, { "reason", std::get<ExpireSession>(aCommand).reason() } });
     forget(ended->mSession);
-    updateTargets();
+    mTargetsChanged = true;
   } else if (const auto* drained = std::get_if<TargetDrained>(&aOutcome)) {
     const SessionRecord* record = mContext.mState.sessions().findByTarget(drained->mTargetId);
     if (record != nullptr) {
       mListener.onSessionChanged(record->session());
     }
-    updateTargets();
+    mTargetsChanged = true;
   } else if (std::holds_alternative<ChangeAnswer>(aOutcome)) {
     for (const auto& [session, live] : mLive) {
       pushCatalogue(session);
@@ -242,7 +242,7 @@
             { "ended", aAdmitted.mEndedSession } });
   mListener.onSessionChanged(session);
   mListener.onStrays(session, aAdmitted.mStrays);
-  updateTargets();
+  mTargetsChanged = true;
 }
 
 void
@@ -330,9 +330,9 @@
 }
 
 void
-SessionService::updateTargets()
+SessionService::announceTargets()
 {
-  if (!mTargets.update(executors())) {
+  if (!std::exchange(mTargetsChanged, false) || !mTargets.update(executors())) {
     return;
   }
   for (const auto& [session, live] : mLive) {
--- a/src/control/SessionService.h
+++ b/src/control/SessionService.h
@@ -67,6 +67,13 @@
   /** Proposes the end of the sessions whose leases are over. */
   void endExpired();
 
+  /**
+   * Sends the table of executors to the gateways when it has changed. Once per tick and not per
+   * change, because the table is rebuilt in full, which took a leader with 1,600 sessions out of
+   * service while they opened.
+   */
+  void announceTargets();
+
   /** Sends a message to the process of a session; false when it is not connected. */
   bool sendTo(std::int64_t aSession, const Message& aMessage);
 
@@ -89,7 +96,6 @@
   void proposeEnd(std::int64_t aSession, const std::string& aReason);
   void pushCatalogue(std::int64_t aSession);
   void pushTargets(std::int64_t aSession);
-  void updateTargets();
   std::vector<TargetStatus> executors() const;
 
   ControlContext& mContext;
@@ -100,6 +106,7 @@
   TargetTableVersion mTargets;
   std::map<std::int64_t, LiveSession> mLive;
   std::map<ConnectionId, std::int64_t> mByConnection;
+  bool mTargetsChanged = false;
 };
 
 } // namespace magnoliadrum
--- a/src/integration/CapacityProbe.cpp
+++ b/src/integration/CapacityProbe.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr int kFewSessions = 100;
-constexpr int kManySessions = 400;
 constexpr std::int64_t kSettleMs = 3000;
 constexpr std::int64_t kMeasureMs = 6000;
 constexpr std::int64_t kCallLimitMs = 30000;
@@ -52,16 +51,20 @@
 } // namespace
 
 CapacityProbe::CapacityProbe(std::unique_ptr<EventLoop> aLoop,
-                             std::unique_ptr<Deployment> aDeployment)
+                             std::unique_ptr<Deployment> aDeployment,
+                             int aManySessions)
   : mLoop(std::move(aLoop))
   , mDeployment(std::move(aDeployment))
+  , mManySessions(aManySessions)
 {
 }
 
 CapacityProbe::~CapacityProbe() = default;
 
 Result<std::unique_ptr<CapacityProbe>>
-CapacityProbe::create(const std::string& aProgramFolder, const std::string& aRunFolder)
+CapacityProbe::create(const std::string& aProgramFolder,
+                      const std::string& aRunFolder,
+                      int aSessions)
 {
   DeploymentOptions options;
   options.mProgramFolder = aProgramFolder;
@@ -80,7 +83,7 @@
     return errorOf(loop);
   }
   return std::unique_ptr<CapacityProbe>(
-    new CapacityProbe(takeValue(std::move(loop)), takeValue(std::move(deployment))));
+    new CapacityProbe(takeValue(std::move(loop)), takeValue(std::move(deployment)), aSessions));
 }
 
 void
@@ -203,7 +206,7 @@
   std::vector<double> cpuUs;
   std::vector<double> memory;
   std::vector<double> counts;
-  for (const int target : { kFewSessions, kManySessions }) {
+  for (const int target : { kFewSessions, mManySessions }) {
     const Result<Done> added = addSessions(target - static_cast<int>(mSessions.size()));
     if (!isOk(added)) {
       return added;
@@ -222,7 +225,7 @@
     counts.push_back(target);
     cpuUs.push_back(static_cast<double>(after.mCpuUs - before.mCpuUs) / seconds);
     memory.push_back(static_cast<double>(after.mResidentBytes));
-    if (target == kManySessions) {
+    if (target == mManySessions) {
       const double up = toDouble(mSessions.front()->bytesSent() - sent);
       const double down = toDouble(mSessions.front()->bytesReceived() - received);
       addSlope("agent to control, idle", "bytes/s per session", up / seconds);
--- a/src/integration/CapacityProbe.h
+++ b/src/integration/CapacityProbe.h
@@ -26,9 +26,11 @@
 class CapacityProbe
 {
 public:
-  /** Starts a control group of three replicas. */
+  /** Starts a control group of three replicas. Precondition: aSessions is over 100, where the
+   * slopes start. */
   static Result<std::unique_ptr<CapacityProbe>> create(const std::string& aProgramFolder,
-                                                       const std::string& aRunFolder);
+                                                       const std::string& aRunFolder,
+                                                       int aSessions);
 
   CapacityProbe(const CapacityProbe&) = delete;
   CapacityProbe& operator=(const CapacityProbe&) = delete;
@@ -38,7 +40,9 @@
   Result<std::vector<Slope>> measure();
 
 private:
-  CapacityProbe(std::unique_ptr<EventLoop> aLoop, std::unique_ptr<Deployment> aDeployment);
+  CapacityProbe(std::unique_ptr<EventLoop> aLoop,
+                std::unique_ptr<Deployment> aDeployment,
+                int aManySessions);
 
   Result<Done> findLeader();
   Result<Done> measureSessions();
@@ -58,6 +62,7 @@
   std::vector<std::unique_ptr<ControlLink>> mSessions;
   std::string mLeader;
   std::vector<Slope> mSlopes;
+  int mManySessions;
   std::int64_t mNextRequest = 1;
 };
 
--- a/src/integration/FaultScenario.cpp
+++ b/src/integration/FaultScenario.cpp
@@ -1,7 +1,7 @@
 #include "integration/FaultScenario.h"
 
 #include "cli/CommandLine.h"
-#include "testbench/HistoryChecker.h"
+#include "integration/FaultWorkload.h"
 
 #include <algorithm>
 #include <csignal>
@@ -14,46 +14,6 @@
 
 namespace {
 
-constexpr std::int64_t kClientTimeoutMs = 8000;
-constexpr std::int64_t kStartLimitMs = 30000;
-constexpr std::int64_t kHitLimitMs = 15000;
-constexpr std::int64_t kTasksLimitMs = 45000;
-constexpr std::int64_t kInForceLimitMs = 10000;
-constexpr std::int64_t kExitLimitMs = 30000;
-constexpr std::int64_t kPollMs = 50;
-constexpr std::int64_t kLoadMs = 7000;
-constexpr double kRequestsPerSecond = 60;
-constexpr double kNonRepeatableShare = 0.3;
-constexpr int kResends = 3;
-constexpr std::int64_t kDeadlineMs = 1000;
-constexpr int kEarlyTasks = 8;
-constexpr int kLateTasks = 3;
-constexpr int kStandingReplicas = 2;
-constexpr int kExecutors = 2;
-constexpr int kWorkers = 3;
-constexpr int kSnapshotEveryEntries = 60;
-constexpr std::int64_t kDelayMs = 400;
-
-/** Frames that pass before a network effect acts, so that it hits a connection in use. */
-constexpr int kAfterFrames = 20;
-
-constexpr const char* kBatchEntry = "tally";
-constexpr const char* kStandingEntry = "watch";
-constexpr const char* kChangingEntry = "changing";
-
-nlohmann::json
-entryJson(const std::string& aName, const char* aKind, const std::string& aPayload)
-{
-  const bool isService = std::string(aKind) == "service";
-  return { { "name", aName },
-           { "owner", "guild" },
-           { "kind", aKind },
-           { "class", isService ? "latency-critical" : "batch" },
-           { "resources", { { "cpuMilli", 8000 }, { "memoryMb", 16000 } } },
-           { "dataCentres", { "Waco" } },
-           { "payload", aPayload } };
-}
-
 bool
 isNetworkEffect(FaultEffect aEffect)
 {
@@ -172,9 +132,10 @@
   mReport.mViolations.push_back(std::move(aText));
 }
 
-template<typename Condition>
 Result<Done>
-FaultScenario::waitFor(const std::string& aWhat, std::int64_t aLimitMs, Condition aCondition)
+FaultScenario::waitFor(const std::string& aWhat,
+                       std::int64_t aLimitMs,
+                       const std::function<bool()>& aCondition)
 {
   const Deadline deadline = MonotonicTime::now().plusMs(aLimitMs);
   while (!aCondition()) {
@@ -200,111 +161,6 @@
   return valueOf(answer).mBody;
 }
 
-Result<Done>
-FaultScenario::startDeployment()
-{
-  const Result<Done> started = mDeployment->startAll();
-  if (!isOk(started)) {
-    return started;
-  }
-  const std::size_t sessions = kExecutors + kWorkers + mDeployment->shape().mGateways;
-  return waitFor("all sessions", kStartLimitMs, [this, sessions]() {
-    const Result<nlohmann::json> status = query("/v1/status");
-    return isOk(status) &&
-           valueOf(status).value("sessions", nlohmann::json::array()).size() >= sessions;
-  });
-}
-
-Result<Done>
-FaultScenario::applyCatalogue()
-{
-  nlohmann::json service = entryJson(mDeployment->shape().mServiceEntry, "service", "");
-  service["dataCentres"] = mDeployment->shape().mDataCentres;
-  service["objective"] = { { "latencyMs", 200 }, { "share", 0.99 } };
-  nlohmann::json batch = entryJson(kBatchEntry, "batch", "{\"runMs\":900}");
-  batch["limits"] = { { "maxAttempts", 20 } };
-  nlohmann::json standing = entryJson(kStandingEntry, "standing", "{\"runMs\":0}");
-  standing["limits"] = { { "replicas", kStandingReplicas } };
-  const nlohmann::json changing = entryJson(kChangingEntry, "batch", "");
-  const std::string file = mDeployment->runFolder() + "/catalogue.json";
-  std::ofstream(file) << nlohmann::json::array({ service, batch, standing, changing }).dump();
-  std::ostringstream text;
-  CommandOptions options;
-  options.mWait = true;
-  options.mWaitMs = kInForceLimitMs;
-  CommandLine commandLine(*mClient, options, text, text);
-  if (commandLine.run({ "apply", file }) != ExitStatus::eSuccess) {
-    return Error::create(ErrorCode::eRefused, "apply catalogue", "gateway", text.str());
-  }
-  mEntryVersion = 1;
-  return Done{};
-}
-
-void
-FaultScenario::startLoad()
-{
-  LoadOptions options;
-  options.mGateways = mDeployment->gatewayAddresses();
-  options.mEntryName = mDeployment->shape().mServiceEntry;
-  options.mRequestsPerSecond = kRequestsPerSecond;
-  options.mDurationMs = kLoadMs;
-  options.mDeadlineMs = kDeadlineMs;
-  options.mNonRepeatableShare = kNonRepeatableShare;
-  options.mResends = kResends;
-  options.mSeed = mOptions.mSeed;
-  options.mHistoryFile = mDeployment->runFolder() + "/callers.history.jsonl";
-  mLoadThread = std::jthread([this, options]() {
-    const std::unique_ptr<EventLoop> loop = takeValue(EventLoop::create());
-    const std::unique_ptr<LoadGenerator> generator =
-      takeValue(LoadGenerator::create(*loop, options));
-    generator->start([&loop]() { loop->stop(); });
-    loop->run();
-    mLoadResult = generator->result();
-  });
-}
-
-Result<Done>
-FaultScenario::submitTasks(int aFirst, int aCount)
-{
-  for (int number = aFirst; number < aFirst + aCount; number++) {
-    const nlohmann::json body = { { "entryName", kBatchEntry },
-                                  { "runKey", "run-" + std::to_string(number) } };
-    const Result<GatewayAnswer> answer = mClient->request("POST", "/v1/tasks", body);
-    if (!isOk(answer)) {
-      return errorOf(answer);
-    }
-    if (!valueOf(answer).isSuccess()) {
-      return Error::create(
-        ErrorCode::eRefused, "submit task", "gateway", valueOf(answer).mBody.dump());
-    }
-  }
-  return Done{};
-}
-
-void
-FaultScenario::changeEntry()
-{
-  mEntryAttempts++;
-  nlohmann::json entry = entryJson(kChangingEntry, "batch", "");
-  entry["limits"] = { { "maxAttempts", mEntryAttempts } };
-  const nlohmann::json change = { { "changeId", "change-" + std::to_string(mEntryAttempts) },
-                                  { "recordName", kChangingEntry },
-                                  { "expectedVersion", mEntryVersion },
-                                  { "entry", entry } };
-  const Result<GatewayAnswer> answer =
-    mClient->request("PUT", std::string("/v1/catalogue/") + kChangingEntry, change);
-  if (!isOk(answer)) {
-    return;
-  }
-  const nlohmann::json& body = valueOf(answer).mBody;
-  if (body.is_object() && body.contains("version")) {
-    mEntryVersion = body.value("version", mEntryVersion);
-  }
-  if (valueOf(answer).isSuccess()) {
-    mAcceptedAttempts = mEntryAttempts;
-  }
-}
-
 std::string
 FaultScenario::findLeader()
 {
@@ -629,120 +485,4 @@
   return Done{};
 }
 
-Result<Done>
-FaultScenario::waitForTasks()
-{
-  return waitFor("publication of all tasks", kTasksLimitMs, [this]() {
-    const Result<nlohmann::json> listing = query(std::string("/v1/tasks?entry=") + kBatchEntry);
-    if (!isOk(listing)) {
-      return false;
-    }
-    const nlohmann::json tasks = valueOf(listing).value("tasks", nlohmann::json::array());
-    const auto isPublished = [](const nlohmann::json& aTask) {
-      return aTask.value("state", "") == "published";
-    };
-    return tasks.size() >= kEarlyTasks + kLateTasks &&
-           std::all_of(tasks.begin(), tasks.end(), isPublished);
-  });
-}
-
-Result<Done>
-FaultScenario::waitForStandingTasks()
-{
-  return waitFor("running standing tasks", kTasksLimitMs, [this]() {
-    const Result<nlohmann::json> listing = query(std::string("/v1/tasks?entry=") + kStandingEntry);
-    if (!isOk(listing)) {
-      return false;
-    }
-    const nlohmann::json tasks = valueOf(listing).value("tasks", nlohmann::json::array());
-    const auto isRunning = [](const nlohmann::json& aTask) {
-      return aTask.value("state", "") == "running";
-    };
-    return std::count_if(tasks.begin(), tasks.end(), isRunning) == kStandingReplicas;
-  });
-}
-
-void
-FaultScenario::checkCatalogue()
-{
-  for (const std::string& gateway : mDeployment->gatewayAddresses()) {
-    const std::unique_ptr<GatewayClient> client =
-      takeValue(GatewayClient::create({ gateway }, kClientTimeoutMs));
-    const Result<GatewayAnswer> answer =
-      client->request("GET", std::string("/v1/catalogue/") + kChangingEntry);
-    if (!isOk(answer) || !valueOf(answer).isSuccess()) {
-      violation("catalogue cannot be read at " + gateway);
-      continue;
-    }
-    const Result<CatalogueListing> listing =
-      CatalogueListing::fromJson(valueOf(answer).mBody, "check catalogue", gateway);
-    if (!isOk(listing) || valueOf(listing).records().size() != 1 ||
-        !valueOf(listing).records().front().entry()) {
-      violation("catalogue entry is missing at " + gateway);
-      continue;
-    }
-    const CatalogueRecord& record = valueOf(listing).records().front();
-    if (record.entry()->limits().maxAttempts() < mAcceptedAttempts) {
-      violation("accepted change " + std::to_string(mAcceptedAttempts) + " was reverted to " +
-                std::to_string(record.entry()->limits().maxAttempts()));
-    }
-  }
-  changeEntry();
-  std::ostringstream text;
-  const Result<Done> inForce = waitFor("last change in force", kInForceLimitMs, [this]() {
-    const Result<nlohmann::json> status = query("/v1/status");
-    if (!isOk(status)) {
-      return false;
-    }
-    const std::int64_t version = valueOf(status).value("catalogueVersion", std::int64_t{ 0 });
-    const Result<nlohmann::json> change = query("/v1/changes/" + std::to_string(version));
-    return isOk(change) && valueOf(change).value("inForce", false);
-  });
-  if (!isOk(inForce)) {
-    violation(errorOf(inForce).text());
-  }
-}
-
-void
-FaultScenario::checkLoad()
-{
-  if (mLoadResult.mDone == 0) {
-    violation("no request was answered");
-  }
-  if (mLoadResult.mMixedUp > 0) {
-    violation(std::to_string(mLoadResult.mMixedUp) + " answers belong to another request");
-  }
-}
-
-void
-FaultScenario::checkHistories()
-{
-  HistoryChecker::Options options;
-  options.mRequireFinished = mReport.mViolations.empty();
-  // A checkpoint is committed after it is written, so a worker that dies in between loses it.
-  options.mAllowOlderCheckpoints = mCell.mVictim == FaultVictim::eWorkerVm;
-  HistoryChecker checker(options);
-  std::vector<std::string> files = { mDeployment->runFolder() + "/callers.history.jsonl" };
-  for (const TargetKind kind : { TargetKind::eExecutor, TargetKind::eWorker }) {
-    for (const std::string& target : mDeployment->targetNames(kind)) {
-      files.push_back(mDeployment->historyFile(target));
-    }
-  }
-  for (const std::string& file : files) {
-    const Result<Done> added = checker.addFile(file);
-    if (!isOk(added)) {
-      violation(errorOf(added).text());
-    }
-  }
-  std::ostringstream entries;
-  entries << std::ifstream(mDeployment->runFolder() + "/catalogue.json").rdbuf();
-  const Result<Done> set = checker.setEntries(entries.str());
-  if (!isOk(set)) {
-    violation(errorOf(set).text());
-  }
-  for (const HistoryViolation& found : checker.check()) {
-    violation(found.mRule + ": " + found.mDetail);
-  }
-}
-
 } // namespace magnoliadrum
--- a/src/integration/FaultScenario.h
+++ b/src/integration/FaultScenario.h
@@ -5,6 +5,7 @@
 #include "integration/FaultCell.h"
 #include "testbench/LoadGenerator.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -77,8 +78,9 @@
 
   Result<nlohmann::json> query(const std::string& aPath);
   std::string findLeader();
-  template<typename Condition>
-  Result<Done> waitFor(const std::string& aWhat, std::int64_t aLimitMs, Condition aCondition);
+  Result<Done> waitFor(const std::string& aWhat,
+                       std::int64_t aLimitMs,
+                       const std::function<bool()>& aCondition);
 
   FaultCell mCell;
   Options mOptions;
--- a/src/integration/capacity_main.cpp
+++ b/src/integration/capacity_main.cpp
@@ -7,6 +7,7 @@
 
 DEFINE_string(programs, "build", "folder with the built programs");
 DEFINE_string(run_folder, "run/capacity", "folder for settings, data and logs; emptied");
+DEFINE_int32(sessions, 400, "sessions up to which the slopes are measured; over 100");
 DEFINE_string(format, "table", "table or json");
 
 int
@@ -18,7 +19,7 @@
   gflags::ParseCommandLineFlags(&aCount, &aValues, true);
   configureLogging("capacity", "error");
   Result<std::unique_ptr<CapacityProbe>> probe =
-    CapacityProbe::create(FLAGS_programs, FLAGS_run_folder);
+    CapacityProbe::create(FLAGS_programs, FLAGS_run_folder, FLAGS_sessions);
   if (!isOk(probe)) {
     std::cerr << errorOf(probe).text() << "\n";
     return 1;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -37,7 +37,8 @@
 class HttpResponder
 {
 public:
-  /** aStopping becomes true when the server stops; then the answer tells the caller that the connection ends. */
+  /** aStopping becomes true when the server stops; then the answer tells the caller that the
+   * connection ends. */
   HttpResponder(evhttp_request* aRequest, std::shared_ptr<const bool> aStopping);
   HttpResponder(const HttpResponder&) = delete;
   HttpResponder& operator=(const HttpResponder&) = delete;
@@ -77,8 +78,9 @@
   ~HttpServer();
 
   /**
-   * Refuses new connections from now on. Requests on open connections are still handled, and their answers close the
-   * connection, so that no caller sends another request on one that is about to end.
+   * Refuses new connections from now on. Requests on open connections are still handled, and their
+   * answers close the connection, so that no caller sends another request on one that is about to
+   * end.
    */
   void stopAccepting();
 
--- a/src/transport/transport_test.cpp
+++ b/src/transport/transport_test.cpp
@@ -188,7 +188,8 @@
   BOOST_TEST(valueOf(*result).body() == "POST /a/b 1 2!");
 }
 
-// Guards against a caller that sends its next request on a connection which a planned stop then closes.
+// Guards against a caller that sends its next request on a connection which a planned stop then
+// closes.
 BOOST_FIXTURE_TEST_CASE(stopping_server_announces_the_end_of_the_connection, LoopFixture)
 {
   std::unique_ptr<HttpServer> server;
