--- a/src/agent/AdmissionGate.cpp
+++ b/src/agent/AdmissionGate.cpp
@@ -5,11 +5,34 @@
 
 namespace magnoliadrum {
 
+namespace {
+
+/** Ids are remembered for this long after the deadline; a copy that is delayed further is refused
+ * by its deadline. */
+constexpr std::int64_t kRememberMs = 60000;
+
+} // namespace
+
 AdmissionGate::AdmissionGate(Limits aLimits)
   : mLimits(std::move(aLimits))
 {
 }
 
+bool
+AdmissionGate::noteArrival(const RequestDispatch& aRequest, MonotonicTime aNow)
+{
+  while (!mForgetAt.empty() && mForgetAt.begin()->first <= aNow) {
+    mArrived.erase(mForgetAt.begin()->second);
+    mForgetAt.erase(mForgetAt.begin());
+  }
+  if (!mArrived.insert(aRequest.requestId()).second) {
+    return false;
+  }
+  const Deadline deadline = std::max(aNow, MonotonicTime::fromMs(aRequest.deadlineMs()));
+  mForgetAt.emplace(deadline.plusMs(kRememberMs), aRequest.requestId());
+  return true;
+}
+
 std::optional<RefusalReason>
 AdmissionGate::admit(const RequestDispatch& aRequest,
                      const SessionLease& aLease,
--- a/src/agent/AdmissionGate.h
+++ b/src/agent/AdmissionGate.h
@@ -3,6 +3,7 @@
 #include "agent/SessionLease.h"
 #include "generated/generated.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -30,6 +31,13 @@
 
   explicit AdmissionGate(Limits aLimits);
 
+  /**
+   * Notes the arrival of a dispatch. Returns false when its id has arrived before; such a copy must
+   * be dropped without an answer. A refusal would say "not run" of a request that is running, and
+   * running it would contradict an earlier refusal.
+   */
+  bool noteArrival(const RequestDispatch& aRequest, MonotonicTime aNow);
+
   /**
    * Checks a request and, when it is admitted, counts it as outstanding until release().
    *
@@ -63,6 +71,8 @@
   Limits mLimits;
   bool mLeaving = false;
   std::set<std::string> mOutstanding;
+  std::set<std::string> mArrived;
+  std::multimap<Deadline, std::string> mForgetAt;
 };
 
 } // namespace magnoliadrum
--- a/src/agent/AdmissionGate_test.cpp
+++ b/src/agent/AdmissionGate_test.cpp
@@ -48,6 +48,19 @@
 
 } // namespace
 
+// Guards against a duplicated dispatch that is refused as not run while its first copy runs, so
+// that the gateway sends a non-repeatable request to another target; and against one that runs
+// after its first copy was refused.
+BOOST_FIXTURE_TEST_CASE(repeated_dispatch_is_told_apart_until_long_after_its_deadline, Fixture)
+{
+  constexpr std::int64_t kRememberedMs = 60000;
+  BOOST_TEST(mGate.noteArrival(request("a"), kNow));
+  BOOST_TEST(!mGate.noteArrival(request("a"), kNow));
+  BOOST_TEST(mGate.noteArrival(request("b"), kNow));
+  BOOST_TEST(!mGate.noteArrival(request("a"), kNow.plusMs(kRememberedMs)));
+  BOOST_TEST(mGate.noteArrival(request("a"), kNow.plusMs(2 * kRememberedMs)));
+}
+
 // Guards against running a request on a session that control has given up.
 BOOST_FIXTURE_TEST_CASE(request_without_a_valid_session_is_refused, Fixture)
 {
--- a/src/agent/AgentService.cpp
+++ b/src/agent/AgentService.cpp
@@ -213,7 +213,7 @@
 void
 AgentService::onGatewayMessage(MessageConnection& aConnection, const Message& aMessage)
 {
-  const auto* dispatch = std::get_if<RequestDispatch>(&aMessage);
+  const RequestDispatch* dispatch = std::get_if<RequestDispatch>(&aMessage);
   if (dispatch == nullptr || !mForwarder) {
     logWarning("unexpected message of a gateway",
                { { "peer", aConnection.peer() }, { "type", typeName(aMessage) } });
--- a/src/agent/AgentService_test.cpp
+++ b/src/agent/AgentService_test.cpp
@@ -82,7 +82,7 @@
       if (mOnReady && std::get<SessionHeartbeat>(aMessage).catalogueVersion() == 1) {
         std::exchange(mOnReady, nullptr)();
       }
-    } else if (const auto* report = std::get_if<TaskReport>(&aMessage)) {
+    } else if (const TaskReport* report = std::get_if<TaskReport>(&aMessage)) {
       mEvents.push_back(std::string("report ") + toText(report->state()) + " " +
                         report->checkpoint());
       aConnection.send(valueOf(TaskReportAck::create(
--- a/src/agent/RequestForwarder.cpp
+++ b/src/agent/RequestForwarder.cpp
@@ -56,6 +56,10 @@
 {
   faultPoint("dispatch.received");
   assert(aReply);
+  if (!mGate.noteArrival(aRequest, mLoop.now())) {
+    logWarning("repeated dispatch dropped", { { "request", aRequest.requestId() } });
+    return;
+  }
   if (const auto reason = mGate.admit(aRequest, aLease, aEntry, mLoop.now())) {
     refuse(aRequest, *reason, "", aReply);
     return;
@@ -91,11 +95,11 @@
 {
   faultPoint("executor.answered");
   mGate.release(aRequest.requestId());
-  if (const auto* notReached = std::get_if<ExecutorNotReached>(&aResult)) {
+  if (const ExecutorNotReached* notReached = std::get_if<ExecutorNotReached>(&aResult)) {
     refuse(aRequest, RefusalReason::eExecutorUnreachable, notReached->mDetail, aReply);
     return;
   }
-  if (const auto* unknown = std::get_if<ExecutorOutcomeUnknown>(&aResult)) {
+  if (const ExecutorOutcomeUnknown* unknown = std::get_if<ExecutorOutcomeUnknown>(&aResult)) {
     fail(aRequest, unknown->mDetail, aReply);
     return;
   }
--- a/src/agent/TaskRunner.cpp
+++ b/src/agent/TaskRunner.cpp
@@ -135,16 +135,16 @@
 TaskRunner::handle(const Message& aMessage, const TaskTable::EntryLookup& aFindEntry)
 {
   const MonotonicTime now = mLoop.now();
-  if (const auto* start = std::get_if<TaskStart>(&aMessage)) {
+  if (const TaskStart* start = std::get_if<TaskStart>(&aMessage)) {
     const TaskDecision decision = mTable.start(*start, aFindEntry(start->entryName()), now);
     note("task start", start->taskId(), start->epoch(), decision);
-  } else if (const auto* stop = std::get_if<TaskStop>(&aMessage)) {
+  } else if (const TaskStop* stop = std::get_if<TaskStop>(&aMessage)) {
     note("task stop", stop->taskId(), stop->epoch(), mTable.stop(*stop, now));
-  } else if (const auto* throttle = std::get_if<TaskThrottle>(&aMessage)) {
+  } else if (const TaskThrottle* throttle = std::get_if<TaskThrottle>(&aMessage)) {
     note("task throttle", throttle->taskId(), throttle->epoch(), mTable.throttle(*throttle, now));
-  } else if (const auto* publish = std::get_if<TaskPublish>(&aMessage)) {
+  } else if (const TaskPublish* publish = std::get_if<TaskPublish>(&aMessage)) {
     note("task publish", publish->taskId(), publish->epoch(), mTable.publish(*publish, now));
-  } else if (const auto* ack = std::get_if<TaskReportAck>(&aMessage)) {
+  } else if (const TaskReportAck* ack = std::get_if<TaskReportAck>(&aMessage)) {
     mTable.acknowledge(*ack, now);
   } else {
     return false;
--- a/src/agent/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -34,7 +34,8 @@
   const auto onTerminate = [&service]() { valueOf(service)->beginShutdown(); };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
-  const auto faults = FaultPointFile::watch(events, FLAGS_fault_points_file);
+  const std::unique_ptr<FaultPointFile> faults =
+    FaultPointFile::watch(events, FLAGS_fault_points_file);
   events.run();
   return valueOf(service)->wasCutOff() ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/src/consensus/LeaderReplication.cpp
+++ b/src/consensus/LeaderReplication.cpp
@@ -213,7 +213,7 @@
   if (progress->mode != FollowerProgress::Mode::eSnapshot || aReply.round() != transfer.round) {
     return;
   }
-  const auto size = static_cast<std::int64_t>(transfer.snapshot->data.size());
+  const std::int64_t size = static_cast<std::int64_t>(transfer.snapshot->data.size());
   transfer.offset = std::min(aReply.receivedBytes(), size);
   transfer.round = 0;
 }
--- a/src/consensus/SnapshotReceiver.cpp
+++ b/src/consensus/SnapshotReceiver.cpp
@@ -23,7 +23,7 @@
   if (receivedBytes() < mTotalBytes) {
     return nullptr;
   }
-  auto snapshot = std::make_shared<const ConsensusSnapshot>(
+  std::shared_ptr<const ConsensusSnapshot> snapshot = std::make_shared<const ConsensusSnapshot>(
     ConsensusSnapshot{ .lastIndex = aChunk.lastIndex(),
                        .lastTerm = aChunk.lastTerm(),
                        .configuration = aChunk.configuration(),
--- a/src/consensus/consensus_test.cpp
+++ b/src/consensus/consensus_test.cpp
@@ -80,7 +80,7 @@
 {
   for (const auto* messages : { &aOutput.earlyMessages, &aOutput.messages }) {
     for (const OutgoingMessage& message : *messages) {
-      const auto* request = std::get_if<AppendRequest>(&message.message);
+      const AppendRequest* request = std::get_if<AppendRequest>(&message.message);
       if (request == nullptr || message.receiverId != aFollower) {
         continue;
       }
@@ -306,7 +306,7 @@
       }
     }
     for (const OutgoingMessage& message : settle(*follower, now).messages) {
-      const auto* reply = std::get_if<AppendReply>(&message.message);
+      const AppendReply* reply = std::get_if<AppendReply>(&message.message);
       refusals += reply != nullptr && !reply->success() ? 1 : 0;
       leader->receive(message.message, at(now));
     }
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -54,9 +54,9 @@
 Result<Done>
 ControlProcess::listen()
 {
-  const auto hello = buildValue<Hello>({ .processKind = ProcessKind::eControl,
-                                         .processId = mSettings.processId(),
-                                         .incarnation = newIncarnation() });
+  const Hello hello = buildValue<Hello>({ .processKind = ProcessKind::eControl,
+                                          .processId = mSettings.processId(),
+                                          .incarnation = newIncarnation() });
   MessageHandlers handlers;
   handlers.onOpen = [this](MessageConnection& aConnection) { idOf(aConnection); };
   handlers.onMessage = [this](MessageConnection& aConnection, const Message& aMessage) {
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -69,7 +69,7 @@
     return;
   }
   countCommand(aCommand, aOutcome);
-  const auto* admitted = std::get_if<SessionAdmitted>(&aOutcome);
+  const SessionAdmitted* admitted = std::get_if<SessionAdmitted>(&aOutcome);
   if (admitted != nullptr && admitted->mRecord.processKind() == ProcessKind::eGateway) {
     mServiceLevel.open(admitted->mRecord.processId(), admitted->mRecord.incarnation());
   }
@@ -165,7 +165,7 @@
                         [this, rows](const CommandResult& aResult) {
                           // Rows whose fate is unknown are dropped: a gap is less harmful than
                           // counting twice.
-                          const auto* failure = std::get_if<CommandFailure>(&aResult);
+                          const CommandFailure* failure = std::get_if<CommandFailure>(&aResult);
                           if (failure != nullptr && !failure->mOutcomeUnknown && mLeads) {
                             mServiceLevel.putBack(rows);
                           }
--- a/src/control/LeaseTable.cpp
+++ b/src/control/LeaseTable.cpp
@@ -55,7 +55,7 @@
 std::vector<std::int64_t>
 LeaseTable::expired(MonotonicTime aNow) const
 {
-  const auto waitMs = static_cast<std::int64_t>(
+  const std::int64_t waitMs = static_cast<std::int64_t>(
     std::ceil(static_cast<double>(mLeaseMs) * (1 + kClockDrift)) + kMarginMs);
   std::vector<std::int64_t> sessions;
   for (const auto& [session, lease] : mLeases) {
--- a/src/control/ReplicaDriver.cpp
+++ b/src/control/ReplicaDriver.cpp
@@ -157,7 +157,7 @@
 void
 ReplicaDriver::onAnswer(const std::string& aAddress, const Message& aMessage)
 {
-  const auto* vote = std::get_if<VoteReply>(&aMessage);
+  const VoteReply* vote = std::get_if<VoteReply>(&aMessage);
   if (mFounder && vote != nullptr && !mFailed) {
     isFailed(mFounder->onAnswer(aAddress, *vote));
     return;
@@ -341,8 +341,9 @@
     return;
   }
   mBytesSinceSnapshot = 0;
-  const auto snapshot = std::make_shared<const ConsensusSnapshot>(
-    mNode->describeSnapshot(mAppliedIndex, mCallbacks.encodeSnapshot()));
+  const std::shared_ptr<const ConsensusSnapshot> snapshot =
+    std::make_shared<const ConsensusSnapshot>(
+      mNode->describeSnapshot(mAppliedIndex, mCallbacks.encodeSnapshot()));
   if (!isFailed(mStorage->saveSnapshot(*snapshot))) {
     mNode->compact(snapshot);
   }
--- a/src/control/ReplicatedCommandLog.cpp
+++ b/src/control/ReplicatedCommandLog.cpp
@@ -81,7 +81,7 @@
 CommandResult
 ReplicatedCommandLog::resultOf(const ProposalResult& aResult) const
 {
-  if (const auto* failure = std::get_if<ProposalFailure>(&aResult)) {
+  if (const ProposalFailure* failure = std::get_if<ProposalFailure>(&aResult)) {
     return CommandFailure{ failure->error, failure->outcomeUnknown };
   }
   // The replicated log calls back directly after it has applied the proposal.
--- a/src/control/Replicator.cpp
+++ b/src/control/Replicator.cpp
@@ -20,11 +20,12 @@
   if (!isOk(storage)) {
     return errorOf(storage);
   }
-  auto driver = std::make_unique<ReplicaDriver>(aLoop,
-                                                std::move(aSettings),
-                                                std::move(aTransport),
-                                                std::move(aCallbacks),
-                                                takeValue(std::move(storage)));
+  std::unique_ptr<ReplicaDriver> driver =
+    std::make_unique<ReplicaDriver>(aLoop,
+                                    std::move(aSettings),
+                                    std::move(aTransport),
+                                    std::move(aCallbacks),
+                                    takeValue(std::move(storage)));
   const Result<Done> started = driver->start();
   if (!isOk(started)) {
     return errorOf(started);
--- a/src/control/Replicator_test.cpp
+++ b/src/control/Replicator_test.cpp
@@ -243,7 +243,7 @@
 std::string
 failureCode(const ProposalResult& aResult)
 {
-  const auto* failure = std::get_if<ProposalFailure>(&aResult);
+  const ProposalFailure* failure = std::get_if<ProposalFailure>(&aResult);
   if (failure == nullptr) {
     return "done";
   }
--- a/src/control/RequestService.cpp
+++ b/src/control/RequestService.cpp
@@ -124,11 +124,11 @@
   }
   mContext.mLog.propose(
     aCommand, [this, aAsker, onOutcome = std::move(aOnOutcome)](const CommandResult& aResult) {
-      if (const auto* failure = std::get_if<CommandFailure>(&aResult)) {
+      if (const CommandFailure* failure = std::get_if<CommandFailure>(&aResult)) {
         fail(aAsker, failure->mError);
         return;
       }
-      const auto& outcome = std::get<Outcome>(aResult);
+      const Outcome& outcome = std::get<Outcome>(aResult);
       if (const Error* error = std::get_if<Error>(&outcome)) {
         fail(aAsker, *error);
         return;
@@ -150,7 +150,7 @@
 RequestService::proposeIntent(const Asker& aAsker, const Command& aCommand)
 {
   propose(aAsker, aCommand, [this, aAsker](const Outcome& aOutcome) {
-    const auto& answer = std::get<IntentAnswer>(aOutcome);
+    const IntentAnswer& answer = std::get<IntentAnswer>(aOutcome);
     mContext.mOutlet.send(aAsker.mConnection,
                           buildValue<IntentStatus>({ .requestId = aAsker.mRequestId,
                                                      .granted = answer.mGranted,
@@ -236,7 +236,7 @@
                              .payload = aRequest.payload(),
                              .submittedAtMs = mContext.mWallClockMs() });
   propose(asker, command, [this, asker](const Outcome& aOutcome) {
-    const auto& created = std::get<TaskCreated>(aOutcome);
+    const TaskCreated& created = std::get<TaskCreated>(aOutcome);
     mContext.mOutlet.send(
       asker.mConnection,
       buildValue<TaskSubmitted>(
@@ -371,12 +371,12 @@
 RequestService::onRequest(ConnectionId aConnection, const IntentBegin& aRequest)
 {
   faultPoint("intent.open");
-  const auto intent = buildValue<IntentRecord>({ .key = aRequest.key(),
-                                                 .entryName = aRequest.entryName(),
-                                                 .requestDigest = aRequest.requestDigest(),
-                                                 .attempt = aRequest.attempt(),
-                                                 .outcome = IntentOutcome::eOpen,
-                                                 .openedAtMs = mContext.mWallClockMs() });
+  const IntentRecord intent = buildValue<IntentRecord>({ .key = aRequest.key(),
+                                                         .entryName = aRequest.entryName(),
+                                                         .requestDigest = aRequest.requestDigest(),
+                                                         .attempt = aRequest.attempt(),
+                                                         .outcome = IntentOutcome::eOpen,
+                                                         .openedAtMs = mContext.mWallClockMs() });
   proposeIntent({ aConnection, aRequest.requestId() },
                 buildValue<OpenIntent>({ .intent = intent }));
 }
--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -69,11 +69,11 @@
     grant(aConnection, *open, aMessage.sentAtMs());
     return;
   }
-  const auto command = buildValue<AdmitSession>({ .processId = aMessage.processId(),
-                                                  .processKind = aMessage.processKind(),
-                                                  .incarnation = aMessage.incarnation(),
-                                                  .target = aMessage.target(),
-                                                  .running = aMessage.running() });
+  const AdmitSession command = buildValue<AdmitSession>({ .processId = aMessage.processId(),
+                                                          .processKind = aMessage.processKind(),
+                                                          .incarnation = aMessage.incarnation(),
+                                                          .target = aMessage.target(),
+                                                          .running = aMessage.running() });
   mContext.mLog.propose(command, [this, aConnection, aMessage](const CommandResult& aResult) {
     onAdmitted(aConnection, aMessage, aResult);
   });
@@ -203,17 +203,17 @@
 void
 SessionService::onApplied(const Command& aCommand, const Outcome& aOutcome)
 {
-  if (const auto* admitted = std::get_if<SessionAdmitted>(&aOutcome)) {
+  if (const SessionAdmitted* admitted = std::get_if<SessionAdmitted>(&aOutcome)) {
     if (admitted->mCreated) {
       followAdmission(*admitted);
     }
-  } else if (const auto* ended = std::get_if<SessionEnded>(&aOutcome)) {
+  } else if (const SessionEnded* ended = std::get_if<SessionEnded>(&aOutcome)) {
     logInfo(
       "session ended",
       { { "session", ended->mSession }, { "reason", std::get<ExpireSession>(aCommand).reason() } });
     forget(ended->mSession);
     mTargetsChanged = true;
-  } else if (const auto* drained = std::get_if<TargetDrained>(&aOutcome)) {
+  } else if (const TargetDrained* drained = std::get_if<TargetDrained>(&aOutcome)) {
     const SessionRecord* record = mContext.mState.sessions().findByTarget(drained->mTargetId);
     if (record != nullptr) {
       mListener.onSessionChanged(record->session());
@@ -278,9 +278,10 @@
 {
   faultPoint("session.expire");
   mLeases.markEnding(aSession);
-  const auto command = buildValue<ExpireSession>({ .session = aSession, .reason = aReason });
+  const ExpireSession command =
+    buildValue<ExpireSession>({ .session = aSession, .reason = aReason });
   mContext.mLog.propose(command, [this, aSession](const CommandResult& aResult) {
-    const auto* failure = std::get_if<CommandFailure>(&aResult);
+    const CommandFailure* failure = std::get_if<CommandFailure>(&aResult);
     if (failure != nullptr && !failure->mOutcomeUnknown) {
       mLeases.unmarkEnding(aSession);
     }
--- a/src/control/TaskDispatcher_test.cpp
+++ b/src/control/TaskDispatcher_test.cpp
@@ -47,7 +47,7 @@
 {
   const std::vector<AgentOrder> first = due();
   BOOST_REQUIRE(first.size() == 1U);
-  const auto& start = std::get<TaskStart>(first[0].mMessage);
+  const TaskStart& start = std::get<TaskStart>(first[0].mMessage);
   BOOST_TEST(start.session() == 1);
   BOOST_TEST(start.epoch() == 1);
   BOOST_TEST(start.payload() == "from the entry");
--- a/src/control/TaskService.cpp
+++ b/src/control/TaskService.cpp
@@ -91,11 +91,11 @@
     onReportCommitted(session, aReport);
     return;
   }
-  const auto command = buildValue<MoveTask>({ .taskId = aReport.taskId(),
-                                              .epoch = aReport.epoch(),
-                                              .state = aReport.state(),
-                                              .checkpoint = aReport.checkpoint(),
-                                              .detail = aReport.detail() });
+  const MoveTask command = buildValue<MoveTask>({ .taskId = aReport.taskId(),
+                                                  .epoch = aReport.epoch(),
+                                                  .state = aReport.state(),
+                                                  .checkpoint = aReport.checkpoint(),
+                                                  .detail = aReport.detail() });
   mContext.mLog.propose(command, [this, session, aReport](const CommandResult& aResult) {
     if (std::holds_alternative<Outcome>(aResult)) {
       onReportCommitted(session, aReport);
@@ -132,7 +132,7 @@
     mDispatcher.noteTask(taskId, mContext.mState);
     mPlacement.noteTask(taskId);
   }
-  if (const auto* change = std::get_if<ApplyChange>(&aCommand)) {
+  if (const ApplyChange* change = std::get_if<ApplyChange>(&aCommand)) {
     mPlacement.noteRecord(change->change().recordName());
   }
 }
@@ -193,13 +193,13 @@
 TaskService::carryOut(const PlacementDecision& aDecision)
 {
   faultPoint("task.place");
-  if (const auto* placement = std::get_if<PlaceDecision>(&aDecision)) {
+  if (const PlaceDecision* placement = std::get_if<PlaceDecision>(&aDecision)) {
     propose(commandFor(*placement));
-  } else if (const auto* eviction = std::get_if<EvictDecision>(&aDecision)) {
+  } else if (const EvictDecision* eviction = std::get_if<EvictDecision>(&aDecision)) {
     propose(commandFor(*eviction));
-  } else if (const auto* impossible = std::get_if<ImpossibleDecision>(&aDecision)) {
+  } else if (const ImpossibleDecision* impossible = std::get_if<ImpossibleDecision>(&aDecision)) {
     propose(commandFor(*impossible));
-  } else if (const auto* throttle = std::get_if<ThrottleDecision>(&aDecision)) {
+  } else if (const ThrottleDecision* throttle = std::get_if<ThrottleDecision>(&aDecision)) {
     mSessions.sendTo(throttle->session,
                      buildValue<TaskThrottle>({ .session = throttle->session,
                                                 .taskId = throttle->taskId,
--- a/src/control/control_fixture_test.h
+++ b/src/control/control_fixture_test.h
@@ -99,7 +99,7 @@
   {
     std::vector<Type> found;
     for (const Message& message : std::exchange(mSent[aConnection], {})) {
-      if (const auto* body = std::get_if<Type>(&message)) {
+      if (const Type* body = std::get_if<Type>(&message)) {
         found.push_back(*body);
       }
     }
@@ -117,7 +117,7 @@
                                       .target = aAdmission.target(),
                                       .running = aAdmission.running() }));
     for (const Message& message : mSent[aConnection]) {
-      if (const auto* granted = std::get_if<SessionGranted>(&message)) {
+      if (const SessionGranted* granted = std::get_if<SessionGranted>(&message)) {
         return granted->session();
       }
     }
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -77,7 +77,8 @@
   }
   const auto loop = takeValue(std::move(created));
   loop->setSourceHost(hostOfAddress(aSettings.listenAddress()));
-  const auto faults = FaultPointFile::watch(*loop, FLAGS_fault_points_file);
+  const std::unique_ptr<FaultPointFile> faults =
+    FaultPointFile::watch(*loop, FLAGS_fault_points_file);
   ControlState state;
   auto log = ReplicatedCommandLog::create(
     *loop, replicatorSettings(aSettings), replicaTransport(*loop, aSettings), state, stopAtOnce);
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -180,7 +180,7 @@
       mRouter.intentAnswered(aRequest, errorOf(aAnswer), mLoop.now());
       return;
     }
-    const auto* status = std::get_if<IntentStatus>(&valueOf(aAnswer));
+    const IntentStatus* status = std::get_if<IntentStatus>(&valueOf(aAnswer));
     if (status != nullptr) {
       faultPoint("gateway.intent.answered");
       mRouter.intentAnswered(aRequest, *status, mLoop.now());
@@ -255,7 +255,7 @@
   const std::string requestId =
     mIncarnation + "/operator/" + std::to_string(++mLastOperatorRequest);
   const std::variant<Message, HttpAnswer> read = readOperatorRequest(aRequest, requestId);
-  if (const auto* answer = std::get_if<HttpAnswer>(&read)) {
+  if (const HttpAnswer* answer = std::get_if<HttpAnswer>(&read)) {
     aResponder->answer(*answer);
     return;
   }
--- a/src/gateway/GatewayProcess_test.cpp
+++ b/src/gateway/GatewayProcess_test.cpp
@@ -73,24 +73,24 @@
 
   void take(MessageConnection& aLink, const Message& aMessage)
   {
-    if (const auto* open = std::get_if<SessionOpen>(&aMessage)) {
+    if (const SessionOpen* open = std::get_if<SessionOpen>(&aMessage)) {
       if (mGrants) {
         grant(aLink, *open);
       }
-    } else if (const auto* heartbeat = std::get_if<SessionHeartbeat>(&aMessage)) {
+    } else if (const SessionHeartbeat* heartbeat = std::get_if<SessionHeartbeat>(&aMessage)) {
       for (const ServiceCounters& counters : heartbeat->counters()) {
         mCountedRequests = counters.total();
       }
       aLink.send(valueOf(SessionRenewed::create(
         { .session = 1, .leaseUntilMs = heartbeat->sentAtMs() + kLeaseMs, .term = 1 })));
-    } else if (const auto* begin = std::get_if<IntentBegin>(&aMessage)) {
+    } else if (const IntentBegin* begin = std::get_if<IntentBegin>(&aMessage)) {
       aLink.send(
         valueOf(IntentStatus::create({ .requestId = begin->requestId(), .granted = true })));
-    } else if (const auto* end = std::get_if<IntentEnd>(&aMessage)) {
+    } else if (const IntentEnd* end = std::get_if<IntentEnd>(&aMessage)) {
       mEnded.push_back(*end);
       aLink.send(
         valueOf(IntentStatus::create({ .requestId = end->requestId(), .granted = false })));
-    } else if (const auto* change = std::get_if<ChangeSubmit>(&aMessage)) {
+    } else if (const ChangeSubmit* change = std::get_if<ChangeSubmit>(&aMessage)) {
       const ChangeAnswer answer =
         valueOf(ChangeAnswer::create({ .changeId = "c",
                                        .outcome = ChangeOutcome::eConflict,
@@ -160,7 +160,7 @@
 
   void take(MessageConnection& aLink, const Message& aMessage)
   {
-    const auto& dispatch = std::get<RequestDispatch>(aMessage);
+    const RequestDispatch& dispatch = std::get<RequestDispatch>(aMessage);
     mRequests++;
     const Message answer = valueOf(RequestAnswer::create(
       { .requestId = dispatch.requestId(),
--- a/src/gateway/OperatorInterface.cpp
+++ b/src/gateway/OperatorInterface.cpp
@@ -70,7 +70,7 @@
 readBody(const Context& aContext)
 {
   std::variant<json, HttpAnswer> body = parseBody(aContext);
-  if (const auto* answer = std::get_if<HttpAnswer>(&body)) {
+  if (const HttpAnswer* answer = std::get_if<HttpAnswer>(&body)) {
     return *answer;
   }
   json& fields = std::get<json>(body);
@@ -82,7 +82,7 @@
 readChange(const Context& aContext)
 {
   std::variant<json, HttpAnswer> body = parseBody(aContext);
-  if (const auto* answer = std::get_if<HttpAnswer>(&body)) {
+  if (const HttpAnswer* answer = std::get_if<HttpAnswer>(&body)) {
     return *answer;
   }
   json& fields = std::get<json>(body);
@@ -242,12 +242,12 @@
     return errorAnswer(statusOf(errorOf(aAnswer).code()), errorOf(aAnswer));
   }
   const Message& answer = valueOf(aAnswer);
-  if (const auto* change = std::get_if<ChangeResult>(&answer)) {
+  if (const ChangeResult* change = std::get_if<ChangeResult>(&answer)) {
     return jsonAnswer(statusOf(change->answer().outcome()), change->answer().toJson());
   }
   int status = kStatusOk;
-  const auto* listing = std::get_if<CatalogueListing>(&answer);
-  const auto* query = std::get_if<CatalogueQuery>(&aQuestion);
+  const CatalogueListing* listing = std::get_if<CatalogueListing>(&answer);
+  const CatalogueQuery* query = std::get_if<CatalogueQuery>(&aQuestion);
   if (listing != nullptr && query != nullptr && !query->recordName().empty() &&
       listing->records().empty()) {
     status = kStatusNotFound;
--- a/src/gateway/RequestRouterOutcome.cpp
+++ b/src/gateway/RequestRouterOutcome.cpp
@@ -20,26 +20,26 @@
 void
 RequestRouter::agentMessage(std::uint64_t aConnection, const Message& aMessage, MonotonicTime aNow)
 {
-  if (const auto* status = std::get_if<AgentStatus>(&aMessage)) {
+  if (const AgentStatus* status = std::get_if<AgentStatus>(&aMessage)) {
     mTargets.recordStatus(aConnection, *status, aNow);
     for (const std::string& name : mQueue.waitingEntries()) {
       pump(name, aNow);
     }
-  } else if (const auto* answer = std::get_if<RequestAnswer>(&aMessage)) {
+  } else if (const RequestAnswer* answer = std::get_if<RequestAnswer>(&aMessage)) {
     onReport(aConnection,
              answer->requestId(),
              { .mEnd = AttemptEnd::eAnswered,
                .mAnswer = &answer->answer(),
                .mOutstanding = answer->outstanding() },
              aNow);
-  } else if (const auto* refused = std::get_if<RequestRefused>(&aMessage)) {
+  } else if (const RequestRefused* refused = std::get_if<RequestRefused>(&aMessage)) {
     onReport(aConnection,
              refused->requestId(),
              { .mEnd = AttemptEnd::eRefused,
                .mReason = refused->reason(),
                .mOutstanding = refused->outstanding() },
              aNow);
-  } else if (const auto* failed = std::get_if<RequestFailed>(&aMessage)) {
+  } else if (const RequestFailed* failed = std::get_if<RequestFailed>(&aMessage)) {
     onReport(aConnection,
              failed->requestId(),
              { .mEnd = AttemptEnd::eFailed, .mOutstanding = failed->outstanding() },
--- a/src/gateway/RequestRouter_random_test.cpp
+++ b/src/gateway/RequestRouter_random_test.cpp
@@ -85,7 +85,7 @@
   {
     const bool isRepeatable = pick(2) == 0;
     const std::string key = isRepeatable ? "" : "key" + std::to_string(mSubmitted.size());
-    const auto deadlineMs = static_cast<std::int64_t>(1 + pick(1000));
+    const std::int64_t deadlineMs = static_cast<std::int64_t>(1 + pick(1000));
     mSubmitted[mFixture.submit(deadlineMs, key)] = isRepeatable;
   }
 
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -34,7 +34,8 @@
   const auto onTerminate = [&]() { valueOf(process)->beginShutdown(); };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
-  const auto faults = FaultPointFile::watch(events, FLAGS_fault_points_file);
+  const std::unique_ptr<FaultPointFile> faults =
+    FaultPointFile::watch(events, FLAGS_fault_points_file);
   events.run();
   return valueOf(process)->wasCutOff() ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/src/integration/CapacityProbe.cpp
+++ b/src/integration/CapacityProbe.cpp
@@ -162,7 +162,7 @@
   if (!isOk(*answer)) {
     return errorOf(*answer);
   }
-  const auto* status = std::get_if<ClusterStatus>(&valueOf(*answer));
+  const ClusterStatus* status = std::get_if<ClusterStatus>(&valueOf(*answer));
   for (const ReplicaStatus& replica : status->replicas()) {
     for (const std::string& name : mDeployment->controlNames()) {
       if (replica.replicaId() == status->leaderId() &&
--- a/src/integration/ChildProcess.cpp
+++ b/src/integration/ChildProcess.cpp
@@ -40,7 +40,7 @@
     return Error::create(ErrorCode::eIo, "open log file", aLogFile, "cannot be opened");
   }
   std::error_code error;
-  auto handle = std::make_unique<Handle>();
+  std::unique_ptr<Handle> handle = std::make_unique<Handle>();
   handle->mChild = boost::process::child(
     aProgram,
     boost::process::args(aArguments),
--- a/src/integration/FaultCell.cpp
+++ b/src/integration/FaultCell.cpp
@@ -111,7 +111,8 @@
                                       FaultEffect::eDelay,
                                       FaultEffect::eDuplicate,
                                       FaultEffect::eReorder }) {
-      const bool inCi = isLeader && effect == FaultEffect::eDuplicate;
+      const bool inCi =
+        effect == FaultEffect::eDuplicate && (isLeader || victim == FaultVictim::eExecutorAgent);
       aCells.push_back({ "network", "", 1, victim, effect, inCi });
     }
   }
--- a/src/integration/FaultScenario.cpp
+++ b/src/integration/FaultScenario.cpp
@@ -256,9 +256,15 @@
   std::ofstream(mDeployment->faultFile(victim))
     << mCell.mPoint << ":" << mCell.mPassage << ":" << pointAction(mCell.mEffect);
   mDeployment->process(victim).signal(SIGUSR1);
-  if (mCell.mPoint == "session.expire") {
+  // These points are passed only when a process leaves or comes.
+  const bool needsExpiry = mCell.mPoint == "session.expire";
+  const bool needsOpening = mCell.mPoint == "session.admit";
+  if (needsExpiry || needsOpening) {
     mDeployment->process("agent-executor-2").kill();
   }
+  if (needsOpening) {
+    mDeployment->start("agent-executor-2");
+  }
   int nextTask = 100;
   const Result<Done> reached = waitFor(mCell.mPoint, kHitLimitMs, [this, &nextTask]() {
     if (victimHasReached()) {
@@ -269,7 +275,7 @@
     submitTasks(nextTask++, 1);
     return victimHasReached();
   });
-  if (mCell.mPoint == "session.expire") {
+  if (needsExpiry) {
     mDeployment->start("agent-executor-2");
   }
   mReport.mHit = isOk(reached);
--- a/src/integration/demo_main.cpp
+++ b/src/integration/demo_main.cpp
@@ -178,7 +178,7 @@
 
   bool showStandingTasks()
   {
-    std::cout << "== control group after the death of the leader\n";
+    std::cout << "== control group after the loss of the leader\n";
     return command({ "status" }) == ExitStatus::eSuccess &&
            command({ "report" }) == ExitStatus::eSuccess;
   }
--- a/src/placement/PlacementContext.cpp
+++ b/src/placement/PlacementContext.cpp
@@ -99,7 +99,7 @@
 PlacementContext::loadsOn(WorkerIndex aWorker, EntryIndex aExcept) const
 {
   const WorkerAccount& worker = ledger.worker(aWorker);
-  const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
+  const double capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
   std::vector<EntryLoad> result;
   for (const TaskIndex index : worker.tasks) {
     const TaskAccount& task = ledger.task(index);
--- a/src/placement/ServiceGuard.cpp
+++ b/src/placement/ServiceGuard.cpp
@@ -120,7 +120,7 @@
 ServiceGuard::aggressors(WorkerIndex aWorker, EntryIndex aService) const
 {
   const WorkerAccount& worker = mContext.ledger.worker(aWorker);
-  const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
+  const double capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
   std::vector<Aggressor> result;
   for (const TaskIndex index : worker.tasks) {
     const TaskAccount& task = mContext.ledger.task(index);
@@ -190,10 +190,10 @@
       break;
     }
     TaskAccount& task = mContext.ledger.task(aggressor.task);
-    const auto peak = static_cast<double>(std::max(task.observed.cpuMilli, task.lastCpuMilli));
+    const double peak = static_cast<double>(std::max(task.observed.cpuMilli, task.lastCpuMilli));
     const auto lowest =
       std::max(kLowestThrottleMilli, static_cast<std::int64_t>(peak * kLowestThrottleShare));
-    const auto current = static_cast<double>(mContext.expectedCpu(task));
+    const double current = static_cast<double>(mContext.expectedCpu(task));
     const auto limit = std::max(lowest, static_cast<std::int64_t>(current * kThrottleShare));
     if (aggressor.possibleEffect < kSmallestEffect / 3 || static_cast<double>(limit) >= current) {
       continue;
@@ -299,7 +299,7 @@
       more += mContext.interference.factor(aService, task.entry) * added;
     }
   }
-  const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
+  const double capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
   return aWatch.latencyMs * std::exp(more / capacity);
 }
 
@@ -355,7 +355,7 @@
     return 0.0;
   }
   const double tailWeight = mContext.options.settings.tailLatencyWeight();
-  const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
+  const double capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
   if (mContext.ledger.entry(aEntry).latencyCritical) {
     const std::vector<EntryLoad> loads = mContext.loadsOn(aWorker, aEntry);
     const double alone = mContext.interference.predictMs(aEntry, 0, {});
--- a/src/placement/ServiceGuard_test.cpp
+++ b/src/placement/ServiceGuard_test.cpp
@@ -68,7 +68,7 @@
   void carryOut(const PlacementDecision& aDecision)
   {
     TaskView& noisy = mView.tasks.at(1);
-    if (const auto* throttled = std::get_if<ThrottleDecision>(&aDecision)) {
+    if (const ThrottleDecision* throttled = std::get_if<ThrottleDecision>(&aDecision)) {
       mLimit = throttled->cpuMilli;
       ++mThrottles;
     } else if (std::holds_alternative<EvictDecision>(aDecision)) {
@@ -77,7 +77,7 @@
       ++noisy.evictions;
       mThrottlesBeforeEviction = mThrottles;
       mLimit = 0;
-    } else if (const auto* placed = std::get_if<PlaceDecision>(&aDecision)) {
+    } else if (const PlaceDecision* placed = std::get_if<PlaceDecision>(&aDecision)) {
       noisy.session = placed->session;
       noisy.epoch = placed->epoch;
       noisy.state = TaskState::eRunning;
--- a/src/placement/TaskPlacer.cpp
+++ b/src/placement/TaskPlacer.cpp
@@ -267,7 +267,7 @@
       racks.insert(worker.rack);
     }
   }
-  const auto count = static_cast<std::int64_t>(std::max<std::size_t>(racks.size(), 1));
+  const std::int64_t count = static_cast<std::int64_t>(std::max<std::size_t>(racks.size(), 1));
   return static_cast<std::int32_t>((entry.replicas + count - 1) / count);
 }
 
--- a/src/placement/ViewIntake.cpp
+++ b/src/placement/ViewIntake.cpp
@@ -152,7 +152,7 @@
   worker.reportedUse = ResourceAmount::of(aView.usage.used());
   worker.measured.clear();
   mContext.reported.push_back(aWorker);
-  const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
+  const double capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMilli, 1));
   for (const TaskUsage& usage : aView.usage.tasks()) {
     const std::optional<TaskIndex> found = mContext.ledger.findTask(usage.taskId());
     if (!found) {
@@ -179,7 +179,7 @@
 {
   TaskAccount& task = mContext.ledger.task(aTask);
   const ResourceAmount used = ResourceAmount::of(aUsage.used());
-  const auto peakMb = static_cast<double>(task.observed.memoryMb);
+  const double peakMb = static_cast<double>(task.observed.memoryMb);
   if (!task.hasReported || static_cast<double>(used.memoryMb) > kGrowth * peakMb) {
     task.grewAtMs = mContext.nowMs;
   }
--- a/src/placement/WorkerSelector.cpp
+++ b/src/placement/WorkerSelector.cpp
@@ -80,7 +80,7 @@
                             std::mt19937_64& aRandom,
                             Best& aBest) const
 {
-  const auto dataCentres = static_cast<int>(mLedger.entry(aRequest.entry).dataCentres.size());
+  const int dataCentres = static_cast<int>(mLedger.entry(aRequest.entry).dataCentres.size());
   const int perEnd = std::max(kFewestPerDataCentre, kCandidatesPerEnd / std::max(1, dataCentres));
   const auto first = aIndex.lower_bound({ aRequest.need.cpuMilli, 0 });
   auto tight = first;
--- a/src/routing/OutlierDetector.cpp
+++ b/src/routing/OutlierDetector.cpp
@@ -93,7 +93,7 @@
     return;
   }
   Record& record = target->second;
-  const auto latencyMs = static_cast<double>(aLatencyMs);
+  const double latencyMs = static_cast<double>(aLatencyMs);
   if (record.mEjected) {
     settleProbe(record, aSuccess && !isSlow(aTargetId, latencyMs), aNow);
     return;
@@ -118,7 +118,7 @@
     return;
   }
   Record& record = target->second;
-  const auto elapsedMs = static_cast<double>(aElapsedMs);
+  const double elapsedMs = static_cast<double>(aElapsedMs);
   if (record.mEjected) {
     settleProbe(record, false, aNow);
     return;
--- a/src/routing/OwnerLimits.cpp
+++ b/src/routing/OwnerLimits.cpp
@@ -36,7 +36,8 @@
     mTokens = bucketSize(mLimit);
     mFilled = true;
   } else {
-    const auto elapsedMs = static_cast<double>(std::max<std::int64_t>(0, aNow.msSince(mFilledAt)));
+    const double elapsedMs =
+      static_cast<double>(std::max<std::int64_t>(0, aNow.msSince(mFilledAt)));
     mTokens += elapsedMs * mLimit.mRequestsPerSecond / kMsPerSecond;
     mTokens = std::min(mTokens, bucketSize(mLimit));
   }
--- a/src/routing/ResponseTime.cpp
+++ b/src/routing/ResponseTime.cpp
@@ -11,7 +11,7 @@
 void
 ResponseTime::record(std::int64_t aMs)
 {
-  const auto sample = static_cast<double>(aMs);
+  const double sample = static_cast<double>(aMs);
   mMeanMs += (mMeanMs == 0 ? 1 : kSampleWeight) * (sample - mMeanMs);
 }
 
--- a/src/routing/TargetLoad.cpp
+++ b/src/routing/TargetLoad.cpp
@@ -31,7 +31,7 @@
 double
 TargetLoad::outstanding(MonotonicTime aNow) const
 {
-  const auto ageMs = static_cast<double>(std::max<std::int64_t>(0, aNow.msSince(mReportedAt)));
+  const double ageMs = static_cast<double>(std::max<std::int64_t>(0, aNow.msSince(mReportedAt)));
   return static_cast<double>(mOwn) + mOthers * std::exp2(-ageMs / kOthersHalfLifeMs);
 }
 
--- a/src/session/ControlLink.cpp
+++ b/src/session/ControlLink.cpp
@@ -212,19 +212,19 @@
 void
 ControlLink::onMessage(const Message& aMessage)
 {
-  if (const auto* granted = std::get_if<SessionGranted>(&aMessage)) {
+  if (const SessionGranted* granted = std::get_if<SessionGranted>(&aMessage)) {
     onGranted(*granted);
-  } else if (const auto* renewed = std::get_if<SessionRenewed>(&aMessage)) {
+  } else if (const SessionRenewed* renewed = std::get_if<SessionRenewed>(&aMessage)) {
     onRenewed(*renewed);
-  } else if (const auto* refused = std::get_if<SessionRefused>(&aMessage)) {
+  } else if (const SessionRefused* refused = std::get_if<SessionRefused>(&aMessage)) {
     onRefused(*refused);
-  } else if (const auto* update = std::get_if<CatalogueUpdate>(&aMessage)) {
+  } else if (const CatalogueUpdate* update = std::get_if<CatalogueUpdate>(&aMessage)) {
     if (mCatalogue.apply(*update) && mHandlers.onCatalogue) {
       mHandlers.onCatalogue();
     }
     // The change is in force once the leader knows that this process applies it.
     sendHeartbeat();
-  } else if (const auto* targets = std::get_if<TargetUpdate>(&aMessage)) {
+  } else if (const TargetUpdate* targets = std::get_if<TargetUpdate>(&aMessage)) {
     onTargetUpdate(*targets);
   } else if (!finishCall(aMessage) && mHandlers.onMessage) {
     mHandlers.onMessage(aMessage);
@@ -351,7 +351,7 @@
   if (requestId.empty() || position == mCalls.end()) {
     return false;
   }
-  const auto* failed = std::get_if<OperationFailed>(&aMessage);
+  const OperationFailed* failed = std::get_if<OperationFailed>(&aMessage);
   if (failed != nullptr && failed->code() == FailureCode::eNotLeader) {
     // The call stays pending and is sent again to the next leader.
     followLeader(failed->leaderAddress());
--- a/src/session/session_test.cpp
+++ b/src/session/session_test.cpp
@@ -36,7 +36,7 @@
 private:
   void onMessage(MessageConnection& aConnection, const Message& aMessage)
   {
-    if (const auto* open = std::get_if<SessionOpen>(&aMessage)) {
+    if (const SessionOpen* open = std::get_if<SessionOpen>(&aMessage)) {
       mOpens++;
       if (!mIsLeader) {
         aConnection.send(valueOf(SessionRefused::create(
@@ -45,7 +45,7 @@
       }
       aConnection.send(valueOf(SessionGranted::create(
         { .session = 7, .leaseUntilMs = open->sentAtMs() + kLeaseMs, .term = 1 })));
-    } else if (const auto* query = std::get_if<StatusQuery>(&aMessage)) {
+    } else if (const StatusQuery* query = std::get_if<StatusQuery>(&aMessage)) {
       mQueries++;
       if (mDropFirstQuery && mQueries == 1) {
         const MessageConnectionPointer connection = aConnection.shared_from_this();
--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -62,7 +62,7 @@
 ControlState::applyCommand(const AdmitSession& aCommand)
 {
   Outcome outcome = mSessions.admit(aCommand);
-  auto* admitted = std::get_if<SessionAdmitted>(&outcome);
+  SessionAdmitted* admitted = std::get_if<SessionAdmitted>(&outcome);
   if (admitted == nullptr || !admitted->mCreated) {
     return outcome;
   }
--- a/src/state/ControlState_test.cpp
+++ b/src/state/ControlState_test.cpp
@@ -153,7 +153,7 @@
   Command nextReport(const ControlState& aState)
   {
     const TaskRecord task = anyHeldTask(aState);
-    const auto state = static_cast<TaskState>(pick(11));
+    const TaskState state = static_cast<TaskState>(pick(11));
     return report(task.taskId(), nearEpoch(task), state, pick(2) == 0 ? "" : "cp");
   }
 
@@ -259,13 +259,15 @@
   const auto intent =
     buildValue<IntentRecord>({ .key = "k", .entryName = "pickup", .attempt = "a" });
   machine.apply(buildValue<OpenIntent>({ .intent = intent }));
-  const auto answer = buildValue<HttpAnswer>({ .status = 200, .body = std::string("\xff\x00", 2) });
+  const HttpAnswer answer =
+    buildValue<HttpAnswer>({ .status = 200, .body = std::string("\xff\x00", 2) });
   machine.apply(buildValue<SettleIntent>({ .key = "k",
                                            .entryName = "pickup",
                                            .attempt = "a",
                                            .outcome = IntentOutcome::eDone,
                                            .answer = answer }));
-  const auto row = buildValue<ServiceLevelRow>({ .entryName = "pickup", .minute = 5, .total = 1 });
+  const ServiceLevelRow row =
+    buildValue<ServiceLevelRow>({ .entryName = "pickup", .minute = 5, .total = 1 });
   machine.apply(buildValue<RecordServiceLevel>({ .rows = { row } }));
   const std::string bytes = machine.state().encodeSnapshot();
   const ControlState copy = valueOf(ControlState::decodeSnapshot(bytes, "test"));
--- a/src/state/IntentRegistry_test.cpp
+++ b/src/state/IntentRegistry_test.cpp
@@ -115,11 +115,11 @@
 {
   ServiceLevelHistory history;
   const auto record = [&history](std::int64_t aMinute) {
-    const auto row = buildValue<ServiceLevelRow>({ .entryName = "pickup",
-                                                   .minute = aMinute,
-                                                   .total = 2,
-                                                   .good = 1,
-                                                   .latencyCounts = { 1, 1 } });
+    const ServiceLevelRow row = buildValue<ServiceLevelRow>({ .entryName = "pickup",
+                                                              .minute = aMinute,
+                                                              .total = 2,
+                                                              .good = 1,
+                                                              .latencyCounts = { 1, 1 } });
     history.record(buildValue<RecordServiceLevel>({ .rows = { row } }));
   };
   record(61);
--- a/src/state/TaskRegistry_test.cpp
+++ b/src/state/TaskRegistry_test.cpp
@@ -134,7 +134,7 @@
   place("recon/lost", 1, mSession);
   const Outcome outcome = apply(admitWorker(
     "vm-1", "i2", { running(kRun, 1), running("recon/stale", 1), running("recon/lost", 7) }));
-  const auto& admitted = std::get<SessionAdmitted>(outcome);
+  const SessionAdmitted& admitted = std::get<SessionAdmitted>(outcome);
   BOOST_TEST(task(kRun).session() == admitted.mRecord.session());
   BOOST_TEST((task(kRun).state() == TaskState::eRunning));
   BOOST_TEST((task("recon/lost").state() == TaskState::ePending));
--- a/src/state/state_fixture_test.h
+++ b/src/state/state_fixture_test.h
@@ -146,7 +146,7 @@
 inline bool
 applied(const Outcome& aOutcome)
 {
-  const auto* changed = std::get_if<TaskChanged>(&aOutcome);
+  const TaskChanged* changed = std::get_if<TaskChanged>(&aOutcome);
   return changed != nullptr && changed->mApplied;
 }
 
--- a/src/storage/IdentityFile.cpp
+++ b/src/storage/IdentityFile.cpp
@@ -48,7 +48,7 @@
   if (!complete) {
     return Error::create(ErrorCode::eCorrupt, kStep, path, "the identity cannot be decoded");
   }
-  auto replicaId = json["replicaId"].get<std::string>();
+  std::string replicaId = json["replicaId"].get<std::string>();
   if (replicaId.empty() || json["checksum"] != crc32c({ replicaId })) {
     return Error::create(ErrorCode::eCorrupt, kStep, path, "the checksum does not match");
   }
--- a/src/storage/RecordFormat.cpp
+++ b/src/storage/RecordFormat.cpp
@@ -25,7 +25,7 @@
 std::uint32_t
 recordChecksum(std::uint64_t aSegment, std::uint64_t aOffset, std::string_view aPayload)
 {
-  const auto length = static_cast<std::uint32_t>(aPayload.size());
+  const std::uint32_t length = static_cast<std::uint32_t>(aPayload.size());
   return crc32c({ toBytes64(aSegment), toBytes64(aOffset), toBytes32(length), aPayload });
 }
 
--- a/src/testbench/FakeExecutor.cpp
+++ b/src/testbench/FakeExecutor.cpp
@@ -126,7 +126,7 @@
       static_cast<FakeExecutor*>(aSelf)->onRequest(aRequest);
     },
     this);
-  const auto port = static_cast<ev_uint16_t>(valueOf(address).port());
+  const ev_uint16_t port = static_cast<ev_uint16_t>(valueOf(address).port());
   if (evhttp_bind_socket(mServer, valueOf(address).host().c_str(), port) != 0) {
     return Error::create(
       ErrorCode::eIo, "executor.listen", mOptions.mListenAddress, "cannot be bound");
--- a/src/testbench/FakeWorker.cpp
+++ b/src/testbench/FakeWorker.cpp
@@ -135,7 +135,7 @@
     reply(aResponder, kStatusInvalid, { { "error", "expected a JSON object with a token" } });
     return;
   }
-  const auto token = body["token"].get<std::int64_t>();
+  const std::int64_t token = body["token"].get<std::int64_t>();
   if (token < mToken) {
     reject(aResponder, "stale-token");
     return;
@@ -186,7 +186,8 @@
 FakeWorker::startTask(const nlohmann::json& aBody, const HttpResponderPointer& aResponder)
 {
   const Key key{ aBody.at("taskId").get<std::string>(), aBody.at("epoch").get<std::int64_t>() };
-  const auto leaseUntil = MonotonicTime::fromMs(aBody.at("leaseUntilMs").get<std::int64_t>());
+  const MonotonicTime leaseUntil =
+    MonotonicTime::fromMs(aBody.at("leaseUntilMs").get<std::int64_t>());
   if (mTasks.contains(key)) {
     reply(aResponder, kStatusOk, nlohmann::json::object());
     return;
@@ -341,7 +342,7 @@
 FakeWorker::step()
 {
   const MonotonicTime now = mLoop.now();
-  const auto elapsedMs = static_cast<double>(now.msSince(mSteppedAt));
+  const double elapsedMs = static_cast<double>(now.msSince(mSteppedAt));
   mSteppedAt = now;
   std::int64_t cpuMilli = 0;
   for (const auto& [key, task] : mTasks) {
--- a/src/testbench/FaultProxy.cpp
+++ b/src/testbench/FaultProxy.cpp
@@ -60,7 +60,7 @@
                              sockaddr* aPeer,
                              int /*aLength*/,
                              void* aSelf) {
-      auto* self = static_cast<Listener*>(aSelf);
+      Listener* self = static_cast<Listener*>(aSelf);
       self->mProxy.accept(self->mLink, aSocket, hostOf(aPeer));
     };
     mListener = evconnlistener_new_bind(mProxy.mLoop.base(),
--- a/src/testbench/HistoryTaskRules.cpp
+++ b/src/testbench/HistoryTaskRules.cpp
@@ -48,7 +48,7 @@
   };
   for (const nlohmann::json& line : aLines) {
     const std::string event = line.at("event").get<std::string>();
-    const auto atMs = line.at("atMs").get<std::int64_t>();
+    const std::int64_t atMs = line.at("atMs").get<std::int64_t>();
     if (event == "capacity") {
       loseAll(lastMs);
       capacity = readAmount(line.at("resources"));
--- a/src/testbench/LoadGenerator.cpp
+++ b/src/testbench/LoadGenerator.cpp
@@ -130,7 +130,7 @@
     again.mResendsLeft--;
     writeHistory(again, "resent", outcome);
     // The timer must outlive this call, so it is owned by its own callback.
-    auto timer = std::make_shared<EventHandlePointer>();
+    std::shared_ptr<EventHandlePointer> timer = std::make_shared<EventHandlePointer>();
     *timer = mLoop.runAt(mLoop.now().plusMs(kResendPauseMs), [this, again, timer]() {
       const std::shared_ptr<EventHandlePointer> keep = timer;
       send(again);
--- a/src/testbench/PolicyExperimentCost.cpp
+++ b/src/testbench/PolicyExperimentCost.cpp
@@ -54,7 +54,7 @@
   fields.owner = "team-" + std::to_string(aNumber);
   fields.kind = EntryKind::eBatch;
   fields.workClass = WorkClass::eBatch;
-  const auto cpu = static_cast<std::int64_t>(1000 + aRandom() % 15000);
+  const std::int64_t cpu = static_cast<std::int64_t>(1000 + aRandom() % 15000);
   fields.resources = takeValue(Resources::create({ .cpuMilli = cpu, .memoryMb = cpu * 3 }));
   for (int i = 0; i < kDataCentres; ++i) {
     fields.dataCentres.push_back("dc-" + std::to_string(i));
@@ -115,7 +115,7 @@
     PlacementView confirmed;
     confirmed.complete = false;
     for (const PlacementDecision& decision : placed) {
-      if (const auto* placement = std::get_if<PlaceDecision>(&decision)) {
+      if (const PlaceDecision* placement = std::get_if<PlaceDecision>(&decision)) {
         TaskView task;
         task.taskId = placement->taskId;
         task.entryName = task.taskId.substr(0, task.taskId.find('/'));
--- a/src/testbench/RoutingExperiment.cpp
+++ b/src/testbench/RoutingExperiment.cpp
@@ -374,7 +374,8 @@
   if (aValues.empty()) {
     return 0;
   }
-  const auto index = static_cast<std::ptrdiff_t>(aShare * static_cast<double>(aValues.size() - 1));
+  const std::ptrdiff_t index =
+    static_cast<std::ptrdiff_t>(aShare * static_cast<double>(aValues.size() - 1));
   std::nth_element(aValues.begin(), aValues.begin() + index, aValues.end());
   return aValues[static_cast<std::size_t>(index)];
 }
--- a/src/testbench/RoutingModel.h
+++ b/src/testbench/RoutingModel.h
@@ -77,7 +77,7 @@
     mOutstanding++;
     const double mu = std::log(kMeanServiceMs) - kServiceSigma * kServiceSigma / 2;
     const double serviceMs = std::lognormal_distribution<double>(mu, kServiceSigma)(mRandom);
-    const auto serviceUs = static_cast<std::int64_t>(serviceMs * mSlowdown * kUsPerMs);
+    const std::int64_t serviceUs = static_cast<std::int64_t>(serviceMs * mSlowdown * kUsPerMs);
     mSimulation.after(serviceUs, [this, done = std::move(aDone)]() {
       mOutstanding--;
       done();
--- a/src/testbench/ScenarioModel.cpp
+++ b/src/testbench/ScenarioModel.cpp
@@ -95,7 +95,7 @@
 double
 ScenarioModel::memoryOf(const Task& aTask) const
 {
-  const auto age = static_cast<double>(mSecond - aTask.startedAt);
+  const double age = static_cast<double>(mSecond - aTask.startedAt);
   return aTask.memoryMb * std::min(1.0, age / kMemoryRampSeconds);
 }
 
@@ -160,7 +160,7 @@
 ScenarioModel::runWorker(std::size_t aWorker, const std::vector<Task*>& aTasks, Report& aReport)
 {
   const Resources& capacity = mScenario.workers[aWorker].capacity();
-  const auto cores = static_cast<double>(capacity.cpuMilli());
+  const double cores = static_cast<double>(capacity.cpuMilli());
   const bool hasService = aWorker < mScenario.serviceWorkers;
   const double serviceCpu =
     hasService ? load() * static_cast<double>(mScenario.serviceReserved.cpuMilli()) : 0;
@@ -170,7 +170,7 @@
   const auto cpuOf = [](const Task& aTask) {
     return aTask.limitMilli > 0 ? std::min(aTask.limitMilli, aTask.cpuMilli) : aTask.cpuMilli;
   };
-  const auto reserved = static_cast<double>(mScenario.serviceReserved.cpuMilli());
+  const double reserved = static_cast<double>(mScenario.serviceReserved.cpuMilli());
   mRoomMilliSeconds += cores - (hasService ? reserved : 0);
   for (const Task* task : aTasks) {
     const CatalogueEntry& entry = mScenario.batch[task->behaviour].entry;
@@ -358,7 +358,7 @@
                         entry.dataCentres().front() != "closed";
     if (canRun) {
       const double hours = task.runSeconds / kSecondsPerHour / 1000;
-      const auto declared = static_cast<double>(entry.resources().cpuMilli());
+      const double declared = static_cast<double>(entry.resources().cpuMilli());
       tasks.emplace_back(task.cpuMilli * hours, std::max(declared, task.cpuMilli) * hours);
       submitted += tasks.back().first;
     }
@@ -370,7 +370,7 @@
   for (const TargetDescription& worker : mScenario.workers) {
     total += static_cast<double>(worker.capacity().cpuMilli() * mSecond) / 1000 / kSecondsPerHour;
   }
-  const auto reserved = static_cast<double>(mScenario.serviceReserved.cpuMilli());
+  const double reserved = static_cast<double>(mScenario.serviceReserved.cpuMilli());
   double room = total - reserved / 1000 * static_cast<double>(mScenario.serviceWorkers) *
                           static_cast<double>(mSecond) / kSecondsPerHour;
   for (const auto& [work, reservation] : tasks) {
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -59,7 +59,7 @@
   evhttp_connection_set_closecb(
     connection,
     [](evhttp_connection* /*aConnection*/, void* aSelf) {
-      auto* self = static_cast<HttpResponder*>(aSelf);
+      HttpResponder* self = static_cast<HttpResponder*>(aSelf);
       self->mRequest = nullptr;
       const std::function<void()> onGone = std::move(self->mOnGone);
       if (onGone) {
