--- a/src/testbench/FaultProxy.cpp
+++ b/src/testbench/FaultProxy.cpp
@@ -20,7 +20,7 @@
 
 /** Bytes that one direction holds back during a cut; a longer stream is reset, as a real one would
  * time out. */
-constexpr std::size_t kMaxHeldBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxHeldBytes = std::size_t{ 16 } * 1024 * 1024;
 
 std::string
 hostOf(const sockaddr* aAddress)
--- a/src/testbench/LoadGenerator.cpp
+++ b/src/testbench/LoadGenerator.cpp
@@ -129,13 +129,8 @@
     Request again = aRequest;
     again.mResendsLeft--;
     writeHistory(again, "resent", outcome);
-    // The timer must outlive this call, so it is owned by its own callback.
-    std::shared_ptr<EventHandlePointer> timer = std::make_shared<EventHandlePointer>();
-    *timer = mLoop.runAt(mLoop.now().plusMs(kResendPauseMs), [this, again, timer]() {
-      const std::shared_ptr<EventHandlePointer> keep = timer;
-      send(again);
-      mLoop.post([keep]() { keep->reset(); });
-    });
+    mResendTimers[again.mNumber] =
+      mLoop.runAt(mLoop.now().plusMs(kResendPauseMs), [this, again]() { send(again); });
     return;
   }
   const bool mixedUp =
@@ -147,6 +142,7 @@
 LoadGenerator::finish(const Request& aRequest, const std::string& aOutcome, bool aMixedUp)
 {
   mInProgress--;
+  mResendTimers.erase(aRequest.mNumber);
   if (aOutcome == "done") {
     mResult.mDone++;
     mResult.mLatency.record(static_cast<double>(mLoop.now().msSince(aRequest.mSentAt)));
--- a/src/testbench/LoadGenerator.h
+++ b/src/testbench/LoadGenerator.h
@@ -89,6 +89,7 @@
   std::string mRunId;
   std::function<void()> mDone;
   EventHandlePointer mNext;
+  std::map<std::int64_t, EventHandlePointer> mResendTimers;
   MonotonicTime mStartedAt;
   std::int64_t mInProgress = 0;
   bool mSending = true;
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -18,7 +18,7 @@
 
 constexpr int kStatusNoContent = 204;
 constexpr int kStatusNotModified = 304;
-constexpr ev_ssize_t kMaxAnswerBytes = 3 * 1024 * 1024;
+constexpr ev_ssize_t kMaxAnswerBytes = ev_ssize_t{ 3 } * 1024 * 1024;
 constexpr ev_ssize_t kMaxHeaderBytes = 32768;
 
 /** An answer without a length ends with the connection, so a cut one looks the same as a whole one.
