--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -56,7 +56,6 @@
     std::cout << "settings are valid\n";
     return EXIT_SUCCESS;
   }
-  std::signal(SIGPIPE, SIG_IGN);
   configureLogging(valueOf(settings).processId(), toText(valueOf(settings).logLevel()));
   return runGateway(valueOf(settings));
 }
--- a/src/testbench/fake_executor_main.cpp
+++ b/src/testbench/fake_executor_main.cpp
@@ -25,7 +25,6 @@
 {
   gflags::SetUsageMessage("fake-executor --listen IP:PORT --history FILE --slots N");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
-  std::signal(SIGPIPE, SIG_IGN);
   configureLogging("fake-executor", "info");
   const Result<std::unique_ptr<EventLoop>> loop = EventLoop::create();
   if (!isOk(loop)) {
--- a/src/testbench/fake_worker_main.cpp
+++ b/src/testbench/fake_worker_main.cpp
@@ -23,7 +23,6 @@
 {
   gflags::SetUsageMessage("fake-worker --listen IP:PORT --history FILE --cpu_milli N");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
-  std::signal(SIGPIPE, SIG_IGN);
   configureLogging("fake-worker", "info");
   const Result<Resources> capacity = Resources::create({ .cpuMilli = FLAGS_cpu_milli,
                                                          .memoryMb = FLAGS_memory_mb,
