--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlProcess.h"
 
 #include "session/Incarnation.h"
+#include "session/RequestAnswers.h"
 #include "state/BuildValue.h"
 
 #include <random>
@@ -9,6 +10,8 @@
 namespace magnoliadrum {
 
 namespace {
+/** Stands for this process itself among the connections. */
+constexpr ConnectionId kOwnConnection = 0;
 /** The metrics endpoint takes no bodies. */
 constexpr std::size_t kMaxMetricsBody = 1024;
 /** Lets the refusals that name the new leader reach the sockets before the process ends. */
@@ -114,9 +117,42 @@
   mService.onConnectionClosed(id);
 }
 
+void
+ControlProcess::call(const Message& aMessage, Deadline aDeadline, CallCallback aCallback)
+{
+  const std::string requestId = requestIdOf(aMessage);
+  LocalCall& call = mCalls[requestId];
+  call.callback = std::move(aCallback);
+  call.timeout = mLoop.runAt(aDeadline, [this, requestId]() {
+    answerCall(buildValue<OperationFailed>({ .requestId = requestId,
+                                             .code = FailureCode::eTimeout,
+                                             .step = "control.call",
+                                             .peer = mSettings.processId(),
+                                             .detail = "no answer in time" }));
+  });
+  mService.onMessage(kOwnConnection, aMessage);
+}
+
+bool
+ControlProcess::answerCall(const Message& aMessage)
+{
+  const auto position = mCalls.find(requestIdOf(aMessage));
+  if (position == mCalls.end()) {
+    return false;
+  }
+  // The timeout that may be running now must outlive this function.
+  const auto call = mCalls.extract(position);
+  mLoop.post([timeout = std::make_shared<EventHandlePointer>(std::move(call.mapped().timeout))]() {});
+  call.mapped().callback(aMessage);
+  return true;
+}
+
 bool
 ControlProcess::send(ConnectionId aConnection, const Message& aMessage)
 {
+  if (aConnection == kOwnConnection) {
+    return answerCall(aMessage);
+  }
   const auto position = mConnections.find(aConnection);
   const MessageConnectionPointer connection =
     position != mConnections.end() ? position->second.lock() : nullptr;
--- a/src/control/ControlProcess.h
+++ b/src/control/ControlProcess.h
@@ -4,6 +4,8 @@
 #include "transport/transport.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -26,10 +28,25 @@
   ControlProcess(const ControlProcess&) = delete;
   ControlProcess& operator=(const ControlProcess&) = delete;
 
+  /** Called with the answer to a call. */
+  using CallCallback = std::function<void(const Message&)>;
+
+  /**
+   * Asks this replica as if over a connection. The message's requestId must be new. The callback is
+   * not called when the replica does not answer by aDeadline.
+   */
+  void call(const Message& aMessage, Deadline aDeadline, CallCallback aCallback);
+
   /** Hands the leadership over, refuses new connections, then stops the loop. */
   void shutDown();
 
 private:
+  struct LocalCall
+  {
+    CallCallback callback;
+    EventHandlePointer timeout;
+  };
+
   ControlProcess(EventLoop& aLoop,
                  const ControlSettings& aSettings,
                  ControlState& aState,
@@ -40,6 +57,7 @@
   void close(ConnectionId aConnection, const std::string& aReason) override;
   ConnectionId idOf(MessageConnection& aConnection);
   void onClosed(MessageConnection& aConnection);
+  bool answerCall(const Message& aMessage);
   void answerHttp(const HttpRequest& aRequest, HttpResponder& aResponder);
 
   EventLoop& mLoop;
@@ -53,6 +71,8 @@
   ConnectionId mNextConnection = 1;
   std::unordered_map<ConnectionId, std::weak_ptr<MessageConnection>> mConnections;
   std::unordered_map<const MessageConnection*, ConnectionId> mIds;
+  /** Calls of this process that wait for an answer, by requestId. */
+  std::map<std::string, LocalCall> mCalls;
   bool mShuttingDown = false;
 };
 
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -19,6 +19,7 @@
   , mSessions(mContext, *this)
   , mTasks(mContext, mSessions, aSeed)
   , mRequests(mContext, mSessions, mTasks)
+  , mJobs(mContext, mSessions)
 {
   mContext.mLog.setObserver(this);
 }
@@ -35,6 +36,10 @@
     mSessions.onClose(aBody);
   } else if constexpr (std::is_same_v<Body, TaskReport>) {
     mTasks.onReport(aConnection, aBody);
+  } else if constexpr (std::is_same_v<Body, WorkerReport>) {
+    mJobs.onReport(aConnection, aBody);
+  } else if constexpr (requires { mJobs.onRequest(aConnection, aBody); }) {
+    mJobs.onRequest(aConnection, aBody);
   } else if constexpr (requires { mRequests.onRequest(aConnection, aBody); }) {
     mRequests.onRequest(aConnection, aBody);
   } else {
@@ -75,6 +80,7 @@
   }
   mSessions.onApplied(aCommand, aOutcome);
   mTasks.onApplied(aCommand);
+  mJobs.onApplied(aCommand, aOutcome);
 }
 
 void
@@ -90,9 +96,11 @@
   if (aLeads) {
     mSessions.startTerm();
     mTasks.startTerm();
+    mJobs.startTerm();
   } else {
     mSessions.endTerm();
     mTasks.endTerm();
+    mJobs.endTerm();
   }
 }
 
@@ -140,6 +148,7 @@
   }
   mSessions.announceTargets();
   mTasks.tick();
+  mJobs.tick();
   if (now.msSince(mSecondAt) >= kSecondMs) {
     mSecondAt = now;
     mTasks.checkSilence();
@@ -206,6 +215,7 @@
   set("control_catalogue_version", mContext.mState.catalogue().version());
   set("control_sessions", static_cast<std::int64_t>(mContext.mState.sessions().all().size()));
   setTaskGauges();
+  mJobs.setGauges(mMetrics);
   return mMetrics.text();
 }
 
--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlContext.h"
+#include "control/JobService.h"
 #include "control/RequestService.h"
 #include "control/ServiceLevelCollector.h"
 #include "control/SessionService.h"
@@ -68,6 +69,7 @@
   SessionService mSessions;
   TaskService mTasks;
   RequestService mRequests;
+  JobService mJobs;
   ServiceLevelCollector mServiceLevel;
   MetricsRegistry mMetrics;
   bool mLeads = false;
--- /dev/null
+++ b/src/control/JobService.cpp
@@ -0,0 +1,597 @@
+#include "control/JobService.h"
+
+#include "control/TextBounds.h"
+#include "observability/observability.h"
+#include "state/BuildValue.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** When a caller should try again while no worker is there. */
+constexpr std::int64_t kRetryAfterMs = 1000;
+
+/** A worker is used last from this many failures without a success on. */
+constexpr std::int64_t kSuspectFailures = 3;
+
+std::string
+joinedFaults(const std::vector<std::string>& aFaults)
+{
+  std::string text;
+  for (const std::string& fault : aFaults) {
+    text += (text.empty() ? "" : "; ") + fault;
+  }
+  return text;
+}
+
+} // namespace
+
+JobService::JobService(ControlContext& aContext, SessionService& aSessions)
+  : RequestAnswerer(aContext)
+  , mSessions(aSessions)
+  , mFleet(aContext.mSettings.workerLeaseMs())
+{
+}
+
+void
+JobService::startTerm()
+{
+  endTerm();
+  std::set<LifeKey> lives;
+  const JobRegistry& jobs = mContext.mState.jobs();
+  for (const std::string& jobId : jobs.openJobs()) {
+    const Job* job = jobs.find(jobId);
+    job->forEachTask([&](const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
+      if (aRecord.done) {
+        mBegun.insert(jobId);
+      }
+      if (aRecord.active) {
+        const LifeKey key{ aRecord.worker, aRecord.bornMs };
+        lives.insert(key);
+        mRuns.add(aTask, aRecord.run, key, job);
+      }
+    });
+  }
+  mFleet.startTerm({ lives.begin(), lives.end() },
+                   mContext.mLog.term(),
+                   mContext.mLog.electedAt(),
+                   mContext.mSettings.electionTimeoutMs());
+  mScheduleDue = true;
+  logInfo("took over the jobs",
+          { { "open", jobs.openJobs().size() }, { "runs", mRuns.runs().size() } });
+}
+
+void
+JobService::endTerm()
+{
+  mGeneration++;
+  mFleet.endTerm();
+  mRuns.clear();
+  mBegun.clear();
+  mAssigning = false;
+  mScheduleDue = false;
+}
+
+void
+JobService::reply(const Asker& aAsker, JobReply::Fields aReply)
+{
+  aReply.requestId = aAsker.mRequestId;
+  mContext.mOutlet.send(aAsker.mConnection, buildValue<JobReply>(std::move(aReply)));
+}
+
+const JobQueue*
+JobService::queueOf(const Asker& aAsker, const QueueSelector& aSelector)
+{
+  if (!canAnswer(aAsker)) {
+    return nullptr;
+  }
+  const JobRegistry& jobs = mContext.mState.jobs();
+  const JobQueue* queue = jobs.findQueue(aSelector);
+  if (queue == nullptr) {
+    const bool hasCatalogue = jobs.catalogue().has_value();
+    reply(aAsker,
+          { .outcome = hasCatalogue ? JobOutcome::eUnknownQueue : JobOutcome::eNoCatalogue,
+            .retryAfterMs = hasCatalogue ? 0 : kRetryAfterMs,
+            .detail = hasCatalogue ? "no queue is there" : "no queues are known yet" });
+  }
+  return queue;
+}
+
+void
+JobService::onRequest(ConnectionId aConnection, const JobSubmit& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  const JobQueue* queue = queueOf(asker, aRequest.queue());
+  if (queue == nullptr) {
+    return;
+  }
+  const std::vector<std::string> faults = findFaults(aRequest.job());
+  if (!faults.empty()) {
+    fail(asker,
+         Error::create(
+           ErrorCode::eInvalid, "job.submit", aRequest.job().jobId(), joinedFaults(faults)));
+    return;
+  }
+  const SubmitJob command =
+    buildValue<SubmitJob>({ .queueName = queue->name(),
+                            .job = aRequest.job(),
+                            .acceptedAtMs = mContext.mWallClockMs() });
+  propose(asker, command, [this, asker](const Outcome& aOutcome) {
+    const JobChanged& changed = std::get<JobChanged>(aOutcome);
+    reply(asker, { .outcome = JobOutcome::eAccepted, .state = changed.mState });
+  });
+}
+
+void
+JobService::onRequest(ConnectionId aConnection, const JobCancel& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (queueOf(asker, aRequest.queue()) == nullptr) {
+    return;
+  }
+  if (mContext.mState.jobs().find(aRequest.jobId()) == nullptr) {
+    reply(asker, { .outcome = JobOutcome::eUnknownJob });
+    return;
+  }
+  const CancelJob command = buildValue<CancelJob>({ .jobId = aRequest.jobId() });
+  propose(asker, command, [this, asker](const Outcome& aOutcome) {
+    const JobChanged& changed = std::get<JobChanged>(aOutcome);
+    reply(asker, { .outcome = JobOutcome::eAccepted, .state = changed.mState });
+  });
+}
+
+void
+JobService::onRequest(ConnectionId aConnection, const JobQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (queueOf(asker, aRequest.queue()) == nullptr) {
+    return;
+  }
+  const Job* job = mContext.mState.jobs().find(aRequest.jobId());
+  if (job == nullptr) {
+    reply(asker, { .outcome = JobOutcome::eUnknownJob });
+    return;
+  }
+  reply(asker, { .outcome = JobOutcome::eKnown, .state = job->state() });
+}
+
+void
+JobService::onRequest(ConnectionId aConnection, const QueueQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  const JobQueue* queue = queueOf(asker, aRequest.queue());
+  if (queue != nullptr) {
+    reply(asker, { .outcome = JobOutcome::ePending, .waiting = waitingJobs(queue->name()) });
+  }
+}
+
+std::int64_t
+JobService::waitingJobs(const std::string& aQueue) const
+{
+  const JobRegistry& jobs = mContext.mState.jobs();
+  return std::count_if(
+    jobs.openJobs().begin(), jobs.openJobs().end(), [&](const std::string& aJobId) {
+      const Job* job = jobs.find(aJobId);
+      return !job->isOver() && job->queue().name() == aQueue && !mBegun.contains(aJobId);
+    });
+}
+
+void
+JobService::onRequest(ConnectionId aConnection, const QueueCatalogueSubmit& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  const std::vector<std::string> faults = findFaults(aRequest.catalogue());
+  if (!faults.empty()) {
+    logWarning("queue catalogue refused",
+               { { "version", aRequest.catalogue().version() }, { "faults", joinedFaults(faults) } });
+    fail(asker,
+         Error::create(
+           ErrorCode::eInvalid, "queues.replace", asker.mRequestId, joinedFaults(faults)));
+    return;
+  }
+  const SetQueueCatalogue command =
+    buildValue<SetQueueCatalogue>({ .catalogue = aRequest.catalogue() });
+  propose(asker, command, [this, asker](const Outcome& aOutcome) {
+    const QueueCatalogueSet& set = std::get<QueueCatalogueSet>(aOutcome);
+    mContext.mOutlet.send(asker.mConnection,
+                          buildValue<QueueCatalogueReply>({ .requestId = asker.mRequestId,
+                                                            .version = set.mVersion,
+                                                            .changed = set.mChanged }));
+  });
+}
+
+void
+JobService::onRequest(ConnectionId aConnection, const QueueCatalogueQuery& aRequest)
+{
+  const Asker asker{ aConnection, aRequest.requestId() };
+  if (!canAnswer(asker)) {
+    return;
+  }
+  const std::optional<QueueCatalogue>& catalogue = mContext.mState.jobs().catalogue();
+  mContext.mOutlet.send(
+    aConnection,
+    buildValue<QueueCatalogueReply>({ .requestId = asker.mRequestId,
+                                      .version = catalogue ? catalogue->version() : -1,
+                                      .source = catalogue ? catalogue->source() : "" }));
+}
+
+void
+JobService::onReport(ConnectionId aConnection, const WorkerReport& aReport)
+{
+  const SessionRecord* session =
+    mContext.mState.sessions().find(mSessions.sessionOf(aConnection));
+  // Without the leader's own lease another leader may have other plans for the worker.
+  if (session == nullptr || !mContext.mayAnswer()) {
+    return;
+  }
+  const MonotonicTime now = mContext.mNow();
+  const LifeKey key{ aReport.worker().workerId(), aReport.worker().bornMs() };
+  WorkerLife* life = mFleet.report(aReport, session->processId(), session->session(), now);
+  if (life == nullptr) {
+    logInfo("report of a replaced worker", { { "worker", key.worker }, { "born", key.bornMs } });
+    return;
+  }
+  mRuns.takeAnswers(key, aReport.answers());
+  if (aReport.listFence() > 0) {
+    takeEnds(*life, key, aReport);
+  }
+  if (aReport.listFence() == life->fence && aReport.clockMs() >= life->listClockMs) {
+    takeLists(*life, key, aReport);
+  }
+  WorkerOrders::Fields orders;
+  if (aReport.clockMs() > 0 && !life->leftAt) {
+    mFleet.renew(*life, aReport.clockMs(), now);
+  }
+  sendOrders(*life, key, std::move(orders));
+  if (mScheduleDue) {
+    schedule();
+  }
+}
+
+void
+JobService::takeLists(WorkerLife& aLife, const LifeKey& aKey, const WorkerReport& aReport)
+{
+  aLife.listClockMs = aReport.clockMs();
+  if (!std::exchange(aLife.isSynced, true)) {
+    logInfo("worker has given its lists",
+            { { "worker", aKey.worker },
+              { "fence", aLife.fence },
+              { "running", aReport.running().size() },
+              { "ended", aReport.ended().size() } });
+    mScheduleDue = true;
+  }
+  std::vector<RunningRun> strays;
+  std::vector<RunEnding> neverRan = mRuns.takeLists(aKey, aReport, mContext.mNow(), strays);
+  for (const RunningRun& running : aReport.running()) {
+    if (const std::optional<TaskId> task = TaskId::parse(running.task())) {
+      mBegun.insert(task->jobId);
+    }
+  }
+  proposeEnds(std::move(neverRan));
+  updatePace(aLife, aKey);
+  if (strays.empty()) {
+    return;
+  }
+  WorkerOrders::Fields orders;
+  for (const RunningRun& stray : strays) {
+    logWarning("a run that is not assigned there is stopped",
+               { { "task", stray.task() }, { "run", stray.run() }, { "worker", aKey.worker } });
+    orders.stops.push_back(
+      buildValue<StopOrder>({ .task = stray.task(), .run = std::max<std::int64_t>(1, stray.run()) }));
+  }
+  sendOrders(aLife, aKey, std::move(orders));
+}
+
+void
+JobService::takeEnds(WorkerLife& aLife, const LifeKey& aKey, const WorkerReport& aReport)
+{
+  std::vector<RunEnding> ends;
+  std::int64_t last = aLife.proposedEnds;
+  for (const EndedRun& ended : aReport.ended()) {
+    if (ended.number() <= aLife.proposedEnds) {
+      continue;
+    }
+    last = std::max(last, ended.number());
+    ends.push_back(buildValue<RunEnding>({ .task = ended.task(),
+                                           .run = std::max<std::int64_t>(1, ended.run()),
+                                           .how = ended.how(),
+                                           .checkpoint = ended.checkpoint() }));
+    if (ended.how() == RunEnd::eDone) {
+      aLife.failuresInARow = 0;
+    } else if (ended.how() == RunEnd::eFailed) {
+      aLife.failuresInARow++;
+    }
+    if (TrackedRun* run = mRuns.find(ended.task(), ended.run())) {
+      run->endProposed = true;
+      mBegun.insert(run->task.jobId);
+    }
+  }
+  if (ends.empty()) {
+    return;
+  }
+  const std::int64_t before = std::exchange(aLife.proposedEnds, last);
+  const EndRuns command = buildValue<EndRuns>({ .ends = std::move(ends) });
+  mContext.mLog.propose(
+    command, [this, aKey, last, before, generation = mGeneration](const CommandResult& aResult) {
+      WorkerLife* life = generation == mGeneration ? mFleet.find(aKey) : nullptr;
+      if (life == nullptr) {
+        return;
+      }
+      if (const CommandFailure* failure = std::get_if<CommandFailure>(&aResult)) {
+        logWarning("ends of runs are not committed", failure->mError);
+        life->proposedEnds = before;
+        return;
+      }
+      life->ackedEnds = std::max(life->ackedEnds, last);
+      sendOrders(*life, aKey);
+    });
+}
+
+void
+JobService::updatePace(WorkerLife& aLife, const LifeKey& aKey)
+{
+  double worst = 0;
+  for (const std::string& name : mRuns.runsOf(aKey)) {
+    const TrackedRun& run = mRuns.runs().at(name);
+    const std::int64_t objectiveMs = run.step().latencyObjectiveMs();
+    if (objectiveMs > 0 && run.isConfirmed) {
+      worst = std::max(worst, run.figure / static_cast<double>(objectiveMs));
+    }
+  }
+  const std::int64_t before = aLife.pace.percent();
+  const std::int64_t percent = aLife.pace.update(worst, mContext.mNow());
+  if (percent == before) {
+    return;
+  }
+  mScheduleDue = mScheduleDue || percent > before;
+  logInfo("pace of opportunistic tasks",
+          { { "worker", aKey.worker },
+            { "percent", percent },
+            { "before", before },
+            { "latencyShare", worst },
+            { "clock", aLife.listClockMs } });
+}
+
+void
+JobService::proposeEnds(std::vector<RunEnding> aEnds)
+{
+  if (aEnds.empty()) {
+    return;
+  }
+  const EndRuns command = buildValue<EndRuns>({ .ends = std::move(aEnds) });
+  mContext.mLog.propose(
+    command, [this, command, generation = mGeneration](const CommandResult& aResult) {
+      const CommandFailure* failure = std::get_if<CommandFailure>(&aResult);
+      if (failure == nullptr || generation != mGeneration) {
+        return;
+      }
+      logWarning("ends of runs are not committed", failure->mError);
+      for (const RunEnding& end : command.ends()) {
+        if (TrackedRun* run = mRuns.find(end.task(), end.run())) {
+          run->endProposed = false;
+        }
+      }
+    });
+}
+
+void
+JobService::onApplied(const Command& aCommand, const Outcome& aOutcome)
+{
+  if (const StartRuns* starts = std::get_if<StartRuns>(&aCommand)) {
+    followStarts(*starts);
+  } else if (const EndRuns* ends = std::get_if<EndRuns>(&aCommand)) {
+    followEnds(*ends);
+  } else if (const CancelJob* cancel = std::get_if<CancelJob>(&aCommand)) {
+    const JobChanged* changed = std::get_if<JobChanged>(&aOutcome);
+    if (changed != nullptr && changed->mApplied) {
+      logInfo("job cancelled", { { "job", cancel->jobId() } });
+      stopOverJobs({ cancel->jobId() });
+    }
+  } else if (const SubmitJob* submit = std::get_if<SubmitJob>(&aCommand)) {
+    const JobChanged* changed = std::get_if<JobChanged>(&aOutcome);
+    logInfo("job accepted",
+            { { "job", submit->job().jobId() },
+              { "queue", submit->queueName() },
+              { "steps", submit->job().steps().size() },
+              { "isNew", changed != nullptr && changed->mApplied } });
+    mScheduleDue = true;
+  } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
+    logInfo("queue catalogue",
+            { { "version", set->mVersion }, { "changed", set->mChanged } });
+  }
+  if (mScheduleDue) {
+    schedule();
+  }
+}
+
+void
+JobService::followStarts(const StartRuns& aCommand)
+{
+  mAssigning = false;
+  mScheduleDue = true;
+  std::set<LifeKey> touched;
+  std::vector<RunEnding> lost;
+  for (const RunStart& start : aCommand.runs()) {
+    const std::optional<TaskId> task = TaskId::parse(start.task());
+    const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
+    const JobTaskRecord::Fields* record = job != nullptr ? job->find(*task) : nullptr;
+    if (record == nullptr || !record->active || record->run != start.run()) {
+      continue;
+    }
+    const LifeKey key{ start.worker(), start.bornMs() };
+    mRuns.add(*task, start.run(), key, job);
+    const WorkerLife* life = mFleet.find(key);
+    logInfo("run assigned",
+            { { "task", start.task() },
+              { "run", start.run() },
+              { "worker", start.worker() },
+              { "reportAgeMs", life != nullptr ? mContext.mNow().msSince(life->reportedAt) : -1 },
+              { "fence", life != nullptr ? life->fence : 0 } });
+    if (life == nullptr) {
+      // No order was sent to that life, and no later leader's fence lets an older one through.
+      mRuns.find(start.task(), start.run())->endProposed = true;
+      lost.push_back(buildValue<RunEnding>(
+        { .task = start.task(), .run = start.run(), .how = RunEnd::eNeverRan }));
+      continue;
+    }
+    touched.insert(key);
+  }
+  proposeEnds(std::move(lost));
+  for (const LifeKey& key : touched) {
+    sendOrders(*mFleet.find(key), key);
+  }
+}
+
+void
+JobService::followEnds(const EndRuns& aCommand)
+{
+  std::set<std::string> over;
+  for (const RunEnding& end : aCommand.ends()) {
+    if (mRuns.find(end.task(), end.run()) == nullptr) {
+      continue;
+    }
+    mRuns.remove(end.task(), end.run());
+    logInfo("run ended",
+            { { "task", end.task() },
+              { "run", end.run() },
+              { "how", toText(end.how()) },
+              { "checkpoint", end.checkpoint() } });
+    const std::optional<TaskId> task = TaskId::parse(end.task());
+    const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
+    if (job != nullptr && job->isOver() && over.insert(task->jobId).second) {
+      logInfo("job over", { { "job", task->jobId }, { "state", toText(job->state()) } });
+    }
+  }
+  stopOverJobs(over);
+  mScheduleDue = true;
+}
+
+void
+JobService::stopOverJobs(const std::set<std::string>& aJobs)
+{
+  std::set<LifeKey> touched;
+  for (const auto& [name, run] : mRuns.runs()) {
+    if (aJobs.contains(run.task.jobId)) {
+      touched.insert(run.life);
+    }
+  }
+  for (const LifeKey& key : touched) {
+    if (WorkerLife* life = mFleet.find(key)) {
+      sendOrders(*life, key);
+    }
+  }
+  for (const std::string& jobId : aJobs) {
+    mBegun.erase(jobId);
+  }
+}
+
+void
+JobService::sendOrders(WorkerLife& aLife, const LifeKey& aKey, WorkerOrders::Fields aOrders)
+{
+  if (!mContext.mayAnswer() || aLife.session == 0) {
+    return;
+  }
+  aOrders.worker = aKey.worker;
+  aOrders.bornMs = aKey.bornMs;
+  aOrders.fence = aLife.fence;
+  aOrders.leaseUntilMs = aLife.leaseUntilMs;
+  aOrders.ackedEnds = aLife.ackedEnds;
+  if (aLife.isSynced && !aLife.leftAt) {
+    mRuns.fillOrders(aLife, aKey, mContext.mNow(), aOrders);
+  }
+  mSessions.sendTo(aLife.session, buildValue<WorkerOrders>(std::move(aOrders)));
+}
+
+void
+JobService::tick()
+{
+  if (!mContext.mayAnswer()) {
+    return;
+  }
+  const MonotonicTime now = mContext.mNow();
+  for (const LifeKey& key : mFleet.ended(now)) {
+    std::vector<RunEnding> ends = mRuns.lapsedRuns(key);
+    if (!ends.empty()) {
+      logWarning("a worker is lost",
+                 { { "worker", key.worker }, { "born", key.bornMs }, { "runs", ends.size() } });
+      proposeEnds(std::move(ends));
+    } else if (mRuns.runsOf(key).empty()) {
+      logInfo("worker forgotten", { { "worker", key.worker }, { "born", key.bornMs } });
+      mFleet.remove(key);
+    }
+  }
+  schedule();
+}
+
+std::vector<WorkerRoom>
+JobService::rooms()
+{
+  std::vector<WorkerRoom> rooms;
+  for (const auto& [key, life] : mFleet.lives()) {
+    if (!life.takesWork()) {
+      continue;
+    }
+    WorkerRoom room;
+    room.worker = key.worker;
+    room.bornMs = key.bornMs;
+    room.poolName = life.description.poolName();
+    room.rack = life.description.rack();
+    room.labels = life.description.labels();
+    room.capacity = ResourceAmount::of(life.description.capacity());
+    room.pacePercent = life.pace.percent();
+    room.recentFailures = life.failuresInARow >= kSuspectFailures ? life.failuresInARow : 0;
+    for (const std::string& name : mRuns.runsOf(key)) {
+      const TrackedRun& run = mRuns.runs().at(name);
+      occupy(room, run.step(), run.task);
+    }
+    rooms.push_back(std::move(room));
+  }
+  return rooms;
+}
+
+void
+JobService::schedule()
+{
+  if (mAssigning || !mContext.mayAnswer()) {
+    return;
+  }
+  mScheduleDue = false;
+  std::vector<WorkerRoom> free = rooms();
+  if (free.empty()) {
+    return;
+  }
+  const std::vector<Assignment> assignments =
+    JobScheduler::decide(mContext.mState.jobs(), free, mContext.mWallClockMs());
+  if (assignments.empty()) {
+    return;
+  }
+  StartRuns::Fields fields;
+  for (const Assignment& assignment : assignments) {
+    fields.runs.push_back(assignment.start);
+  }
+  mAssigning = true;
+  mContext.mLog.propose(buildValue<StartRuns>(std::move(fields)),
+                        [this, generation = mGeneration](const CommandResult& aResult) {
+                          const CommandFailure* failure = std::get_if<CommandFailure>(&aResult);
+                          if (failure != nullptr && generation == mGeneration) {
+                            logWarning("assignments are not committed", failure->mError);
+                            mAssigning = false;
+                          }
+                        });
+}
+
+void
+JobService::setGauges(MetricsRegistry& aMetrics) const
+{
+  aMetrics.set(
+    "control_open_jobs", "", static_cast<double>(mContext.mState.jobs().openJobs().size()));
+}
+
+} // namespace magnoliadrum
--- a/src/control/RequestService.cpp
+++ b/src/control/RequestService.cpp
@@ -12,21 +12,11 @@
 
 namespace {
 
-/** Bounds of the fields of OperationFailed. */
-constexpr std::size_t kMaxStepBytes = 200;
-constexpr std::size_t kMaxFailureDetailBytes = 8000;
-
 /** A listing ends at about this size, below the largest message. */
 constexpr std::size_t kMaxListingBytes = std::size_t{ 3 } * 1024 * 1024;
 /** Bytes of the fields of fixed size of a task in a listing, rounded up. */
 constexpr std::size_t kTaskOverheadBytes = 512;
 
-FailureCode
-failureCodeOf(ErrorCode aCode)
-{
-  return parseFailureCode(errorCodeName(aCode)).value_or(FailureCode::eUnavailable);
-}
-
 TaskRecord
 withoutPayload(const TaskRecord& aTask)
 {
@@ -59,47 +49,12 @@
 RequestService::RequestService(ControlContext& aContext,
                                SessionService& aSessions,
                                TaskService& aTasks)
-  : mContext(aContext)
+  : RequestAnswerer(aContext)
   , mSessions(aSessions)
   , mTasks(aTasks)
 {
 }
 
-void
-RequestService::fail(const Asker& aAsker, const Error& aError)
-{
-  mContext.mOutlet.send(
-    aAsker.mConnection,
-    buildValue<OperationFailed>({ .requestId = aAsker.mRequestId,
-                                  .code = failureCodeOf(aError.code()),
-                                  .step = shortenText(aError.step(), kMaxStepBytes),
-                                  .peer = shortenText(aError.peer(), kMaxStepBytes),
-                                  .detail = shortenText(aError.detail(), kMaxFailureDetailBytes),
-                                  .leaderAddress = mContext.mLog.leaderAddress() }));
-}
-
-bool
-RequestService::canAnswer(const Asker& aAsker)
-{
-  if (!mContext.mLog.isLeader()) {
-    fail(aAsker,
-         Error::create(ErrorCode::eNotLeader,
-                       "control.request",
-                       mContext.mSettings.processId(),
-                       "this replica does not lead"));
-    return false;
-  }
-  if (!mContext.mayAnswer()) {
-    fail(aAsker,
-         Error::create(ErrorCode::eUnavailable,
-                       "control.request",
-                       mContext.mSettings.processId(),
-                       "no majority of the control group replies"));
-    return false;
-  }
-  return true;
-}
-
 void
 RequestService::answerQuery(const Asker& aAsker, const Message& aAnswer)
 {
@@ -114,29 +69,6 @@
   mContext.mOutlet.send(aAsker.mConnection, aAnswer);
 }
 
-void
-RequestService::propose(const Asker& aAsker,
-                        const Command& aCommand,
-                        std::function<void(const Outcome&)> aOnOutcome)
-{
-  if (!canAnswer(aAsker)) {
-    return;
-  }
-  mContext.mLog.propose(
-    aCommand, [this, aAsker, onOutcome = std::move(aOnOutcome)](const CommandResult& aResult) {
-      if (const CommandFailure* failure = std::get_if<CommandFailure>(&aResult)) {
-        fail(aAsker, failure->mError);
-        return;
-      }
-      const Outcome& outcome = std::get<Outcome>(aResult);
-      if (const Error* error = std::get_if<Error>(&outcome)) {
-        fail(aAsker, *error);
-        return;
-      }
-      onOutcome(outcome);
-    });
-}
-
 void
 RequestService::proposeOperation(const Asker& aAsker, const Command& aCommand)
 {
--- a/src/control/RequestService.h
+++ b/src/control/RequestService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "control/ControlContext.h"
+#include "control/RequestAnswerer.h"
 #include "control/SessionService.h"
 #include "control/TaskService.h"
 
@@ -16,7 +16,7 @@
  * Every proposal is idempotent under the ids that the sender chose, so a request without an answer
  * may be sent again to the next leader.
  */
-class RequestService
+class RequestService : private RequestAnswerer
 {
 public:
   RequestService(ControlContext& aContext, SessionService& aSessions, TaskService& aTasks);
@@ -35,29 +35,13 @@
   void onRequest(ConnectionId aConnection, const IntentEnd& aRequest);
 
 private:
-  /** Where an answer goes. */
-  struct Asker
-  {
-    ConnectionId mConnection = 0;
-    std::string mRequestId;
-  };
-
-  /** Answers with a failure and returns false when this replica cannot answer. */
-  bool canAnswer(const Asker& aAsker);
-  void fail(const Asker& aAsker, const Error& aError);
-
   /** Sends an answer, or a failure when it is larger than a message may be. */
   void answerQuery(const Asker& aAsker, const Message& aAnswer);
 
-  /** Proposes a command; errors are answered here, any other outcome by aOnOutcome. */
-  void propose(const Asker& aAsker,
-               const Command& aCommand,
-               std::function<void(const Outcome&)> aOnOutcome);
   void proposeOperation(const Asker& aAsker, const Command& aCommand);
   void proposeIntent(const Asker& aAsker, const Command& aCommand);
   std::vector<TaskRecord> listTasks(const TaskQuery& aRequest) const;
 
-  ControlContext& mContext;
   SessionService& mSessions;
   TaskService& mTasks;
 };
--- /dev/null
+++ b/src/control/RunTracker.cpp
@@ -0,0 +1,224 @@
+#include "control/RunTracker.h"
+
+#include "state/BuildValue.h"
+
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+bool
+isDue(const std::optional<MonotonicTime>& aSentAt, MonotonicTime aNow)
+{
+  return !aSentAt || aNow.msSince(*aSentAt) >= RunTracker::kResendMs;
+}
+
+} // namespace
+
+void
+RunTracker::clear()
+{
+  mRuns.clear();
+  mByLife.clear();
+}
+
+void
+RunTracker::add(const TaskId& aTask, std::int64_t aRun, const LifeKey& aLife, const Job* aJob)
+{
+  TrackedRun tracked;
+  tracked.task = aTask;
+  tracked.run = aRun;
+  tracked.life = aLife;
+  tracked.job = aJob;
+  const std::string name = aTask.text();
+  mByLife[aLife].insert(name);
+  mRuns.insert_or_assign(name, std::move(tracked));
+}
+
+void
+RunTracker::remove(const std::string& aTask, std::int64_t aRun)
+{
+  const auto position = mRuns.find(aTask);
+  if (position == mRuns.end() || position->second.run != aRun) {
+    return;
+  }
+  const auto runs = mByLife.find(position->second.life);
+  runs->second.erase(aTask);
+  if (runs->second.empty()) {
+    mByLife.erase(runs);
+  }
+  mRuns.erase(position);
+}
+
+TrackedRun*
+RunTracker::find(const std::string& aTask, std::int64_t aRun)
+{
+  const auto position = mRuns.find(aTask);
+  return position != mRuns.end() && position->second.run == aRun ? &position->second : nullptr;
+}
+
+const std::set<std::string>&
+RunTracker::runsOf(const LifeKey& aLife) const
+{
+  static const std::set<std::string> sNone;
+  const auto position = mByLife.find(aLife);
+  return position == mByLife.end() ? sNone : position->second;
+}
+
+std::vector<RunEnding>
+RunTracker::takeLists(const LifeKey& aLife,
+                      const WorkerReport& aReport,
+                      MonotonicTime aNow,
+                      std::vector<RunningRun>& aStrays)
+{
+  std::set<std::string> listed;
+  for (const RunningRun& running : aReport.running()) {
+    TrackedRun* run = find(running.task(), running.run());
+    if (run == nullptr || run->life != aLife) {
+      aStrays.push_back(running);
+      continue;
+    }
+    listed.insert(running.task());
+    run->isConfirmed = true;
+    run->missingSince.reset();
+    run->percent = running.percent();
+    run->figure = running.figure();
+    if (!running.checkpoint().empty()) {
+      run->checkpoint = running.checkpoint();
+    }
+  }
+  for (const EndedRun& ended : aReport.ended()) {
+    const TrackedRun* run = find(ended.task(), ended.run());
+    if (run != nullptr && run->life == aLife) {
+      listed.insert(ended.task());
+    }
+  }
+  std::vector<RunEnding> neverRan;
+  for (const std::string& name : runsOf(aLife)) {
+    TrackedRun& run = mRuns.at(name);
+    if (listed.contains(name) || run.endProposed) {
+      continue;
+    }
+    if (run.closedAtClockMs && aReport.clockMs() >= *run.closedAtClockMs) {
+      run.endProposed = true;
+      neverRan.push_back(buildValue<RunEnding>({ .task = name,
+                                                 .run = run.run,
+                                                 .how = RunEnd::eNeverRan,
+                                                 .checkpoint = run.checkpoint }));
+    } else if (run.isConfirmed) {
+      run.missingSince = run.missingSince.value_or(aNow);
+      run.stopWanted = run.stopWanted || aNow.msSince(*run.missingSince) >= kMissingMs;
+    }
+  }
+  return neverRan;
+}
+
+void
+RunTracker::takeAnswers(const LifeKey& aLife, const std::vector<OrderAnswer>& aAnswers)
+{
+  for (const OrderAnswer& answer : aAnswers) {
+    TrackedRun* run = find(answer.task(), answer.run());
+    if (run == nullptr || run->life != aLife) {
+      continue;
+    }
+    if (answer.kind() == OrderKind::eStop && answer.result() == OrderResult::eAccepted) {
+      run->closedAtClockMs = answer.clockMs();
+      continue;
+    }
+    if (answer.kind() != OrderKind::eStart) {
+      continue;
+    }
+    switch (answer.result()) {
+      case OrderResult::eAccepted:
+        run->isConfirmed = true;
+        break;
+      case OrderResult::eClosed:
+        run->closedAtClockMs = answer.clockMs();
+        break;
+      case OrderResult::eLate:
+      case OrderResult::eFenced:
+        // The next order carries a newer lease and fence.
+        run->startSentAt.reset();
+        break;
+      case OrderResult::eNoAnswer:
+      case OrderResult::eOtherLife:
+        break;
+      case OrderResult::eRoom:
+      case OrderResult::eTicket:
+      case OrderResult::eInvalid:
+      case OrderResult::eUnhealthy:
+        // An earlier copy of the order may still be on its way, so the run is closed first.
+        run->stopWanted = true;
+        break;
+    }
+  }
+}
+
+void
+RunTracker::fillOrders(const WorkerLife& aLife,
+                       const LifeKey& aKey,
+                       MonotonicTime aNow,
+                       WorkerOrders::Fields& aOrders)
+{
+  for (const std::string& name : runsOf(aKey)) {
+    TrackedRun& run = mRuns.at(name);
+    if (needsStop(run)) {
+      const bool isThere = run.isConfirmed && !run.missingSince;
+      if ((!run.closedAtClockMs || isThere) && isDue(run.stopSentAt, aNow)) {
+        run.stopSentAt = aNow;
+        aOrders.stops.push_back(buildValue<StopOrder>({ .task = name, .run = run.run }));
+      }
+      continue;
+    }
+    if (!run.isConfirmed && !run.closedAtClockMs && isDue(run.startSentAt, aNow)) {
+      run.startSentAt = aNow;
+      const JobTaskRecord::Fields* record = run.job->find(run.task);
+      aOrders.starts.push_back(buildValue<StartOrder>({ .task = name,
+                                                        .run = run.run,
+                                                        .payload = run.job->payload(),
+                                                        .checkpoint = record->checkpoint }));
+    }
+    fillPace(run, aLife, aNow, aOrders);
+  }
+}
+
+void
+RunTracker::fillPace(TrackedRun& aRun,
+                     const WorkerLife& aLife,
+                     MonotonicTime aNow,
+                     WorkerOrders::Fields& aOrders)
+{
+  if (!aRun.step().opportunistic() || !aRun.isConfirmed) {
+    return;
+  }
+  const std::int64_t percent = aLife.pace.percent();
+  const bool isSlowed = percent < 100;
+  const bool again = isSlowed && aNow.msSince(aRun.pacedAt) >= kPaceAgainMs;
+  if (aRun.pacePercent == percent && !again) {
+    return;
+  }
+  aRun.pacePercent = percent;
+  aRun.pacedAt = aNow;
+  aOrders.paces.push_back(
+    buildValue<PaceOrder>({ .task = aRun.task.text(), .run = aRun.run, .percent = percent }));
+}
+
+std::vector<RunEnding>
+RunTracker::lapsedRuns(const LifeKey& aLife)
+{
+  std::vector<RunEnding> ends;
+  for (const std::string& name : runsOf(aLife)) {
+    TrackedRun& run = mRuns.at(name);
+    if (std::exchange(run.endProposed, true)) {
+      continue;
+    }
+    ends.push_back(buildValue<RunEnding>({ .task = name,
+                                           .run = run.run,
+                                           .how = RunEnd::eLapsed,
+                                           .checkpoint = run.checkpoint }));
+  }
+  return ends;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/WorkerFleet.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "core/core.h"
+#include "generated/generated.h"
+#include "jobs/jobs.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** Names one life of a worker: the same id may come back with nothing of what it held. */
+struct LifeKey
+{
+  std::string worker;
+  std::int64_t bornMs = 0;
+
+  friend auto operator<=>(const LifeKey&, const LifeKey&) = default;
+};
+
+/** One life of a worker as the leader knows it. Lost with the leadership. */
+struct WorkerLife
+{
+  WorkerDescription description;
+  /** Process id of the relay beside the worker; empty until this leader has heard from it. */
+  std::string relay;
+  /** Session of that relay. */
+  std::int64_t session = 0;
+  /** Fence of this leader's orders to this life. */
+  std::int64_t fence = 0;
+  /** The worker has given its lists under the fence, so no older order takes effect any more. */
+  bool isSynced = false;
+  /** Worker's clock at its latest list. */
+  std::int64_t listClockMs = 0;
+  /** End of the lease on the worker's clock. */
+  std::int64_t leaseUntilMs = 0;
+  /** From then on the lease is surely over. */
+  MonotonicTime leaseEnd;
+  MonotonicTime reportedAt;
+  /** Ends up to this number are in the log. */
+  std::int64_t ackedEnds = 0;
+  /** Ends up to this number are proposed. */
+  std::int64_t proposedEnds = 0;
+  /** Set when the worker has said that it ends, or a later life is at its place. */
+  std::optional<MonotonicTime> leftAt;
+  PaceController pace;
+  /** Runs that failed here since a run ended well. */
+  std::int64_t failuresInARow = 0;
+
+  /** Whether runs may be assigned to it. */
+  bool takesWork() const
+  {
+    return isSynced && !leftAt && !description.draining() && !description.gone();
+  }
+};
+
+/**
+ * The lives of all workers and the leases that this leader gives them.
+ *
+ * A lease is a point on the worker's own clock: the worker's reading in a report plus the length of
+ * a lease. The leader's own record starts when it replies, which is later, and allows for a slow
+ * clock, so it always ends after the worker's.
+ */
+class WorkerFleet
+{
+public:
+  /** Rates of two clocks differ by at most this share; twice what the platform states. */
+  static constexpr double kClockDrift = 0.04;
+  /** Added for rounding and for delayed timers. */
+  static constexpr std::int64_t kMarginMs = 200;
+  /** A worker that said that it ends gets this long for it. */
+  static constexpr std::int64_t kLeaveMs = 500;
+
+  explicit WorkerFleet(std::int64_t aLeaseMs)
+    : mLeaseMs(aLeaseMs)
+  {
+  }
+
+  /**
+   * Starts a leadership. The lives that hold runs may have a lease of the predecessor, which could
+   * renew them until one election timeout after aElectedAt.
+   */
+  void startTerm(const std::vector<LifeKey>& aLives,
+                 std::int64_t aTerm,
+                 MonotonicTime aElectedAt,
+                 std::int64_t aElectionTimeoutMs);
+  void endTerm() { mLives.clear(); }
+
+  /**
+   * Takes a report. Returns the life, or null when the report is of a life that a later one has
+   * replaced.
+   */
+  WorkerLife* report(const WorkerReport& aReport,
+                     const std::string& aRelay,
+                     std::int64_t aSession,
+                     MonotonicTime aNow);
+
+  /** Extends the lease of a life that reported aClockMs, with an order that is sent at aNow. */
+  void renew(WorkerLife& aLife, std::int64_t aClockMs, MonotonicTime aNow);
+
+  WorkerLife* find(const LifeKey& aKey);
+  std::map<LifeKey, WorkerLife>& lives() { return mLives; }
+
+  /** Lives whose runs have surely ended: the lease is over, or a later life has taken over. */
+  std::vector<LifeKey> ended(MonotonicTime aNow) const;
+
+  void remove(const LifeKey& aKey) { mLives.erase(aKey); }
+
+private:
+  void supersede(const LifeKey& aBy, const std::string& aRelay, MonotonicTime aNow);
+  bool isReplaced(const LifeKey& aKey, const WorkerLife& aLife) const;
+  std::int64_t newFence();
+
+  std::int64_t mLeaseMs;
+  std::int64_t mTerm = 0;
+  std::int64_t mFences = 0;
+  std::map<LifeKey, WorkerLife> mLives;
+};
+
+} // namespace magnoliadrum
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -2,7 +2,8 @@
 #include "control/ControlProcess.h"
 #include "control/ReplicatedCommandLog.h"
 #include "faults/faults.h"
-#include "session/Incarnation.h"
+#include "platform/platform.h"
+#include "session/session.h"
 #include "settings/settings.h"
 #include "state/BuildValue.h"
 
@@ -23,13 +24,17 @@
 
 constexpr int kExitFailure = 1;
 
+/** The platform's operators wait about a second for an answer before they ask elsewhere. */
+constexpr std::int64_t kOperatorWaitMs = 3000;
+
 ReplicaStart
-replicaStart()
+replicaStart(const ControlSettings& aSettings)
 {
-  if (FLAGS_bootstrap) {
+  if (FLAGS_bootstrap || aSettings.start() == FirstStart::eFound) {
     return ReplicaStart::eBootstrap;
   }
-  return FLAGS_join ? ReplicaStart::eJoin : ReplicaStart::eExisting;
+  const bool joins = FLAGS_join || aSettings.start() == FirstStart::eJoin;
+  return joins ? ReplicaStart::eJoin : ReplicaStart::eExisting;
 }
 
 ReplicatorSettings
@@ -39,8 +44,11 @@
   settings.dataFolder = aSettings.dataFolder();
   settings.address = aSettings.advertisedAddress().empty() ? aSettings.listenAddress()
                                                            : aSettings.advertisedAddress();
-  settings.start = replicaStart();
-  settings.initialReplicas = aSettings.initialReplicas();
+  settings.start = replicaStart(aSettings);
+  settings.initialReplicas =
+    aSettings.controlSeeds().empty()
+      ? aSettings.initialReplicas()
+      : withPort(aSettings.controlSeeds(), portOfAddress(aSettings.listenAddress()));
   settings.electionTimeoutMs = aSettings.electionTimeoutMs();
   settings.heartbeatMs = aSettings.replicationHeartbeatMs();
   settings.snapshotEveryEntries = aSettings.snapshotEveryEntries();
@@ -66,6 +74,30 @@
   std::_Exit(kExitFailure);
 }
 
+/** Starts the platform's interface for operators when the settings name its address; else null. */
+Result<std::unique_ptr<platform::OperatorServer>>
+startOperatorServer(EventLoop& aLoop, const ControlSettings& aSettings, ControlProcess& aProcess)
+{
+  if (aSettings.platformAddress().empty()) {
+    return std::unique_ptr<platform::OperatorServer>();
+  }
+  const auto call =
+    [&aLoop, &aProcess](const Message& aMessage,
+                        const std::function<void(const platform::OperatorServer::Reply&)>& aDone) {
+      aProcess.call(
+        aMessage, aLoop.now().plusMs(kOperatorWaitMs), [aDone](const Message& aAnswer) {
+          const OperationFailed* failed = std::get_if<OperationFailed>(&aAnswer);
+          if (failed == nullptr) {
+            aDone({ aAnswer, "" });
+            return;
+          }
+          const bool isElsewhere = failed->code() == FailureCode::eNotLeader;
+          aDone({ toError(*failed), isElsewhere ? failed->leaderAddress() : "" });
+        });
+    };
+  return platform::OperatorServer::start(aLoop, aSettings.platformAddress(), call);
+}
+
 int
 runControl(const ControlSettings& aSettings)
 {
@@ -91,6 +123,11 @@
     logError("control cannot start", errorOf(process));
     return kExitFailure;
   }
+  const auto operators = startOperatorServer(*loop, aSettings, *valueOf(process));
+  if (!isOk(operators)) {
+    logError("control cannot start", errorOf(operators));
+    return kExitFailure;
+  }
   const auto onTerminate = loop->onSignal(SIGTERM, [&]() { valueOf(process)->shutDown(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&]() { valueOf(process)->shutDown(); });
   logInfo("control started", { { "address", aSettings.listenAddress() } });
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -5,6 +5,7 @@
 #include "gateway/CallerRequest.h"
 #include "gateway/OperatorInterface.h"
 #include "observability/observability.h"
+#include "settings/settings.h"
 
 #include <algorithm>
 #include <charconv>
@@ -126,7 +127,7 @@
                              { .mProcessKind = ProcessKind::eGateway,
                                .mProcessId = mSettings.processId(),
                                .mIncarnation = mIncarnation,
-                               .mControlAddresses = mSettings.controlAddresses(),
+                               .mControlAddresses = controlAddresses(mSettings),
                                .mLeaseMs = mSettings.lease().leaseMs(),
                                .mHeartbeatMs = mSettings.lease().heartbeatMs() },
                              std::move(handlers));
@@ -324,6 +325,14 @@
   mHeartbeats++;
 }
 
+void
+GatewayProcess::call(const Message& aMessage,
+                     Deadline aDeadline,
+                     ControlLink::CallCallback aCallback)
+{
+  mLink->call(aMessage, aDeadline, std::move(aCallback));
+}
+
 void
 GatewayProcess::beginShutdown()
 {
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -28,6 +28,14 @@
    */
   void beginShutdown();
 
+  /** Asks the control leader, see ControlLink::call(). */
+  void call(const Message& aMessage, Deadline aDeadline, ControlLink::CallCallback aCallback);
+
+  /** Whether a control leader has confirmed this gateway lately. */
+  bool holdsLease() const { return mLink->holdsLease(mLoop.now()); }
+
+  const std::string& incarnation() const { return mIncarnation; }
+
   /** Whether requests were cut off because the shutdown took too long. */
   bool wasCutOff() const { return mCutOff; }
 
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -1,6 +1,7 @@
 #include "faults/faults.h"
 #include "gateway/gateway.h"
 #include "observability/observability.h"
+#include "platform/platform.h"
 #include "settings/settings.h"
 
 #include <csignal>
@@ -16,6 +17,26 @@
 
 namespace {
 
+/** Starts the platform's interface for callers when the settings name its address; else null. */
+Result<std::unique_ptr<platform::CallerServer>>
+startCallerServer(EventLoop& aLoop, const GatewaySettings& aSettings, GatewayProcess& aProcess)
+{
+  if (aSettings.platformAddress().empty()) {
+    return std::unique_ptr<platform::CallerServer>();
+  }
+  platform::CallerServer::Options options;
+  options.callerAddress = aSettings.platformAddress();
+  options.readinessAddress = aSettings.readinessAddress();
+  options.incarnation = aProcess.incarnation();
+  options.call = [&aProcess](const Message& aMessage,
+                             Deadline aDeadline,
+                             std::function<void(const Result<Message>&)> aCallback) {
+    aProcess.call(aMessage, aDeadline, std::move(aCallback));
+  };
+  options.isReady = [&aProcess]() { return aProcess.holdsLease(); };
+  return platform::CallerServer::start(aLoop, std::move(options));
+}
+
 int
 runGateway(const GatewaySettings& aSettings)
 {
@@ -31,7 +52,19 @@
     logError("gateway cannot start", errorOf(process));
     return EXIT_FAILURE;
   }
-  const auto onTerminate = [&]() { valueOf(process)->beginShutdown(); };
+  const Result<std::unique_ptr<platform::CallerServer>> callers =
+    startCallerServer(events, aSettings, *valueOf(process));
+  if (!isOk(callers)) {
+    logError("gateway cannot start", errorOf(callers));
+    return EXIT_FAILURE;
+  }
+  const auto onTerminate = [&]() {
+    if (valueOf(callers) == nullptr) {
+      valueOf(process)->beginShutdown();
+      return;
+    }
+    valueOf(callers)->beginShutdown([&]() { valueOf(process)->beginShutdown(); });
+  };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
   const std::unique_ptr<FaultPointFile> faults =
--- /dev/null
+++ b/src/jobs/Job.cpp
@@ -0,0 +1,305 @@
+#include "jobs/Job.h"
+
+#include "core/core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace magnoliadrum {
+
+Job
+Job::accept(const JobQueue& aQueue, const JobDescription& aDescription, std::int64_t aAcceptedAtMs)
+{
+  Job job;
+  job.mJobId = aDescription.jobId();
+  job.mQueue = aQueue;
+  job.mPayload = aDescription.payload();
+  job.mSteps = aDescription.steps();
+  job.mFirstDueMs = aDescription.firstDueMs();
+  job.mIntervalMs = aDescription.intervalMs();
+  job.mOccurrences = aDescription.occurrences();
+  job.mAcceptedAtMs = aAcceptedAtMs;
+  job.layOut();
+  job.mTasks.resize(job.mTasksPerOccurrence * static_cast<std::size_t>(job.mOccurrences));
+  job.layOut();
+  return job;
+}
+
+Job
+Job::fromRecord(const JobRecord& aRecord)
+{
+  Job job;
+  job.mJobId = aRecord.jobId();
+  job.mQueue = aRecord.queue();
+  job.mPayload = aRecord.payload();
+  job.mSteps = aRecord.steps();
+  job.mFirstDueMs = aRecord.firstDueMs();
+  job.mIntervalMs = aRecord.intervalMs();
+  job.mOccurrences = aRecord.occurrences();
+  job.mAcceptedAtMs = aRecord.acceptedAtMs();
+  job.mOutcome = aRecord.outcome();
+  for (const JobTaskRecord& task : aRecord.tasks()) {
+    job.mTasks.push_back(task.fields());
+  }
+  job.layOut();
+  return job;
+}
+
+JobRecord
+Job::record() const
+{
+  JobRecord::Fields fields{ .jobId = mJobId,
+                            .queue = mQueue,
+                            .payload = mPayload,
+                            .steps = mSteps,
+                            .firstDueMs = mFirstDueMs,
+                            .intervalMs = mIntervalMs,
+                            .occurrences = mOccurrences,
+                            .acceptedAtMs = mAcceptedAtMs,
+                            .outcome = mOutcome };
+  for (const JobTaskRecord::Fields& task : mTasks) {
+    fields.tasks.push_back(valueOf(JobTaskRecord::create(task)));
+  }
+  return valueOf(JobRecord::create(std::move(fields)));
+}
+
+void
+Job::layOut()
+{
+  mOffsets.clear();
+  mTasksPerOccurrence = 0;
+  for (const JobStep& step : mSteps) {
+    mOffsets.push_back(mTasksPerOccurrence);
+    mTasksPerOccurrence += static_cast<std::size_t>(step.count());
+  }
+  mOpenTasks.assign(mSteps.size() * static_cast<std::size_t>(mOccurrences), 0);
+  mOpenTotal = 0;
+  mActiveRuns = 0;
+  if (mTasks.empty()) {
+    return;
+  }
+  forEachTask([this](const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
+    mActiveRuns += aRecord.active ? 1 : 0;
+    mStarted = mStarted || aRecord.run > 0;
+    if (!aRecord.done) {
+      mOpenTasks[stepPosition(aTask.occurrence, aTask.step)]++;
+      mOpenTotal++;
+    }
+  });
+}
+
+std::int64_t
+Job::dueMs(std::int64_t aOccurrence) const
+{
+  return mFirstDueMs + aOccurrence * mIntervalMs;
+}
+
+JobState
+Job::state() const
+{
+  if (mOutcome) {
+    return *mOutcome;
+  }
+  return mStarted ? JobState::eRunning : JobState::eQueued;
+}
+
+std::size_t
+Job::stepPosition(std::int64_t aOccurrence, std::int64_t aStep) const
+{
+  return static_cast<std::size_t>(aOccurrence) * mSteps.size() + static_cast<std::size_t>(aStep);
+}
+
+std::optional<std::size_t>
+Job::position(const TaskId& aTask) const
+{
+  const bool hasStep = aTask.step >= 0 && aTask.step < std::ssize(mSteps);
+  const bool hasOccurrence = aTask.occurrence >= 0 && aTask.occurrence < mOccurrences;
+  if (mTasks.empty() || !hasStep || !hasOccurrence || aTask.index < 0 ||
+      aTask.index >= mSteps[static_cast<std::size_t>(aTask.step)].count()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(aTask.occurrence) * mTasksPerOccurrence +
+         mOffsets[static_cast<std::size_t>(aTask.step)] + static_cast<std::size_t>(aTask.index);
+}
+
+const JobTaskRecord::Fields*
+Job::find(const TaskId& aTask) const
+{
+  const std::optional<std::size_t> found = position(aTask);
+  return found ? &mTasks[*found] : nullptr;
+}
+
+std::int64_t
+Job::openTasks(std::int64_t aOccurrence, std::int64_t aStep) const
+{
+  return mOpenTasks[stepPosition(aOccurrence, aStep)];
+}
+
+bool
+Job::isStepReady(std::int64_t aOccurrence, std::int64_t aStep) const
+{
+  const std::vector<std::int64_t>& after = mSteps[static_cast<std::size_t>(aStep)].after();
+  return std::all_of(after.begin(), after.end(), [this, aOccurrence](std::int64_t aEarlier) {
+    return openTasks(aOccurrence, aEarlier) == 0;
+  });
+}
+
+void
+Job::forEachTask(
+  const std::function<void(const TaskId&, const JobTaskRecord::Fields&)>& aVisit) const
+{
+  if (mTasks.empty()) {
+    return;
+  }
+  TaskId task{ .jobId = mJobId };
+  std::size_t position = 0;
+  for (task.occurrence = 0; task.occurrence < mOccurrences; task.occurrence++) {
+    for (task.step = 0; task.step < std::ssize(mSteps); task.step++) {
+      const std::int64_t count = mSteps[static_cast<std::size_t>(task.step)].count();
+      for (task.index = 0; task.index < count; task.index++) {
+        aVisit(task, mTasks[position]);
+        position++;
+      }
+    }
+  }
+}
+
+std::int64_t
+Job::nextRun(const TaskId& aTask) const
+{
+  const JobStep& step = mSteps[static_cast<std::size_t>(aTask.step)];
+  if (!step.gang()) {
+    const JobTaskRecord::Fields* record = find(aTask);
+    return record == nullptr ? 1 : record->run + 1;
+  }
+  std::int64_t run = 0;
+  TaskId member = aTask;
+  for (member.index = 0; member.index < step.count(); member.index++) {
+    run = std::max(run, find(member)->run);
+  }
+  return run + 1;
+}
+
+bool
+Job::start(const TaskId& aTask, const RunStart& aStart)
+{
+  const std::optional<std::size_t> found = position(aTask);
+  if (!found || isOver()) {
+    return false;
+  }
+  JobTaskRecord::Fields& record = mTasks[*found];
+  if (record.done || record.active || aStart.run() <= record.run) {
+    return false;
+  }
+  record.run = aStart.run();
+  record.active = true;
+  record.worker = aStart.worker();
+  record.bornMs = aStart.bornMs();
+  mActiveRuns++;
+  mStarted = true;
+  return true;
+}
+
+bool
+Job::end(const TaskId& aTask, const RunEnding& aEnd)
+{
+  const std::optional<std::size_t> found = position(aTask);
+  if (!found || !mTasks[*found].active || mTasks[*found].run != aEnd.run()) {
+    return false;
+  }
+  JobTaskRecord::Fields& record = mTasks[*found];
+  record.active = false;
+  mActiveRuns--;
+  if (!aEnd.checkpoint().empty()) {
+    record.checkpoint = aEnd.checkpoint();
+  }
+  if (!isOver() && aEnd.how() == RunEnd::eDone) {
+    finishTask(aTask, record);
+  } else if (!isOver() && aEnd.how() == RunEnd::eFailed) {
+    countFailure(aTask, aEnd.run());
+  }
+  dropWhenOver();
+  return true;
+}
+
+void
+Job::finishTask(const TaskId& aTask, JobTaskRecord::Fields& aRecord)
+{
+  const JobStep& step = mSteps[static_cast<std::size_t>(aTask.step)];
+  if (step.longRunning()) {
+    return;
+  }
+  const auto markDone = [this, &aTask](JobTaskRecord::Fields& aTaskRecord) {
+    if (!std::exchange(aTaskRecord.done, true)) {
+      mOpenTasks[stepPosition(aTask.occurrence, aTask.step)]--;
+      mOpenTotal--;
+    }
+  };
+  markDone(aRecord);
+  if (step.gang()) {
+    // The end of one member stands for all of them.
+    TaskId member = aTask;
+    for (member.index = 0; member.index < step.count(); member.index++) {
+      markDone(mTasks[*position(member)]);
+    }
+  }
+  if (mOpenTotal == 0) {
+    finish(JobState::eCompleted);
+  }
+}
+
+void
+Job::countFailure(const TaskId& aTask, std::int64_t aRun)
+{
+  const JobStep& step = mSteps[static_cast<std::size_t>(aTask.step)];
+  if (step.longRunning()) {
+    return;
+  }
+  TaskId counted = aTask;
+  if (step.gang()) {
+    counted.index = 0;
+  }
+  JobTaskRecord::Fields& record = mTasks[*position(counted)];
+  if (aRun <= record.failedRun) {
+    return;
+  }
+  record.failedRun = aRun;
+  record.failures++;
+  if (record.failures >= mQueue.maxAttempts()) {
+    finish(JobState::eFailed);
+  }
+}
+
+bool
+Job::cancel()
+{
+  if (isOver()) {
+    return false;
+  }
+  finish(JobState::eCancelled);
+  dropWhenOver();
+  return true;
+}
+
+void
+Job::finish(JobState aOutcome)
+{
+  assert(!mOutcome);
+  mOutcome = aOutcome;
+}
+
+void
+Job::dropWhenOver()
+{
+  if (!isOver() || mActiveRuns > 0) {
+    return;
+  }
+  mTasks = {};
+  mSteps = {};
+  mOffsets = {};
+  mOpenTasks = {};
+  mPayload = {};
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/jobs/JobRegistry.cpp
@@ -0,0 +1,165 @@
+#include "jobs/JobRegistry.h"
+
+#include <utility>
+
+namespace magnoliadrum {
+
+JobRegistry
+JobRegistry::fromSnapshot(const StateSnapshot& aSnapshot)
+{
+  JobRegistry registry;
+  registry.mCatalogue = aSnapshot.queueCatalogue();
+  for (const JobRecord& record : aSnapshot.jobs()) {
+    registry.mJobs.emplace(record.jobId(), Job::fromRecord(record));
+    registry.follow(registry.mJobs.at(record.jobId()));
+  }
+  return registry;
+}
+
+void
+JobRegistry::writeTo(StateSnapshot::Fields& aSnapshot) const
+{
+  aSnapshot.queueCatalogue = mCatalogue;
+  for (const std::string& jobId : mOver) {
+    aSnapshot.jobs.push_back(mJobs.at(jobId).record());
+  }
+  for (const std::string& jobId : mOpenJobs) {
+    aSnapshot.jobs.push_back(mJobs.at(jobId).record());
+  }
+}
+
+QueueCatalogueSet
+JobRegistry::apply(const SetQueueCatalogue& aCommand)
+{
+  const QueueCatalogue& catalogue = aCommand.catalogue();
+  if (mCatalogue && mCatalogue->version() >= catalogue.version()) {
+    return { mCatalogue->version(), false };
+  }
+  mCatalogue = catalogue;
+  return { catalogue.version(), true };
+}
+
+std::variant<JobChanged, Error>
+JobRegistry::apply(const SubmitJob& aCommand)
+{
+  const std::string& jobId = aCommand.job().jobId();
+  if (const Job* known = find(jobId)) {
+    return JobChanged{ jobId, known->state(), false };
+  }
+  const JobQueue* queue = findQueue(
+    valueOf(QueueSelector::create({ .name = aCommand.queueName(), .host = "", .path = "" })));
+  if (queue == nullptr) {
+    return Error::create(
+      ErrorCode::eNotFound, "job.submit", jobId, "queue " + aCommand.queueName() + " is not there");
+  }
+  mJobs.emplace(jobId, Job::accept(*queue, aCommand.job(), aCommand.acceptedAtMs()));
+  mOpenJobs.insert(jobId);
+  return JobChanged{ jobId, JobState::eQueued, true };
+}
+
+std::variant<JobChanged, Error>
+JobRegistry::apply(const CancelJob& aCommand)
+{
+  const auto position = mJobs.find(aCommand.jobId());
+  if (position == mJobs.end()) {
+    return Error::create(
+      ErrorCode::eNotFound, "job.cancel", aCommand.jobId(), "the job is not known");
+  }
+  const bool applied = position->second.cancel();
+  follow(position->second);
+  return JobChanged{ aCommand.jobId(), position->second.state(), applied };
+}
+
+RunsChanged
+JobRegistry::apply(const StartRuns& aCommand)
+{
+  RunsChanged outcome;
+  for (const RunStart& start : aCommand.runs()) {
+    const std::optional<TaskId> task = TaskId::parse(start.task());
+    const auto position = task ? mJobs.find(task->jobId) : mJobs.end();
+    if (position != mJobs.end() && position->second.start(*task, start)) {
+      outcome.mTaken++;
+    }
+  }
+  return outcome;
+}
+
+RunsChanged
+JobRegistry::apply(const EndRuns& aCommand)
+{
+  RunsChanged outcome;
+  for (const RunEnding& end : aCommand.ends()) {
+    const std::optional<TaskId> task = TaskId::parse(end.task());
+    const auto position = task ? mJobs.find(task->jobId) : mJobs.end();
+    if (position != mJobs.end() && position->second.end(*task, end)) {
+      outcome.mTaken++;
+      follow(position->second);
+    }
+  }
+  return outcome;
+}
+
+void
+JobRegistry::follow(const Job& aJob)
+{
+  if (!aJob.isOver() || aJob.hasActiveRuns()) {
+    mOpenJobs.insert(aJob.jobId());
+    return;
+  }
+  if (!mKnownOver.insert(aJob.jobId()).second) {
+    return;
+  }
+  mOpenJobs.erase(aJob.jobId());
+  mOver.push_back(aJob.jobId());
+  if (mOver.size() > kMaxJobsOver) {
+    mJobs.erase(mOver.front());
+    mKnownOver.erase(mOver.front());
+    mOver.pop_front();
+  }
+}
+
+const JobQueue*
+JobRegistry::findQueue(const QueueSelector& aSelector) const
+{
+  const JobQueue* best = nullptr;
+  if (!mCatalogue) {
+    return best;
+  }
+  for (const JobQueue& queue : mCatalogue->queues()) {
+    if (!aSelector.name().empty()) {
+      if (queue.name() == aSelector.name()) {
+        return &queue;
+      }
+      continue;
+    }
+    const bool fits =
+      queue.host() == aSelector.host() && aSelector.path().starts_with(queue.pathPrefix());
+    if (fits && (best == nullptr || queue.pathPrefix().size() > best->pathPrefix().size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const WorkerPool*
+JobRegistry::findPool(const std::string& aName) const
+{
+  if (!mCatalogue) {
+    return nullptr;
+  }
+  for (const WorkerPool& pool : mCatalogue->pools()) {
+    if (pool.name() == aName) {
+      return &pool;
+    }
+  }
+  return nullptr;
+}
+
+const Job*
+JobRegistry::find(const std::string& aJobId) const
+{
+  const auto position = mJobs.find(aJobId);
+  return position == mJobs.end() ? nullptr : &position->second;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/jobs/JobScheduler.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "jobs/JobRegistry.h"
+#include "placement/ResourceAmount.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** A worker that may get runs, with what its active runs take of it. */
+struct WorkerRoom
+{
+  std::string worker;
+  std::int64_t bornMs = 0;
+  std::string poolName;
+  std::string rack;
+  std::vector<std::string> labels;
+  ResourceAmount capacity;
+  /** Declared sizes of all active runs; opportunistic ones take no processor time here. */
+  ResourceAmount used;
+  /** Part of used.cpuMilli that long-running tasks take. */
+  std::int64_t longRunningCpuMilli = 0;
+  /** Processor time that the opportunistic runs would use if they got it all. */
+  std::int64_t opportunisticCpuMilli = 0;
+  /** Whether a task with a latency objective runs here. */
+  bool servesUsers = false;
+  /** Share of their speed that opportunistic runs have here, in percent. */
+  std::int64_t pacePercent = 100;
+  /** Runs that failed here lately, beyond what is usual. A worker with many is used last. */
+  std::int64_t recentFailures = 0;
+  /** Active runs by step (JOB.OCCURRENCE.STEP). */
+  std::map<std::string, std::int64_t> runsOfStep;
+};
+
+/** Assigns a run to a worker. */
+struct Assignment
+{
+  RunStart start;
+  TaskId task;
+  friend bool operator==(const Assignment&, const Assignment&) = default;
+};
+
+/** Returns JOB.OCCURRENCE.STEP, which names the step of a task. */
+std::string
+stepName(const TaskId& aTask);
+
+/** Adds the declared size of one run of a step to what a worker has given away. */
+void
+occupy(WorkerRoom& aRoom, const JobStep& aStep, const TaskId& aTask);
+
+/**
+ * Decides which waiting tasks start now, and where. Uses no clock and no sockets; the same input
+ * gives the same assignments.
+ *
+ * Order: by priority of the queue; then jobs that can still meet their objective before those that
+ * are late, each by the end of the objective. A task is only put where its declared size fits.
+ */
+class JobScheduler
+{
+public:
+  /** Share of a worker's processor time that long-running tasks leave to short ones. */
+  static constexpr double kShortTaskShare = 0.08;
+  /** Share of their declared processor time that long-running tasks are expected to use. */
+  static constexpr double kLongRunningUse = 0.6;
+  /** An opportunistic task needs this share of its processor time to be unused. */
+  static constexpr double kOpportunisticShare = 0.8;
+  /** Below this pace a worker gets no further opportunistic tasks. */
+  static constexpr std::int64_t kLowestPacePercent = 60;
+  /** Most assignments of one round; the rest follows in the next one. */
+  static constexpr std::size_t kMaxAssignments = 200;
+
+  /** aWallMs is the wall clock, for recurring jobs and objectives. aRooms is used up. */
+  static std::vector<Assignment> decide(const JobRegistry& aJobs,
+                                        std::vector<WorkerRoom>& aRooms,
+                                        std::int64_t aWallMs);
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/platform/CallerServer.cpp
@@ -0,0 +1,278 @@
+#include "platform/CallerServer.h"
+
+#include "observability/observability.h"
+#include "platform/Answers.h"
+#include "platform/JobCodec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+#include <variant>
+
+namespace magnoliadrum::platform {
+
+namespace {
+
+/** Largest body: the payload and some thousand steps. */
+constexpr std::size_t kMaxBodyBytes = std::size_t{ 1 } << 20U;
+constexpr std::size_t kMaxReadinessBytes = 1024;
+
+/** Time for an answer when a caller does not say how long it waits. */
+constexpr std::int64_t kDefaultWaitMs = 3000;
+/** The answer leaves this long before the caller gives up, so that it still arrives. */
+constexpr std::int64_t kAnswerMarginMs = 150;
+/** Bounds what a caller may ask for. */
+constexpr std::int64_t kLongestWaitMs = 60000;
+
+/** The platform takes a VM out of rotation after two failed probes, one a second. */
+constexpr std::int64_t kRotationMs = 2500;
+/** Period at which a shutdown looks whether everything is answered. */
+constexpr std::int64_t kShutdownStepMs = 20;
+
+constexpr std::size_t kJobIdDigits = 16;
+
+bool
+isJobId(const std::string& aText)
+{
+  return aText.size() == kJobIdDigits && std::all_of(aText.begin(), aText.end(), [](char aDigit) {
+           return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f');
+         });
+}
+
+std::string
+hostOf(const HttpRequest& aRequest)
+{
+  std::string host = aRequest.header("Host").value_or("");
+  host = host.substr(0, host.find(':'));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return host;
+}
+
+std::int64_t
+waitMsOf(const HttpRequest& aRequest)
+{
+  const std::string text = aRequest.header("Deadline-Ms").value_or("");
+  std::int64_t waitMs = 0;
+  const std::from_chars_result result =
+    std::from_chars(text.data(), text.data() + text.size(), waitMs);
+  if (result.ec != std::errc() || waitMs <= 0) {
+    return kDefaultWaitMs;
+  }
+  return std::min(waitMs, kLongestWaitMs);
+}
+
+/** Why a request cannot be translated, or its message. */
+using Translation = std::variant<Message, HttpAnswer>;
+
+template<typename Type>
+Translation
+toMessage(const Result<Type>& aResult)
+{
+  if (!isOk(aResult)) {
+    return refusal(kStatusBadRequest, errorOf(aResult).detail());
+  }
+  return Message(valueOf(aResult));
+}
+
+Translation
+translate(const HttpRequest& aRequest, const std::string& aRequestId)
+{
+  const Result<QueueSelector> queue =
+    QueueSelector::create({ .name = "", .host = hostOf(aRequest), .path = aRequest.mPath });
+  if (!isOk(queue)) {
+    return refusal(kStatusNotFound, "no queue has such an address");
+  }
+  const std::string jobId = aRequest.mPath.substr(aRequest.mPath.rfind('/') + 1);
+  if (aRequest.mMethod == "GET" && !isJobId(jobId)) {
+    return toMessage(QueueQuery::create({ .requestId = aRequestId, .queue = valueOf(queue) }));
+  }
+  if (!isJobId(jobId)) {
+    return refusal(kStatusBadRequest, "the path does not end with a job id of 16 digits");
+  }
+  if (aRequest.mMethod == "GET") {
+    return toMessage(
+      JobQuery::create({ .requestId = aRequestId, .queue = valueOf(queue), .jobId = jobId }));
+  }
+  if (aRequest.mMethod == "DELETE") {
+    return toMessage(
+      JobCancel::create({ .requestId = aRequestId, .queue = valueOf(queue), .jobId = jobId }));
+  }
+  if (aRequest.mMethod != "POST") {
+    return refusal(kStatusMethodNotAllowed, "method " + aRequest.mMethod);
+  }
+  const Result<JobDescription> job = decodeJob(jobId, aRequest.mBody, aRequest.mPeer);
+  if (!isOk(job)) {
+    return refusal(kStatusBadRequest, errorOf(job).detail());
+  }
+  return toMessage(JobSubmit::create(
+    { .requestId = aRequestId, .queue = valueOf(queue), .job = valueOf(job) }));
+}
+
+HttpAnswer
+answerOf(const JobReply& aReply)
+{
+  switch (aReply.outcome()) {
+    case JobOutcome::eAccepted:
+      return jsonAnswer(kStatusOk);
+    case JobOutcome::eKnown:
+      return jsonAnswer(kStatusOk, encodeJobState(aReply.state()));
+    case JobOutcome::ePending:
+      return jsonAnswer(kStatusOk, encodeWaitingJobs(aReply.waiting()));
+    case JobOutcome::eUnknownJob:
+      return refusal(kStatusGone, "the job is not known");
+    case JobOutcome::eUnknownQueue:
+      return refusal(kStatusNotFound, aReply.detail());
+    case JobOutcome::eNoCatalogue:
+      return refusal(kStatusUnavailable, aReply.detail(), aReply.retryAfterMs());
+    case JobOutcome::eRefused:
+      return refusal(kStatusTooMany, aReply.detail(), aReply.retryAfterMs());
+  }
+  return refusal(kStatusUnavailable, "no answer");
+}
+
+HttpAnswer
+answerOf(const Result<Message>& aResult)
+{
+  if (!isOk(aResult)) {
+    const Error& error = errorOf(aResult);
+    if (error.code() == ErrorCode::eInvalid) {
+      return refusal(kStatusBadRequest, error.detail());
+    }
+    // The request may have taken effect, so the answer must not say that it did not.
+    return refusal(kStatusTimeout, error.detail());
+  }
+  const JobReply* reply = std::get_if<JobReply>(&valueOf(aResult));
+  return reply != nullptr ? answerOf(*reply) : refusal(kStatusTimeout, "unexpected answer");
+}
+
+} // namespace
+
+CallerServer::CallerServer(EventLoop& aLoop, Options aOptions)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+{
+}
+
+Result<std::unique_ptr<CallerServer>>
+CallerServer::start(EventLoop& aLoop, Options aOptions)
+{
+  std::unique_ptr<CallerServer> server(new CallerServer(aLoop, std::move(aOptions)));
+  const Result<Done> listening = server->listen();
+  if (!isOk(listening)) {
+    return errorOf(listening);
+  }
+  return server;
+}
+
+Result<Done>
+CallerServer::listen()
+{
+  auto callers = HttpServer::listen(
+    mLoop,
+    mOptions.callerAddress,
+    kMaxBodyBytes,
+    [this](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
+      onRequest(aRequest, aResponder);
+    });
+  if (!isOk(callers)) {
+    return errorOf(callers);
+  }
+  mCallers = takeValue(std::move(callers));
+  if (mOptions.readinessAddress.empty()) {
+    return Done{};
+  }
+  auto readiness =
+    HttpServer::listen(mLoop,
+                       mOptions.readinessAddress,
+                       kMaxReadinessBytes,
+                       [this](const HttpRequest& /*aRequest*/,
+                              const HttpResponderPointer& aResponder) {
+                         answerReadiness(*aResponder);
+                       });
+  if (!isOk(readiness)) {
+    return errorOf(readiness);
+  }
+  mReadiness = takeValue(std::move(readiness));
+  return Done{};
+}
+
+void
+CallerServer::answerReadiness(HttpResponder& aResponder) const
+{
+  const bool isReady = !mStopping && mOptions.isReady();
+  aResponder.answer(isReady ? jsonAnswer(kStatusOk)
+                            : refusal(kStatusUnavailable, "no control leader, or stopping"));
+}
+
+void
+CallerServer::onRequest(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
+{
+  mRequests++;
+  const std::string requestId =
+    "caller-" + mOptions.incarnation + "-" + std::to_string(mRequests);
+  const Translation translation = translate(aRequest, requestId);
+  if (const HttpAnswer* answer = std::get_if<HttpAnswer>(&translation)) {
+    logInfo("caller's request refused",
+            { { "method", aRequest.mMethod },
+              { "path", aRequest.mPath },
+              { "status", answer->status() },
+              { "detail", answer->body() } });
+    aResponder->answer(*answer);
+    return;
+  }
+  const std::int64_t waitMs = std::max<std::int64_t>(1, waitMsOf(aRequest) - kAnswerMarginMs);
+  send(std::get<Message>(translation), mLoop.now().plusMs(waitMs), aResponder);
+}
+
+void
+CallerServer::send(const Message& aMessage,
+                   Deadline aDeadline,
+                   const HttpResponderPointer& aResponder)
+{
+  mInProgress++;
+  const MonotonicTime receivedAt = mLoop.now();
+  mOptions.call(aMessage,
+                aDeadline,
+                [this, aResponder, receivedAt, type = typeName(aMessage), aMessage](
+                  const Result<Message>& aResult) {
+                  mInProgress--;
+                  const HttpAnswer answer = answerOf(aResult);
+                  if (answer.status() != kStatusOk) {
+                    logInfo("caller's request not served",
+                            { { "type", type },
+                              { "status", answer.status() },
+                              { "tookMs", mLoop.now().msSince(receivedAt) },
+                              { "detail", answer.body() } });
+                  }
+                  aResponder->answer(answer);
+                });
+}
+
+void
+CallerServer::beginShutdown(std::function<void()> aDone)
+{
+  if (std::exchange(mStopping, true)) {
+    return;
+  }
+  mOnStopped = std::move(aDone);
+  mCallers->announceStop();
+  mShutdownStep = mLoop.runAt(mLoop.now().plusMs(kRotationMs), [this]() {
+    mCallers->stopAccepting();
+    continueShutdown();
+  });
+}
+
+void
+CallerServer::continueShutdown()
+{
+  if (mInProgress == 0) {
+    mOnStopped();
+    return;
+  }
+  mShutdownStep =
+    mLoop.runAt(mLoop.now().plusMs(kShutdownStepMs), [this]() { continueShutdown(); });
+}
+
+} // namespace magnoliadrum::platform
--- /dev/null
+++ b/src/platform/JobCodec.cpp
@@ -0,0 +1,100 @@
+#include "platform/JobCodec.h"
+
+#include "platform/JsonReader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliadrum::platform {
+
+namespace {
+
+const char* const kStep = "decode job";
+
+JobStep
+decodeStep(const JsonReader& aStep, std::vector<std::string>& aFaults)
+{
+  const Result<Resources> size = Resources::create({ .cpuMilli = aStep.integer("Cpu"),
+                                                     .memoryMb = aStep.integer("MemMb"),
+                                                     .accelerators = aStep.integer("Gpu") });
+  if (!isOk(size)) {
+    aFaults.push_back(aStep.path() + ": " + errorOf(size).detail());
+    return JobStep();
+  }
+  JobStep::Fields fields{ .count = aStep.integer("Count", 0, true),
+                          .resources = valueOf(size),
+                          .estimateMs = aStep.integer("EstimateMs"),
+                          .after = aStep.integers("After"),
+                          .checkpoints = aStep.flag("Checkpointing"),
+                          .gang = aStep.flag("Gang"),
+                          .sameRack = aStep.flag("SameRack"),
+                          .requiredLabel = aStep.text("RequiredLabel"),
+                          .preferredRack = aStep.text("DataRack"),
+                          .maxPerWorker = aStep.integer("MaxPerServer"),
+                          .allowsDuplicates = aStep.flag("AllowDuplicates"),
+                          .longRunning = aStep.flag("LongRunning"),
+                          .image = aStep.text("Image"),
+                          .latencyObjectiveMs = aStep.integer("TargetMs"),
+                          // The platform's "fills": the step takes what other tasks leave unused.
+                          .opportunistic = aStep.flag("Fills") };
+  if (aStep.has("MaxUnavailable")) {
+    fields.maxUnavailable = aStep.integer("MaxUnavailable");
+  }
+  const Result<JobStep> step = JobStep::create(std::move(fields));
+  if (!isOk(step)) {
+    aFaults.push_back(aStep.path() + ": " + errorOf(step).detail());
+    return JobStep();
+  }
+  return valueOf(step);
+}
+
+} // namespace
+
+Result<JobDescription>
+decodeJob(const std::string& aJobId, const std::string& aBody, const std::string& aPeer)
+{
+  const std::optional<nlohmann::json> body = parseBody(aBody);
+  if (!body) {
+    return Error::create(ErrorCode::eInvalid, kStep, aPeer, "body: not whole JSON");
+  }
+  std::vector<std::string> faults;
+  const JsonReader reader(*body, "", faults);
+  JobDescription::Fields fields{ .jobId = aJobId, .payload = reader.text("Spec") };
+  for (const JsonReader& step : reader.items("Steps", true)) {
+    fields.steps.push_back(decodeStep(step, faults));
+  }
+  const std::int64_t repeats = reader.integer("RepeatCount");
+  if (repeats > 0) {
+    fields.occurrences = repeats;
+    fields.firstDueMs = reader.integer("FirstRunMs");
+    fields.intervalMs = reader.integer("IntervalMs");
+  }
+  if (!faults.empty()) {
+    return Error::create(ErrorCode::eInvalid, kStep, aPeer, joinFaults(faults));
+  }
+  const Result<JobDescription> job = JobDescription::create(std::move(fields));
+  if (!isOk(job)) {
+    return Error::create(ErrorCode::eInvalid, kStep, aPeer, errorOf(job).detail());
+  }
+  return job;
+}
+
+std::string
+encodeJobState(JobState aState)
+{
+  return dumpBody({ { "State", toText(aState) } });
+}
+
+std::string
+encodeWaitingJobs(std::int64_t aWaiting)
+{
+  return dumpBody({ { "Pending", aWaiting } });
+}
+
+std::string
+encodeError(const std::string& aDetail)
+{
+  return dumpBody({ { "Error", aDetail } });
+}
+
+} // namespace magnoliadrum::platform
--- /dev/null
+++ b/src/platform/JsonReader.cpp
@@ -0,0 +1,202 @@
+#include "platform/JsonReader.h"
+
+#include <utility>
+
+namespace magnoliadrum::platform {
+
+using nlohmann::json;
+
+JsonReader::JsonReader(const json& aJson, std::string aPath, std::vector<std::string>& aFaults)
+  : mJson(aJson)
+  , mPath(std::move(aPath))
+  , mFaults(aFaults)
+{
+  if (!mJson.is_object()) {
+    mFaults.push_back((mPath.empty() ? std::string("body") : mPath) + ": not an object");
+  }
+}
+
+void
+JsonReader::addFault(const char* aName, const std::string& aFault) const
+{
+  mFaults.push_back((mPath.empty() ? "" : mPath + ".") + aName + ": " + aFault);
+}
+
+const json*
+JsonReader::member(const char* aName, bool aIsRequired) const
+{
+  if (!mJson.is_object()) {
+    return nullptr;
+  }
+  const auto position = mJson.find(aName);
+  if (position == mJson.end()) {
+    if (aIsRequired) {
+      addFault(aName, "missing");
+    }
+    return nullptr;
+  }
+  return &*position;
+}
+
+bool
+JsonReader::has(const char* aName) const
+{
+  return member(aName, false) != nullptr;
+}
+
+std::string
+JsonReader::text(const char* aName, bool aIsRequired) const
+{
+  const json* value = member(aName, aIsRequired);
+  if (value == nullptr) {
+    return "";
+  }
+  if (!value->is_string()) {
+    addFault(aName, "not a string");
+    return "";
+  }
+  return value->get<std::string>();
+}
+
+std::int64_t
+JsonReader::integer(const char* aName, std::int64_t aDefault, bool aIsRequired) const
+{
+  const json* value = member(aName, aIsRequired);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_number_integer()) {
+    addFault(aName, "not a whole number");
+    return aDefault;
+  }
+  return value->get<std::int64_t>();
+}
+
+double
+JsonReader::number(const char* aName, double aDefault) const
+{
+  const json* value = member(aName, false);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_number()) {
+    addFault(aName, "not a number");
+    return aDefault;
+  }
+  return value->get<double>();
+}
+
+bool
+JsonReader::flag(const char* aName) const
+{
+  const json* value = member(aName, false);
+  if (value == nullptr) {
+    return false;
+  }
+  if (!value->is_boolean()) {
+    addFault(aName, "neither true nor false");
+    return false;
+  }
+  return value->get<bool>();
+}
+
+std::vector<std::int64_t>
+JsonReader::integers(const char* aName) const
+{
+  std::vector<std::int64_t> values;
+  const json* list = member(aName, false);
+  if (list == nullptr) {
+    return values;
+  }
+  if (!list->is_array()) {
+    addFault(aName, "not a list");
+    return values;
+  }
+  for (const json& value : *list) {
+    if (!value.is_number_integer()) {
+      addFault(aName, "not a list of whole numbers");
+      return {};
+    }
+    values.push_back(value.get<std::int64_t>());
+  }
+  return values;
+}
+
+std::vector<std::string>
+JsonReader::texts(const char* aName) const
+{
+  std::vector<std::string> values;
+  const json* list = member(aName, false);
+  if (list == nullptr) {
+    return values;
+  }
+  if (!list->is_array()) {
+    addFault(aName, "not a list");
+    return values;
+  }
+  for (const json& value : *list) {
+    if (!value.is_string()) {
+      addFault(aName, "not a list of strings");
+      return {};
+    }
+    values.push_back(value.get<std::string>());
+  }
+  return values;
+}
+
+std::vector<JsonReader>
+JsonReader::items(const char* aName, bool aIsRequired) const
+{
+  std::vector<JsonReader> readers;
+  const json* list = member(aName, aIsRequired);
+  if (list == nullptr) {
+    return readers;
+  }
+  if (!list->is_array()) {
+    addFault(aName, "not a list");
+    return readers;
+  }
+  const std::string prefix = (mPath.empty() ? "" : mPath + ".") + aName;
+  for (std::size_t index = 0; index < list->size(); index++) {
+    readers.emplace_back((*list)[index], prefix + "[" + std::to_string(index) + "]", mFaults);
+  }
+  return readers;
+}
+
+std::optional<JsonReader>
+JsonReader::object(const char* aName) const
+{
+  const json* value = member(aName, false);
+  if (value == nullptr || value->is_null()) {
+    return std::nullopt;
+  }
+  return JsonReader(*value, (mPath.empty() ? "" : mPath + ".") + aName, mFaults);
+}
+
+std::optional<json>
+parseBody(const std::string& aBody)
+{
+  json value = json::parse(aBody, nullptr, false);
+  if (value.is_discarded()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string
+joinFaults(const std::vector<std::string>& aFaults)
+{
+  std::string text;
+  for (const std::string& fault : aFaults) {
+    text += (text.empty() ? "" : "; ") + fault;
+  }
+  return text;
+}
+
+std::string
+dumpBody(const json& aJson)
+{
+  return aJson.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace magnoliadrum::platform
--- /dev/null
+++ b/src/platform/OperatorServer.cpp
@@ -0,0 +1,126 @@
+#include "platform/OperatorServer.h"
+
+#include "observability/observability.h"
+#include "platform/Answers.h"
+#include "platform/CatalogueCodec.h"
+
+#include <utility>
+
+namespace magnoliadrum::platform {
+
+namespace {
+
+const char* const kCataloguePath = "/-/config";
+
+/** Largest catalogue; the message that carries it must stay below the largest message. */
+constexpr std::size_t kMaxBodyBytes = 1900000;
+
+} // namespace
+
+OperatorServer::OperatorServer(std::string aAddress, Caller aCall)
+  : mAddress(std::move(aAddress))
+  , mCall(std::move(aCall))
+{
+}
+
+Result<std::unique_ptr<OperatorServer>>
+OperatorServer::start(EventLoop& aLoop, const std::string& aAddress, Caller aCall)
+{
+  std::unique_ptr<OperatorServer> server(new OperatorServer(aAddress, std::move(aCall)));
+  auto listening = HttpServer::listen(
+    aLoop,
+    aAddress,
+    kMaxBodyBytes,
+    [self = server.get()](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
+      self->onRequest(aRequest, aResponder);
+    });
+  if (!isOk(listening)) {
+    return errorOf(listening);
+  }
+  server->mServer = takeValue(std::move(listening));
+  return server;
+}
+
+std::string
+OperatorServer::nextRequestId()
+{
+  mRequests++;
+  return "operator-" + std::to_string(mRequests);
+}
+
+void
+OperatorServer::onRequest(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
+{
+  if (aRequest.mPath == kCataloguePath && aRequest.mMethod == "PUT") {
+    replaceCatalogue(aRequest, aResponder);
+  } else if (aRequest.mPath == kCataloguePath && aRequest.mMethod == "GET") {
+    readCatalogue(aRequest, aResponder);
+  } else {
+    logInfo("operator's request refused",
+            { { "method", aRequest.mMethod }, { "path", aRequest.mPath } });
+    aResponder->answer(refusal(kStatusNotFound, "no such operation"));
+  }
+}
+
+void
+OperatorServer::replaceCatalogue(const HttpRequest& aRequest,
+                                 const HttpResponderPointer& aResponder)
+{
+  const Result<QueueCatalogue> catalogue = decodeCatalogue(aRequest.mBody, aRequest.mPeer);
+  if (!isOk(catalogue)) {
+    logWarning("queue catalogue refused", errorOf(catalogue));
+    aResponder->answer(refusal(kStatusBadRequest, errorOf(catalogue).detail()));
+    return;
+  }
+  const Result<QueueCatalogueSubmit> message = QueueCatalogueSubmit::create(
+    { .requestId = nextRequestId(), .catalogue = valueOf(catalogue) });
+  if (!isOk(message)) {
+    aResponder->answer(refusal(kStatusBadRequest, errorOf(message).detail()));
+    return;
+  }
+  mCall(valueOf(message), [this, aRequest, aResponder](const Reply& aReply) {
+    const bool isSet =
+      isOk(aReply.message) && std::holds_alternative<QueueCatalogueReply>(valueOf(aReply.message));
+    aResponder->answer(isSet ? jsonAnswer(kStatusOk) : answerOf(aRequest, aReply));
+  });
+}
+
+void
+OperatorServer::readCatalogue(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
+{
+  const Message message =
+    valueOf(QueueCatalogueQuery::create({ .requestId = nextRequestId() }));
+  mCall(message, [this, aRequest, aResponder](const Reply& aReply) {
+    const QueueCatalogueReply* reply =
+      isOk(aReply.message) ? std::get_if<QueueCatalogueReply>(&valueOf(aReply.message)) : nullptr;
+    if (reply == nullptr) {
+      aResponder->answer(answerOf(aRequest, aReply));
+    } else if (reply->version() < 0) {
+      aResponder->answer(refusal(kStatusUnavailable, "no catalogue is known yet"));
+    } else {
+      aResponder->answer(jsonAnswer(kStatusOk, reply->source()));
+    }
+  });
+}
+
+HttpAnswer
+OperatorServer::answerOf(const HttpRequest& aRequest, const Reply& aReply) const
+{
+  if (!aReply.leaderAddress.empty()) {
+    const std::string host = aReply.leaderAddress.substr(0, aReply.leaderAddress.rfind(':'));
+    const std::string port = mAddress.substr(mAddress.rfind(':') + 1);
+    HttpAnswer::Fields fields =
+      refusal(kStatusRedirect, "this replica does not lead").fields();
+    fields.headers.push_back(valueOf(HttpHeader::create(
+      { .name = "Location", .value = "http://" + host + ":" + port + aRequest.mPath })));
+    return valueOf(HttpAnswer::create(std::move(fields)));
+  }
+  if (isOk(aReply.message)) {
+    return refusal(kStatusUnavailable, "unexpected answer");
+  }
+  const Error& error = errorOf(aReply.message);
+  const bool isInvalid = error.code() == ErrorCode::eInvalid;
+  return refusal(isInvalid ? kStatusBadRequest : kStatusUnavailable, error.detail());
+}
+
+} // namespace magnoliadrum::platform
--- /dev/null
+++ b/src/platform/OperatorServer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "generated/generated.h"
+#include "transport/transport.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace magnoliadrum::platform {
+
+/**
+ * The platform's interface for operators on a control VM. A replica that does not lead sends them
+ * on to the leader, whose interface has the same port.
+ */
+class OperatorServer
+{
+public:
+  /** What a request to the replica in this process gave. */
+  struct Reply
+  {
+    Result<Message> message;
+    /** IP:port of the leader when this replica does not lead and knows it; else empty. */
+    std::string leaderAddress;
+  };
+
+  /** Asks the replica in this process. */
+  using Caller = std::function<void(const Message&, std::function<void(const Reply&)>)>;
+
+  /** aAddress is IP:port. */
+  static Result<std::unique_ptr<OperatorServer>> start(EventLoop& aLoop,
+                                                       const std::string& aAddress,
+                                                       Caller aCall);
+
+  OperatorServer(const OperatorServer&) = delete;
+  OperatorServer& operator=(const OperatorServer&) = delete;
+
+  void stopAccepting() { mServer->stopAccepting(); }
+
+private:
+  OperatorServer(std::string aAddress, Caller aCall);
+
+  void onRequest(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+  void replaceCatalogue(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+  void readCatalogue(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+  HttpAnswer answerOf(const HttpRequest& aRequest, const Reply& aReply) const;
+  std::string nextRequestId();
+
+  std::string mAddress;
+  Caller mCall;
+  std::unique_ptr<HttpServer> mServer;
+  std::uint64_t mRequests = 0;
+};
+
+} // namespace magnoliadrum::platform
--- /dev/null
+++ b/src/platform/RegistrationServer.cpp
@@ -0,0 +1,71 @@
+#include "platform/RegistrationServer.h"
+
+#include "observability/observability.h"
+#include "platform/Answers.h"
+
+#include <utility>
+
+namespace magnoliadrum::platform {
+
+namespace {
+
+const std::string kPrefix = "/-/instances/";
+
+/** Largest report that a worker may send. */
+constexpr std::size_t kMaxBodyBytes = std::size_t{ 4 } << 20U;
+
+} // namespace
+
+RegistrationServer::RegistrationServer(Handlers aHandlers)
+  : mHandlers(std::move(aHandlers))
+{
+}
+
+Result<std::unique_ptr<RegistrationServer>>
+RegistrationServer::start(EventLoop& aLoop, const std::string& aAddress, Handlers aHandlers)
+{
+  std::unique_ptr<RegistrationServer> server(new RegistrationServer(std::move(aHandlers)));
+  auto listening = HttpServer::listen(
+    aLoop,
+    aAddress,
+    kMaxBodyBytes,
+    [self = server.get()](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
+      self->onRequest(aRequest, *aResponder);
+    });
+  if (!isOk(listening)) {
+    return errorOf(listening);
+  }
+  server->mServer = takeValue(std::move(listening));
+  return server;
+}
+
+void
+RegistrationServer::onRequest(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  const std::string workerId =
+    aRequest.mPath.starts_with(kPrefix) ? aRequest.mPath.substr(kPrefix.size()) : "";
+  if (workerId.empty()) {
+    aResponder.answer(refusal(kStatusNotFound, "no such operation"));
+    return;
+  }
+  if (aRequest.mMethod == "DELETE") {
+    mHandlers.onDeparture(workerId);
+    aResponder.answer(jsonAnswer(kStatusOk));
+    return;
+  }
+  if (aRequest.mMethod != "PUT") {
+    aResponder.answer(refusal(kStatusMethodNotAllowed, "method " + aRequest.mMethod));
+    return;
+  }
+  const Result<Registration> registration =
+    decodeRegistration(workerId, aRequest.mBody, aRequest.mPeer);
+  if (!isOk(registration)) {
+    logWarning("announcement of a worker refused", errorOf(registration));
+    aResponder.answer(refusal(kStatusBadRequest, errorOf(registration).detail()));
+    return;
+  }
+  mHandlers.onRegistration(valueOf(registration));
+  aResponder.answer(jsonAnswer(kStatusOk));
+}
+
+} // namespace magnoliadrum::platform
--- /dev/null
+++ b/src/platform/WorkerCodec.cpp
@@ -0,0 +1,249 @@
+#include "platform/WorkerCodec.h"
+
+#include "observability/observability.h"
+#include "platform/JsonReader.h"
+
+#include <utility>
+
+namespace magnoliadrum::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kOk = 200;
+constexpr std::int64_t kConflict = 409;
+constexpr std::int64_t kOtherInstance = 421;
+constexpr std::int64_t kTooMany = 429;
+constexpr std::int64_t kUnavailable = 503;
+
+/** The labels of a worker are its kind and its rack, in this order. */
+constexpr std::size_t kRackLabel = 1;
+
+OrderResult
+resultOfReason(const std::string& aReason)
+{
+  if (aReason == "fence") {
+    return OrderResult::eFenced;
+  }
+  if (aReason == "old") {
+    return OrderResult::eClosed;
+  }
+  if (aReason == "late") {
+    return OrderResult::eLate;
+  }
+  if (aReason == "room") {
+    return OrderResult::eRoom;
+  }
+  if (aReason == "ticket") {
+    return OrderResult::eTicket;
+  }
+  return OrderResult::eInvalid;
+}
+
+/** A row of runs: [task, run, checkpoint, percent, figure]; the last two may be absent. */
+Result<RunningRun>
+decodeRunning(const json& aRow)
+{
+  constexpr std::size_t kLeast = 3;
+  constexpr std::size_t kPercent = 3;
+  constexpr std::size_t kFigure = 4;
+  const bool isReadable = aRow.is_array() && aRow.size() >= kLeast && aRow[0].is_string() &&
+                          aRow[1].is_number_integer() && aRow[2].is_string();
+  if (!isReadable) {
+    return Error::create(ErrorCode::eInvalid, "decode lists", "worker", "a running row");
+  }
+  const auto numberAt = [&aRow](std::size_t aIndex) {
+    return aRow.size() > aIndex && aRow[aIndex].is_number() ? aRow[aIndex].get<double>() : 0.0;
+  };
+  return RunningRun::create({ .task = aRow[0].get<std::string>(),
+                              .run = aRow[1].get<std::int64_t>(),
+                              .checkpoint = aRow[2].get<std::string>(),
+                              .percent = numberAt(kPercent),
+                              .figure = numberAt(kFigure) });
+}
+
+/** A row of ends: [number, task, run, how, checkpoint]. */
+Result<EndedRun>
+decodeEnded(const json& aRow)
+{
+  constexpr std::size_t kColumns = 5;
+  const bool isReadable = aRow.is_array() && aRow.size() >= kColumns &&
+                          aRow[0].is_number_integer() && aRow[1].is_string() &&
+                          aRow[2].is_number_integer() && aRow[3].is_string() &&
+                          aRow[4].is_string();
+  const std::optional<RunEnd> how =
+    isReadable ? parseRunEnd(aRow[3].get<std::string>()) : std::nullopt;
+  if (!how) {
+    return Error::create(ErrorCode::eInvalid, "decode lists", "worker", "an ended row");
+  }
+  return EndedRun::create({ .number = aRow[0].get<std::int64_t>(),
+                            .task = aRow[1].get<std::string>(),
+                            .run = aRow[2].get<std::int64_t>(),
+                            .how = *how,
+                            .checkpoint = aRow[4].get<std::string>() });
+}
+
+template<typename Type, typename Decode>
+std::vector<Type>
+decodeRows(const json& aBody, const char* aName, const Decode& aDecode)
+{
+  std::vector<Type> rows;
+  const auto list = aBody.find(aName);
+  if (list == aBody.end() || !list->is_array()) {
+    return rows;
+  }
+  for (const json& row : *list) {
+    Result<Type> decoded = aDecode(row);
+    if (isOk(decoded)) {
+      rows.push_back(takeValue(std::move(decoded)));
+    } else {
+      logWarning("a row of a worker's lists is left out", errorOf(decoded));
+    }
+  }
+  return rows;
+}
+
+} // namespace
+
+Result<Registration>
+decodeRegistration(const std::string& aWorkerId, const std::string& aBody, const std::string& aPeer)
+{
+  const char* const step = "decode registration";
+  const std::optional<json> body = parseBody(aBody);
+  if (!body) {
+    return Error::create(ErrorCode::eInvalid, step, aPeer, "body: not whole JSON");
+  }
+  std::vector<std::string> faults;
+  const JsonReader reader(*body, "", faults);
+  const std::string state = reader.text("State", true);
+  if (faults.empty() && state != "ready" && state != "draining") {
+    faults.push_back("State: " + state + " is not known");
+  }
+  Registration registration;
+  registration.address = reader.text("Address", true);
+  registration.sequence = reader.integer("Seq");
+  Resources::Fields capacity;
+  if (const std::optional<JsonReader> room = reader.object("Capacity")) {
+    capacity = { .cpuMilli = room->integer("Cpu"),
+                 .memoryMb = room->integer("MemMb"),
+                 .accelerators = room->integer("Gpu") };
+  }
+  const std::vector<std::string> labels = reader.texts("Labels");
+  const Result<Resources> size = Resources::create(capacity);
+  if (!isOk(size)) {
+    faults.push_back("Capacity: " + errorOf(size).detail());
+  }
+  if (!faults.empty()) {
+    return Error::create(ErrorCode::eInvalid, step, aPeer, joinFaults(faults));
+  }
+  const Result<WorkerDescription> worker = WorkerDescription::create(
+    { .workerId = aWorkerId,
+      .bornMs = reader.integer("born"),
+      .poolName = reader.text("Service", true),
+      .dataCentre = reader.text("Zone"),
+      .rack = labels.size() > kRackLabel ? labels[kRackLabel] : "",
+      .labels = labels,
+      .capacity = valueOf(size),
+      .coldMs = reader.integer("ColdRemainingMs"),
+      .draining = state == "draining",
+      .drainRemainingMs = reader.integer("DrainRemainingMs") });
+  if (!isOk(worker) || !faults.empty()) {
+    const std::string detail = isOk(worker) ? joinFaults(faults) : errorOf(worker).detail();
+    return Error::create(ErrorCode::eInvalid, step, aPeer, detail);
+  }
+  registration.worker = valueOf(worker);
+  return registration;
+}
+
+std::string
+encodeStart(const StartOrder& aOrder, std::int64_t aFence, std::int64_t aLeaseUntilMs)
+{
+  json body = { { "Task", aOrder.task() },
+                { "Run", aOrder.run() },
+                { "Spec", aOrder.payload() },
+                { "DeadlineMs", aLeaseUntilMs },
+                { "Fence", aFence } };
+  if (!aOrder.checkpoint().empty()) {
+    body["Checkpoint"] = aOrder.checkpoint();
+  }
+  if (!aOrder.ticket().empty()) {
+    body["Ticket"] = aOrder.ticket();
+  }
+  return dumpBody(body);
+}
+
+std::string
+encodeStop(const StopOrder& aOrder, std::int64_t aFence)
+{
+  return dumpBody({ { "Task", aOrder.task() }, { "Run", aOrder.run() }, { "Fence", aFence } });
+}
+
+std::string
+encodePace(const PaceOrder& aOrder, std::int64_t aFence)
+{
+  return dumpBody({ { "Task", aOrder.task() },
+                    { "Run", aOrder.run() },
+                    { "Percent", aOrder.percent() },
+                    { "Fence", aFence } });
+}
+
+std::string
+encodeListRequest(const ListRequest& aRequest)
+{
+  json body = { { "Fence", aRequest.fence }, { "AckCursor", aRequest.ackedEnds } };
+  if (aRequest.leaseUntilMs > 0) {
+    body["DeadlineMs"] = aRequest.leaseUntilMs;
+  }
+  if (aRequest.waitMs > 0) {
+    body["WaitMs"] = aRequest.waitMs;
+  }
+  return dumpBody(body);
+}
+
+Result<WorkerLists>
+decodeLists(const std::string& aBody, const std::string& aPeer)
+{
+  const std::optional<json> body = parseBody(aBody);
+  if (!body || !body->is_object()) {
+    return Error::create(ErrorCode::eInvalid, "decode lists", aPeer, "body: not a JSON object");
+  }
+  std::vector<std::string> faults;
+  const JsonReader reader(*body, "", faults);
+  WorkerLists lists;
+  lists.bornMs = reader.integer("born");
+  lists.clockMs = reader.integer("ClockMs", 0, true);
+  lists.running = decodeRows<RunningRun>(*body, "Running", decodeRunning);
+  lists.ended = decodeRows<EndedRun>(*body, "EndedRuns", decodeEnded);
+  if (!faults.empty()) {
+    return Error::create(ErrorCode::eInvalid, "decode lists", aPeer, joinFaults(faults));
+  }
+  return lists;
+}
+
+OrderOutcome
+decodeOrderOutcome(std::int64_t aStatus, const std::string& aBody)
+{
+  OrderOutcome outcome;
+  std::string reason;
+  if (const std::optional<json> body = parseBody(aBody); body && body->is_object()) {
+    std::vector<std::string> faults;
+    const JsonReader reader(*body, "", faults);
+    outcome.clockMs = reader.integer("ClockMs");
+    reason = reader.text("Reason");
+  }
+  if (aStatus == kOk) {
+    outcome.result = OrderResult::eAccepted;
+  } else if (aStatus == kConflict) {
+    outcome.result = resultOfReason(reason);
+  } else if (aStatus == kOtherInstance) {
+    outcome.result = OrderResult::eOtherLife;
+  } else if (aStatus == kTooMany || aStatus == kUnavailable) {
+    outcome.result = OrderResult::eUnhealthy;
+  } else {
+    outcome.result = OrderResult::eInvalid;
+  }
+  return outcome;
+}
+
+} // namespace magnoliadrum::platform
--- /dev/null
+++ b/src/relay/WorkerRelay.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "relay/WorkerCalls.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** What a relay needs from its process. */
+struct RelayContext
+{
+  std::function<MonotonicTime()> now;
+  /** Sends a message to the control leader; false when there is no session. */
+  std::function<bool(const Message&)> send;
+  /** Makes the calls to the worker aId at aAddress (IP:port). */
+  std::function<Result<std::unique_ptr<WorkerCalls>>(const std::string& aAddress,
+                                                     const std::string& aId)>
+    connect;
+};
+
+/**
+ * Carries orders of the control leader to the worker on the same VM and reports what the worker
+ * says. Holds nothing that must survive: a new relay learns the worker from its next registration
+ * and the orders from the leader.
+ *
+ * Decides one thing itself: a worker whose draining it has acknowledged gets no further start.
+ */
+class WorkerRelay
+{
+public:
+  /** How long a worker may hold a request for its lists; bounds how old its figures are. */
+  static constexpr std::int64_t kListWaitMs = 600;
+  /** The next lists are asked for after this time when no order has come. */
+  static constexpr std::int64_t kNextListMs = 300;
+  /** Answers to orders are collected for this long before they are reported. */
+  static constexpr std::int64_t kAnswerDelayMs = 30;
+  /** Period of tick(). */
+  static constexpr std::int64_t kTickMs = 20;
+
+  explicit WorkerRelay(RelayContext aContext)
+    : mContext(std::move(aContext))
+  {
+  }
+
+  WorkerRelay(const WorkerRelay&) = delete;
+  WorkerRelay& operator=(const WorkerRelay&) = delete;
+
+  /** The worker announced itself; aSequence rises with each announcement of a life. */
+  void onRegistration(const WorkerDescription& aWorker,
+                      const std::string& aAddress,
+                      std::int64_t aSequence);
+
+  /** The worker said that it ends now. */
+  void onDeparture(const std::string& aWorkerId);
+
+  void onOrders(const WorkerOrders& aOrders);
+
+  /** A session with a leader is open; it learns the worker at once. */
+  void onSession();
+
+  void tick();
+
+  bool hasWorker() const { return mWorker.has_value(); }
+
+private:
+  bool isNewLife(const WorkerDescription& aWorker) const;
+  void begin(const WorkerDescription& aWorker, const std::string& aAddress);
+  void carryOut(const WorkerOrders& aOrders);
+  void start(const StartOrder& aOrder);
+  void stop(const StopOrder& aOrder);
+  void pace(const PaceOrder& aOrder);
+  void note(OrderKind aKind,
+            const std::string& aTask,
+            std::int64_t aRun,
+            OrderResult aResult,
+            std::int64_t aClockMs);
+  void requestLists(std::int64_t aWaitMs);
+  void onLists(std::int64_t aFence, const Result<WorkerLists>& aResult);
+  void report(const WorkerLists* aLists, std::int64_t aFence);
+  bool mayRequestLists(MonotonicTime aNow) const;
+
+  RelayContext mContext;
+  std::optional<WorkerDescription> mWorker;
+  std::int64_t mSequence = 0;
+  std::unique_ptr<WorkerCalls> mCalls;
+  std::int64_t mFence = 0;
+  std::int64_t mLeaseUntilMs = 0;
+  std::int64_t mAckedEnds = 0;
+  /** Highest number of an end that was reported. */
+  std::int64_t mReportedEnds = 0;
+  /** Requests for the lists without an answer. */
+  int mListsInProgress = 0;
+  /** Orders have come since the last lists. */
+  bool mAnswered = false;
+  MonotonicTime mListedAt;
+  /** Starts on their way, as TASK/RUN, so that a repeated order makes no second call. */
+  std::set<std::string> mStarting;
+  std::vector<OrderAnswer> mAnswers;
+  MonotonicTime mAnswersSince;
+};
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/relay/relay_main.cpp
@@ -0,0 +1,121 @@
+#include "observability/observability.h"
+#include "platform/platform.h"
+#include "relay/relay.h"
+#include "session/session.h"
+#include "settings/settings.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(settings, "", "settings file (JSON, RelaySettings)");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+
+using namespace magnoliadrum;
+
+namespace {
+
+class RelayProcess
+{
+public:
+  RelayProcess(EventLoop& aLoop, const RelaySettings& aSettings)
+    : mLoop(aLoop)
+    , mRelay({ .now = [&aLoop]() { return aLoop.now(); },
+               .send = [this](const Message& aMessage) { return mLink->send(aMessage); },
+               .connect =
+                 [&aLoop](const std::string& aAddress, const std::string& aId) {
+                   return platform::PlatformWorkerCalls::create(aLoop, aAddress, aId);
+                 } })
+  {
+    ControlLinkHandlers handlers;
+    handlers.fillOpen = [](SessionOpen::Fields& /*aFields*/) { return true; };
+    handlers.fillHeartbeat = [](SessionHeartbeat::Fields& /*aFields*/) {};
+    handlers.onGranted = [this]() { mRelay.onSession(); };
+    handlers.onMessage = [this](const Message& aMessage) {
+      if (const WorkerOrders* orders = std::get_if<WorkerOrders>(&aMessage)) {
+        mRelay.onOrders(*orders);
+      }
+    };
+    mLink = ControlLink::create(aLoop,
+                                { .mProcessKind = ProcessKind::eRelay,
+                                  .mProcessId = aSettings.processId(),
+                                  .mIncarnation = newIncarnation(),
+                                  .mControlAddresses = controlAddresses(aSettings),
+                                  .mLeaseMs = aSettings.lease().leaseMs(),
+                                  .mHeartbeatMs = aSettings.lease().heartbeatMs() },
+                                std::move(handlers));
+  }
+
+  Result<Done> start(const std::string& aAddress)
+  {
+    platform::RegistrationServer::Handlers handlers;
+    handlers.onRegistration = [this](const platform::Registration& aRegistration) {
+      mRelay.onRegistration(aRegistration.worker, aRegistration.address, aRegistration.sequence);
+    };
+    handlers.onDeparture = [this](const std::string& aId) { mRelay.onDeparture(aId); };
+    auto server = platform::RegistrationServer::start(mLoop, aAddress, std::move(handlers));
+    if (!isOk(server)) {
+      return errorOf(server);
+    }
+    mServer = takeValue(std::move(server));
+    mLink->start();
+    mTick = mLoop.runEvery(WorkerRelay::kTickMs, [this]() { mRelay.tick(); });
+    return Done{};
+  }
+
+private:
+  EventLoop& mLoop;
+  std::unique_ptr<ControlLink> mLink;
+  WorkerRelay mRelay;
+  std::unique_ptr<platform::RegistrationServer> mServer;
+  EventHandlePointer mTick;
+};
+
+int
+runRelay(const RelaySettings& aSettings)
+{
+  const Result<std::unique_ptr<EventLoop>> loop = EventLoop::create();
+  if (!isOk(loop)) {
+    logError("relay cannot start", errorOf(loop));
+    return EXIT_FAILURE;
+  }
+  EventLoop& events = *valueOf(loop);
+  events.setSourceHost(hostOfAddress(aSettings.platformAddress()));
+  RelayProcess process(events, aSettings);
+  const Result<Done> started = process.start(aSettings.platformAddress());
+  if (!isOk(started)) {
+    logError("relay cannot start", errorOf(started));
+    return EXIT_FAILURE;
+  }
+  // The worker's runs go on under their lease while another relay takes this one's place.
+  const auto onTerminate = [&events]() {
+    logInfo("relay stops");
+    events.stop();
+  };
+  const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
+  const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
+  logInfo("relay started", { { "address", aSettings.platformAddress() } });
+  events.run();
+  return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  gflags::SetUsageMessage("magnoliadrum-relay --settings FILE [--check_settings]");
+  gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
+  const Result<RelaySettings> settings = readSettings<RelaySettings>(FLAGS_settings);
+  if (!isOk(settings)) {
+    std::cerr << errorOf(settings).text() << "\n";
+    return EXIT_FAILURE;
+  }
+  if (FLAGS_check_settings) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  configureLogging(valueOf(settings).processId(), toText(valueOf(settings).logLevel()));
+  return runRelay(valueOf(settings));
+}
--- a/src/session/ControlLink.cpp
+++ b/src/session/ControlLink.cpp
@@ -1,6 +1,7 @@
 #include "session/ControlLink.h"
 
 #include "observability/observability.h"
+#include "session/RequestAnswers.h"
 
 #include <algorithm>
 #include <cassert>
@@ -18,46 +19,6 @@
  * it in time. */
 constexpr std::int64_t kSilenceDivisor = 3;
 
-/** Returns the requestId of a message that has one. */
-std::string
-requestIdOf(const Message& aMessage)
-{
-  const auto read = [](const auto& aBody) -> std::string {
-    if constexpr (requires { aBody.requestId(); }) {
-      return aBody.requestId();
-    } else {
-      return "";
-    }
-  };
-  return std::visit(read, aMessage);
-}
-
-ErrorCode
-errorCodeOf(FailureCode aCode)
-{
-  switch (aCode) {
-    case FailureCode::eInvalid:
-      return ErrorCode::eInvalid;
-    case FailureCode::eNotFound:
-      return ErrorCode::eNotFound;
-    case FailureCode::eConflict:
-      return ErrorCode::eConflict;
-    case FailureCode::eRefused:
-      return ErrorCode::eRefused;
-    case FailureCode::eNotLeader:
-      return ErrorCode::eNotLeader;
-    case FailureCode::eUnavailable:
-      return ErrorCode::eUnavailable;
-    case FailureCode::eTimeout:
-      return ErrorCode::eTimeout;
-    case FailureCode::eCorrupt:
-      return ErrorCode::eCorrupt;
-    case FailureCode::eIo:
-      return ErrorCode::eIo;
-  }
-  return ErrorCode::eUnavailable;
-}
-
 } // namespace
 
 ControlLink::ControlLink(EventLoop& aLoop,
@@ -249,6 +210,9 @@
   if (isNew && mHandlers.onSession) {
     mHandlers.onSession(mSession);
   }
+  if (mHandlers.onGranted) {
+    mHandlers.onGranted();
+  }
   resendCalls();
 }
 
@@ -358,9 +322,7 @@
     return true;
   }
   if (failed != nullptr) {
-    failCall(
-      requestId,
-      Error::create(errorCodeOf(failed->code()), failed->step(), failed->peer(), failed->detail()));
+    failCall(requestId, toError(*failed));
     return true;
   }
   const CallCallback callback = std::move(position->second.mCallback);
--- a/src/session/ControlLink.h
+++ b/src/session/ControlLink.h
@@ -35,6 +35,9 @@
   /** A session with another number than before is open. */
   std::function<void(std::int64_t)> onSession;
 
+  /** A leader has granted the session on a new connection; it may be another leader. */
+  std::function<void()> onGranted;
+
   /** The lease was extended to the deadline. */
   std::function<void(Deadline)> onLease;
 
--- a/src/settings/SettingsFile.cpp
+++ b/src/settings/SettingsFile.cpp
@@ -43,6 +43,21 @@
   }
 }
 
+/** Control replicas are named by their addresses, or by seeds and a port. */
+template<typename Settings>
+void
+checkControl(const Settings& aSettings, Faults& aFaults)
+{
+  checkAddresses(aSettings.controlAddresses(), "controlAddresses", aFaults);
+  checkAddresses(aSettings.controlSeeds(), "controlSeeds", aFaults);
+  if (aSettings.controlAddresses().empty() == aSettings.controlSeeds().empty()) {
+    aFaults.push_back("controlAddresses, controlSeeds: exactly one of them is needed");
+  }
+  if (!aSettings.controlSeeds().empty() && aSettings.controlPort() == 0) {
+    aFaults.push_back("controlPort: is needed with controlSeeds");
+  }
+}
+
 void
 checkLease(const LeaseSettings& aLease, Faults& aFaults)
 {
@@ -57,7 +72,12 @@
   checkAddress(aSettings.listenAddress(), "listenAddress", aFaults);
   checkOptionalAddress(aSettings.advertisedAddress(), "advertisedAddress", aFaults);
   checkOptionalAddress(aSettings.metricsAddress(), "metricsAddress", aFaults);
+  checkOptionalAddress(aSettings.platformAddress(), "platformAddress", aFaults);
   checkAddresses(aSettings.initialReplicas(), "initialReplicas", aFaults);
+  checkAddresses(aSettings.controlSeeds(), "controlSeeds", aFaults);
+  if (!aSettings.initialReplicas().empty() && !aSettings.controlSeeds().empty()) {
+    aFaults.push_back("initialReplicas, controlSeeds: only one of them is allowed");
+  }
   checkLease(aSettings.lease(), aFaults);
   if (aSettings.replicationHeartbeatMs() * 2 > aSettings.electionTimeoutMs()) {
     aFaults.push_back("replicationHeartbeatMs: must be at most half of electionTimeoutMs");
@@ -68,7 +88,9 @@
 checkTogether(const GatewaySettings& aSettings, Faults& aFaults)
 {
   checkAddress(aSettings.httpAddress(), "httpAddress", aFaults);
-  checkAddresses(aSettings.controlAddresses(), "controlAddresses", aFaults);
+  checkOptionalAddress(aSettings.platformAddress(), "platformAddress", aFaults);
+  checkOptionalAddress(aSettings.readinessAddress(), "readinessAddress", aFaults);
+  checkControl(aSettings, aFaults);
   checkLease(aSettings.lease(), aFaults);
 }
 
@@ -94,6 +116,15 @@
   }
 }
 
+void
+checkTogether(const RelaySettings& aSettings, Faults& aFaults)
+{
+  checkAddress(aSettings.platformAddress(), "platformAddress", aFaults);
+  checkOptionalAddress(aSettings.metricsAddress(), "metricsAddress", aFaults);
+  checkControl(aSettings, aFaults);
+  checkLease(aSettings.lease(), aFaults);
+}
+
 std::string
 joined(const Faults& aFaults)
 {
@@ -106,6 +137,16 @@
 
 } // namespace
 
+std::vector<std::string>
+withPort(const std::vector<std::string>& aAddresses, std::int64_t aPort)
+{
+  std::vector<std::string> addresses;
+  for (const std::string& address : aAddresses) {
+    addresses.push_back(address.substr(0, address.rfind(':') + 1) + std::to_string(aPort));
+  }
+  return addresses;
+}
+
 template<typename Settings>
 Result<Settings>
 readSettings(const std::string& aFileName)
@@ -136,5 +177,7 @@
 readSettings(const std::string& aFileName);
 template Result<AgentSettings>
 readSettings(const std::string& aFileName);
+template Result<RelaySettings>
+readSettings(const std::string& aFileName);
 
 } // namespace magnoliadrum
--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -8,6 +8,16 @@
 
 namespace magnoliadrum {
 
+namespace {
+
+Outcome
+toOutcome(std::variant<JobChanged, Error> aResult)
+{
+  return std::visit([](auto& aValue) { return Outcome(std::move(aValue)); }, aResult);
+}
+
+} // namespace
+
 Result<ControlState>
 ControlState::decodeSnapshot(std::string_view aBytes, const std::string& aPeer)
 {
@@ -23,6 +33,7 @@
   state.mTasks = TaskRegistry::fromSnapshot(snapshot);
   state.mIntents = IntentRegistry::fromSnapshot(snapshot);
   state.mServiceLevel = ServiceLevelHistory::fromSnapshot(snapshot);
+  state.mJobs = JobRegistry::fromSnapshot(snapshot);
   return state;
 }
 
@@ -36,6 +47,7 @@
   mTasks.writeTo(fields);
   mIntents.writeTo(fields);
   mServiceLevel.writeTo(fields);
+  mJobs.writeTo(fields);
   return encodeSnapshotContent(buildValue<StateSnapshot>(std::move(fields)));
 }
 
@@ -137,4 +149,34 @@
   return mServiceLevel.record(aCommand);
 }
 
+Outcome
+ControlState::applyCommand(const SetQueueCatalogue& aCommand)
+{
+  return mJobs.apply(aCommand);
+}
+
+Outcome
+ControlState::applyCommand(const SubmitJob& aCommand)
+{
+  return toOutcome(mJobs.apply(aCommand));
+}
+
+Outcome
+ControlState::applyCommand(const CancelJob& aCommand)
+{
+  return toOutcome(mJobs.apply(aCommand));
+}
+
+Outcome
+ControlState::applyCommand(const StartRuns& aCommand)
+{
+  return mJobs.apply(aCommand);
+}
+
+Outcome
+ControlState::applyCommand(const EndRuns& aCommand)
+{
+  return mJobs.apply(aCommand);
+}
+
 } // namespace magnoliadrum
--- a/src/state/ControlState.h
+++ b/src/state/ControlState.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "generated/generated.h"
+#include "jobs/JobRegistry.h"
 #include "state/Catalogue.h"
 #include "state/IntentRegistry.h"
 #include "state/Outcome.h"
@@ -49,6 +50,7 @@
   const TaskIndex& tasks() const { return mTasks.table(); }
   const IntentRegistry& intents() const { return mIntents; }
   const ServiceLevelHistory& serviceLevel() const { return mServiceLevel; }
+  const JobRegistry& jobs() const { return mJobs; }
 
   /** Returns the ids of the tasks that changed since the last call. Not part of the state. */
   std::set<std::string> takeChangedTasks() { return mTasks.takeChanged(); }
@@ -66,6 +68,11 @@
   Outcome applyCommand(const OpenIntent& aCommand);
   Outcome applyCommand(const SettleIntent& aCommand);
   Outcome applyCommand(const RecordServiceLevel& aCommand);
+  Outcome applyCommand(const SetQueueCatalogue& aCommand);
+  Outcome applyCommand(const SubmitJob& aCommand);
+  Outcome applyCommand(const CancelJob& aCommand);
+  Outcome applyCommand(const StartRuns& aCommand);
+  Outcome applyCommand(const EndRuns& aCommand);
 
   std::int64_t mAppliedIndex = 0;
   Catalogue mCatalogue;
@@ -73,6 +80,7 @@
   TaskRegistry mTasks;
   IntentRegistry mIntents;
   ServiceLevelHistory mServiceLevel;
+  JobRegistry mJobs;
 };
 
 } // namespace magnoliadrum
--- a/src/state/Outcome.h
+++ b/src/state/Outcome.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "generated/generated.h"
+#include "jobs/JobRegistry.h"
 
 #include <cstdint>
 #include <optional>
@@ -95,6 +96,9 @@
                              TaskChanged,
                              IntentAnswer,
                              ServiceLevelRecorded,
+                             QueueCatalogueSet,
+                             JobChanged,
+                             RunsChanged,
                              Error>;
 
 } // namespace magnoliadrum
--- a/src/state/SessionRegistry.cpp
+++ b/src/state/SessionRegistry.cpp
@@ -31,14 +31,15 @@
 std::optional<Error>
 SessionRegistry::findAdmissionFault(const AdmitSession& aCommand) const
 {
-  if (aCommand.processKind() == ProcessKind::eGateway) {
+  if (aCommand.processKind() == ProcessKind::eGateway ||
+      aCommand.processKind() == ProcessKind::eRelay) {
     return std::nullopt;
   }
   if (aCommand.processKind() != ProcessKind::eAgent || !aCommand.target()) {
     return Error::create(ErrorCode::eInvalid,
                          "session.admit",
                          aCommand.processId(),
-                         "only gateways and agents with a target hold sessions");
+                         "only gateways, relays and agents with a target hold sessions");
   }
   const SessionRecord* holder = findByTarget(aCommand.target()->targetId());
   if (holder != nullptr && holder->processId() != aCommand.processId()) {
--- a/src/storage/FileOperations.cpp
+++ b/src/storage/FileOperations.cpp
@@ -66,6 +66,12 @@
   for (const auto& part : path) {
     const std::filesystem::path parent = current;
     current /= part;
+    // A folder in one that this process cannot write to was not created by it.
+    const bool isGiven = std::filesystem::is_directory(current, code) &&
+                         (parent.empty() || ::access(parent.c_str(), W_OK) != 0);
+    if (isGiven) {
+      continue;
+    }
     const bool created = std::filesystem::create_directory(current, code);
     if (code) {
       return folderError("file.createFolder", current.string(), code);
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -136,7 +136,7 @@
 void
 HttpServer::stopAccepting()
 {
-  *mStopping = true;
+  announceStop();
   if (mSocket != nullptr) {
     evhttp_del_accept_socket(mServer, static_cast<evhttp_bound_socket*>(mSocket));
     mSocket = nullptr;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -77,6 +77,9 @@
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
 
+  /** From now on each answer closes its connection; new connections are still accepted. */
+  void announceStop() { *mStopping = true; }
+
   /**
    * Refuses new connections from now on. Requests on open connections are still handled, and their
    * answers close the connection, so that no caller sends another request on one that is about to
--- a/src/transport/SocketAddress.cpp
+++ b/src/transport/SocketAddress.cpp
@@ -82,4 +82,11 @@
   return isOk(address) ? valueOf(address).host() : "";
 }
 
+int
+portOfAddress(const std::string& aAddress)
+{
+  const Result<SocketAddress> address = SocketAddress::parse(aAddress);
+  return isOk(address) ? valueOf(address).port() : 0;
+}
+
 } // namespace magnoliadrum
--- a/src/transport/SocketAddress.h
+++ b/src/transport/SocketAddress.h
@@ -40,4 +40,8 @@
 std::string
 hostOfAddress(const std::string& aAddress);
 
+/** Returns the port of "IP:port", or 0 when aAddress is malformed. */
+int
+portOfAddress(const std::string& aAddress);
+
 } // namespace magnoliadrum
