--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -36,7 +36,6 @@
 magnoliadrum_program(history-checker testbench history_checker_main.cpp)
 
 # Whole deployments on loopback.
-find_package(Boost REQUIRED COMPONENTS filesystem)
 magnoliadrum_module(integration core generated session cli testbench Boost::filesystem Threads::Threads)
 magnoliadrum_program(magnoliadrum-demo integration demo_main.cpp)
 magnoliadrum_program(magnoliadrum-capacity integration capacity_main.cpp)
--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -215,6 +215,13 @@
   return index;
 }
 
+std::int64_t
+ConsensusNode::contactAgeMs(const std::string& aReplicaId) const
+{
+  const FollowerProgress* progress = mLeader ? mLeader->progress(aReplicaId) : nullptr;
+  return progress == nullptr ? 0 : mNow.msSince(progress->contact.value_or(mElectedAt));
+}
+
 bool
 ConsensusNode::isCaughtUp(const std::string& aReplicaId) const
 {
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -108,6 +108,9 @@
   /** Last index known to be stored on a replica; 0 when this replica is not the leader. */
   std::int64_t matchIndex(const std::string& aReplicaId) const;
 
+  /** Time since the latest request that a follower answered was sent, or since the election. */
+  std::int64_t contactAgeMs(const std::string& aReplicaId) const;
+
 private:
   void on(const VoteRequest& aRequest);
   void on(const VoteReply& aReply);
--- a/src/control/CommandLog.h
+++ b/src/control/CommandLog.h
@@ -65,6 +65,9 @@
   virtual std::string leaderId() const = 0;
   virtual std::string leaderAddress() const = 0;
 
+  /** Id of this replica. */
+  virtual std::string replicaId() const = 0;
+
   virtual std::vector<ReplicaStatus> replicas() const = 0;
 
   /** Changes the group by one replica. */
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -20,6 +20,7 @@
   , mTasks(mContext, mSessions, aSeed)
   , mRequests(mContext, mSessions, mTasks)
   , mJobs(mContext, mSessions)
+  , mGroup(mContext)
 {
   mContext.mLog.setObserver(this);
 }
@@ -38,6 +39,8 @@
     mTasks.onReport(aConnection, aBody);
   } else if constexpr (std::is_same_v<Body, WorkerReport>) {
     mJobs.onReport(aConnection, aBody);
+  } else if constexpr (requires { mGroup.onRequest(aConnection, aBody); }) {
+    mGroup.onRequest(aConnection, aBody);
   } else if constexpr (requires { mJobs.onRequest(aConnection, aBody); }) {
     mJobs.onRequest(aConnection, aBody);
   } else if constexpr (requires { mRequests.onRequest(aConnection, aBody); }) {
@@ -149,6 +152,7 @@
   mSessions.announceTargets();
   mTasks.tick();
   mJobs.tick();
+  mGroup.tick();
   if (now.msSince(mSecondAt) >= kSecondMs) {
     mSecondAt = now;
     mTasks.checkSilence();
--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlContext.h"
+#include "control/GroupSteward.h"
 #include "control/JobService.h"
 #include "control/RequestService.h"
 #include "control/ServiceLevelCollector.h"
@@ -70,6 +71,7 @@
   TaskService mTasks;
   RequestService mRequests;
   JobService mJobs;
+  GroupSteward mGroup;
   ServiceLevelCollector mServiceLevel;
   MetricsRegistry mMetrics;
   bool mLeads = false;
--- /dev/null
+++ b/src/control/GroupJoiner.cpp
@@ -0,0 +1,105 @@
+#include "control/GroupJoiner.h"
+
+#include "observability/observability.h"
+#include "state/BuildValue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliadrum {
+
+GroupJoiner::GroupJoiner(EventLoop& aLoop,
+                         CommandLog& aLog,
+                         Hello aOwnHello,
+                         std::string aOwnAddress,
+                         std::vector<std::string> aSeeds)
+  : mLoop(aLoop)
+  , mLog(aLog)
+  , mOwnHello(std::move(aOwnHello))
+  , mOwnAddress(std::move(aOwnAddress))
+  , mSeeds(std::move(aSeeds))
+{
+  std::erase(mSeeds, mOwnAddress);
+  mTick = aLoop.runEvery(kAskEveryMs, [this]() { tick(); });
+}
+
+bool
+GroupJoiner::isServed() const
+{
+  return !mLog.leaderAddress().empty();
+}
+
+void
+GroupJoiner::tick()
+{
+  if (isServed() || mSeeds.empty()) {
+    if (mConnection) {
+      mConnection->close("a leader is known");
+      mConnection.reset();
+    }
+    return;
+  }
+  if (mConnection && !mConnection->isClosed() && mIsAnswered) {
+    ask();
+    return;
+  }
+  // The last replica did not answer within a period, or none was asked.
+  if (mConnection) {
+    mConnection->close("no answer");
+  }
+  connect();
+}
+
+void
+GroupJoiner::connect()
+{
+  std::string address = std::exchange(mLeaderHint, "");
+  if (address.empty() || address == mOwnAddress) {
+    address = mSeeds[mNextSeed % mSeeds.size()];
+    mNextSeed++;
+  }
+  mIsAnswered = false;
+  MessageHandlers handlers;
+  handlers.onOpen = [this](MessageConnection& /*aConnection*/) { ask(); };
+  handlers.onMessage = [this](MessageConnection& /*aConnection*/, const Message& aMessage) {
+    onMessage(aMessage);
+  };
+  handlers.onClosed = [](MessageConnection& /*aConnection*/, const Error& aError) {
+    logDebug("cannot ask to join", { { "peer", aError.peer() }, { "detail", aError.detail() } });
+  };
+  auto connection = MessageConnection::connect(mLoop, address, mOwnHello, std::move(handlers));
+  if (!isOk(connection)) {
+    logWarning("cannot ask to join", errorOf(connection));
+    return;
+  }
+  mConnection = takeValue(std::move(connection));
+}
+
+void
+GroupJoiner::ask()
+{
+  mRequests++;
+  mIsAnswered = false;
+  mConnection->send(buildValue<JoinRequest>({ .requestId = "join-" + std::to_string(mRequests),
+                                              .replicaId = mLog.replicaId(),
+                                              .address = mOwnAddress }));
+}
+
+void
+GroupJoiner::onMessage(const Message& aMessage)
+{
+  mIsAnswered = true;
+  const OperationFailed* failed = std::get_if<OperationFailed>(&aMessage);
+  if (failed == nullptr) {
+    return;
+  }
+  logInfo("not taken into the group yet",
+          { { "peer", mConnection->peer() },
+            { "detail", failed->detail() },
+            { "leader", failed->leaderAddress() } });
+  mLeaderHint = failed->leaderAddress();
+  // The next tick asks the leader, or the next seed.
+  mIsAnswered = false;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/control/GroupSteward.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "control/GroupPlan.h"
+#include "control/RequestAnswerer.h"
+
+namespace magnoliadrum {
+
+/** Keeps the control group at its size while this replica leads. */
+class GroupSteward : private RequestAnswerer
+{
+public:
+  explicit GroupSteward(ControlContext& aContext);
+
+  void onRequest(ConnectionId aConnection, const JoinRequest& aRequest);
+
+  /** Proposes the next change unless one is on its way. */
+  void tick();
+
+private:
+  GroupPlan mPlan;
+  bool mChanging = false;
+};
+
+} // namespace magnoliadrum
--- a/src/control/InMemoryCommandLog_test.h
+++ b/src/control/InMemoryCommandLog_test.h
@@ -32,6 +32,7 @@
   std::int64_t commitIndex() const override { return mState.appliedIndex(); }
   std::string leaderId() const override { return mLeads ? "in-memory" : ""; }
   std::string leaderAddress() const override { return mLeads ? mAddress : ""; }
+  std::string replicaId() const override { return "in-memory"; }
   std::vector<ReplicaStatus> replicas() const override { return {}; }
   void changeMembership(const MembershipRequest& aRequest,
                         std::function<void(const Result<Done>&)> aCallback) override;
--- a/src/control/ReplicatedCommandLog.h
+++ b/src/control/ReplicatedCommandLog.h
@@ -42,6 +42,7 @@
   std::int64_t commitIndex() const override { return mReplicator->commitIndex(); }
   std::string leaderId() const override { return mReplicator->leaderId(); }
   std::string leaderAddress() const override { return mReplicator->leaderAddress(); }
+  std::string replicaId() const override { return mReplicator->replicaId(); }
   std::vector<ReplicaStatus> replicas() const override { return mReplicator->replicas(); }
   void changeMembership(const MembershipRequest& aRequest,
                         std::function<void(const Result<Done>&)> aCallback) override;
--- a/src/control/Replicator.cpp
+++ b/src/control/Replicator.cpp
@@ -142,7 +142,8 @@
       { .replicaId = replica.replicaId(),
         .address = replica.address(),
         .voter = replica.voter(),
-        .matchIndex = mDriver->node().matchIndex(replica.replicaId()) }));
+        .matchIndex = mDriver->node().matchIndex(replica.replicaId()),
+        .contactAgeMs = mDriver->node().contactAgeMs(replica.replicaId()) }));
   }
   return replicas;
 }
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -1,5 +1,6 @@
 #include "control/ConnectionReplicaTransport.h"
 #include "control/ControlProcess.h"
+#include "control/GroupJoiner.h"
 #include "control/ReplicatedCommandLog.h"
 #include "faults/faults.h"
 #include "platform/platform.h"
@@ -7,10 +8,12 @@
 #include "settings/settings.h"
 #include "state/BuildValue.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <gflags/gflags.h>
+#include <optional>
 
 DEFINE_string(settings, "", "settings file (JSON, ControlSettings)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -27,9 +30,37 @@
 /** The platform's operators wait about a second for an answer before they ask elsewhere. */
 constexpr std::int64_t kOperatorWaitMs = 3000;
 
+std::string
+ownAddress(const ControlSettings& aSettings)
+{
+  return aSettings.advertisedAddress().empty() ? aSettings.listenAddress()
+                                               : aSettings.advertisedAddress();
+}
+
+/** The seeds with the port at which replicas listen. */
+std::vector<std::string>
+seeds(const ControlSettings& aSettings)
+{
+  return withPort(aSettings.controlSeeds(), portOfAddress(aSettings.listenAddress()));
+}
+
+Hello
+ownHello(const ControlSettings& aSettings)
+{
+  return buildValue<Hello>({ .processKind = ProcessKind::eControl,
+                             .processId = aSettings.processId(),
+                             .incarnation = newIncarnation() });
+}
+
 ReplicaStart
 replicaStart(const ControlSettings& aSettings)
 {
+  const std::vector<std::string> founders = seeds(aSettings);
+  const bool isFounder =
+    std::find(founders.begin(), founders.end(), ownAddress(aSettings)) != founders.end();
+  if (!founders.empty() && !isFounder) {
+    return ReplicaStart::eJoin;
+  }
   if (FLAGS_bootstrap || aSettings.start() == FirstStart::eFound) {
     return ReplicaStart::eBootstrap;
   }
@@ -42,13 +73,10 @@
 {
   ReplicatorSettings settings;
   settings.dataFolder = aSettings.dataFolder();
-  settings.address = aSettings.advertisedAddress().empty() ? aSettings.listenAddress()
-                                                           : aSettings.advertisedAddress();
+  settings.address = ownAddress(aSettings);
   settings.start = replicaStart(aSettings);
   settings.initialReplicas =
-    aSettings.controlSeeds().empty()
-      ? aSettings.initialReplicas()
-      : withPort(aSettings.controlSeeds(), portOfAddress(aSettings.listenAddress()));
+    aSettings.controlSeeds().empty() ? aSettings.initialReplicas() : seeds(aSettings);
   settings.electionTimeoutMs = aSettings.electionTimeoutMs();
   settings.heartbeatMs = aSettings.replicationHeartbeatMs();
   settings.snapshotEveryEntries = aSettings.snapshotEveryEntries();
@@ -60,9 +88,7 @@
 {
   return std::make_unique<ConnectionReplicaTransport>(
     aLoop,
-    buildValue<Hello>({ .processKind = ProcessKind::eControl,
-                        .processId = aSettings.processId(),
-                        .incarnation = newIncarnation() }),
+    ownHello(aSettings),
     aSettings.electionTimeoutMs());
 }
 
@@ -118,6 +144,10 @@
     logError("the replicated log cannot start", errorOf(log));
     return kExitFailure;
   }
+  std::optional<GroupJoiner> joiner;
+  if (!aSettings.controlSeeds().empty()) {
+    joiner.emplace(*loop, *valueOf(log), ownHello(aSettings), ownAddress(aSettings), seeds(aSettings));
+  }
   auto process = ControlProcess::start(*loop, aSettings, state, *valueOf(log));
   if (!isOk(process)) {
     logError("control cannot start", errorOf(process));
