storage: sync what a successor has read before building on it

Ruled out: a torn write of one sync (one record per write). The new test fails without the sync. Also: a run's record names the relay beside its worker, so a new leader sees at once that a worker was born again.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -41,7 +41,7 @@
 JobService::startTerm()
 {
   endTerm();
-  std::set<LifeKey> lives;
+  std::map<LifeKey, std::string> places;
   const JobRegistry& jobs = mContext.mState.jobs();
   for (const std::string& jobId : jobs.openJobs()) {
     const Job* job = jobs.find(jobId);
@@ -51,12 +51,12 @@
       }
       if (aRecord.active) {
         const LifeKey key{ aRecord.worker, aRecord.bornMs };
-        lives.insert(key);
+        places.emplace(key, aRecord.place);
         mRuns.add(aTask, aRecord.run, key, job);
       }
     });
   }
-  mFleet.startTerm({ lives.begin(), lives.end() },
+  mFleet.startTerm(places,
                    mContext.mLog.term(),
                    mContext.mLog.electedAt(),
                    mContext.mSettings.electionTimeoutMs());
@@ -541,6 +541,7 @@
     WorkerRoom room;
     room.worker = key.worker;
     room.bornMs = key.bornMs;
+    room.place = life.relay;
     room.poolName = life.description.poolName();
     room.rack = life.description.rack();
     room.labels = life.description.labels();
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 void
-WorkerFleet::startTerm(const std::vector<LifeKey>& aLives,
+WorkerFleet::startTerm(const std::map<LifeKey, std::string>& aPlaces,
                        std::int64_t aTerm,
                        MonotonicTime aElectedAt,
                        std::int64_t aElectionTimeoutMs)
@@ -30,8 +30,9 @@
   mLives.clear();
   mTerm = aTerm;
   mFences = 0;
-  for (const LifeKey& key : aLives) {
+  for (const auto& [key, place] : aPlaces) {
     WorkerLife life;
+    life.relay = place;
     life.description = buildValue<WorkerDescription>(
       { .workerId = key.worker, .bornMs = key.bornMs, .poolName = "unknown" });
     life.leaseEnd = aElectedAt.plusMs(aElectionTimeoutMs + withDrift(mLeaseMs));
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -82,10 +82,10 @@
   }
 
   /**
-   * Starts a leadership. The lives that hold runs may have a lease of the predecessor, which could
-   * renew them until one election timeout after aElectedAt.
+   * Starts a leadership with the places (relays) of the lives that hold runs. They may have a lease
+   * of the predecessor, which could renew them until one election timeout after aElectedAt.
    */
-  void startTerm(const std::vector<LifeKey>& aLives,
+  void startTerm(const std::map<LifeKey, std::string>& aPlaces,
                  std::int64_t aTerm,
                  MonotonicTime aElectedAt,
                  std::int64_t aElectionTimeoutMs);
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -196,6 +196,7 @@
   record.active = true;
   record.worker = aStart.worker();
   record.bornMs = aStart.bornMs();
+  record.place = aStart.place();
   mActiveRuns++;
   mStarted = true;
   return true;
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -234,7 +234,8 @@
     mAssignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                         .run = aReady.job->nextRun(aTask),
                                                         .worker = best->worker,
-                                                        .bornMs = best->bornMs })),
+                                                        .bornMs = best->bornMs,
+                                                        .place = best->place })),
                              aTask });
     return true;
   }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -15,6 +15,8 @@
 {
   std::string worker;
   std::int64_t bornMs = 0;
+  /** Relay beside the worker. */
+  std::string place;
   std::string poolName;
   std::string rack;
   std::vector<std::string> labels;
--- a/src/storage/LogStore.cpp
+++ b/src/storage/LogStore.cpp
@@ -158,7 +158,9 @@
     header = false;
   }
   if (complete) {
-    return Done{};
+    // The process may have been killed between a write and its sync. What is read here is used as
+    // durable, so it is synced before anything is written behind it.
+    return aIsLast ? syncSegment(path) : Result<Done>(Done{});
   }
   mLoaded.tornBytes = static_cast<std::int64_t>(valueOf(bytes).size() - records.validBytes);
   if (records.payloads.empty()) {
@@ -170,6 +172,18 @@
   return removeTornTail(path, static_cast<std::int64_t>(records.validBytes));
 }
 
+Result<Done>
+LogStore::syncSegment(const std::string& aPath)
+{
+  const Result<FileHandle> file = mOperations.open(aPath);
+  if (!isOk(file)) {
+    return errorOf(file);
+  }
+  const Result<Done> synced = mOperations.sync(valueOf(file));
+  mOperations.close(valueOf(file));
+  return isOk(synced) ? mOperations.syncFolder(mFolder) : synced;
+}
+
 Result<Done>
 LogStore::removeTornTail(const std::string& aPath, std::int64_t aValidBytes)
 {
--- a/src/storage/LogStore.h
+++ b/src/storage/LogStore.h
@@ -82,6 +82,7 @@
   Result<Done> loadSegment(std::uint64_t aNumber, bool aIsLast);
   Result<Done> loadRecord(std::string_view aPayload, bool aIsHeader, const std::string& aPath);
   Result<Done> loadEntry(LogEntry aEntry, const std::string& aPath);
+  Result<Done> syncSegment(const std::string& aPath);
   Result<Done> removeTornTail(const std::string& aPath, std::int64_t aValidBytes);
   Result<Done> startSegment(bool aReset);
   Result<Done> write(const std::string& aPayload);
--- a/src/storage/LogStore_test.cpp
+++ b/src/storage/LogStore_test.cpp
@@ -167,6 +167,28 @@
   }
 }
 
+// A process that is killed between a write and its sync leaves bytes that its successor reads and
+// builds on; a loss of power after that must not take them away.
+BOOST_AUTO_TEST_CASE(what_a_successor_has_read_survives_a_loss_of_power)
+{
+  MemoryFileOperations files;
+  {
+    const auto store = LogStore::open(files, kFolder);
+    BOOST_REQUIRE(isOk(valueOf(store)->append(hardState(1), { entry(1, 1) })));
+    constexpr int kSyncOfTheAppend = 2;
+    files.failAt(kSyncOfTheAppend);
+    BOOST_REQUIRE(!isOk(valueOf(store)->append(std::nullopt, { entry(2, 1) })));
+  }
+  files.failAt(0);
+  {
+    const auto store = LogStore::open(files, kFolder);
+    BOOST_REQUIRE(valueOf(store)->takeLoaded().entries.size() == 2u);
+    BOOST_REQUIRE(isOk(valueOf(store)->append(std::nullopt, { entry(3, 1) })));
+  }
+  files.crash(Unsynced::eLost);
+  BOOST_TEST(loadedEntries(files).size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(torn_tail_is_removed_at_every_byte)
 {
   MemoryFileOperations original;
