--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -28,6 +28,19 @@
   return text;
 }
 
+/** Work that a stop of the run throws away, in core-milliseconds. */
+double
+lostWork(const TrackedRun& aRun)
+{
+  // A stop saves the progress, so only the restart costs.
+  constexpr double kRestartMs = 200;
+  constexpr double kWhole = 100;
+  const double workedMs =
+    aRun.percent / kWhole * static_cast<double>(aRun.step().estimateMs());
+  return static_cast<double>(aRun.step().resources().cpuMilli()) *
+         (aRun.step().checkpoints() ? kRestartMs : workedMs + kRestartMs);
+}
+
 } // namespace
 
 JobService::JobService(ControlContext& aContext, SessionService& aSessions)
@@ -275,7 +288,7 @@
     }
   }
   proposeEnds(std::move(neverRan));
-  updatePace(aLife, aKey);
+  guardObjectives(aLife, aKey);
   if (strays.empty()) {
     return;
   }
@@ -334,29 +347,62 @@
     });
 }
 
-void
-JobService::updatePace(WorkerLife& aLife, const LifeKey& aKey)
+std::vector<ServingTask>
+JobService::servingTasks(const LifeKey& aKey) const
 {
-  double worst = 0;
+  std::vector<ServingTask> tasks;
   for (const std::string& name : mRuns.runsOf(aKey)) {
-    const TrackedRun& run = mRuns.runs().at(name);
-    const std::int64_t objectiveMs = run.step().latencyObjectiveMs();
-    if (objectiveMs > 0 && run.isConfirmed) {
-      worst = std::max(worst, run.figure / static_cast<double>(objectiveMs));
+    const TrackedRun& run = mRuns.run(name);
+    if (run.step().latencyObjectiveMs() > 0 && run.isConfirmed && !run.endProposed) {
+      tasks.push_back({ run.step().image(),
+                        run.figure,
+                        static_cast<double>(run.step().latencyObjectiveMs()) });
     }
   }
-  const std::int64_t before = aLife.pace.percent();
-  const std::int64_t percent = aLife.pace.update(worst, mContext.mNow());
-  if (percent == before) {
-    return;
+  return tasks;
+}
+
+std::vector<OpportunisticTask>
+JobService::opportunisticTasks(const LifeKey& aKey, std::int64_t aCapacityMilli) const
+{
+  std::vector<OpportunisticTask> tasks;
+  const double capacity = std::max<double>(1, static_cast<double>(aCapacityMilli));
+  for (const std::string& name : mRuns.runsOf(aKey)) {
+    const TrackedRun& run = mRuns.run(name);
+    if (run.step().opportunistic() && run.isConfirmed && !run.endProposed) {
+      tasks.push_back({ name,
+                        run.step().image(),
+                        static_cast<double>(run.step().resources().cpuMilli()) / capacity,
+                        run.figure / capacity,
+                        run.wantedPercent });
+    }
+  }
+  return tasks;
+}
+
+void
+JobService::guardObjectives(WorkerLife& aLife, const LifeKey& aKey)
+{
+  const std::vector<ServingTask> serving = servingTasks(aKey);
+  const std::vector<OpportunisticTask> others =
+    opportunisticTasks(aKey, aLife.description.capacity().cpuMilli());
+  mGuard.observe(serving, others);
+  for (const PaceDecision& decision :
+       mGuard.decide(aLife.guardState, serving, others, mContext.mNow())) {
+    TrackedRun& run = mRuns.runs().at(decision.task);
+    logInfo("pace of an opportunistic task",
+            { { "task", decision.task },
+              { "run", run.run },
+              { "worker", aKey.worker },
+              { "image", run.step().image() },
+              { "percent", decision.percent },
+              { "before", run.wantedPercent },
+              { "moves", decision.moves },
+              { "clock", aLife.listClockMs } });
+    mScheduleDue = mScheduleDue || decision.percent > run.wantedPercent || decision.moves;
+    run.wantedPercent = decision.percent;
+    run.stopWanted = run.stopWanted || decision.moves;
   }
-  mScheduleDue = mScheduleDue || percent > before;
-  logInfo("pace of opportunistic tasks",
-          { { "worker", aKey.worker },
-            { "percent", percent },
-            { "before", before },
-            { "latencyShare", worst },
-            { "clock", aLife.listClockMs } });
 }
 
 void
@@ -504,7 +550,7 @@
   aOrders.leaseUntilMs = aLife.leaseUntilMs;
   aOrders.ackedEnds = aLife.ackedEnds;
   if (aLife.isSynced && !aLife.leftAt) {
-    mRuns.fillOrders(aLife, aKey, mContext.mNow(), aOrders);
+    mRuns.fillOrders(aKey, mContext.mNow(), aOrders);
   }
   mSessions.sendTo(aLife.session, buildValue<WorkerOrders>(std::move(aOrders)));
 }
@@ -546,11 +592,23 @@
     room.rack = life.description.rack();
     room.labels = life.description.labels();
     room.capacity = ResourceAmount::of(life.description.capacity());
-    room.pacePercent = life.pace.percent();
+    room.serving = servingTasks(key);
     room.recentFailures = life.failuresInARow >= kSuspectFailures ? life.failuresInARow : 0;
     for (const std::string& name : mRuns.runsOf(key)) {
-      const TrackedRun& run = mRuns.runs().at(name);
+      const TrackedRun& run = mRuns.run(name);
       occupy(room, run.step(), run.task);
+      if (run.step().opportunistic() && run.figure <= 0 && run.wantedPercent > 0) {
+        room.unobserved[run.step().image()] += cpuShare(room, run.step());
+      }
+      if (run.stopWanted || run.job->isOver()) {
+        room.stopping = room.stopping.plus(declaredSize(run.step()));
+      } else if (!run.step().longRunning() && !run.step().gang()) {
+        room.evictable.push_back({ run.task,
+                                   run.run,
+                                   run.job->queue().priority(),
+                                   declaredSize(run.step()),
+                                   lostWork(run) });
+      }
     }
     rooms.push_back(std::move(room));
   }
@@ -568,13 +626,14 @@
   if (free.empty()) {
     return;
   }
-  const std::vector<Assignment> assignments =
-    JobScheduler::decide(mContext.mState.jobs(), free, mContext.mWallClockMs());
-  if (assignments.empty()) {
+  const SchedulePlan plan =
+    JobScheduler::decide(mContext.mState.jobs(), mGuard, free, mContext.mWallClockMs());
+  evict(plan.evictions);
+  if (plan.assignments.empty()) {
     return;
   }
   StartRuns::Fields fields;
-  for (const Assignment& assignment : assignments) {
+  for (const Assignment& assignment : plan.assignments) {
     fields.runs.push_back(assignment.start);
   }
   mAssigning = true;
@@ -588,6 +647,30 @@
                         });
 }
 
+void
+JobService::evict(const std::vector<EvictableRun>& aRuns)
+{
+  std::set<LifeKey> touched;
+  for (const EvictableRun& evicted : aRuns) {
+    TrackedRun* run = mRuns.find(evicted.task.text(), evicted.run);
+    if (run == nullptr) {
+      continue;
+    }
+    logInfo("run evicted",
+            { { "task", evicted.task.text() },
+              { "run", evicted.run },
+              { "worker", run->life.worker },
+              { "lostWork", evicted.lostWork } });
+    run->stopWanted = true;
+    touched.insert(run->life);
+  }
+  for (const LifeKey& key : touched) {
+    if (WorkerLife* life = mFleet.find(key)) {
+      sendOrders(*life, key);
+    }
+  }
+}
+
 void
 JobService::setGauges(MetricsRegistry& aMetrics) const
 {
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -57,7 +57,11 @@
   void takeEnds(WorkerLife& aLife, const LifeKey& aKey, const WorkerReport& aReport);
   void followStarts(const StartRuns& aCommand);
   void followEnds(const EndRuns& aCommand);
-  void updatePace(WorkerLife& aLife, const LifeKey& aKey);
+  void guardObjectives(WorkerLife& aLife, const LifeKey& aKey);
+  std::vector<ServingTask> servingTasks(const LifeKey& aKey) const;
+  std::vector<OpportunisticTask> opportunisticTasks(const LifeKey& aKey,
+                                                    std::int64_t aCapacityMilli) const;
+  void evict(const std::vector<EvictableRun>& aRuns);
   void proposeEnds(std::vector<RunEnding> aEnds);
   void sendOrders(WorkerLife& aLife, const LifeKey& aKey, WorkerOrders::Fields aOrders = {});
   void stopOverJobs(const std::set<std::string>& aJobs);
@@ -67,6 +71,7 @@
   SessionService& mSessions;
   WorkerFleet mFleet;
   RunTracker mRuns;
+  DisturbanceGuard mGuard;
   /** Jobs of which a worker has begun a task. */
   std::set<std::string> mBegun;
   /** An assignment is on its way through the log; the next round waits for it. */
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::int64_t kFullPercent = 100;
+
 bool
 isDue(const std::optional<MonotonicTime>& aSentAt, MonotonicTime aNow)
 {
@@ -156,12 +158,9 @@
 }
 
 void
-RunTracker::fillOrders(const WorkerLife& aLife,
-                       const LifeKey& aKey,
-                       MonotonicTime aNow,
-                       WorkerOrders::Fields& aOrders)
+RunTracker::fillOrders(const LifeKey& aLife, MonotonicTime aNow, WorkerOrders::Fields& aOrders)
 {
-  for (const std::string& name : runsOf(aKey)) {
+  for (const std::string& name : runsOf(aLife)) {
     TrackedRun& run = mRuns.at(name);
     if (needsStop(run)) {
       const bool isThere = run.isConfirmed && !run.missingSince;
@@ -179,21 +178,18 @@
                                                         .payload = run.job->payload(),
                                                         .checkpoint = record->checkpoint }));
     }
-    fillPace(run, aLife, aNow, aOrders);
+    fillPace(run, aNow, aOrders);
   }
 }
 
 void
-RunTracker::fillPace(TrackedRun& aRun,
-                     const WorkerLife& aLife,
-                     MonotonicTime aNow,
-                     WorkerOrders::Fields& aOrders)
+RunTracker::fillPace(TrackedRun& aRun, MonotonicTime aNow, WorkerOrders::Fields& aOrders)
 {
   if (!aRun.step().opportunistic() || !aRun.isConfirmed) {
     return;
   }
-  const std::int64_t percent = aLife.pace.percent();
-  const bool isSlowed = percent < 100;
+  const std::int64_t percent = aRun.wantedPercent;
+  const bool isSlowed = percent < kFullPercent;
   const bool again = isSlowed && aNow.msSince(aRun.pacedAt) >= kPaceAgainMs;
   if (aRun.pacePercent == percent && !again) {
     return;
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -41,6 +41,8 @@
   /** Pace that was ordered last, and when. */
   std::int64_t pacePercent = 100;
   MonotonicTime pacedAt;
+  /** Pace that it should have. */
+  std::int64_t wantedPercent = 100;
 
   const JobStep& step() const { return job->steps()[static_cast<std::size_t>(task.step)]; }
 };
@@ -66,6 +68,9 @@
 
   TrackedRun* find(const std::string& aTask, std::int64_t aRun);
   std::map<std::string, TrackedRun>& runs() { return mRuns; }
+
+  /** Precondition: the task is tracked. */
+  const TrackedRun& run(const std::string& aTask) const { return mRuns.at(aTask); }
   const std::set<std::string>& runsOf(const LifeKey& aLife) const;
 
   /**
@@ -81,20 +86,14 @@
   void takeAnswers(const LifeKey& aLife, const std::vector<OrderAnswer>& aAnswers);
 
   /** Adds the orders that are due to aOrders and notes that they are sent. */
-  void fillOrders(const WorkerLife& aLife,
-                  const LifeKey& aKey,
-                  MonotonicTime aNow,
-                  WorkerOrders::Fields& aOrders);
+  void fillOrders(const LifeKey& aLife, MonotonicTime aNow, WorkerOrders::Fields& aOrders);
 
   /** Endings of all runs of a life that has surely ended. */
   std::vector<RunEnding> lapsedRuns(const LifeKey& aLife);
 
 private:
   bool needsStop(const TrackedRun& aRun) const { return aRun.stopWanted || aRun.job->isOver(); }
-  void fillPace(TrackedRun& aRun,
-                const WorkerLife& aLife,
-                MonotonicTime aNow,
-                WorkerOrders::Fields& aOrders);
+  static void fillPace(TrackedRun& aRun, MonotonicTime aNow, WorkerOrders::Fields& aOrders);
 
   std::map<std::string, TrackedRun> mRuns;
   std::map<LifeKey, std::set<std::string>> mByLife;
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -48,7 +48,7 @@
   std::int64_t proposedEnds = 0;
   /** Set when the worker has said that it ends, or a later life is at its place. */
   std::optional<MonotonicTime> leftAt;
-  PaceController pace;
+  DisturbanceGuard::State guardState;
   /** Runs that failed here since a run ended well. */
   std::int64_t failuresInARow = 0;
 
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -104,16 +104,6 @@
          std::find(aRoom.labels.begin(), aRoom.labels.end(), aLabel) != aRoom.labels.end();
 }
 
-ResourceAmount
-declaredSize(const JobStep& aStep)
-{
-  ResourceAmount size = ResourceAmount::of(aStep.resources());
-  if (aStep.opportunistic()) {
-    size.cpuMilli = 0;
-  }
-  return size;
-}
-
 /** Processor time that nothing on the worker is expected to use. */
 double
 unusedCpuMilli(const WorkerRoom& aRoom)
@@ -123,6 +113,15 @@
          JobScheduler::kLongRunningUse * static_cast<double>(aRoom.longRunningCpuMilli);
 }
 
+bool
+leavesRoomForShortTasks(const WorkerRoom& aRoom, const JobStep& aStep)
+{
+  const double limit =
+    (1 - JobScheduler::kShortTaskShare) * static_cast<double>(aRoom.capacity.cpuMilli);
+  const std::int64_t cpuMilli = aRoom.longRunningCpuMilli + aStep.resources().cpuMilli();
+  return !aStep.longRunning() || static_cast<double>(cpuMilli) <= limit;
+}
+
 bool
 hasRoom(const WorkerRoom& aRoom, const JobStep& aStep)
 {
@@ -133,19 +132,14 @@
   if (aStep.opportunistic()) {
     const double needed =
       JobScheduler::kOpportunisticShare * static_cast<double>(aStep.resources().cpuMilli());
-    return aRoom.pacePercent >= JobScheduler::kLowestPacePercent &&
-           unusedCpuMilli(aRoom) >= needed;
+    return unusedCpuMilli(aRoom) >= needed;
   }
-  if (aStep.longRunning()) {
-    const double limit =
-      (1 - JobScheduler::kShortTaskShare) * static_cast<double>(aRoom.capacity.cpuMilli);
-    return static_cast<double>(aRoom.longRunningCpuMilli + size.cpuMilli) <= limit;
-  }
-  return true;
+  return leavesRoomForShortTasks(aRoom, aStep);
 }
 
+/** Whether the worker may run the step at all, apart from room. */
 bool
-admits(const WorkerRoom& aRoom, const ReadyStep& aReady, const std::string& aStepName)
+allows(const WorkerRoom& aRoom, const ReadyStep& aReady, const std::string& aStepName)
 {
   const JobStep& step = aReady.description();
   if (aRoom.poolName != aReady.job->queue().poolName() || !hasLabel(aRoom, step.requiredLabel())) {
@@ -157,28 +151,27 @@
       return false;
     }
   }
-  return hasRoom(aRoom, step);
+  return true;
 }
 
 /** Cost of a worker for a step; the lowest is chosen. */
 auto
-cost(const WorkerRoom& aRoom, const JobStep& aStep)
+cost(const WorkerRoom& aRoom, const JobStep& aStep, double aExpectedRatio)
 {
   const bool isFar = !aStep.preferredRack().empty() && aStep.preferredRack() != aRoom.rack;
   const double capacity = std::max<double>(1, static_cast<double>(aRoom.capacity.cpuMilli));
-  // Opportunistic tasks disturb the tasks that serve users, and the other way round.
-  const bool disturbs = aStep.opportunistic() && aRoom.servesUsers;
   const double load = aStep.longRunning()
                         ? static_cast<double>(aRoom.used.cpuMilli) / capacity
                         : 1 - unusedCpuMilli(aRoom) / capacity;
-  return std::tuple(aRoom.recentFailures, isFar, load + (disturbs ? 0.1 : 0.0), aRoom.worker);
+  return std::tuple(aRoom.recentFailures, isFar, load + aExpectedRatio, aRoom.worker);
 }
 
 class Round
 {
 public:
-  explicit Round(std::vector<WorkerRoom>& aRooms)
-    : mRooms(aRooms)
+  Round(const DisturbanceGuard& aGuard, std::vector<WorkerRoom>& aRooms)
+    : mGuard(aGuard)
+    , mRooms(aRooms)
   {
   }
 
@@ -196,14 +189,17 @@
       if (record->done || record->active) {
         continue;
       }
-      if (isFull() || !assign(aReady, task, name, mRooms, {})) {
+      if (isFull()) {
+        return;
+      }
+      if (!assign(aReady, task, name, mRooms, {}) && !claimRoom(aReady, task, name)) {
         return;
       }
     }
   }
 
-  bool isFull() const { return mAssignments.size() >= JobScheduler::kMaxAssignments; }
-  std::vector<Assignment> take() { return std::move(mAssignments); }
+  bool isFull() const { return mPlan.assignments.size() >= JobScheduler::kMaxAssignments; }
+  SchedulePlan take() { return std::move(mPlan); }
 
 private:
   static TaskId firstTask(const ReadyStep& aReady)
@@ -219,19 +215,29 @@
   {
     const JobStep& step = aReady.description();
     WorkerRoom* best = nullptr;
+    double bestRatio = 0;
     for (WorkerRoom& room : aRooms) {
-      if ((aRack && room.rack != *aRack) || !admits(room, aReady, aStepName)) {
+      if ((aRack && room.rack != *aRack) || !allows(room, aReady, aStepName) ||
+          !hasRoom(room, step)) {
+        continue;
+      }
+      const double ratio = disturbance(room, step);
+      if (ratio > JobScheduler::kMostOfObjective) {
         continue;
       }
-      if (best == nullptr || cost(room, step) < cost(*best, step)) {
+      if (best == nullptr || cost(room, step, ratio) < cost(*best, step, bestRatio)) {
         best = &room;
+        bestRatio = ratio;
       }
     }
     if (best == nullptr) {
       return false;
     }
     occupy(*best, step, aTask);
-    mAssignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
+    if (step.opportunistic()) {
+      best->unobserved[step.image()] += cpuShare(*best, step);
+    }
+    mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                         .run = aReady.job->nextRun(aTask),
                                                         .worker = best->worker,
                                                         .bornMs = best->bornMs,
@@ -240,6 +246,93 @@
     return true;
   }
 
+  /** How far the task would push those that serve users on the worker; 0 for other tasks. */
+  double disturbance(const WorkerRoom& aRoom, const JobStep& aStep) const
+  {
+    if (!aStep.opportunistic()) {
+      return 0;
+    }
+    DisturbanceGuard::ImageShares more = aRoom.unobserved;
+    more[aStep.image()] += cpuShare(aRoom, aStep);
+    return mGuard.expectedRatio(aRoom.serving, more);
+  }
+
+  /**
+   * Keeps room for a task that fits nowhere: room that is being freed, or that the end of runs of
+   * queues that go later will free. The task starts in a later round.
+   */
+  bool claimRoom(const ReadyStep& aReady, const TaskId& aTask, const std::string& aStepName)
+  {
+    const JobStep& step = aReady.description();
+    if (step.opportunistic()) {
+      return false;
+    }
+    const ResourceAmount size = declaredSize(step);
+    WorkerRoom* best = nullptr;
+    Victims victims;
+    for (WorkerRoom& room : mRooms) {
+      if (!allows(room, aReady, aStepName) || !size.fitsIn(room.capacity) ||
+          !leavesRoomForShortTasks(room, step)) {
+        continue;
+      }
+      std::optional<Victims> found = findVictims(room, size, aReady.priority);
+      if (found && (best == nullptr || found->lostWork < victims.lostWork)) {
+        best = &room;
+        victims = std::move(*found);
+      }
+    }
+    if (best == nullptr) {
+      return false;
+    }
+    evict(*best, victims);
+    occupy(*best, step, aTask);
+    return true;
+  }
+
+  /** Runs of one worker that have to end for a task. */
+  struct Victims
+  {
+    std::vector<EvictableRun> runs;
+    double lostWork = 0;
+  };
+
+  std::optional<Victims> findVictims(const WorkerRoom& aRoom,
+                                     const ResourceAmount& aSize,
+                                     std::int64_t aPriority) const
+  {
+    Victims victims;
+    ResourceAmount room = aRoom.capacity.minus(aRoom.used).plus(aRoom.stopping);
+    std::vector<EvictableRun> candidates = aRoom.evictable;
+    std::sort(candidates.begin(),
+              candidates.end(),
+              [](const EvictableRun& aLeft, const EvictableRun& aRight) {
+                return std::tie(aLeft.lostWork, aLeft.task) < std::tie(aRight.lostWork, aRight.task);
+              });
+    for (const EvictableRun& candidate : candidates) {
+      if (aSize.fitsIn(room)) {
+        break;
+      }
+      if (candidate.priority <= aPriority) {
+        continue;
+      }
+      room = room.plus(candidate.size);
+      victims.lostWork += candidate.lostWork;
+      victims.runs.push_back(candidate);
+    }
+    const bool isAllowed =
+      mPlan.evictions.size() + victims.runs.size() <= JobScheduler::kMaxEvictions;
+    return aSize.fitsIn(room) && isAllowed ? std::optional<Victims>(victims) : std::nullopt;
+  }
+
+  void evict(WorkerRoom& aRoom, const Victims& aVictims)
+  {
+    for (const EvictableRun& victim : aVictims.runs) {
+      aRoom.stopping = aRoom.stopping.plus(victim.size);
+      std::erase(aRoom.evictable, victim);
+      mPlan.evictions.push_back(victim);
+    }
+  }
+
   /** Places all tasks of a gang or none; in one rack when that is possible and helps. */
   void placeGang(const ReadyStep& aReady)
   {
@@ -262,13 +355,13 @@
   bool placeWholeGang(const ReadyStep& aReady, const std::optional<std::string>& aRack)
   {
     std::vector<WorkerRoom> rooms = mRooms;
-    const std::size_t before = mAssignments.size();
+    const std::size_t before = mPlan.assignments.size();
     TaskId task = firstTask(aReady);
     const std::string name = stepName(task);
     for (task.index = 0; task.index < aReady.description().count(); task.index++) {
       if (!assign(aReady, task, name, rooms, aRack)) {
-        mAssignments.erase(mAssignments.begin() + static_cast<std::ptrdiff_t>(before),
-                           mAssignments.end());
+        mPlan.assignments.erase(mPlan.assignments.begin() + static_cast<std::ptrdiff_t>(before),
+                           mPlan.assignments.end());
         return false;
       }
     }
@@ -276,18 +369,36 @@
     return true;
   }
 
+  const DisturbanceGuard& mGuard;
   std::vector<WorkerRoom>& mRooms;
-  std::vector<Assignment> mAssignments;
+  SchedulePlan mPlan;
 };
 
 } // namespace
 
+ResourceAmount
+declaredSize(const JobStep& aStep)
+{
+  ResourceAmount size = ResourceAmount::of(aStep.resources());
+  if (aStep.opportunistic()) {
+    size.cpuMilli = 0;
+  }
+  return size;
+}
+
 std::string
 stepName(const TaskId& aTask)
 {
   return aTask.jobId + "." + std::to_string(aTask.occurrence) + "." + std::to_string(aTask.step);
 }
 
+double
+cpuShare(const WorkerRoom& aRoom, const JobStep& aStep)
+{
+  const double capacity = std::max<double>(1, static_cast<double>(aRoom.capacity.cpuMilli));
+  return static_cast<double>(aStep.resources().cpuMilli()) / capacity;
+}
+
 void
 occupy(WorkerRoom& aRoom, const JobStep& aStep, const TaskId& aTask)
 {
@@ -297,16 +408,16 @@
   } else if (aStep.longRunning()) {
     aRoom.longRunningCpuMilli += aStep.resources().cpuMilli();
   }
-  aRoom.servesUsers = aRoom.servesUsers || aStep.latencyObjectiveMs() > 0;
   aRoom.runsOfStep[stepName(aTask)]++;
 }
 
-std::vector<Assignment>
+SchedulePlan
 JobScheduler::decide(const JobRegistry& aJobs,
+                     const DisturbanceGuard& aGuard,
                      std::vector<WorkerRoom>& aRooms,
                      std::int64_t aWallMs)
 {
-  Round round(aRooms);
+  Round round(aGuard, aRooms);
   for (const ReadyStep& ready : findReadySteps(aJobs, aWallMs)) {
     if (round.isFull()) {
       break;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/DisturbanceGuard.h"
 #include "jobs/JobRegistry.h"
 #include "placement/ResourceAmount.h"
 
@@ -10,6 +11,20 @@
 
 namespace magnoliadrum {
 
+/** A run that may be stopped to make room for one of a queue that goes first. */
+struct EvictableRun
+{
+  TaskId task;
+  std::int64_t run = 0;
+  std::int64_t priority = 0;
+  /** What its end frees. */
+  ResourceAmount size;
+  /** Work that is lost, in core-milliseconds. */
+  double lostWork = 0;
+
+  friend bool operator==(const EvictableRun&, const EvictableRun&) = default;
+};
+
 /** A worker that may get runs, with what its active runs take of it. */
 struct WorkerRoom
 {
@@ -27,10 +42,13 @@
   std::int64_t longRunningCpuMilli = 0;
   /** Processor time that the opportunistic runs would use if they got it all. */
   std::int64_t opportunisticCpuMilli = 0;
-  /** Whether a task with a latency objective runs here. */
-  bool servesUsers = false;
-  /** Share of their speed that opportunistic runs have here, in percent. */
-  std::int64_t pacePercent = 100;
+  /** Part of used that runs hold which are being stopped. */
+  ResourceAmount stopping;
+  std::vector<EvictableRun> evictable;
+  /** The tasks that serve users here. */
+  std::vector<ServingTask> serving;
+  /** Opportunistic tasks that the figures of the serving tasks do not show yet. */
+  DisturbanceGuard::ImageShares unobserved;
   /** Runs that failed here lately, beyond what is usual. A worker with many is used last. */
   std::int64_t recentFailures = 0;
   /** Active runs by step (JOB.OCCURRENCE.STEP). */
@@ -45,10 +63,25 @@
   friend bool operator==(const Assignment&, const Assignment&) = default;
 };
 
+/** What a round decided. */
+struct SchedulePlan
+{
+  std::vector<Assignment> assignments;
+  std::vector<EvictableRun> evictions;
+};
+
+/** Declared size of a task of a step; an opportunistic one takes no processor time. */
+ResourceAmount
+declaredSize(const JobStep& aStep);
+
 /** Returns JOB.OCCURRENCE.STEP, which names the step of a task. */
 std::string
 stepName(const TaskId& aTask);
 
+/** Share of the worker's processors that a task of the step declares. */
+double
+cpuShare(const WorkerRoom& aRoom, const JobStep& aStep);
+
 /** Adds the declared size of one run of a step to what a worker has given away. */
 void
 occupy(WorkerRoom& aRoom, const JobStep& aStep, const TaskId& aTask);
@@ -58,7 +91,9 @@
  * gives the same assignments.
  *
  * Order: by priority of the queue; then jobs that can still meet their objective before those that
- * are late, each by the end of the objective. A task is only put where its declared size fits.
+ * are late, each by the end of the objective. A task is only put where its declared size fits. For
+ * a task that fits nowhere, runs of queues that go later are stopped, the cheapest first, and the
+ * room is kept for it.
  */
 class JobScheduler
 {
@@ -69,15 +104,18 @@
   static constexpr double kLongRunningUse = 0.6;
   /** An opportunistic task needs this share of its processor time to be unused. */
   static constexpr double kOpportunisticShare = 0.8;
-  /** Below this pace a worker gets no further opportunistic tasks. */
-  static constexpr std::int64_t kLowestPacePercent = 60;
+  /** An opportunistic task goes where no objective is expected to be used up to this share. */
+  static constexpr double kMostOfObjective = 0.85;
+  /** Most runs that one round stops. */
+  static constexpr std::size_t kMaxEvictions = 40;
   /** Most assignments of one round; the rest follows in the next one. */
   static constexpr std::size_t kMaxAssignments = 200;
 
   /** aWallMs is the wall clock, for recurring jobs and objectives. aRooms is used up. */
-  static std::vector<Assignment> decide(const JobRegistry& aJobs,
-                                        std::vector<WorkerRoom>& aRooms,
-                                        std::int64_t aWallMs);
+  static SchedulePlan decide(const JobRegistry& aJobs,
+                             const DisturbanceGuard& aGuard,
+                             std::vector<WorkerRoom>& aRooms,
+                             std::int64_t aWallMs);
 };
 
 } // namespace magnoliadrum
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -34,7 +34,7 @@
 {
 public:
   /** How long a worker may hold a request for its lists; bounds how old its figures are. */
-  static constexpr std::int64_t kListWaitMs = 600;
+  static constexpr std::int64_t kListWaitMs = 250;
   /** The next lists are asked for after this time when no order has come. */
   static constexpr std::int64_t kNextListMs = 300;
   /** Answers to orders are collected for this long before they are reported. */
