--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,7 +1,7 @@
 # One line per module, in dependency order. A module without sources is left out, as is a dependency on it.
 magnoliadrum_module(observability core nlohmann_json::nlohmann_json PkgConfig::LOG4CXX Threads::Threads)
-magnoliadrum_module(settings core generated)
 magnoliadrum_module(transport core generated PkgConfig::LIBEVENT Threads::Threads)
+magnoliadrum_module(settings core generated observability transport)
 magnoliadrum_module(faults core transport observability)
 magnoliadrum_module(storage core generated faults)
 magnoliadrum_module(consensus core generated)
--- a/src/control/GroupJoiner.cpp
+++ b/src/control/GroupJoiner.cpp
@@ -17,12 +17,18 @@
   , mLog(aLog)
   , mOwnHello(std::move(aOwnHello))
   , mOwnAddress(std::move(aOwnAddress))
-  , mSeeds(std::move(aSeeds))
 {
-  std::erase(mSeeds, mOwnAddress);
+  setSeeds(std::move(aSeeds));
   mTick = aLoop.runEvery(kAskEveryMs, [this]() { tick(); });
 }
 
+void
+GroupJoiner::setSeeds(std::vector<std::string> aSeeds)
+{
+  mSeeds = std::move(aSeeds);
+  std::erase(mSeeds, mOwnAddress);
+}
+
 bool
 GroupJoiner::isServed() const
 {
--- a/src/control/GroupJoiner.h
+++ b/src/control/GroupJoiner.h
@@ -30,6 +30,9 @@
   GroupJoiner(const GroupJoiner&) = delete;
   GroupJoiner& operator=(const GroupJoiner&) = delete;
 
+  /** Replaces the addresses that are tried. */
+  void setSeeds(std::vector<std::string> aSeeds);
+
 private:
   bool isServed() const;
   void tick();
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -18,6 +18,9 @@
 /** A worker is used last from this many failures without a success on. */
 constexpr std::int64_t kSuspectFailures = 3;
 
+/** The reasons why tasks wait are logged this often. */
+constexpr std::int64_t kLogWaitingMs = 1000;
+
 std::string
 joinedFaults(const std::vector<std::string>& aFaults)
 {
@@ -629,6 +632,7 @@
   const SchedulePlan plan =
     JobScheduler::decide(mContext.mState.jobs(), mGuard, free, mContext.mWallClockMs());
   evict(plan.evictions);
+  logWaiting(plan.waiting);
   if (plan.assignments.empty()) {
     return;
   }
@@ -647,6 +651,25 @@
                         });
 }
 
+void
+JobService::logWaiting(const std::vector<WaitReason>& aReasons)
+{
+  const MonotonicTime now = mContext.mNow();
+  if (aReasons.empty() || now.msSince(mWaitingLoggedAt) < kLogWaitingMs) {
+    return;
+  }
+  mWaitingLoggedAt = now;
+  for (const WaitReason& reason : aReasons) {
+    logInfo("task waits",
+            { { "task", reason.task.text() },
+              { "otherPool", reason.otherPool },
+              { "noLabel", reason.noLabel },
+              { "spread", reason.spread },
+              { "noRoom", reason.noRoom },
+              { "disturbs", reason.disturbs } });
+  }
+}
+
 void
 JobService::evict(const std::vector<EvictableRun>& aRuns)
 {
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -62,6 +62,7 @@
   std::vector<OpportunisticTask> opportunisticTasks(const LifeKey& aKey,
                                                     std::int64_t aCapacityMilli) const;
   void evict(const std::vector<EvictableRun>& aRuns);
+  void logWaiting(const std::vector<WaitReason>& aReasons);
   void proposeEnds(std::vector<RunEnding> aEnds);
   void sendOrders(WorkerLife& aLife, const LifeKey& aKey, WorkerOrders::Fields aOrders = {});
   void stopOverJobs(const std::set<std::string>& aJobs);
@@ -78,6 +79,7 @@
   bool mAssigning = false;
   /** Something changed that may let a waiting task start. */
   bool mScheduleDue = false;
+  MonotonicTime mWaitingLoggedAt;
   /** Counts leaderships, so that a callback of an earlier one is ignored. */
   std::uint64_t mGeneration = 0;
 };
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -160,6 +160,12 @@
   }
   const auto onTerminate = loop->onSignal(SIGTERM, [&]() { valueOf(process)->shutDown(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&]() { valueOf(process)->shutDown(); });
+  const auto reload = reloadOnHangup<ControlSettings>(
+    *loop, FLAGS_settings, [&joiner](const ControlSettings& aNew) {
+      if (joiner) {
+        joiner->setSeeds(seeds(aNew));
+      }
+    });
   logInfo("control started", { { "address", aSettings.listenAddress() } });
   loop->run();
   return 0;
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -31,6 +31,11 @@
   /** Asks the control leader, see ControlLink::call(). */
   void call(const Message& aMessage, Deadline aDeadline, ControlLink::CallCallback aCallback);
 
+  void setControlAddresses(std::vector<std::string> aAddresses)
+  {
+    mLink->setControlAddresses(std::move(aAddresses));
+  }
+
   /** Whether a control leader has confirmed this gateway lately. */
   bool holdsLease() const { return mLink->holdsLease(mLoop.now()); }
 
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -67,6 +67,10 @@
   };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
+  const EventHandlePointer reload = reloadOnHangup<GatewaySettings>(
+    events, FLAGS_settings, [&process](const GatewaySettings& aNew) {
+      valueOf(process)->setControlAddresses(controlAddresses(aNew));
+    });
   const std::unique_ptr<FaultPointFile> faults =
     FaultPointFile::watch(events, FLAGS_fault_points_file);
   events.run();
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -113,15 +113,6 @@
          JobScheduler::kLongRunningUse * static_cast<double>(aRoom.longRunningCpuMilli);
 }
 
-bool
-leavesRoomForShortTasks(const WorkerRoom& aRoom, const JobStep& aStep)
-{
-  const double limit =
-    (1 - JobScheduler::kShortTaskShare) * static_cast<double>(aRoom.capacity.cpuMilli);
-  const std::int64_t cpuMilli = aRoom.longRunningCpuMilli + aStep.resources().cpuMilli();
-  return !aStep.longRunning() || static_cast<double>(cpuMilli) <= limit;
-}
-
 bool
 hasRoom(const WorkerRoom& aRoom, const JobStep& aStep)
 {
@@ -134,7 +125,7 @@
       JobScheduler::kOpportunisticShare * static_cast<double>(aStep.resources().cpuMilli());
     return unusedCpuMilli(aRoom) >= needed;
   }
-  return leavesRoomForShortTasks(aRoom, aStep);
+  return true;
 }
 
 /** Whether the worker may run the step at all, apart from room. */
@@ -192,7 +183,11 @@
       if (isFull()) {
         return;
       }
-      if (!assign(aReady, task, name, mRooms, {}) && !claimRoom(aReady, task, name)) {
+      if (assign(aReady, task, name, mRooms, {})) {
+        continue;
+      }
+      explain(aReady, task, name);
+      if (!claimRoom(aReady, task, name)) {
         return;
       }
     }
@@ -246,6 +241,29 @@
     return true;
   }
 
+  void explain(const ReadyStep& aReady, const TaskId& aTask, const std::string& aStepName)
+  {
+    if (mPlan.waiting.size() >= JobScheduler::kMaxReasons) {
+      return;
+    }
+    const JobStep& step = aReady.description();
+    WaitReason reason{ .task = aTask };
+    for (const WorkerRoom& room : mRooms) {
+      if (room.poolName != aReady.job->queue().poolName()) {
+        reason.otherPool++;
+      } else if (!hasLabel(room, step.requiredLabel())) {
+        reason.noLabel++;
+      } else if (!allows(room, aReady, aStepName)) {
+        reason.spread++;
+      } else if (!hasRoom(room, step)) {
+        reason.noRoom++;
+      } else {
+        reason.disturbs++;
+      }
+    }
+    mPlan.waiting.push_back(std::move(reason));
+  }
+
   /** How far the task would push those that serve users on the worker; 0 for other tasks. */
   double disturbance(const WorkerRoom& aRoom, const JobStep& aStep) const
   {
@@ -271,8 +289,7 @@
     WorkerRoom* best = nullptr;
     Victims victims;
     for (WorkerRoom& room : mRooms) {
-      if (!allows(room, aReady, aStepName) || !size.fitsIn(room.capacity) ||
-          !leavesRoomForShortTasks(room, step)) {
+      if (!allows(room, aReady, aStepName) || !size.fitsIn(room.capacity)) {
         continue;
       }
       std::optional<Victims> found = findVictims(room, size, aReady.priority);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -63,11 +63,27 @@
   friend bool operator==(const Assignment&, const Assignment&) = default;
 };
 
+/** Why the tasks of a step cannot start now: how many workers are excluded by what. */
+struct WaitReason
+{
+  TaskId task;
+  std::int64_t otherPool = 0;
+  std::int64_t noLabel = 0;
+  /** The step's limit of tasks per worker is reached. */
+  std::int64_t spread = 0;
+  std::int64_t noRoom = 0;
+  std::int64_t disturbs = 0;
+
+  friend bool operator==(const WaitReason&, const WaitReason&) = default;
+};
+
 /** What a round decided. */
 struct SchedulePlan
 {
   std::vector<Assignment> assignments;
   std::vector<EvictableRun> evictions;
+  /** The first steps of the order that could not start. */
+  std::vector<WaitReason> waiting;
 };
 
 /** Declared size of a task of a step; an opportunistic one takes no processor time. */
@@ -98,8 +114,6 @@
 class JobScheduler
 {
 public:
-  /** Share of a worker's processor time that long-running tasks leave to short ones. */
-  static constexpr double kShortTaskShare = 0.08;
   /** Share of their declared processor time that long-running tasks are expected to use. */
   static constexpr double kLongRunningUse = 0.6;
   /** An opportunistic task needs this share of its processor time to be unused. */
@@ -108,6 +122,8 @@
   static constexpr double kMostOfObjective = 0.85;
   /** Most runs that one round stops. */
   static constexpr std::size_t kMaxEvictions = 40;
+  /** Most steps whose reason to wait is told. */
+  static constexpr std::size_t kMaxReasons = 5;
   /** Most assignments of one round; the rest follows in the next one. */
   static constexpr std::size_t kMaxAssignments = 200;
 
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -64,6 +64,11 @@
     return Done{};
   }
 
+  void setControlAddresses(std::vector<std::string> aAddresses)
+  {
+    mLink->setControlAddresses(std::move(aAddresses));
+  }
+
 private:
   EventLoop& mLoop;
   std::unique_ptr<ControlLink> mLink;
@@ -95,6 +100,10 @@
   };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
+  const EventHandlePointer reload = reloadOnHangup<RelaySettings>(
+    events, FLAGS_settings, [&process](const RelaySettings& aNew) {
+      process.setControlAddresses(controlAddresses(aNew));
+    });
   logInfo("relay started", { { "address", aSettings.platformAddress() } });
   events.run();
   return EXIT_SUCCESS;
--- a/src/session/ControlLink.cpp
+++ b/src/session/ControlLink.cpp
@@ -39,6 +39,13 @@
     new ControlLink(aLoop, std::move(aOptions), std::move(aHandlers)));
 }
 
+void
+ControlLink::setControlAddresses(std::vector<std::string> aAddresses)
+{
+  assert(!aAddresses.empty());
+  mOptions.mControlAddresses = std::move(aAddresses);
+}
+
 void
 ControlLink::start()
 {
--- a/src/session/ControlLink.h
+++ b/src/session/ControlLink.h
@@ -71,6 +71,9 @@
   ControlLink(const ControlLink&) = delete;
   ControlLink& operator=(const ControlLink&) = delete;
 
+  /** Replaces the addresses that are tried for a leader. Precondition: there is one. */
+  void setControlAddresses(std::vector<std::string> aAddresses);
+
   /** Starts to connect. */
   void start();
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -3,3 +3,4 @@
 /** Module settings: reading and checking of JSON settings files. */
 
 #include "settings/SettingsFile.h"
+#include "settings/SettingsReload.h"
