--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -251,7 +251,7 @@
   const LifeKey key{ aReport.worker().workerId(), aReport.worker().bornMs() };
   WorkerLife* life = mFleet.report(aReport, session->processId(), session->session(), now);
   if (life == nullptr) {
-    logInfo("report of a replaced worker", { { "worker", key.worker }, { "born", key.bornMs } });
+    logInfo("report of a replaced or lost worker", { { "worker", key.worker }, { "born", key.bornMs } });
     return;
   }
   mRuns.takeAnswers(key, aReport.answers());
@@ -283,9 +283,9 @@
               { "ended", aReport.ended().size() } });
     mScheduleDue = true;
   }
-  std::vector<RunningRun> strays;
+  std::vector<ListedRun> strays;
   std::vector<RunEnding> neverRan = mRuns.takeLists(aKey, aReport, mContext.mNow(), strays);
-  for (const RunningRun& running : aReport.running()) {
+  for (const ListedRun& running : aReport.running()) {
     if (const std::optional<TaskId> task = TaskId::parse(running.task())) {
       mBegun.insert(task->jobId);
     }
@@ -296,7 +296,7 @@
     return;
   }
   WorkerOrders::Fields orders;
-  for (const RunningRun& stray : strays) {
+  for (const ListedRun& stray : strays) {
     logWarning("a run that is not assigned there is stopped",
                { { "task", stray.task() }, { "run", stray.run() }, { "worker", aKey.worker } });
     orders.stops.push_back(
@@ -310,7 +310,7 @@
 {
   std::vector<RunEnding> ends;
   std::int64_t last = aLife.proposedEnds;
-  for (const EndedRun& ended : aReport.ended()) {
+  for (const ListedEnd& ended : aReport.ended()) {
     if (ended.number() <= aLife.proposedEnds) {
       continue;
     }
@@ -483,8 +483,8 @@
               { "worker", start.worker() },
               { "reportAgeMs", life != nullptr ? mContext.mNow().msSince(life->reportedAt) : -1 },
               { "fence", life != nullptr ? life->fence : 0 } });
-    if (life == nullptr) {
-      // No order was sent to that life, and no later leader's fence lets an older one through.
+    if (life == nullptr || life->isLost) {
+      // No order for this run was sent, and the fence lets none of an earlier leader through.
       mRuns.find(start.task(), start.run())->endProposed = true;
       lost.push_back(buildValue<RunEnding>(
         { .task = start.task(), .run = start.run(), .how = RunEnd::eNeverRan }));
@@ -544,7 +544,7 @@
 void
 JobService::sendOrders(WorkerLife& aLife, const LifeKey& aKey, WorkerOrders::Fields aOrders)
 {
-  if (!mContext.mayAnswer() || aLife.session == 0) {
+  if (!mContext.mayAnswer() || aLife.session == 0 || aLife.isLost) {
     return;
   }
   aOrders.worker = aKey.worker;
@@ -552,7 +552,7 @@
   aOrders.fence = aLife.fence;
   aOrders.leaseUntilMs = aLife.leaseUntilMs;
   aOrders.ackedEnds = aLife.ackedEnds;
-  if (aLife.isSynced && !aLife.leftAt) {
+  if (aLife.takesOrders()) {
     mRuns.fillOrders(aKey, mContext.mNow(), aOrders);
   }
   mSessions.sendTo(aLife.session, buildValue<WorkerOrders>(std::move(aOrders)));
@@ -565,7 +565,7 @@
     return;
   }
   const MonotonicTime now = mContext.mNow();
-  for (const LifeKey& key : mFleet.ended(now)) {
+  for (const LifeKey& key : mFleet.takeEnded(now)) {
     std::vector<RunEnding> ends = mRuns.lapsedRuns(key);
     if (!ends.empty()) {
       logWarning("a worker is lost",
@@ -584,7 +584,7 @@
 {
   std::vector<WorkerRoom> rooms;
   for (const auto& [key, life] : mFleet.lives()) {
-    if (!life.takesWork()) {
+    if (!life.takesWork(mContext.mNow())) {
       continue;
     }
     WorkerRoom room;
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -72,10 +72,10 @@
 RunTracker::takeLists(const LifeKey& aLife,
                       const WorkerReport& aReport,
                       MonotonicTime aNow,
-                      std::vector<RunningRun>& aStrays)
+                      std::vector<ListedRun>& aStrays)
 {
   std::set<std::string> listed;
-  for (const RunningRun& running : aReport.running()) {
+  for (const ListedRun& running : aReport.running()) {
     TrackedRun* run = find(running.task(), running.run());
     if (run == nullptr || run->life != aLife) {
       aStrays.push_back(running);
@@ -90,7 +90,7 @@
       run->checkpoint = running.checkpoint();
     }
   }
-  for (const EndedRun& ended : aReport.ended()) {
+  for (const ListedEnd& ended : aReport.ended()) {
     const TrackedRun* run = find(ended.task(), ended.run());
     if (run != nullptr && run->life == aLife) {
       listed.insert(ended.task());
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -80,7 +80,7 @@
   std::vector<RunEnding> takeLists(const LifeKey& aLife,
                                    const WorkerReport& aReport,
                                    MonotonicTime aNow,
-                                   std::vector<RunningRun>& aStrays);
+                                   std::vector<ListedRun>& aStrays);
 
   /** Takes a worker's answers to orders. */
   void takeAnswers(const LifeKey& aLife, const std::vector<OrderAnswer>& aAnswers);
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -61,7 +61,11 @@
   if (later != mLives.end()) {
     return nullptr;
   }
-  const bool isNew = !mLives.contains(key);
+  const WorkerLife* known = find(key);
+  if (known != nullptr && known->isLost) {
+    return nullptr;
+  }
+  const bool isNew = known == nullptr;
   WorkerLife& life = mLives[key];
   if (isNew || life.fence == 0) {
     life.fence = newFence();
@@ -129,13 +133,14 @@
 }
 
 std::vector<LifeKey>
-WorkerFleet::ended(MonotonicTime aNow) const
+WorkerFleet::takeEnded(MonotonicTime aNow)
 {
   std::vector<LifeKey> keys;
-  for (const auto& [key, life] : mLives) {
+  for (auto& [key, life] : mLives) {
     const bool hasLeft = life.description.gone() && life.leftAt &&
                          aNow.msSince(*life.leftAt) >= kLeaveMs;
-    if (aNow > life.leaseEnd || hasLeft || isReplaced(key, life)) {
+    if (life.isLost || aNow > life.leaseEnd || hasLeft || isReplaced(key, life)) {
+      life.isLost = true;
       keys.push_back(key);
     }
   }
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -48,14 +48,25 @@
   std::int64_t proposedEnds = 0;
   /** Set when the worker has said that it ends, or a later life is at its place. */
   std::optional<MonotonicTime> leftAt;
+  /** The lease is surely over. The life is kept only until the ends of its runs are in the log;
+   * when the worker reports again, it is another life with a higher fence. */
+  bool isLost = false;
   DisturbanceGuard::State guardState;
   /** Runs that failed here since a run ended well. */
   std::int64_t failuresInARow = 0;
 
+  /** A worker that has not reported for this long gets no new run; it reports four times a second.
+   */
+  static constexpr std::int64_t kSilentMs = 1000;
+
+  /** Whether orders may be sent to it. */
+  bool takesOrders() const { return isSynced && !leftAt && !isLost; }
+
   /** Whether runs may be assigned to it. */
-  bool takesWork() const
+  bool takesWork(MonotonicTime aNow) const
   {
-    return isSynced && !leftAt && !description.draining() && !description.gone();
+    return takesOrders() && !description.draining() && !description.gone() &&
+           aNow.msSince(reportedAt) < kSilentMs;
   }
 };
 
@@ -93,7 +104,7 @@
 
   /**
    * Takes a report. Returns the life, or null when the report is of a life that a later one has
-   * replaced.
+   * replaced, or that is lost and not forgotten yet.
    */
   WorkerLife* report(const WorkerReport& aReport,
                      const std::string& aRelay,
@@ -106,8 +117,11 @@
   WorkerLife* find(const LifeKey& aKey);
   std::map<LifeKey, WorkerLife>& lives() { return mLives; }
 
-  /** Lives whose runs have surely ended: the lease is over, or a later life has taken over. */
-  std::vector<LifeKey> ended(MonotonicTime aNow) const;
+  /**
+   * Lives whose runs have surely ended: the lease is over, or a later life has taken over. They are
+   * marked as lost and take no further order.
+   */
+  std::vector<LifeKey> takeEnded(MonotonicTime aNow);
 
   void remove(const LifeKey& aKey) { mLives.erase(aKey); }
 
--- /dev/null
+++ b/src/jobs/DisturbanceGuard_test.cpp
@@ -0,0 +1,120 @@
+#include "jobs/DisturbanceGuard.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+
+namespace {
+
+const MonotonicTime kStart = MonotonicTime::fromMs(1000000);
+
+ServingTask
+serving(const std::string& aImage, double aLatencyMs)
+{
+  return { aImage, aLatencyMs, 150 };
+}
+
+OpportunisticTask
+other(const std::string& aTask, const std::string& aImage, std::int64_t aPercent = 100)
+{
+  return { aTask, aImage, 0.1, 0.1 * static_cast<double>(aPercent) / 100, aPercent };
+}
+
+/** A guard that has seen "noisy" disturb "frail", and "quiet" disturb nothing. */
+DisturbanceGuard
+experienced()
+{
+  DisturbanceGuard guard;
+  for (int round = 0; round < 20; round++) {
+    guard.observe({ serving("frail", 40), serving("robust", 40) }, { other("q", "quiet") });
+    guard.observe({ serving("frail", 400), serving("robust", 45) },
+                  { other("q", "quiet"), other("n", "noisy") });
+    guard.observe({ serving("frail", 40) }, {});
+  }
+  return guard;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(disturbance_guard)
+
+// Load pattern: batch work of several images beside serving tasks of which only some are disturbed.
+BOOST_AUTO_TEST_CASE(only_the_image_that_disturbs_is_stopped_and_moved)
+{
+  const DisturbanceGuard guard = experienced();
+  DisturbanceGuard::State state;
+  const auto decisions = guard.decide(
+    state, { serving("frail", 300) }, { other("q", "quiet"), other("n", "noisy") }, kStart);
+  BOOST_REQUIRE(decisions.size() == 1u);
+  BOOST_TEST(decisions.front().task == "n");
+  BOOST_TEST(decisions.front().percent == 0);
+  BOOST_TEST(decisions.front().moves);
+}
+
+BOOST_AUTO_TEST_CASE(near_the_objective_the_disturbing_image_is_slowed_down)
+{
+  const DisturbanceGuard guard = experienced();
+  DisturbanceGuard::State state;
+  const auto decisions = guard.decide(
+    state, { serving("frail", 130) }, { other("q", "quiet"), other("n", "noisy") }, kStart);
+  BOOST_REQUIRE(decisions.size() == 1u);
+  BOOST_TEST((decisions.front() == PaceDecision{ "n", 50, false }));
+}
+
+BOOST_AUTO_TEST_CASE(an_undisturbed_neighbour_changes_nothing)
+{
+  const DisturbanceGuard guard = experienced();
+  DisturbanceGuard::State state;
+  const auto decisions =
+    guard.decide(state, { serving("robust", 45) }, { other("n", "noisy") }, kStart);
+  BOOST_TEST(decisions.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_missed_objective_without_a_known_cause_stops_all_after_a_while)
+{
+  const DisturbanceGuard guard;
+  DisturbanceGuard::State state;
+  const std::vector<ServingTask> missed = { serving("frail", 200) };
+  const std::vector<OpportunisticTask> others = { other("q", "quiet"), other("n", "noisy") };
+  BOOST_TEST(guard.decide(state, missed, others, kStart).empty());
+  const MonotonicTime later = kStart.plusMs(DisturbanceGuard::kStopAllMs);
+  BOOST_TEST(guard.decide(state, missed, others, later).size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(the_pace_rises_step_by_step_while_the_objective_is_far)
+{
+  const DisturbanceGuard guard = experienced();
+  DisturbanceGuard::State state;
+  std::int64_t percent = 0;
+  MonotonicTime now = kStart;
+  std::vector<std::int64_t> steps;
+  while (percent < 100 && steps.size() < 10) {
+    const auto decisions =
+      guard.decide(state, { serving("robust", 40) }, { other("q", "quiet", percent) }, now);
+    if (!decisions.empty()) {
+      percent = decisions.front().percent;
+      steps.push_back(percent);
+    }
+    now = now.plusMs(DisturbanceGuard::kRaiseEveryMs);
+  }
+  BOOST_TEST(steps == std::vector<std::int64_t>({ 30, 60, 100 }), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(an_image_that_would_disturb_is_not_sped_up)
+{
+  const DisturbanceGuard guard = experienced();
+  DisturbanceGuard::State state;
+  const auto decisions =
+    guard.decide(state, { serving("frail", 90) }, { other("n", "noisy", 0) }, kStart);
+  BOOST_TEST(decisions.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_image_that_was_hardly_observed_is_tried_with_few_tasks)
+{
+  const DisturbanceGuard guard;
+  const std::vector<ServingTask> calm = { serving("frail", 60) };
+  BOOST_TEST(guard.expectedRatio(calm, { { "new", 0.1 } }) < 0.85);
+  BOOST_TEST(guard.expectedRatio(calm, { { "new", 0.4 } }) > 0.85);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/jobs/JobRegistry_test.cpp
@@ -0,0 +1,204 @@
+#include "jobs/JobRules.h"
+#include "jobs/JobsFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+std::size_t
+taken(const RunsChanged& aChanged)
+{
+  return aChanged.mTaken;
+}
+
+QueueSelector
+byPath(const std::string& aHost, const std::string& aPath)
+{
+  return valueOf(QueueSelector::create({ .name = "", .host = aHost, .path = aPath }));
+}
+
+/** A registry in which job "j" of two tasks is accepted. */
+struct OneJob
+{
+  OneJob() { mRegistry.apply(submitOf("tally", jobOf("j", { stepOf(2, 100, 10) }))); }
+
+  const Job& job() const { return *mRegistry.find("j"); }
+
+  JobRegistry mRegistry = registryWithQueues();
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(job_registry)
+
+BOOST_AUTO_TEST_CASE(task_ids_are_read_as_they_are_written)
+{
+  const TaskId task{ "5c0e7a21d94b36f8", 3, 1, 17 };
+  BOOST_TEST(task.text() == "5c0e7a21d94b36f8.3.1.17");
+  BOOST_TEST((TaskId::parse(task.text()) == task));
+  for (const char* text : { "", "a", "a.1.2", ".0.0.1", "a.0.0.", "a.0.x.1", "a.0.0.-1" }) {
+    BOOST_TEST(!TaskId::parse(text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_highest_catalogue_wins_and_is_never_replaced_by_an_older_one)
+{
+  JobRegistry registry;
+  const auto set = [&registry](std::int64_t aVersion, const std::string& aQueue) {
+    return registry.apply(valueOf(SetQueueCatalogue::create(
+      { .catalogue = queueCatalogue(aVersion, { jobQueue(aQueue) }) })));
+  };
+  BOOST_TEST(set(7, "seven").mChanged);
+  BOOST_TEST(!set(5, "five").mChanged);
+  BOOST_TEST(!set(7, "other").mChanged);
+  BOOST_TEST(registry.catalogue()->queues().front().name() == "seven");
+  BOOST_TEST(set(9, "nine").mChanged);
+  BOOST_TEST(registry.catalogue()->version() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_selects_the_queue)
+{
+  JobRegistry registry;
+  JobQueue::Fields inner = jobQueue("inner").fields();
+  inner.pathPrefix = "/outer/inner/";
+  registry.apply(valueOf(SetQueueCatalogue::create(
+    { .catalogue =
+        queueCatalogue(1, { jobQueue("outer"), valueOf(JobQueue::create(inner)) }) })));
+  BOOST_TEST(registry.findQueue(byPath("guild.example", "/outer/inner/1"))->name() == "inner");
+  BOOST_TEST(registry.findQueue(byPath("guild.example", "/outer/1"))->name() == "outer");
+  BOOST_TEST(registry.findQueue(byPath("guild.example", "/other/1")) == nullptr);
+  BOOST_TEST(registry.findQueue(byPath("delta.example", "/outer/1")) == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_same_id_stays_one_job, OneJob)
+{
+  const auto again =
+    mRegistry.apply(submitOf("urgent", jobOf("j", { stepOf(9, 100, 10) })));
+  BOOST_TEST(!std::get<JobChanged>(again).mApplied);
+  BOOST_TEST(job().steps().front().count() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(at_most_one_run_of_a_task_is_active, OneJob)
+{
+  BOOST_TEST(taken(mRegistry.apply(startOf("j.0.0.0", 1))) == 1u);
+  BOOST_TEST(taken(mRegistry.apply(startOf("j.0.0.0", 2))) == 0u);
+  BOOST_TEST(taken(mRegistry.apply(endOf("j.0.0.0", 2, RunEnd::eDone))) == 0u);
+  BOOST_TEST(taken(mRegistry.apply(endOf("j.0.0.0", 1, RunEnd::eLapsed, "half"))) == 1u);
+  BOOST_TEST(taken(mRegistry.apply(startOf("j.0.0.0", 1))) == 0u, "a run number is used once");
+  BOOST_TEST(taken(mRegistry.apply(startOf("j.0.0.0", 2))) == 1u);
+  BOOST_TEST(job().find({ "j", 0, 0, 0 })->checkpoint == "half");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_is_completed_when_all_tasks_are_done, OneJob)
+{
+  for (const char* task : { "j.0.0.0", "j.0.0.1" }) {
+    BOOST_TEST((job().state() != JobState::eCompleted));
+    mRegistry.apply(startOf(task, 1));
+    mRegistry.apply(endOf(task, 1, RunEnd::eDone));
+  }
+  BOOST_TEST((job().state() == JobState::eCompleted));
+  BOOST_TEST(mRegistry.openJobs().empty());
+  BOOST_TEST(taken(mRegistry.apply(startOf("j.0.0.0", 2))) == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(only_failures_count_as_attempts, OneJob)
+{
+  mRegistry.apply(startOf("j.0.0.0", 1));
+  mRegistry.apply(endOf("j.0.0.0", 1, RunEnd::eLapsed));
+  mRegistry.apply(startOf("j.0.0.0", 2));
+  mRegistry.apply(endOf("j.0.0.0", 2, RunEnd::eFailed));
+  BOOST_TEST((job().state() == JobState::eRunning));
+  mRegistry.apply(startOf("j.0.0.1", 1));
+  mRegistry.apply(startOf("j.0.0.0", 3));
+  mRegistry.apply(endOf("j.0.0.0", 3, RunEnd::eFailed));
+  BOOST_TEST((job().state() == JobState::eFailed));
+  BOOST_TEST(job().hasActiveRuns(), "the other task's run may still be there");
+  mRegistry.apply(endOf("j.0.0.1", 1, RunEnd::eStopped));
+  BOOST_TEST((job().state() == JobState::eFailed));
+  BOOST_TEST(mRegistry.openJobs().empty());
+}
+
+BOOST_AUTO_TEST_CASE(long_running_tasks_have_no_attempts_and_never_end_their_job)
+{
+  JobRegistry registry = registryWithQueues();
+  JobStep::Fields step = stepOf(1, 100, 10);
+  step.longRunning = true;
+  registry.apply(submitOf("urgent", jobOf("s", { step })));
+  for (std::int64_t run = 1; run <= 5; run++) {
+    BOOST_TEST(taken(registry.apply(startOf("s.0.0.0", run))) == 1u);
+    registry.apply(endOf("s.0.0.0", run, run % 2 == 0 ? RunEnd::eDone : RunEnd::eFailed));
+    BOOST_TEST((registry.find("s")->state() == JobState::eRunning));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(one_end_of_a_gang_stands_for_all_and_a_failure_counts_once)
+{
+  JobRegistry registry = registryWithQueues();
+  JobStep::Fields step = stepOf(2, 100, 10);
+  step.gang = true;
+  registry.apply(submitOf("tally", jobOf("g", { step })));
+  const auto startBoth = [&registry](std::int64_t aRun) {
+    registry.apply(startOf("g.0.0.0", aRun));
+    registry.apply(startOf("g.0.0.1", aRun));
+  };
+  startBoth(1);
+  registry.apply(endOf("g.0.0.1", 1, RunEnd::eFailed));
+  registry.apply(endOf("g.0.0.0", 1, RunEnd::eBroken));
+  BOOST_TEST((registry.find("g")->state() == JobState::eRunning));
+  BOOST_TEST(registry.find("g")->nextRun({ "g", 0, 0, 0 }) == 2);
+  startBoth(2);
+  registry.apply(endOf("g.0.0.0", 2, RunEnd::eDone));
+  BOOST_TEST((registry.find("g")->state() == JobState::eCompleted));
+  BOOST_TEST(registry.find("g")->hasActiveRuns());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_cancelled_job_starts_nothing, OneJob)
+{
+  mRegistry.apply(startOf("j.0.0.0", 1));
+  const auto cancelled =
+    mRegistry.apply(valueOf(CancelJob::create({ .jobId = "j" })));
+  BOOST_TEST(std::get<JobChanged>(cancelled).mApplied);
+  BOOST_TEST(taken(mRegistry.apply(startOf("j.0.0.1", 1))) == 0u);
+  mRegistry.apply(endOf("j.0.0.0", 1, RunEnd::eDone));
+  BOOST_TEST((job().state() == JobState::eCancelled));
+  const auto unknown = mRegistry.apply(valueOf(CancelJob::create({ .jobId = "x" })));
+  BOOST_TEST(std::holds_alternative<Error>(unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_snapshot_holds_everything, OneJob)
+{
+  mRegistry.apply(submitOf("urgent", jobOf("over", { stepOf(1, 100, 10) })));
+  mRegistry.apply(valueOf(CancelJob::create({ .jobId = "over" })));
+  mRegistry.apply(startOf("j.0.0.0", 1));
+  mRegistry.apply(endOf("j.0.0.0", 1, RunEnd::eStopped, "saved"));
+  mRegistry.apply(startOf("j.0.0.1", 1));
+  const auto snapshotOf = [](const JobRegistry& aRegistry) {
+    StateSnapshot::Fields fields{ .appliedIndex = 1, .catalogueVersion = 0, .nextSession = 1 };
+    aRegistry.writeTo(fields);
+    return valueOf(StateSnapshot::create(fields));
+  };
+  const StateSnapshot snapshot = snapshotOf(mRegistry);
+  const JobRegistry restored = JobRegistry::fromSnapshot(snapshot);
+  BOOST_TEST((snapshotOf(restored) == snapshot));
+  BOOST_TEST((restored.find("over")->state() == JobState::eCancelled));
+  BOOST_TEST(restored.find("j")->find({ "j", 0, 0, 0 })->checkpoint == "saved");
+  BOOST_TEST(restored.find("j")->hasActiveRuns());
+}
+
+BOOST_AUTO_TEST_CASE(faults_of_jobs_and_catalogues_are_found)
+{
+  JobStep::Fields later = stepOf(1, 100, 10);
+  later.after = { 1 };
+  BOOST_TEST(findFaults(jobOf("j", { later, stepOf(1, 100, 10) })).size() == 1u);
+  BOOST_TEST(findFaults(jobOf("j", { stepOf(1, 100, 10) })).empty());
+  JobQueue::Fields lost = jobQueue("lost").fields();
+  lost.poolName = "nowhere";
+  const QueueCatalogue catalogue =
+    queueCatalogue(1, { jobQueue("a"), jobQueue("a"), valueOf(JobQueue::create(lost)) });
+  BOOST_TEST(findFaults(catalogue).size() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/jobs/JobScheduler_test.cpp
@@ -0,0 +1,228 @@
+#include "jobs/JobsFixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <algorithm>
+#include <map>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+/** Decides with nothing learned about disturbances. */
+SchedulePlan
+decide(const JobRegistry& aJobs, std::vector<WorkerRoom> aRooms, std::int64_t aWallMs = 0)
+{
+  const DisturbanceGuard guard;
+  return JobScheduler::decide(aJobs, guard, aRooms, aWallMs);
+}
+
+std::map<std::string, std::string>
+placesOf(const SchedulePlan& aPlan)
+{
+  std::map<std::string, std::string> places;
+  for (const Assignment& assignment : aPlan.assignments) {
+    places[assignment.start.task()] = assignment.start.worker();
+  }
+  return places;
+}
+
+JobStep::Fields
+longRunningStep(std::int64_t aCount, std::int64_t aCpuMilli, std::int64_t aMemoryMb)
+{
+  JobStep::Fields step = stepOf(aCount, aCpuMilli, aMemoryMb);
+  step.longRunning = true;
+  step.latencyObjectiveMs = 150;
+  step.image = "serving";
+  return step;
+}
+
+JobStep::Fields
+opportunisticStep(std::int64_t aCount, std::int64_t aCpuMilli, std::int64_t aMemoryMb)
+{
+  JobStep::Fields step = stepOf(aCount, aCpuMilli, aMemoryMb);
+  step.opportunistic = true;
+  step.checkpoints = true;
+  step.image = "batch";
+  return step;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(job_scheduler)
+
+BOOST_AUTO_TEST_CASE(no_worker_gets_more_than_it_holds)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("j", { stepOf(10, 1000, 10) })));
+  const SchedulePlan plan = decide(jobs, { roomOf("w1", 3000, 1000), roomOf("w2", 2500, 1000) });
+  BOOST_TEST(plan.assignments.size() == 5u);
+  BOOST_TEST(plan.waiting.size() == 1u);
+  BOOST_TEST(plan.waiting.front().noRoom == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_step_waits_for_the_earlier_ones)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields second = stepOf(1, 100, 10);
+  second.after = { 0 };
+  jobs.apply(submitOf("urgent", jobOf("j", { stepOf(1, 100, 10), second })));
+  const std::vector<WorkerRoom> rooms = { roomOf("w1", 3000, 1000) };
+  BOOST_TEST(placesOf(decide(jobs, rooms)).contains("j.0.0.0"));
+  BOOST_TEST(!placesOf(decide(jobs, rooms)).contains("j.0.1.0"));
+  jobs.apply(startOf("j.0.0.0", 1));
+  BOOST_TEST(decide(jobs, rooms).assignments.empty());
+  jobs.apply(endOf("j.0.0.0", 1, RunEnd::eDone));
+  BOOST_TEST(placesOf(decide(jobs, rooms)).contains("j.0.1.0"));
+}
+
+BOOST_AUTO_TEST_CASE(the_queue_with_the_lower_number_goes_first)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("tally", jobOf("a", { stepOf(1, 1000, 10) })));
+  jobs.apply(submitOf("urgent", jobOf("b", { stepOf(1, 1000, 10) })));
+  const SchedulePlan plan = decide(jobs, { roomOf("w1", 1000, 1000) });
+  BOOST_TEST(placesOf(plan).contains("b.0.0.0"));
+  BOOST_TEST(plan.assignments.size() == 1u);
+}
+
+// Load pattern: a burst after which some jobs are late whatever is done.
+BOOST_AUTO_TEST_CASE(jobs_that_can_meet_their_objective_go_before_late_ones)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("tally", jobOf("late", { stepOf(1, 1000, 10) }), 1000));
+  jobs.apply(submitOf("tally", jobOf("new", { stepOf(1, 1000, 10) }), 9000));
+  BOOST_TEST(placesOf(decide(jobs, { roomOf("w1", 1000, 1000) }, 9000)).contains("new.0.0.0"));
+  BOOST_TEST(placesOf(decide(jobs, { roomOf("w1", 1000, 1000) }, 1500)).contains("late.0.0.0"));
+}
+
+BOOST_AUTO_TEST_CASE(labels_spread_and_racks_are_kept)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields labelled = stepOf(1, 100, 10);
+  labelled.requiredLabel = "b";
+  JobStep::Fields spread = stepOf(3, 100, 10);
+  spread.maxPerWorker = 1;
+  JobStep::Fields near = stepOf(2, 100, 10);
+  near.preferredRack = "r2";
+  jobs.apply(submitOf("urgent", jobOf("j", { labelled, spread, near })));
+  WorkerRoom other = roomOf("w2", 3000, 1000);
+  other.labels = { "b", "r2" };
+  other.rack = "r2";
+  const auto places = placesOf(decide(jobs, { roomOf("w1", 3000, 1000), other }));
+  BOOST_TEST(places.at("j.0.0.0") == "w2");
+  BOOST_TEST(places.contains("j.0.1.1"));
+  BOOST_TEST(!places.contains("j.0.1.2"), "two workers, one task each");
+  BOOST_TEST(places.at("j.0.2.0") == "w2");
+  BOOST_TEST(places.at("j.0.2.1") == "w2");
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_starts_whole_or_not_at_all)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields step = stepOf(3, 1000, 10);
+  step.gang = true;
+  jobs.apply(submitOf("urgent", jobOf("g", { step })));
+  BOOST_TEST(decide(jobs, { roomOf("w1", 2000, 1000) }).assignments.empty());
+  const SchedulePlan plan = decide(jobs, { roomOf("w1", 2000, 1000), roomOf("w2", 1000, 1000) });
+  BOOST_TEST(plan.assignments.size() == 3u);
+  BOOST_TEST(plan.assignments[0].start.run() == plan.assignments[2].start.run());
+}
+
+BOOST_AUTO_TEST_CASE(an_occurrence_waits_until_it_is_due)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobDescription::Fields timed = jobOf("t", { stepOf(1, 100, 10) }).fields();
+  timed.occurrences = 2;
+  timed.firstDueMs = 5000;
+  timed.intervalMs = 1000;
+  jobs.apply(submitOf("urgent", valueOf(JobDescription::create(timed))));
+  const std::vector<WorkerRoom> rooms = { roomOf("w1", 3000, 1000) };
+  BOOST_TEST(decide(jobs, rooms, 4999).assignments.empty());
+  BOOST_TEST(decide(jobs, rooms, 5000).assignments.size() == 1u);
+  BOOST_TEST(decide(jobs, rooms, 6000).assignments.size() == 2u);
+}
+
+// Load pattern: standing tasks of many jobs come back at once after a loss of power and need all
+// the room that is left, while short tasks run beside them.
+BOOST_AUTO_TEST_CASE(long_running_tasks_get_the_last_room)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("s", { longRunningStep(2, 6400, 13000) })));
+  WorkerRoom nearlyFull = roomOf("w1", 32000, 128000);
+  nearlyFull.used = { 25600, 52000, 0 };
+  nearlyFull.longRunningCpuMilli = 25600;
+  WorkerRoom other = nearlyFull;
+  other.worker = "w2";
+  BOOST_TEST(decide(jobs, { nearlyFull, other }).assignments.size() == 2u);
+}
+
+// Load pattern: opportunistic tasks have filled the memory when standing tasks come back.
+BOOST_AUTO_TEST_CASE(room_is_made_for_a_queue_that_goes_first)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("s", { longRunningStep(1, 6400, 13000) })));
+  jobs.apply(submitOf("tally", jobOf("b", { opportunisticStep(4, 3500, 6400) })));
+  WorkerRoom room = roomOf("w1", 32000, 20000);
+  room.used = { 0, 19200, 0 };
+  const ResourceAmount size{ 0, 6400, 0 };
+  room.evictable = { { { "x", 0, 0, 0 }, 1, 2, size, 5 },
+                     { { "x", 0, 0, 1 }, 1, 2, size, 1 },
+                     { { "x", 0, 0, 2 }, 1, 2, size, 3 } };
+  const SchedulePlan plan = decide(jobs, { room });
+  BOOST_TEST(plan.assignments.empty(), "nothing may take the room that is being made");
+  BOOST_REQUIRE(plan.evictions.size() == 2u);
+  BOOST_TEST(plan.evictions[0].task.text() == "x.0.0.1");
+  BOOST_TEST(plan.evictions[1].task.text() == "x.0.0.2");
+}
+
+BOOST_AUTO_TEST_CASE(room_that_is_being_freed_is_not_made_twice)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("s", { longRunningStep(1, 6400, 13000) })));
+  WorkerRoom room = roomOf("w1", 32000, 20000);
+  room.used = { 0, 19200, 0 };
+  room.stopping = { 0, 12800, 0 };
+  room.evictable = { { { "x", 0, 0, 0 }, 1, 2, { 0, 6400, 0 }, 5 } };
+  const SchedulePlan plan = decide(jobs, { room });
+  BOOST_TEST(plan.assignments.empty());
+  BOOST_TEST(plan.evictions.empty());
+}
+
+BOOST_AUTO_TEST_CASE(equal_priority_is_not_evicted)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("s", { longRunningStep(1, 6400, 13000) })));
+  WorkerRoom room = roomOf("w1", 32000, 20000);
+  room.used = { 0, 19200, 0 };
+  room.evictable = { { { "x", 0, 0, 0 }, 1, 0, { 0, 19200, 0 }, 5 } };
+  BOOST_TEST(decide(jobs, { room }).evictions.empty());
+}
+
+// Load pattern: a wave of batch work beside standing tasks that already work near their objective.
+BOOST_AUTO_TEST_CASE(opportunistic_tasks_avoid_tasks_near_their_objective)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("tally", jobOf("b", { opportunisticStep(2, 3500, 6400) })));
+  WorkerRoom nearObjective = roomOf("w1", 32000, 128000);
+  nearObjective.serving = { { "serving", 140, 150 } };
+  WorkerRoom calm = roomOf("w2", 32000, 128000);
+  calm.serving = { { "serving", 40, 150 } };
+  const auto places = placesOf(decide(jobs, { nearObjective, calm }));
+  BOOST_TEST(places.at("b.0.0.0") == "w2");
+  BOOST_TEST(places.at("b.0.0.1") == "w2");
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_on_which_runs_fail_is_used_last)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("j", { stepOf(1, 100, 10) })));
+  WorkerRoom failing = roomOf("w1", 32000, 128000);
+  failing.recentFailures = 4;
+  WorkerRoom busy = roomOf("w2", 32000, 128000);
+  busy.used = { 20000, 1000, 0 };
+  BOOST_TEST(placesOf(decide(jobs, { failing, busy })).at("j.0.0.0") == "w2");
+  BOOST_TEST(placesOf(decide(jobs, { failing })).at("j.0.0.0") == "w1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/jobs/JobsFixture.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "jobs/jobs.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace magnoliadrum::fixture {
+
+/** Builds valid values for tests, so that each test names only the fields that matter to it. */
+
+inline JobQueue
+jobQueue(const std::string& aName, std::int64_t aPriority = 0, std::int64_t aMaxAttempts = 2)
+{
+  return valueOf(JobQueue::create({ .name = aName,
+                                    .host = "guild.example",
+                                    .pathPrefix = "/" + aName + "/",
+                                    .poolName = "desk",
+                                    .priority = aPriority,
+                                    .maxAttempts = aMaxAttempts,
+                                    .stretch = 2,
+                                    .objectiveMs = 1000 }));
+}
+
+inline QueueCatalogue
+queueCatalogue(std::int64_t aVersion, std::vector<JobQueue> aQueues)
+{
+  return valueOf(
+    QueueCatalogue::create({ .version = aVersion,
+                             .queues = std::move(aQueues),
+                             .pools = { valueOf(WorkerPool::create({ .name = "desk" })) },
+                             .source = "document " + std::to_string(aVersion) }));
+}
+
+inline JobStep::Fields
+stepOf(std::int64_t aCount, std::int64_t aCpuMilli, std::int64_t aMemoryMb)
+{
+  return { .count = aCount,
+           .resources = valueOf(
+             Resources::create({ .cpuMilli = aCpuMilli, .memoryMb = aMemoryMb })),
+           .estimateMs = 1000 };
+}
+
+inline JobDescription
+jobOf(const std::string& aJobId, const std::vector<JobStep::Fields>& aSteps)
+{
+  JobDescription::Fields fields{ .jobId = aJobId, .payload = "payload of " + aJobId };
+  for (const JobStep::Fields& step : aSteps) {
+    fields.steps.push_back(valueOf(JobStep::create(step)));
+  }
+  return valueOf(JobDescription::create(std::move(fields)));
+}
+
+inline SubmitJob
+submitOf(const std::string& aQueue, const JobDescription& aJob, std::int64_t aAcceptedAtMs = 0)
+{
+  return valueOf(
+    SubmitJob::create({ .queueName = aQueue, .job = aJob, .acceptedAtMs = aAcceptedAtMs }));
+}
+
+inline StartRuns
+startOf(const std::string& aTask, std::int64_t aRun, const std::string& aWorker = "w1")
+{
+  return valueOf(StartRuns::create({ .runs = { valueOf(RunStart::create(
+                                       { .task = aTask, .run = aRun, .worker = aWorker, .bornMs = 1 })) } }));
+}
+
+inline EndRuns
+endOf(const std::string& aTask,
+      std::int64_t aRun,
+      RunEnd aHow,
+      const std::string& aCheckpoint = "")
+{
+  return valueOf(EndRuns::create({ .ends = { valueOf(RunEnding::create(
+                                     { .task = aTask, .run = aRun, .how = aHow, .checkpoint = aCheckpoint })) } }));
+}
+
+/** A registry with the queues "urgent" (priority 0) and "tally" (priority 2). */
+inline JobRegistry
+registryWithQueues()
+{
+  JobRegistry registry;
+  registry.apply(valueOf(SetQueueCatalogue::create(
+    { .catalogue = queueCatalogue(1, { jobQueue("urgent", 0), jobQueue("tally", 2) }) })));
+  return registry;
+}
+
+inline WorkerRoom
+roomOf(const std::string& aWorker, std::int64_t aCpuMilli, std::int64_t aMemoryMb)
+{
+  WorkerRoom room;
+  room.worker = aWorker;
+  room.bornMs = 1;
+  room.poolName = "desk";
+  room.rack = "r1";
+  room.labels = { "a", "r1" };
+  room.capacity = { aCpuMilli, aMemoryMb, 0 };
+  return room;
+}
+
+} // namespace magnoliadrum::fixture
--- a/src/platform/WorkerCodec.cpp
+++ b/src/platform/WorkerCodec.cpp
@@ -42,7 +42,7 @@
 }
 
 /** A row of runs: [task, run, checkpoint, percent, figure]; the last two may be absent. */
-Result<RunningRun>
+Result<ListedRun>
 decodeRunning(const json& aRow)
 {
   constexpr std::size_t kLeast = 3;
@@ -56,7 +56,7 @@
   const auto numberAt = [&aRow](std::size_t aIndex) {
     return aRow.size() > aIndex && aRow[aIndex].is_number() ? aRow[aIndex].get<double>() : 0.0;
   };
-  return RunningRun::create({ .task = aRow[0].get<std::string>(),
+  return ListedRun::create({ .task = aRow[0].get<std::string>(),
                               .run = aRow[1].get<std::int64_t>(),
                               .checkpoint = aRow[2].get<std::string>(),
                               .percent = numberAt(kPercent),
@@ -64,7 +64,7 @@
 }
 
 /** A row of ends: [number, task, run, how, checkpoint]. */
-Result<EndedRun>
+Result<ListedEnd>
 decodeEnded(const json& aRow)
 {
   constexpr std::size_t kColumns = 5;
@@ -77,7 +77,7 @@
   if (!how) {
     return Error::create(ErrorCode::eInvalid, "decode lists", "worker", "an ended row");
   }
-  return EndedRun::create({ .number = aRow[0].get<std::int64_t>(),
+  return ListedEnd::create({ .number = aRow[0].get<std::int64_t>(),
                             .task = aRow[1].get<std::string>(),
                             .run = aRow[2].get<std::int64_t>(),
                             .how = *how,
@@ -213,8 +213,8 @@
   WorkerLists lists;
   lists.bornMs = reader.integer("born");
   lists.clockMs = reader.integer("ClockMs", 0, true);
-  lists.running = decodeRows<RunningRun>(*body, "Running", decodeRunning);
-  lists.ended = decodeRows<EndedRun>(*body, "EndedRuns", decodeEnded);
+  lists.running = decodeRows<ListedRun>(*body, "Running", decodeRunning);
+  lists.ended = decodeRows<ListedEnd>(*body, "EndedRuns", decodeEnded);
   if (!faults.empty()) {
     return Error::create(ErrorCode::eInvalid, "decode lists", aPeer, joinFaults(faults));
   }
--- a/src/relay/WorkerCalls.h
+++ b/src/relay/WorkerCalls.h
@@ -15,9 +15,9 @@
   std::int64_t bornMs = 0;
   /** Worker's clock at the answer. */
   std::int64_t clockMs = 0;
-  std::vector<RunningRun> running;
+  std::vector<ListedRun> running;
   /** Ends that were not acknowledged, oldest first. */
-  std::vector<EndedRun> ended;
+  std::vector<ListedEnd> ended;
 };
 
 /** What a request for the lists carries. */
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -127,12 +127,12 @@
     pace(order);
   }
   for (const StartOrder& order : aOrders.starts()) {
-    start(order);
+    start(order, aOrders.leaseUntilMs());
   }
 }
 
 void
-WorkerRelay::start(const StartOrder& aOrder)
+WorkerRelay::start(const StartOrder& aOrder, std::int64_t aLeaseUntilMs)
 {
   if (mWorker->draining()) {
     note(OrderKind::eStart, aOrder.task(), aOrder.run(), OrderResult::eUnhealthy, 0);
@@ -145,7 +145,8 @@
   mCalls->start(
     aOrder,
     mFence,
-    mLeaseUntilMs,
+    // The lease that the order came with: an order that was held up must not get a later one.
+    aLeaseUntilMs,
     [this, name, task = aOrder.task(), run = aOrder.run()](OrderResult aResult,
                                                            std::int64_t aClockMs) {
       mStarting.erase(name);
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -71,7 +71,7 @@
   bool isNewLife(const WorkerDescription& aWorker) const;
   void begin(const WorkerDescription& aWorker, const std::string& aAddress);
   void carryOut(const WorkerOrders& aOrders);
-  void start(const StartOrder& aOrder);
+  void start(const StartOrder& aOrder, std::int64_t aLeaseUntilMs);
   void stop(const StopOrder& aOrder);
   void pace(const PaceOrder& aOrder);
   void note(OrderKind aKind,
