--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -29,6 +29,19 @@
   return aWords.size() == aArguments + 1 && aWords[0] == aCommand;
 }
 
+Result<nlohmann::json>
+readFile(const std::string& aFileName)
+{
+  std::ifstream file(aFileName);
+  constexpr bool kThrow = false;
+  nlohmann::json content = file ? nlohmann::json::parse(file, nullptr, kThrow) : nlohmann::json();
+  if (!file.is_open() || content.is_discarded()) {
+    return Error::create(
+      ErrorCode::eInvalid, "read file", aFileName, "cannot be opened or is not JSON");
+  }
+  return content;
+}
+
 } // namespace
 
 CommandLine::CommandLine(GatewayClient& aClient,
@@ -64,7 +77,13 @@
          "  promote REPLICA             make a caught-up replica a voter\n"
          "  remove REPLICA              remove a replica\n"
          "  replace OLD NEW ADDRESS     add, promote once caught up, then remove the old replica\n"
-         "  report [ENTRY]              service-level burn report; --format=text|json|html\n";
+         "  report [ENTRY]              service-level burn report; --format=text|json|html\n"
+         "  queues                      the queues and pools of jobs\n"
+         "  queues apply FILE           replace all queues and pools; the highest version wins\n"
+         "  job submit QUEUE FILE       hand a job in; the same id stays one job\n"
+         "  job show QUEUE JOB          state of a job\n"
+         "  job cancel QUEUE JOB        cancel a job\n"
+         "  job waiting QUEUE           how many jobs wait for their first start\n";
 }
 
 ExitStatus
@@ -120,22 +139,65 @@
   if (hasWords(aWords, "report", 0) || hasWords(aWords, "report", 1)) {
     return report(aWords.size() == 2 ? aWords[1] : "");
   }
+  if (!aWords.empty() && (aWords[0] == "job" || aWords[0] == "queues")) {
+    return runJobs(aWords);
+  }
+  mErr << usage();
+  return ExitStatus::eUsage;
+}
+
+ExitStatus
+CommandLine::runJobs(const std::vector<std::string>& aWords)
+{
+  if (hasWords(aWords, "queues", 0)) {
+    return printAnswer("GET", "/v1/queues");
+  }
+  if (hasWords(aWords, "queues", 2) && aWords[1] == "apply") {
+    return sendFile("PUT", "/v1/queues", aWords[2], "catalogue", nlohmann::json::object());
+  }
+  if (hasWords(aWords, "job", 3) && aWords[1] == "submit") {
+    return sendFile(
+      "POST", "/v1/jobs", aWords[3], "job", { { "queue", { { "name", aWords[2] } } } });
+  }
+  if (hasWords(aWords, "job", 3) && aWords[1] == "show") {
+    return printAnswer("GET", "/v1/jobs?queue=" + aWords[2] + "&job=" + aWords[3]);
+  }
+  if (hasWords(aWords, "job", 3) && aWords[1] == "cancel") {
+    return printAnswer("POST",
+                       "/v1/jobs/cancel",
+                       { { "queue", { { "name", aWords[2] } } }, { "jobId", aWords[3] } });
+  }
+  if (hasWords(aWords, "job", 2) && aWords[1] == "waiting") {
+    return printAnswer("GET", "/v1/jobs?queue=" + aWords[2]);
+  }
   mErr << usage();
   return ExitStatus::eUsage;
 }
 
+ExitStatus
+CommandLine::sendFile(const std::string& aMethod,
+                      const std::string& aPath,
+                      const std::string& aFileName,
+                      const std::string& aField,
+                      nlohmann::json aBody)
+{
+  const Result<nlohmann::json> content = readFile(aFileName);
+  if (!isOk(content)) {
+    return fail(errorOf(content));
+  }
+  aBody[aField] = valueOf(content);
+  return printAnswer(aMethod, aPath, aBody);
+}
+
 ExitStatus
 CommandLine::apply(const std::string& aFileName)
 {
-  std::ifstream file(aFileName);
-  constexpr bool kThrow = false;
-  const nlohmann::json content =
-    file ? nlohmann::json::parse(file, nullptr, kThrow) : nlohmann::json();
-  if (!file.is_open() || content.is_discarded()) {
-    return fail(Error::create(
-      ErrorCode::eInvalid, "read file", aFileName, "cannot be opened or is not JSON"));
+  const Result<nlohmann::json> content = readFile(aFileName);
+  if (!isOk(content)) {
+    return fail(errorOf(content));
   }
-  const nlohmann::json records = content.is_array() ? content : nlohmann::json::array({ content });
+  const nlohmann::json records =
+    valueOf(content).is_array() ? valueOf(content) : nlohmann::json::array({ valueOf(content) });
   for (const nlohmann::json& record : records) {
     const ExitStatus status = applyRecord(record);
     if (status != ExitStatus::eSuccess) {
--- a/src/cli/CommandLine.h
+++ b/src/cli/CommandLine.h
@@ -61,6 +61,12 @@
                            const std::string& aNewId,
                            const std::string& aAddress);
   ExitStatus report(const std::string& aEntryName);
+  ExitStatus runJobs(const std::vector<std::string>& aWords);
+  ExitStatus sendFile(const std::string& aMethod,
+                      const std::string& aPath,
+                      const std::string& aFileName,
+                      const std::string& aField,
+                      nlohmann::json aBody);
   ExitStatus printAnswer(const std::string& aMethod,
                          const std::string& aPath,
                          const nlohmann::json& aBody = nullptr);
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -142,7 +142,8 @@
   }
   // The timeout that may be running now must outlive this function.
   const auto call = mCalls.extract(position);
-  mLoop.post([timeout = std::make_shared<EventHandlePointer>(std::move(call.mapped().timeout))]() {});
+  mLoop.post(
+    [timeout = std::make_shared<EventHandlePointer>(std::move(call.mapped().timeout))]() {});
   call.mapped().callback(aMessage);
   return true;
 }
--- a/src/control/GroupSteward.cpp
+++ b/src/control/GroupSteward.cpp
@@ -29,8 +29,7 @@
   if (mChanging || !mContext.mayAnswer()) {
     return;
   }
-  const std::optional<GroupChange> change =
-    mPlan.next(mContext.mLog.replicas(), mContext.mNow());
+  const std::optional<GroupChange> change = mPlan.next(mContext.mLog.replicas(), mContext.mNow());
   if (!change) {
     return;
   }
@@ -40,19 +39,18 @@
             { "address", change->address },
             { "reason", change->reason } });
   mChanging = true;
-  mContext.mLog.changeMembership(
-    buildValue<MembershipRequest>({ .requestId = "steward",
-                                    .operation = change->operation,
-                                    .replicaId = change->replicaId,
-                                    .address = change->address }),
-    [this](const Result<Done>& aResult) {
-      mChanging = false;
-      if (!isOk(aResult)) {
-        logInfo("control group does not change now",
-                { { "code", errorCodeName(errorOf(aResult).code()) },
-                  { "detail", errorOf(aResult).detail() } });
-      }
-    });
+  mContext.mLog.changeMembership(buildValue<MembershipRequest>({ .requestId = "steward",
+                                                                 .operation = change->operation,
+                                                                 .replicaId = change->replicaId,
+                                                                 .address = change->address }),
+                                 [this](const Result<Done>& aResult) {
+                                   mChanging = false;
+                                   if (!isOk(aResult)) {
+                                     logInfo("control group does not change now",
+                                             { { "code", errorCodeName(errorOf(aResult).code()) },
+                                               { "detail", errorOf(aResult).detail() } });
+                                   }
+                                 });
 }
 
 } // namespace magnoliadrum
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -38,8 +38,7 @@
   // A stop saves the progress, so only the restart costs.
   constexpr double kRestartMs = 200;
   constexpr double kWhole = 100;
-  const double workedMs =
-    aRun.percent / kWhole * static_cast<double>(aRun.step().estimateMs());
+  const double workedMs = aRun.percent / kWhole * static_cast<double>(aRun.step().estimateMs());
   return static_cast<double>(aRun.step().resources().cpuMilli()) *
          (aRun.step().checkpoints() ? kRestartMs : workedMs + kRestartMs);
 }
@@ -132,10 +131,8 @@
            ErrorCode::eInvalid, "job.submit", aRequest.job().jobId(), joinedFaults(faults)));
     return;
   }
-  const SubmitJob command =
-    buildValue<SubmitJob>({ .queueName = queue->name(),
-                            .job = aRequest.job(),
-                            .acceptedAtMs = mContext.mWallClockMs() });
+  const SubmitJob command = buildValue<SubmitJob>(
+    { .queueName = queue->name(), .job = aRequest.job(), .acceptedAtMs = mContext.mWallClockMs() });
   propose(asker, command, [this, asker](const Outcome& aOutcome) {
     const JobChanged& changed = std::get<JobChanged>(aOutcome);
     reply(asker, { .outcome = JobOutcome::eAccepted, .state = changed.mState });
@@ -205,21 +202,22 @@
   }
   const std::vector<std::string> faults = findFaults(aRequest.catalogue());
   if (!faults.empty()) {
-    logWarning("queue catalogue refused",
-               { { "version", aRequest.catalogue().version() }, { "faults", joinedFaults(faults) } });
-    fail(asker,
-         Error::create(
-           ErrorCode::eInvalid, "queues.replace", asker.mRequestId, joinedFaults(faults)));
+    logWarning(
+      "queue catalogue refused",
+      { { "version", aRequest.catalogue().version() }, { "faults", joinedFaults(faults) } });
+    fail(
+      asker,
+      Error::create(ErrorCode::eInvalid, "queues.replace", asker.mRequestId, joinedFaults(faults)));
     return;
   }
   const SetQueueCatalogue command =
     buildValue<SetQueueCatalogue>({ .catalogue = aRequest.catalogue() });
   propose(asker, command, [this, asker](const Outcome& aOutcome) {
     const QueueCatalogueSet& set = std::get<QueueCatalogueSet>(aOutcome);
-    mContext.mOutlet.send(asker.mConnection,
-                          buildValue<QueueCatalogueReply>({ .requestId = asker.mRequestId,
-                                                            .version = set.mVersion,
-                                                            .changed = set.mChanged }));
+    mContext.mOutlet.send(
+      asker.mConnection,
+      buildValue<QueueCatalogueReply>(
+        { .requestId = asker.mRequestId, .version = set.mVersion, .changed = set.mChanged }));
   });
 }
 
@@ -231,18 +229,21 @@
     return;
   }
   const std::optional<QueueCatalogue>& catalogue = mContext.mState.jobs().catalogue();
-  mContext.mOutlet.send(
-    aConnection,
-    buildValue<QueueCatalogueReply>({ .requestId = asker.mRequestId,
-                                      .version = catalogue ? catalogue->version() : -1,
-                                      .source = catalogue ? catalogue->source() : "" }));
+  QueueCatalogueReply::Fields reply{ .requestId = asker.mRequestId, .version = -1 };
+  if (catalogue) {
+    reply.version = catalogue->version();
+    reply.source = catalogue->source();
+    QueueCatalogue::Fields held = catalogue->fields();
+    held.source.clear();
+    reply.catalogue = buildValue<QueueCatalogue>(std::move(held));
+  }
+  mContext.mOutlet.send(aConnection, buildValue<QueueCatalogueReply>(std::move(reply)));
 }
 
 void
 JobService::onReport(ConnectionId aConnection, const WorkerReport& aReport)
 {
-  const SessionRecord* session =
-    mContext.mState.sessions().find(mSessions.sessionOf(aConnection));
+  const SessionRecord* session = mContext.mState.sessions().find(mSessions.sessionOf(aConnection));
   // Without the leader's own lease another leader may have other plans for the worker.
   if (session == nullptr || !mContext.mayAnswer()) {
     return;
@@ -251,7 +252,8 @@
   const LifeKey key{ aReport.worker().workerId(), aReport.worker().bornMs() };
   WorkerLife* life = mFleet.report(aReport, session->processId(), session->session(), now);
   if (life == nullptr) {
-    logInfo("report of a replaced or lost worker", { { "worker", key.worker }, { "born", key.bornMs } });
+    logInfo("report of a replaced or lost worker",
+            { { "worker", key.worker }, { "born", key.bornMs } });
     return;
   }
   mRuns.takeAnswers(key, aReport.answers());
@@ -299,8 +301,8 @@
   for (const ListedRun& stray : strays) {
     logWarning("a run that is not assigned there is stopped",
                { { "task", stray.task() }, { "run", stray.run() }, { "worker", aKey.worker } });
-    orders.stops.push_back(
-      buildValue<StopOrder>({ .task = stray.task(), .run = std::max<std::int64_t>(1, stray.run()) }));
+    orders.stops.push_back(buildValue<StopOrder>(
+      { .task = stray.task(), .run = std::max<std::int64_t>(1, stray.run()) }));
   }
   sendOrders(aLife, aKey, std::move(orders));
 }
@@ -357,9 +359,8 @@
   for (const std::string& name : mRuns.runsOf(aKey)) {
     const TrackedRun& run = mRuns.run(name);
     if (run.step().latencyObjectiveMs() > 0 && run.isConfirmed && !run.endProposed) {
-      tasks.push_back({ run.step().image(),
-                        run.figure,
-                        static_cast<double>(run.step().latencyObjectiveMs()) });
+      tasks.push_back(
+        { run.step().image(), run.figure, static_cast<double>(run.step().latencyObjectiveMs()) });
     }
   }
   return tasks;
@@ -415,19 +416,19 @@
     return;
   }
   const EndRuns command = buildValue<EndRuns>({ .ends = std::move(aEnds) });
-  mContext.mLog.propose(
-    command, [this, command, generation = mGeneration](const CommandResult& aResult) {
-      const CommandFailure* failure = std::get_if<CommandFailure>(&aResult);
-      if (failure == nullptr || generation != mGeneration) {
-        return;
-      }
-      logWarning("ends of runs are not committed", failure->mError);
-      for (const RunEnding& end : command.ends()) {
-        if (TrackedRun* run = mRuns.find(end.task(), end.run())) {
-          run->endProposed = false;
-        }
-      }
-    });
+  mContext.mLog.propose(command,
+                        [this, command, generation = mGeneration](const CommandResult& aResult) {
+                          const CommandFailure* failure = std::get_if<CommandFailure>(&aResult);
+                          if (failure == nullptr || generation != mGeneration) {
+                            return;
+                          }
+                          logWarning("ends of runs are not committed", failure->mError);
+                          for (const RunEnding& end : command.ends()) {
+                            if (TrackedRun* run = mRuns.find(end.task(), end.run())) {
+                              run->endProposed = false;
+                            }
+                          }
+                        });
 }
 
 void
@@ -452,8 +453,7 @@
               { "isNew", changed != nullptr && changed->mApplied } });
     mScheduleDue = true;
   } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
-    logInfo("queue catalogue",
-            { { "version", set->mVersion }, { "changed", set->mChanged } });
+    logInfo("queue catalogue", { { "version", set->mVersion }, { "changed", set->mChanged } });
   }
   if (mScheduleDue) {
     schedule();
@@ -697,8 +697,12 @@
 void
 JobService::setGauges(MetricsRegistry& aMetrics) const
 {
-  aMetrics.set(
-    "control_open_jobs", "", static_cast<double>(mContext.mState.jobs().openJobs().size()));
+  const auto set = [&aMetrics](const char* aName, std::size_t aValue) {
+    aMetrics.set(aName, "", static_cast<double>(aValue));
+  };
+  set("control_open_jobs", mContext.mState.jobs().openJobs().size());
+  set("control_active_runs", mRuns.size());
+  set("control_workers", mFleet.size());
 }
 
 } // namespace magnoliadrum
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -105,10 +105,12 @@
     return buildValue<ListedRun>({ .task = aTask, .run = aRun, .checkpoint = "c" });
   }
 
-  static ListedEnd ended(std::int64_t aNumber, const std::string& aTask, std::int64_t aRun, RunEnd aHow)
+  static ListedEnd ended(std::int64_t aNumber,
+                         const std::string& aTask,
+                         std::int64_t aRun,
+                         RunEnd aHow)
   {
-    return buildValue<ListedEnd>(
-      { .number = aNumber, .task = aTask, .run = aRun, .how = aHow });
+    return buildValue<ListedEnd>({ .number = aNumber, .task = aTask, .run = aRun, .how = aHow });
   }
 
   std::int64_t mSession = 0;
@@ -124,7 +126,8 @@
 {
   join(kRelay, worker("w1"));
   mSent.clear();
-  BOOST_TEST((submit("s1", jobOf("j", { stepOf(1, 1000, 10) })).outcome() == JobOutcome::eAccepted));
+  BOOST_TEST(
+    (submit("s1", jobOf("j", { stepOf(1, 1000, 10) })).outcome() == JobOutcome::eAccepted));
   const std::vector<StartOrder> starts = startsOn(kRelay);
   BOOST_REQUIRE(starts.size() == 1u);
   BOOST_TEST(starts.front().task() == "j.0.0.0");
@@ -144,12 +147,12 @@
   join(kRelay, worker("w1"));
   submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
   mSent.clear();
-  mService.onMessage(kRelay,
-                     buildValue<WorkerReport>({ .worker = worker("w1"),
-                                                .listFence = mFence,
-                                                .clockMs = kClockMs + 10,
-                                                .ended = { ended(
-                                                  1, "j.0.0.0", 1, RunEnd::eDone) } }));
+  mService.onMessage(
+    kRelay,
+    buildValue<WorkerReport>({ .worker = worker("w1"),
+                               .listFence = mFence,
+                               .clockMs = kClockMs + 10,
+                               .ended = { ended(1, "j.0.0.0", 1, RunEnd::eDone) } }));
   for (const WorkerOrders& orders : take<WorkerOrders>(kRelay)) {
     BOOST_TEST(orders.ackedEnds() == 0);
   }
@@ -208,9 +211,8 @@
   wait(500);
   BOOST_TEST(take<WorkerOrders>(kRelay).empty());
   BOOST_TEST(jobs().find("k")->find({ "k", 0, 0, 0 })->run == 0);
-  const auto orders = report(kRelay,
-                             worker("w1"),
-                             { .listFence = fence, .clockMs = kClockMs + 9000 });
+  const auto orders =
+    report(kRelay, worker("w1"), { .listFence = fence, .clockMs = kClockMs + 9000 });
   BOOST_REQUIRE(!orders.empty());
   BOOST_TEST(orders.back().fence() > fence);
   BOOST_TEST(orders.back().starts().empty());
@@ -291,10 +293,10 @@
 BOOST_FIXTURE_TEST_CASE(a_run_that_is_not_assigned_there_is_stopped, JobHarness)
 {
   join(kRelay, worker("w1"));
-  const auto orders = report(
-    kRelay,
-    worker("w1"),
-    { .listFence = mFence, .clockMs = kClockMs + 10, .running = { running("x.0.0.0", 3) } });
+  const auto orders =
+    report(kRelay,
+           worker("w1"),
+           { .listFence = mFence, .clockMs = kClockMs + 10, .running = { running("x.0.0.0", 3) } });
   BOOST_REQUIRE(!orders.empty());
   std::size_t stops = 0;
   for (const WorkerOrders& order : orders) {
@@ -356,10 +358,10 @@
 
 BOOST_FIXTURE_TEST_CASE(an_invalid_catalogue_is_refused_with_its_faults, JobHarness)
 {
-  deliver(kCaller,
-          buildValue<QueueCatalogueSubmit>(
-            { .requestId = "c2",
-              .catalogue = queueCatalogue(9, { jobQueue("a"), jobQueue("a") }) }));
+  deliver(
+    kCaller,
+    buildValue<QueueCatalogueSubmit>(
+      { .requestId = "c2", .catalogue = queueCatalogue(9, { jobQueue("a"), jobQueue("a") }) }));
   const std::vector<OperationFailed> failed = take<OperationFailed>(kCaller);
   BOOST_REQUIRE(failed.size() == 1u);
   BOOST_TEST((failed.front().code() == FailureCode::eInvalid));
--- a/src/control/RequestAnswerer.cpp
+++ b/src/control/RequestAnswerer.cpp
@@ -59,8 +59,8 @@
 
 void
 RequestAnswerer::propose(const Asker& aAsker,
-                        const Command& aCommand,
-                        std::function<void(const Outcome&)> aOnOutcome)
+                         const Command& aCommand,
+                         std::function<void(const Outcome&)> aOnOutcome)
 {
   if (!canAnswer(aAsker)) {
     return;
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -104,10 +104,8 @@
     }
     if (run.closedAtClockMs && aReport.clockMs() >= *run.closedAtClockMs) {
       run.endProposed = true;
-      neverRan.push_back(buildValue<RunEnding>({ .task = name,
-                                                 .run = run.run,
-                                                 .how = RunEnd::eNeverRan,
-                                                 .checkpoint = run.checkpoint }));
+      neverRan.push_back(buildValue<RunEnding>(
+        { .task = name, .run = run.run, .how = RunEnd::eNeverRan, .checkpoint = run.checkpoint }));
     } else if (run.isConfirmed) {
       run.missingSince = run.missingSince.value_or(aNow);
       run.stopWanted = run.stopWanted || aNow.msSince(*run.missingSince) >= kMissingMs;
@@ -209,10 +207,8 @@
     if (std::exchange(run.endProposed, true)) {
       continue;
     }
-    ends.push_back(buildValue<RunEnding>({ .task = name,
-                                           .run = run.run,
-                                           .how = RunEnd::eLapsed,
-                                           .checkpoint = run.checkpoint }));
+    ends.push_back(buildValue<RunEnding>(
+      { .task = name, .run = run.run, .how = RunEnd::eLapsed, .checkpoint = run.checkpoint }));
   }
   return ends;
 }
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -69,6 +69,8 @@
   TrackedRun* find(const std::string& aTask, std::int64_t aRun);
   std::map<std::string, TrackedRun>& runs() { return mRuns; }
 
+  std::size_t size() const { return mRuns.size(); }
+
   /** Precondition: the task is tracked. */
   const TrackedRun& run(const std::string& aTask) const { return mRuns.at(aTask); }
   const std::set<std::string>& runsOf(const LifeKey& aLife) const;
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -126,8 +126,8 @@
 WorkerFleet::isReplaced(const LifeKey& aKey, const WorkerLife& aLife) const
 {
   return std::any_of(mLives.begin(), mLives.end(), [&](const auto& aItem) {
-    const bool samePlace =
-      aItem.first.worker == aKey.worker || (!aLife.relay.empty() && aItem.second.relay == aLife.relay);
+    const bool samePlace = aItem.first.worker == aKey.worker ||
+                           (!aLife.relay.empty() && aItem.second.relay == aLife.relay);
     return samePlace && aItem.first.bornMs > aKey.bornMs && aItem.second.isSynced;
   });
 }
@@ -137,8 +137,8 @@
 {
   std::vector<LifeKey> keys;
   for (auto& [key, life] : mLives) {
-    const bool hasLeft = life.description.gone() && life.leftAt &&
-                         aNow.msSince(*life.leftAt) >= kLeaveMs;
+    const bool hasLeft =
+      life.description.gone() && life.leftAt && aNow.msSince(*life.leftAt) >= kLeaveMs;
     if (life.isLost || aNow > life.leaseEnd || hasLeft || isReplaced(key, life)) {
       life.isLost = true;
       keys.push_back(key);
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -116,6 +116,7 @@
 
   WorkerLife* find(const LifeKey& aKey);
   std::map<LifeKey, WorkerLife>& lives() { return mLives; }
+  std::size_t size() const { return mLives.size(); }
 
   /**
    * Lives whose runs have surely ended: the lease is over, or a later life has taken over. They are
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -87,9 +87,7 @@
 replicaTransport(EventLoop& aLoop, const ControlSettings& aSettings)
 {
   return std::make_unique<ConnectionReplicaTransport>(
-    aLoop,
-    ownHello(aSettings),
-    aSettings.electionTimeoutMs());
+    aLoop, ownHello(aSettings), aSettings.electionTimeoutMs());
 }
 
 /** A replica whose storage failed must not send another message, so nothing is cleaned up. */
@@ -110,16 +108,15 @@
   const auto call =
     [&aLoop, &aProcess](const Message& aMessage,
                         const std::function<void(const platform::OperatorServer::Reply&)>& aDone) {
-      aProcess.call(
-        aMessage, aLoop.now().plusMs(kOperatorWaitMs), [aDone](const Message& aAnswer) {
-          const OperationFailed* failed = std::get_if<OperationFailed>(&aAnswer);
-          if (failed == nullptr) {
-            aDone({ aAnswer, "" });
-            return;
-          }
-          const bool isElsewhere = failed->code() == FailureCode::eNotLeader;
-          aDone({ toError(*failed), isElsewhere ? failed->leaderAddress() : "" });
-        });
+      aProcess.call(aMessage, aLoop.now().plusMs(kOperatorWaitMs), [aDone](const Message& aAnswer) {
+        const OperationFailed* failed = std::get_if<OperationFailed>(&aAnswer);
+        if (failed == nullptr) {
+          aDone({ aAnswer, "" });
+          return;
+        }
+        const bool isElsewhere = failed->code() == FailureCode::eNotLeader;
+        aDone({ toError(*failed), isElsewhere ? failed->leaderAddress() : "" });
+      });
     };
   return platform::OperatorServer::start(aLoop, aSettings.platformAddress(), call);
 }
@@ -146,7 +143,8 @@
   }
   std::optional<GroupJoiner> joiner;
   if (!aSettings.controlSeeds().empty()) {
-    joiner.emplace(*loop, *valueOf(log), ownHello(aSettings), ownAddress(aSettings), seeds(aSettings));
+    joiner.emplace(
+      *loop, *valueOf(log), ownHello(aSettings), ownAddress(aSettings), seeds(aSettings));
   }
   auto process = ControlProcess::start(*loop, aSettings, state, *valueOf(log));
   if (!isOk(process)) {
@@ -160,8 +158,8 @@
   }
   const auto onTerminate = loop->onSignal(SIGTERM, [&]() { valueOf(process)->shutDown(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&]() { valueOf(process)->shutDown(); });
-  const auto reload = reloadOnHangup<ControlSettings>(
-    *loop, FLAGS_settings, [&joiner](const ControlSettings& aNew) {
+  const auto reload =
+    reloadOnHangup<ControlSettings>(*loop, FLAGS_settings, [&joiner](const ControlSettings& aNew) {
       if (joiner) {
         joiner->setSeeds(seeds(aNew));
       }
--- a/src/gateway/OperatorInterface.cpp
+++ b/src/gateway/OperatorInterface.cpp
@@ -145,6 +145,31 @@
                           .entryName = aContext.mRequest.queryParameter("entry").value_or("") }));
 }
 
+/** The state of a job, or without one how many jobs of the queue wait. */
+ReadResult
+readJobQuery(const Context& aContext)
+{
+  const Result<QueueSelector> queue = QueueSelector::create(
+    { .name = aContext.mRequest.queryParameter("queue").value_or(""), .host = "", .path = "" });
+  if (!isOk(queue) || valueOf(queue).name().empty()) {
+    return rejection(
+      kStatusUnprocessable, aContext.mRequest.mPeer, "queue: the query must name a queue");
+  }
+  const std::optional<std::string> jobId = aContext.mRequest.queryParameter("job");
+  if (!jobId) {
+    return toMessage(
+      QueueQuery::create({ .requestId = aContext.mRequestId, .queue = valueOf(queue) }));
+  }
+  return toMessage(JobQuery::create(
+    { .requestId = aContext.mRequestId, .queue = valueOf(queue), .jobId = *jobId }));
+}
+
+ReadResult
+readQueueCatalogueQuery(const Context& aContext)
+{
+  return toMessage(QueueCatalogueQuery::create({ .requestId = aContext.mRequestId }));
+}
+
 /** A method and a path. A path that ends with '/' is a prefix that is followed by a name. */
 struct Route
 {
@@ -159,7 +184,7 @@
   }
 };
 
-constexpr std::array<Route, 11> kRoutes = { {
+constexpr std::array<Route, 16> kRoutes = { {
   { "PUT", "/v1/catalogue/", readChange },
   { "GET", "/v1/catalogue/", readCatalogueQuery },
   { "GET", "/v1/catalogue", readCatalogueQuery },
@@ -171,6 +196,11 @@
   { "GET", "/v1/status", readStatusQuery },
   { "POST", "/v1/members", readBody<MembershipRequest> },
   { "GET", "/v1/report", readReportQuery },
+  { "POST", "/v1/jobs", readBody<JobSubmit> },
+  { "GET", "/v1/jobs", readJobQuery },
+  { "POST", "/v1/jobs/cancel", readBody<JobCancel> },
+  { "PUT", "/v1/queues", readBody<QueueCatalogueSubmit> },
+  { "GET", "/v1/queues", readQueueCatalogueQuery },
 } };
 
 int
@@ -210,6 +240,25 @@
   return kStatusInternalError;
 }
 
+int
+statusOf(JobOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case JobOutcome::eAccepted:
+    case JobOutcome::eKnown:
+    case JobOutcome::ePending:
+      return kStatusOk;
+    case JobOutcome::eUnknownJob:
+    case JobOutcome::eUnknownQueue:
+      return kStatusNotFound;
+    case JobOutcome::eNoCatalogue:
+      return kStatusUnavailable;
+    case JobOutcome::eRefused:
+      return kStatusConflict;
+  }
+  return kStatusInternalError;
+}
+
 } // namespace
 
 std::variant<Message, HttpAnswer>
@@ -245,6 +294,9 @@
   if (const ChangeResult* change = std::get_if<ChangeResult>(&answer)) {
     return jsonAnswer(statusOf(change->answer().outcome()), change->answer().toJson());
   }
+  if (const JobReply* job = std::get_if<JobReply>(&answer)) {
+    return jsonAnswer(statusOf(job->outcome()), job->toJson());
+  }
   int status = kStatusOk;
   const CatalogueListing* listing = std::get_if<CatalogueListing>(&answer);
   const CatalogueQuery* query = std::get_if<CatalogueQuery>(&aQuestion);
--- a/src/jobs/DisturbanceGuard.cpp
+++ b/src/jobs/DisturbanceGuard.cpp
@@ -81,9 +81,8 @@
 {
   const auto serving = mServingIndexes.find(aServingImage);
   const auto image = mImageIndexes.find(aImage);
-  const bool isKnown =
-    serving != mServingIndexes.end() && image != mImageIndexes.end() &&
-    mModel.uncertainty(serving->second, image->second) <= kUnknownDeviation;
+  const bool isKnown = serving != mServingIndexes.end() && image != mImageIndexes.end() &&
+                       mModel.uncertainty(serving->second, image->second) <= kUnknownDeviation;
   const double learned = growth(aServingImage, aImage, aShare);
   return isKnown ? learned : std::max(learned, kUnknownFactor * aShare);
 }
@@ -147,8 +146,8 @@
         decisions.push_back(slowDown(aServing, other, isMissed));
       }
     }
-    const bool stopsAll = decisions.empty() && aState.missedSince &&
-                          aNow.msSince(*aState.missedSince) >= kStopAllMs;
+    const bool stopsAll =
+      decisions.empty() && aState.missedSince && aNow.msSince(*aState.missedSince) >= kStopAllMs;
     for (const OpportunisticTask& other : aOthers) {
       if (stopsAll && other.percent > 0) {
         decisions.push_back({ other.task, 0, false });
--- a/src/jobs/DisturbanceGuard.h
+++ b/src/jobs/DisturbanceGuard.h
@@ -3,7 +3,6 @@
 #include "core/core.h"
 #include "placement/InterferenceModel.h"
 
-
 #include <cstdint>
 #include <map>
 #include <optional>
--- a/src/jobs/JobRegistry_test.cpp
+++ b/src/jobs/JobRegistry_test.cpp
@@ -48,8 +48,8 @@
 {
   JobRegistry registry;
   const auto set = [&registry](std::int64_t aVersion, const std::string& aQueue) {
-    return registry.apply(valueOf(SetQueueCatalogue::create(
-      { .catalogue = queueCatalogue(aVersion, { jobQueue(aQueue) }) })));
+    return registry.apply(valueOf(
+      SetQueueCatalogue::create({ .catalogue = queueCatalogue(aVersion, { jobQueue(aQueue) }) })));
   };
   BOOST_TEST(set(7, "seven").mChanged);
   BOOST_TEST(!set(5, "five").mChanged);
@@ -65,8 +65,7 @@
   JobQueue::Fields inner = jobQueue("inner").fields();
   inner.pathPrefix = "/outer/inner/";
   registry.apply(valueOf(SetQueueCatalogue::create(
-    { .catalogue =
-        queueCatalogue(1, { jobQueue("outer"), valueOf(JobQueue::create(inner)) }) })));
+    { .catalogue = queueCatalogue(1, { jobQueue("outer"), valueOf(JobQueue::create(inner)) }) })));
   BOOST_TEST(registry.findQueue(byPath("guild.example", "/outer/inner/1"))->name() == "inner");
   BOOST_TEST(registry.findQueue(byPath("guild.example", "/outer/1"))->name() == "outer");
   BOOST_TEST(registry.findQueue(byPath("guild.example", "/other/1")) == nullptr);
@@ -75,8 +74,7 @@
 
 BOOST_FIXTURE_TEST_CASE(the_same_id_stays_one_job, OneJob)
 {
-  const auto again =
-    mRegistry.apply(submitOf("urgent", jobOf("j", { stepOf(9, 100, 10) })));
+  const auto again = mRegistry.apply(submitOf("urgent", jobOf("j", { stepOf(9, 100, 10) })));
   BOOST_TEST(!std::get<JobChanged>(again).mApplied);
   BOOST_TEST(job().steps().front().count() == 2);
 }
@@ -158,8 +156,7 @@
 BOOST_FIXTURE_TEST_CASE(a_cancelled_job_starts_nothing, OneJob)
 {
   mRegistry.apply(startOf("j.0.0.0", 1));
-  const auto cancelled =
-    mRegistry.apply(valueOf(CancelJob::create({ .jobId = "j" })));
+  const auto cancelled = mRegistry.apply(valueOf(CancelJob::create({ .jobId = "j" })));
   BOOST_TEST(std::get<JobChanged>(cancelled).mApplied);
   BOOST_TEST(taken(mRegistry.apply(startOf("j.0.0.1", 1))) == 0u);
   mRegistry.apply(endOf("j.0.0.0", 1, RunEnd::eDone));
--- a/src/jobs/JobRules.cpp
+++ b/src/jobs/JobRules.cpp
@@ -15,7 +15,8 @@
     tasks += aJob.steps()[step].count();
     for (const std::int64_t earlier : aJob.steps()[step].after()) {
       if (earlier >= static_cast<std::int64_t>(step)) {
-        faults.push_back(path + ".after: step " + std::to_string(earlier) + " is not an earlier one");
+        faults.push_back(path + ".after: step " + std::to_string(earlier) +
+                         " is not an earlier one");
       }
     }
   }
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -151,9 +151,8 @@
 {
   const bool isFar = !aStep.preferredRack().empty() && aStep.preferredRack() != aRoom.rack;
   const double capacity = std::max<double>(1, static_cast<double>(aRoom.capacity.cpuMilli));
-  const double load = aStep.longRunning()
-                        ? static_cast<double>(aRoom.used.cpuMilli) / capacity
-                        : 1 - unusedCpuMilli(aRoom) / capacity;
+  const double load = aStep.longRunning() ? static_cast<double>(aRoom.used.cpuMilli) / capacity
+                                          : 1 - unusedCpuMilli(aRoom) / capacity;
   return std::tuple(aRoom.recentFailures, isFar, load + aExpectedRatio, aRoom.worker);
 }
 
@@ -233,11 +232,11 @@
       best->unobserved[step.image()] += cpuShare(*best, step);
     }
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
-                                                        .run = aReady.job->nextRun(aTask),
-                                                        .worker = best->worker,
-                                                        .bornMs = best->bornMs,
-                                                        .place = best->place })),
-                             aTask });
+                                                             .run = aReady.job->nextRun(aTask),
+                                                             .worker = best->worker,
+                                                             .bornMs = best->bornMs,
+                                                             .place = best->place })),
+                                  aTask });
     return true;
   }
 
@@ -323,7 +322,8 @@
     std::sort(candidates.begin(),
               candidates.end(),
               [](const EvictableRun& aLeft, const EvictableRun& aRight) {
-                return std::tie(aLeft.lostWork, aLeft.task) < std::tie(aRight.lostWork, aRight.task);
+                return std::tie(aLeft.lostWork, aLeft.task) <
+                       std::tie(aRight.lostWork, aRight.task);
               });
     for (const EvictableRun& candidate : candidates) {
       if (aSize.fitsIn(room)) {
@@ -378,7 +378,7 @@
     for (task.index = 0; task.index < aReady.description().count(); task.index++) {
       if (!assign(aReady, task, name, rooms, aRack)) {
         mPlan.assignments.erase(mPlan.assignments.begin() + static_cast<std::ptrdiff_t>(before),
-                           mPlan.assignments.end());
+                                mPlan.assignments.end());
         return false;
       }
     }
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -1,7 +1,7 @@
 #include "jobs/JobsFixture.h"
 
-#include <boost/test/unit_test.hpp>
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <map>
 
 using namespace magnoliadrum;
--- a/src/jobs/JobsFixture.h
+++ b/src/jobs/JobsFixture.h
@@ -37,8 +37,8 @@
 stepOf(std::int64_t aCount, std::int64_t aCpuMilli, std::int64_t aMemoryMb)
 {
   return { .count = aCount,
-           .resources = valueOf(
-             Resources::create({ .cpuMilli = aCpuMilli, .memoryMb = aMemoryMb })),
+           .resources =
+             valueOf(Resources::create({ .cpuMilli = aCpuMilli, .memoryMb = aMemoryMb })),
            .estimateMs = 1000 };
 }
 
@@ -62,18 +62,17 @@
 inline StartRuns
 startOf(const std::string& aTask, std::int64_t aRun, const std::string& aWorker = "w1")
 {
-  return valueOf(StartRuns::create({ .runs = { valueOf(RunStart::create(
-                                       { .task = aTask, .run = aRun, .worker = aWorker, .bornMs = 1 })) } }));
+  return valueOf(
+    StartRuns::create({ .runs = { valueOf(RunStart::create(
+                          { .task = aTask, .run = aRun, .worker = aWorker, .bornMs = 1 })) } }));
 }
 
 inline EndRuns
-endOf(const std::string& aTask,
-      std::int64_t aRun,
-      RunEnd aHow,
-      const std::string& aCheckpoint = "")
+endOf(const std::string& aTask, std::int64_t aRun, RunEnd aHow, const std::string& aCheckpoint = "")
 {
-  return valueOf(EndRuns::create({ .ends = { valueOf(RunEnding::create(
-                                     { .task = aTask, .run = aRun, .how = aHow, .checkpoint = aCheckpoint })) } }));
+  return valueOf(EndRuns::create(
+    { .ends = { valueOf(RunEnding::create(
+        { .task = aTask, .run = aRun, .how = aHow, .checkpoint = aCheckpoint })) } }));
 }
 
 /** A registry with the queues "urgent" (priority 0) and "tally" (priority 2). */
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -8,9 +8,9 @@
  * and generated.
  */
 
+#include "jobs/DisturbanceGuard.h"
 #include "jobs/Job.h"
 #include "jobs/JobRegistry.h"
 #include "jobs/JobRules.h"
 #include "jobs/JobScheduler.h"
-#include "jobs/DisturbanceGuard.h"
 #include "jobs/TaskId.h"
--- a/src/observability/Log.cpp
+++ b/src/observability/Log.cpp
@@ -6,6 +6,8 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
 
 namespace magnoliadrum {
 
@@ -35,6 +37,27 @@
   return std::string(text) + "." + ms + "Z";
 }
 
+/** Counts a line; the lines left out since the last one, or nothing when this one is left out. */
+std::optional<std::int64_t>
+admitLine()
+{
+  constexpr std::int64_t kSecondMs = 1000;
+  static MonotonicTime sSecond;
+  static std::int64_t sLines = 0;
+  static std::int64_t sLeftOut = 0;
+  const MonotonicTime now = MonotonicTime::now();
+  if (now.msSince(sSecond) >= kSecondMs) {
+    sSecond = now;
+    sLines = 0;
+  }
+  if (sLines >= kMaxLogLines) {
+    sLeftOut++;
+    return std::nullopt;
+  }
+  sLines++;
+  return std::exchange(sLeftOut, 0);
+}
+
 void
 logLine(const log4cxx::LevelPtr& aLevel,
         const char* aLevelName,
@@ -44,6 +67,10 @@
   if (!logger()->isEnabledFor(aLevel)) {
     return;
   }
+  const std::optional<std::int64_t> leftOut = admitLine();
+  if (!leftOut) {
+    return;
+  }
   nlohmann::ordered_json line;
   line["time"] = timeText();
   line["level"] = aLevelName;
@@ -52,6 +79,9 @@
   for (const auto& [name, value] : aFields) {
     std::visit([&line, name = name](const auto& aValue) { line[name] = aValue; }, value.value());
   }
+  if (*leftOut > 0) {
+    line["linesLeftOut"] = *leftOut;
+  }
   constexpr auto kReplace = nlohmann::ordered_json::error_handler_t::replace;
   logger()->forcedLog(aLevel, line.dump(-1, ' ', false, kReplace));
 }
@@ -63,7 +93,7 @@
 {
   sProcessId = aProcessId;
   const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout("%m%n"));
-  log4cxx::ConsoleAppender* console = new log4cxx::ConsoleAppender(layout, "System.err");
+  log4cxx::ConsoleAppender* console = new log4cxx::ConsoleAppender(layout, "System.out");
   const log4cxx::AppenderPtr appender(console);
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
--- a/src/observability/Log.h
+++ b/src/observability/Log.h
@@ -48,9 +48,12 @@
 using LogFields = std::initializer_list<std::pair<const char*, LogValue>>;
 
 /**
- * Sends all log lines of the process to standard error, one JSON object a line with the keys time,
- * level, process and event. aLevel is trace, debug, info, warn or error.
+ * Sends all log lines of the process to standard output, one JSON object a line with the keys time,
+ * level, process and event. aLevel is trace, debug, info, warn or error. At most kMaxLogLines lines
+ * a second are written; how many were left out is told in the next one.
  */
+inline constexpr std::int64_t kMaxLogLines = 2000;
+
 void
 configureLogging(const std::string& aProcessId, const std::string& aLevel);
 
--- a/src/platform/CallerServer.cpp
+++ b/src/platform/CallerServer.cpp
@@ -106,8 +106,8 @@
   if (!isOk(job)) {
     return refusal(kStatusBadRequest, errorOf(job).detail());
   }
-  return toMessage(JobSubmit::create(
-    { .requestId = aRequestId, .queue = valueOf(queue), .job = valueOf(job) }));
+  return toMessage(
+    JobSubmit::create({ .requestId = aRequestId, .queue = valueOf(queue), .job = valueOf(job) }));
 }
 
 HttpAnswer
@@ -169,13 +169,13 @@
 Result<Done>
 CallerServer::listen()
 {
-  auto callers = HttpServer::listen(
-    mLoop,
-    mOptions.callerAddress,
-    kMaxBodyBytes,
-    [this](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
-      onRequest(aRequest, aResponder);
-    });
+  auto callers =
+    HttpServer::listen(mLoop,
+                       mOptions.callerAddress,
+                       kMaxBodyBytes,
+                       [this](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
+                         onRequest(aRequest, aResponder);
+                       });
   if (!isOk(callers)) {
     return errorOf(callers);
   }
@@ -183,14 +183,13 @@
   if (mOptions.readinessAddress.empty()) {
     return Done{};
   }
-  auto readiness =
-    HttpServer::listen(mLoop,
-                       mOptions.readinessAddress,
-                       kMaxReadinessBytes,
-                       [this](const HttpRequest& /*aRequest*/,
-                              const HttpResponderPointer& aResponder) {
-                         answerReadiness(*aResponder);
-                       });
+  auto readiness = HttpServer::listen(
+    mLoop,
+    mOptions.readinessAddress,
+    kMaxReadinessBytes,
+    [this](const HttpRequest& /*aRequest*/, const HttpResponderPointer& aResponder) {
+      answerReadiness(*aResponder);
+    });
   if (!isOk(readiness)) {
     return errorOf(readiness);
   }
@@ -210,8 +209,7 @@
 CallerServer::onRequest(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
 {
   mRequests++;
-  const std::string requestId =
-    "caller-" + mOptions.incarnation + "-" + std::to_string(mRequests);
+  const std::string requestId = "caller-" + mOptions.incarnation + "-" + std::to_string(mRequests);
   const Translation translation = translate(aRequest, requestId);
   if (const HttpAnswer* answer = std::get_if<HttpAnswer>(&translation)) {
     logInfo("caller's request refused",
--- a/src/platform/JsonReader.h
+++ b/src/platform/JsonReader.h
@@ -25,7 +25,9 @@
   bool has(const char* aName) const;
 
   std::string text(const char* aName, bool aIsRequired = false) const;
-  std::int64_t integer(const char* aName, std::int64_t aDefault = 0, bool aIsRequired = false) const;
+  std::int64_t integer(const char* aName,
+                       std::int64_t aDefault = 0,
+                       bool aIsRequired = false) const;
   double number(const char* aName, double aDefault) const;
   bool flag(const char* aName) const;
   std::vector<std::int64_t> integers(const char* aName) const;
--- a/src/platform/OperatorServer.cpp
+++ b/src/platform/OperatorServer.cpp
@@ -72,8 +72,8 @@
     aResponder->answer(refusal(kStatusBadRequest, errorOf(catalogue).detail()));
     return;
   }
-  const Result<QueueCatalogueSubmit> message = QueueCatalogueSubmit::create(
-    { .requestId = nextRequestId(), .catalogue = valueOf(catalogue) });
+  const Result<QueueCatalogueSubmit> message =
+    QueueCatalogueSubmit::create({ .requestId = nextRequestId(), .catalogue = valueOf(catalogue) });
   if (!isOk(message)) {
     aResponder->answer(refusal(kStatusBadRequest, errorOf(message).detail()));
     return;
@@ -88,8 +88,7 @@
 void
 OperatorServer::readCatalogue(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
 {
-  const Message message =
-    valueOf(QueueCatalogueQuery::create({ .requestId = nextRequestId() }));
+  const Message message = valueOf(QueueCatalogueQuery::create({ .requestId = nextRequestId() }));
   mCall(message, [this, aRequest, aResponder](const Reply& aReply) {
     const QueueCatalogueReply* reply =
       isOk(aReply.message) ? std::get_if<QueueCatalogueReply>(&valueOf(aReply.message)) : nullptr;
@@ -109,8 +108,7 @@
   if (!aReply.leaderAddress.empty()) {
     const std::string host = aReply.leaderAddress.substr(0, aReply.leaderAddress.rfind(':'));
     const std::string port = mAddress.substr(mAddress.rfind(':') + 1);
-    HttpAnswer::Fields fields =
-      refusal(kStatusRedirect, "this replica does not lead").fields();
+    HttpAnswer::Fields fields = refusal(kStatusRedirect, "this replica does not lead").fields();
     fields.headers.push_back(valueOf(HttpHeader::create(
       { .name = "Location", .value = "http://" + host + ":" + port + aRequest.mPath })));
     return valueOf(HttpAnswer::create(std::move(fields)));
--- a/src/platform/PlatformWorkerCalls.cpp
+++ b/src/platform/PlatformWorkerCalls.cpp
@@ -98,22 +98,22 @@
   while (!mWaiting.empty() && mOrders->inProgress() < kOrderConnections) {
     Waiting next = std::move(mWaiting.front());
     mWaiting.pop_front();
-    mOrders->send(
-      makeCall(std::move(next.path), std::move(next.body), kOrderTimeoutMs),
-      [this, alive = std::weak_ptr<bool>(mAlive), callback = std::move(next.callback)](
-        const Result<HttpAnswer>& aAnswer) {
-        if (alive.expired()) {
-          return;
-        }
-        OrderOutcome outcome;
-        if (isOk(aAnswer)) {
-          outcome = decodeOrderOutcome(valueOf(aAnswer).status(), valueOf(aAnswer).body());
-        }
-        callback(outcome.result, outcome.clockMs);
-        if (!alive.expired()) {
-          sendWaiting();
-        }
-      });
+    mOrders->send(makeCall(std::move(next.path), std::move(next.body), kOrderTimeoutMs),
+                  [this, alive = std::weak_ptr<bool>(mAlive), callback = std::move(next.callback)](
+                    const Result<HttpAnswer>& aAnswer) {
+                    if (alive.expired()) {
+                      return;
+                    }
+                    OrderOutcome outcome;
+                    if (isOk(aAnswer)) {
+                      outcome =
+                        decodeOrderOutcome(valueOf(aAnswer).status(), valueOf(aAnswer).body());
+                    }
+                    callback(outcome.result, outcome.clockMs);
+                    if (!alive.expired()) {
+                      sendWaiting();
+                    }
+                  });
   }
 }
 
--- a/src/platform/WorkerCodec.cpp
+++ b/src/platform/WorkerCodec.cpp
@@ -57,10 +57,10 @@
     return aRow.size() > aIndex && aRow[aIndex].is_number() ? aRow[aIndex].get<double>() : 0.0;
   };
   return ListedRun::create({ .task = aRow[0].get<std::string>(),
-                              .run = aRow[1].get<std::int64_t>(),
-                              .checkpoint = aRow[2].get<std::string>(),
-                              .percent = numberAt(kPercent),
-                              .figure = numberAt(kFigure) });
+                             .run = aRow[1].get<std::int64_t>(),
+                             .checkpoint = aRow[2].get<std::string>(),
+                             .percent = numberAt(kPercent),
+                             .figure = numberAt(kFigure) });
 }
 
 /** A row of ends: [number, task, run, how, checkpoint]. */
@@ -70,18 +70,17 @@
   constexpr std::size_t kColumns = 5;
   const bool isReadable = aRow.is_array() && aRow.size() >= kColumns &&
                           aRow[0].is_number_integer() && aRow[1].is_string() &&
-                          aRow[2].is_number_integer() && aRow[3].is_string() &&
-                          aRow[4].is_string();
+                          aRow[2].is_number_integer() && aRow[3].is_string() && aRow[4].is_string();
   const std::optional<RunEnd> how =
     isReadable ? parseRunEnd(aRow[3].get<std::string>()) : std::nullopt;
   if (!how) {
     return Error::create(ErrorCode::eInvalid, "decode lists", "worker", "an ended row");
   }
   return ListedEnd::create({ .number = aRow[0].get<std::int64_t>(),
-                            .task = aRow[1].get<std::string>(),
-                            .run = aRow[2].get<std::int64_t>(),
-                            .how = *how,
-                            .checkpoint = aRow[4].get<std::string>() });
+                             .task = aRow[1].get<std::string>(),
+                             .run = aRow[2].get<std::int64_t>(),
+                             .how = *how,
+                             .checkpoint = aRow[4].get<std::string>() });
 }
 
 template<typename Type, typename Decode>
@@ -137,17 +136,17 @@
   if (!faults.empty()) {
     return Error::create(ErrorCode::eInvalid, step, aPeer, joinFaults(faults));
   }
-  const Result<WorkerDescription> worker = WorkerDescription::create(
-    { .workerId = aWorkerId,
-      .bornMs = reader.integer("born"),
-      .poolName = reader.text("Service", true),
-      .dataCentre = reader.text("Zone"),
-      .rack = labels.size() > kRackLabel ? labels[kRackLabel] : "",
-      .labels = labels,
-      .capacity = valueOf(size),
-      .coldMs = reader.integer("ColdRemainingMs"),
-      .draining = state == "draining",
-      .drainRemainingMs = reader.integer("DrainRemainingMs") });
+  const Result<WorkerDescription> worker =
+    WorkerDescription::create({ .workerId = aWorkerId,
+                                .bornMs = reader.integer("born"),
+                                .poolName = reader.text("Service", true),
+                                .dataCentre = reader.text("Zone"),
+                                .rack = labels.size() > kRackLabel ? labels[kRackLabel] : "",
+                                .labels = labels,
+                                .capacity = valueOf(size),
+                                .coldMs = reader.integer("ColdRemainingMs"),
+                                .draining = state == "draining",
+                                .drainRemainingMs = reader.integer("DrainRemainingMs") });
   if (!isOk(worker) || !faults.empty()) {
     const std::string detail = isOk(worker) ? joinFaults(faults) : errorOf(worker).detail();
     return Error::create(ErrorCode::eInvalid, step, aPeer, detail);
--- a/src/platform/WorkerCodec.h
+++ b/src/platform/WorkerCodec.h
@@ -20,7 +20,9 @@
 
 /** Reads an announcement. The error eInvalid lists every fault; nothing of it may be used then. */
 Result<Registration>
-decodeRegistration(const std::string& aWorkerId, const std::string& aBody, const std::string& aPeer);
+decodeRegistration(const std::string& aWorkerId,
+                   const std::string& aBody,
+                   const std::string& aPeer);
 
 std::string
 encodeStart(const StartOrder& aOrder, std::int64_t aFence, std::int64_t aLeaseUntilMs);
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -17,10 +17,11 @@
 json
 route(const std::string& aName, const std::string& aPrefix)
 {
-  return { { "Name", aName },       { "Host", "Nony24.example" },  { "PathPrefix", aPrefix },
-           { "Type", "non_idempotent" }, { "TimeoutMs", 3000 },    { "TargetLatencyMs", 250 },
-           { "Priority", 0 },       { "Service", "pool" },         { "MaxAttempts", 3 },
-           { "Stretch", 1.5 } };
+  return { { "Name", aName },         { "Host", "Nony24.example" },
+           { "PathPrefix", aPrefix }, { "Type", "non_idempotent" },
+           { "TimeoutMs", 3000 },     { "TargetLatencyMs", 250 },
+           { "Priority", 0 },         { "Service", "pool" },
+           { "MaxAttempts", 3 },      { "Stretch", 1.5 } };
 }
 
 json
@@ -59,14 +60,14 @@
 
 BOOST_AUTO_TEST_CASE(a_job_is_decoded_with_all_its_fields)
 {
-  const Result<JobDescription> decoded = decodeJob(
-    "5c0e7a21d94b36f8",
-    R"({"Spec":"text","RepeatCount":3,"FirstRunMs":5000,"IntervalMs":700,"Steps":[
+  const Result<JobDescription> decoded =
+    decodeJob("5c0e7a21d94b36f8",
+              R"({"Spec":"text","RepeatCount":3,"FirstRunMs":5000,"IntervalMs":700,"Steps":[
         {"Count":4,"Cpu":500,"MemMb":256,"Gpu":1,"EstimateMs":900,"DataRack":"r1-3","Image":"i",
          "TargetMs":150,"LongRunning":true,"MaxUnavailable":0,"MaxPerServer":2},
         {"Count":2,"After":[0],"Checkpointing":true,"Fills":true,"Gang":true,"SameRack":true,
          "AllowDuplicates":true,"RequiredLabel":"a","New":1}]})",
-    kPeer);
+              kPeer);
   BOOST_REQUIRE(isOk(decoded));
   const JobDescription& job = valueOf(decoded);
   BOOST_TEST(job.payload() == "text");
@@ -95,7 +96,8 @@
 
 BOOST_AUTO_TEST_CASE(faults_of_a_job_are_told_with_their_paths)
 {
-  for (const char* body : { "", "[]", "{", "{}", R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})" }) {
+  for (const char* body :
+       { "", "[]", "{", "{}", R"({"Steps":[]})", R"({"Steps":[{"Count":0}]})" }) {
     BOOST_TEST(!isOk(decodeJob("j", body, kPeer)), body);
   }
   const Result<JobDescription> decoded = decodeJob("j", R"({"Steps":[{"Count":"x"}]})", kPeer);
@@ -195,11 +197,11 @@
 
 BOOST_AUTO_TEST_CASE(orders_are_encoded)
 {
-  const json start = json::parse(encodeStart(
-    valueOf(StartOrder::create(
-      { .task = "a.0.1.17", .run = 2, .payload = "(text)", .checkpoint = "cp" })),
-    7,
-    486000));
+  const json start = json::parse(
+    encodeStart(valueOf(StartOrder::create(
+                  { .task = "a.0.1.17", .run = 2, .payload = "(text)", .checkpoint = "cp" })),
+                7,
+                486000));
   BOOST_TEST(start == json({ { "Task", "a.0.1.17" },
                              { "Run", 2 },
                              { "Spec", "(text)" },
@@ -208,8 +210,9 @@
                              { "Checkpoint", "cp" } }));
   const json list = json::parse(
     encodeListRequest({ .fence = 7, .ackedEnds = 57, .leaseUntilMs = 486000, .waitMs = 250 }));
-  BOOST_TEST(list ==
-             json({ { "Fence", 7 }, { "AckCursor", 57 }, { "DeadlineMs", 486000 }, { "WaitMs", 250 } }));
+  BOOST_TEST(
+    list ==
+    json({ { "Fence", 7 }, { "AckCursor", 57 }, { "DeadlineMs", 486000 }, { "WaitMs", 250 } }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -157,23 +157,23 @@
 void
 WorkerRelay::stop(const StopOrder& aOrder)
 {
-  mCalls->stop(aOrder,
-               mFence,
-               [this, task = aOrder.task(), run = aOrder.run()](OrderResult aResult,
-                                                                std::int64_t aClockMs) {
-                 note(OrderKind::eStop, task, run, aResult, aClockMs);
-               });
+  mCalls->stop(
+    aOrder,
+    mFence,
+    [this, task = aOrder.task(), run = aOrder.run()](OrderResult aResult, std::int64_t aClockMs) {
+      note(OrderKind::eStop, task, run, aResult, aClockMs);
+    });
 }
 
 void
 WorkerRelay::pace(const PaceOrder& aOrder)
 {
-  mCalls->pace(aOrder,
-               mFence,
-               [this, task = aOrder.task(), run = aOrder.run()](OrderResult aResult,
-                                                                std::int64_t aClockMs) {
-                 note(OrderKind::ePace, task, run, aResult, aClockMs);
-               });
+  mCalls->pace(
+    aOrder,
+    mFence,
+    [this, task = aOrder.task(), run = aOrder.run()](OrderResult aResult, std::int64_t aClockMs) {
+      note(OrderKind::ePace, task, run, aResult, aClockMs);
+    });
 }
 
 void
@@ -183,6 +183,7 @@
                   OrderResult aResult,
                   std::int64_t aClockMs)
 {
+  mOrderCounts[{ aKind, aResult }]++;
   if (aResult != OrderResult::eAccepted) {
     logInfo("order is not accepted",
             { { "kind", toText(aKind) },
@@ -208,15 +209,13 @@
 {
   mAnswered = false;
   mListsInProgress++;
-  mCalls->list({ .fence = mFence,
-                 .ackedEnds = mAckedEnds,
-                 .leaseUntilMs = mLeaseUntilMs,
-                 .waitMs = aWaitMs },
-               [this, fence = mFence](const Result<WorkerLists>& aResult) {
-                 mListsInProgress--;
-                 mListedAt = mContext.now();
-                 onLists(fence, aResult);
-               });
+  mCalls->list(
+    { .fence = mFence, .ackedEnds = mAckedEnds, .leaseUntilMs = mLeaseUntilMs, .waitMs = aWaitMs },
+    [this, fence = mFence](const Result<WorkerLists>& aResult) {
+      mListsInProgress--;
+      mListedAt = mContext.now();
+      onLists(fence, aResult);
+    });
 }
 
 void
@@ -263,6 +262,19 @@
   }
 }
 
+void
+WorkerRelay::setMetrics(MetricsRegistry& aMetrics) const
+{
+  aMetrics.set("relay_has_worker", "", mWorker ? 1 : 0);
+  aMetrics.set("relay_fence", "", static_cast<double>(mFence));
+  for (const auto& [key, count] : mOrderCounts) {
+    aMetrics.set("relay_orders",
+                 std::string("kind=\"") + toText(key.first) + "\",result=\"" + toText(key.second) +
+                   "\"",
+                 static_cast<double>(count));
+  }
+}
+
 bool
 WorkerRelay::mayRequestLists(MonotonicTime aNow) const
 {
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "observability/observability.h"
 #include "relay/WorkerCalls.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliadrum {
@@ -67,6 +70,9 @@
 
   bool hasWorker() const { return mWorker.has_value(); }
 
+  /** Sets the gauges and counters of the relay. */
+  void setMetrics(MetricsRegistry& aMetrics) const;
+
 private:
   bool isNewLife(const WorkerDescription& aWorker) const;
   void begin(const WorkerDescription& aWorker, const std::string& aAddress);
@@ -101,6 +107,8 @@
   /** Starts on their way, as TASK/RUN, so that a repeated order makes no second call. */
   std::set<std::string> mStarting;
   std::vector<OrderAnswer> mAnswers;
+  /** Orders by kind and result, since the start of the process. */
+  std::map<std::pair<OrderKind, OrderResult>, std::int64_t> mOrderCounts;
   MonotonicTime mAnswersSince;
 };
 
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/** The metrics endpoint takes no bodies. */
+constexpr std::size_t kMaxMetricsBody = 1024;
+
 class RelayProcess
 {
 public:
@@ -47,7 +50,7 @@
                                 std::move(handlers));
   }
 
-  Result<Done> start(const std::string& aAddress)
+  Result<Done> start(const std::string& aAddress, const std::string& aMetricsAddress)
   {
     platform::RegistrationServer::Handlers handlers;
     handlers.onRegistration = [this](const platform::Registration& aRegistration) {
@@ -59,6 +62,19 @@
       return errorOf(server);
     }
     mServer = takeValue(std::move(server));
+    if (!aMetricsAddress.empty()) {
+      auto metrics = HttpServer::listen(
+        mLoop,
+        aMetricsAddress,
+        kMaxMetricsBody,
+        [this](const HttpRequest& aRequest, const HttpResponderPointer& aResponder) {
+          answerMetrics(aRequest, *aResponder);
+        });
+      if (!isOk(metrics)) {
+        return errorOf(metrics);
+      }
+      mMetricsServer = takeValue(std::move(metrics));
+    }
     mLink->start();
     mTick = mLoop.runEvery(WorkerRelay::kTickMs, [this]() { mRelay.tick(); });
     return Done{};
@@ -70,7 +86,20 @@
   }
 
 private:
+  void answerMetrics(const HttpRequest& aRequest, HttpResponder& aResponder)
+  {
+    constexpr std::int64_t kOk = 200;
+    constexpr std::int64_t kNotFound = 404;
+    const bool isKnown = aRequest.mPath == "/metrics";
+    mRelay.setMetrics(mMetrics);
+    mMetrics.set("relay_has_leader", "", mLink->holdsLease(mLoop.now()) ? 1 : 0);
+    aResponder.answer(valueOf(HttpAnswer::create(
+      { .status = isKnown ? kOk : kNotFound, .body = isKnown ? mMetrics.text() : "" })));
+  }
+
   EventLoop& mLoop;
+  MetricsRegistry mMetrics;
+  std::unique_ptr<HttpServer> mMetricsServer;
   std::unique_ptr<ControlLink> mLink;
   WorkerRelay mRelay;
   std::unique_ptr<platform::RegistrationServer> mServer;
@@ -88,7 +117,8 @@
   EventLoop& events = *valueOf(loop);
   events.setSourceHost(hostOfAddress(aSettings.platformAddress()));
   RelayProcess process(events, aSettings);
-  const Result<Done> started = process.start(aSettings.platformAddress());
+  const Result<Done> started =
+    process.start(aSettings.platformAddress(), aSettings.metricsAddress());
   if (!isOk(started)) {
     logError("relay cannot start", errorOf(started));
     return EXIT_FAILURE;
@@ -100,8 +130,8 @@
   };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
-  const EventHandlePointer reload = reloadOnHangup<RelaySettings>(
-    events, FLAGS_settings, [&process](const RelaySettings& aNew) {
+  const EventHandlePointer reload =
+    reloadOnHangup<RelaySettings>(events, FLAGS_settings, [&process](const RelaySettings& aNew) {
       process.setControlAddresses(controlAddresses(aNew));
     });
   logInfo("relay started", { { "address", aSettings.platformAddress() } });
--- a/src/settings/SettingsFile.cpp
+++ b/src/settings/SettingsFile.cpp
@@ -50,8 +50,8 @@
 {
   checkAddresses(aSettings.controlAddresses(), "controlAddresses", aFaults);
   checkAddresses(aSettings.controlSeeds(), "controlSeeds", aFaults);
-  if (aSettings.controlAddresses().empty() == aSettings.controlSeeds().empty()) {
-    aFaults.push_back("controlAddresses, controlSeeds: exactly one of them is needed");
+  if (!aSettings.controlAddresses().empty() && !aSettings.controlSeeds().empty()) {
+    aFaults.push_back("controlAddresses, controlSeeds: only one of them is allowed");
   }
   if (!aSettings.controlSeeds().empty() && aSettings.controlPort() == 0) {
     aFaults.push_back("controlPort: is needed with controlSeeds");
@@ -162,6 +162,13 @@
   }
   Faults faults;
   const Settings settings = Settings::read(json, "", faults);
+  if constexpr (requires {
+                  settings.controlAddresses().empty() && settings.controlSeeds().empty();
+                }) {
+    if (settings.controlAddresses().empty() && settings.controlSeeds().empty()) {
+      faults.push_back("controlAddresses: missing, and there are no controlSeeds");
+    }
+  }
   if (faults.empty()) {
     checkTogether(settings, faults);
   }
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -69,3 +69,27 @@
   const TemporaryFile file("{ not json");
   BOOST_TEST(!isOk(readSettings<ControlSettings>(file.name())));
 }
+
+BOOST_AUTO_TEST_CASE(seeds_stand_for_the_addresses_of_control)
+{
+  const TemporaryFile file(
+    R"({"processId":"relay-1","platformAddress":"127.0.0.1:80","dataCentre":"Waco",
+    "controlSeeds":["10.1.0.13:8166","10.2.0.30:8166"],"controlPort":7720})");
+  const Result<RelaySettings> settings = readSettings<RelaySettings>(file.name());
+  BOOST_REQUIRE(isOk(settings));
+  const std::vector<std::string> expected = { "10.1.0.13:7720", "10.2.0.30:7720" };
+  BOOST_TEST(controlAddresses(valueOf(settings)) == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(seeds_need_a_port_and_stand_alone)
+{
+  const TemporaryFile file(
+    R"({"processId":"relay-1","platformAddress":"127.0.0.1:80","dataCentre":"Waco",
+    "controlSeeds":["10.1.0.13:8166"],"controlAddresses":["10.1.0.13:7720"]})");
+  const Result<RelaySettings> settings = readSettings<RelaySettings>(file.name());
+  BOOST_REQUIRE(!isOk(settings));
+  const std::string detail = errorOf(settings).detail();
+  for (const char* fault : { "controlPort", "only one of them" }) {
+    BOOST_TEST(detail.find(fault) != std::string::npos, fault << " not in " << detail);
+  }
+}
--- a/tools/generate_settings_page.py
+++ b/tools/generate_settings_page.py
@@ -12,6 +12,7 @@
     ("ControlSettings", "magnoliadrum-control"),
     ("GatewaySettings", "magnoliadrum-gateway"),
     ("AgentSettings", "magnoliadrum-agent"),
+    ("RelaySettings", "magnoliadrum-relay"),
     ("LeaseSettings", "`lease`"),
     ("PolicySettings", "`policy`"),
 )
