--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -503,14 +503,17 @@
 {
   std::set<std::string> over;
   for (const RunEnding& end : aCommand.ends()) {
-    if (mRuns.find(end.task(), end.run()) == nullptr) {
+    const TrackedRun* run = mRuns.find(end.task(), end.run());
+    if (run == nullptr) {
       continue;
     }
+    const std::string worker = run->life.worker;
     mRuns.remove(end.task(), end.run());
     logInfo("run ended",
             { { "task", end.task() },
               { "run", end.run() },
               { "how", toText(end.how()) },
+              { "worker", worker },
               { "checkpoint", end.checkpoint() } });
     const std::optional<TaskId> task = TaskId::parse(end.task());
     const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
--- a/src/platform/CallerServer.cpp
+++ b/src/platform/CallerServer.cpp
@@ -221,11 +221,12 @@
     return;
   }
   const std::int64_t waitMs = std::max<std::int64_t>(1, waitMsOf(aRequest) - kAnswerMarginMs);
-  send(std::get<Message>(translation), mLoop.now().plusMs(waitMs), aResponder);
+  send(std::get<Message>(translation), aRequest.mPath, mLoop.now().plusMs(waitMs), aResponder);
 }
 
 void
 CallerServer::send(const Message& aMessage,
+                   const std::string& aPath,
                    Deadline aDeadline,
                    const HttpResponderPointer& aResponder)
 {
@@ -233,15 +234,17 @@
   const MonotonicTime receivedAt = mLoop.now();
   mOptions.call(aMessage,
                 aDeadline,
-                [this, aResponder, receivedAt, type = typeName(aMessage), aMessage](
+                [this, aResponder, receivedAt, aPath, type = typeName(aMessage)](
                   const Result<Message>& aResult) {
                   mInProgress--;
                   const HttpAnswer answer = answerOf(aResult);
                   if (answer.status() != kStatusOk) {
                     logInfo("caller's request not served",
                             { { "type", type },
+                              { "path", aPath },
                               { "status", answer.status() },
                               { "tookMs", mLoop.now().msSince(receivedAt) },
+                              { "hasLeader", mOptions.isReady() },
                               { "detail", answer.body() } });
                   }
                   aResponder->answer(answer);
--- a/src/platform/CallerServer.h
+++ b/src/platform/CallerServer.h
@@ -52,7 +52,10 @@
   Result<Done> listen();
   void onRequest(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
   void answerReadiness(HttpResponder& aResponder) const;
-  void send(const Message& aMessage, Deadline aDeadline, const HttpResponderPointer& aResponder);
+  void send(const Message& aMessage,
+            const std::string& aPath,
+            Deadline aDeadline,
+            const HttpResponderPointer& aResponder);
   void continueShutdown();
 
   EventLoop& mLoop;
