No job starves while its pool is mostly free

Now a job of which nothing runs gets one task where it disturbs least, and the guard slows it down there when it must. The new test fails without the change.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -113,11 +113,16 @@
          JobScheduler::kLongRunningUse * static_cast<double>(aRoom.longRunningCpuMilli);
 }
 
+bool
+fits(const WorkerRoom& aRoom, const JobStep& aStep)
+{
+  return declaredSize(aStep).fitsIn(aRoom.capacity.minus(aRoom.used));
+}
+
 bool
 hasRoom(const WorkerRoom& aRoom, const JobStep& aStep)
 {
-  const ResourceAmount size = declaredSize(aStep);
-  if (!size.fitsIn(aRoom.capacity.minus(aRoom.used))) {
+  if (!fits(aRoom, aStep)) {
     return false;
   }
   if (aStep.opportunistic()) {
@@ -185,6 +190,9 @@
       if (assign(aReady, task, name, mRooms, {})) {
         continue;
       }
+      if (step.opportunistic() && isStarved(aReady) && assignAnywhere(aReady, task, name)) {
+        return;
+      }
       explain(aReady, task, name);
       if (!claimRoom(aReady, task, name)) {
         return;
@@ -227,17 +235,61 @@
     if (best == nullptr) {
       return false;
     }
-    occupy(*best, step, aTask);
+    commit(*best, aReady, aTask);
+    return true;
+  }
+
+  /** Whether nothing of the job runs although most of its pool's processor time is not given away.
+   */
+  bool isStarved(const ReadyStep& aReady) const
+  {
+    if (aReady.job->hasActiveRuns()) {
+      return false;
+    }
+    double used = 0;
+    double capacity = 0;
+    for (const WorkerRoom& room : mRooms) {
+      if (room.poolName == aReady.job->queue().poolName()) {
+        used += static_cast<double>(room.used.cpuMilli);
+        capacity += static_cast<double>(room.capacity.cpuMilli);
+      }
+    }
+    return used < JobScheduler::kMostlyFree * capacity;
+  }
+
+  /** Assigns one opportunistic task where it disturbs least, whatever is expected of it there. */
+  bool assignAnywhere(const ReadyStep& aReady, const TaskId& aTask, const std::string& aStepName)
+  {
+    const JobStep& step = aReady.description();
+    WorkerRoom* best = nullptr;
+    for (WorkerRoom& room : mRooms) {
+      if (!allows(room, aReady, aStepName) || !fits(room, step)) {
+        continue;
+      }
+      if (best == nullptr || disturbance(room, step) < disturbance(*best, step)) {
+        best = &room;
+      }
+    }
+    if (best != nullptr) {
+      commit(*best, aReady, aTask);
+    }
+    return best != nullptr;
+  }
+
+  /** Notes an assignment and takes its room. */
+  void commit(WorkerRoom& aRoom, const ReadyStep& aReady, const TaskId& aTask)
+  {
+    const JobStep& step = aReady.description();
+    occupy(aRoom, step, aTask);
     if (step.opportunistic()) {
-      best->unobserved[step.image()] += cpuShare(*best, step);
+      aRoom.unobserved[step.image()] += cpuShare(aRoom, step);
     }
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
-                                                             .worker = best->worker,
-                                                             .bornMs = best->bornMs,
-                                                             .place = best->place })),
+                                                             .worker = aRoom.worker,
+                                                             .bornMs = aRoom.bornMs,
+                                                             .place = aRoom.place })),
                                   aTask });
-    return true;
   }
 
   void explain(const ReadyStep& aReady, const TaskId& aTask, const std::string& aStepName)
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -109,7 +109,8 @@
  * Order: by priority of the queue; then jobs that can still meet their objective before those that
  * are late, each by the end of the objective. A task is only put where its declared size fits. For
  * a task that fits nowhere, runs of queues that go later are stopped, the cheapest first, and the
- * room is kept for it.
+ * room is kept for it. While its pool is mostly free, each job has a task at work, even an
+ * opportunistic one where it may disturb.
  */
 class JobScheduler
 {
@@ -120,6 +121,8 @@
   static constexpr double kOpportunisticShare = 0.8;
   /** An opportunistic task goes where no objective is expected to be used up to this share. */
   static constexpr double kMostOfObjective = 0.85;
+  /** Below this share of given-away processor time a pool counts as mostly free. */
+  static constexpr double kMostlyFree = 0.6;
   /** Most runs that one round stops. */
   static constexpr std::size_t kMaxEvictions = 40;
   /** Most steps whose reason to wait is told. */
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -213,6 +213,24 @@
   BOOST_TEST(places.at("b.0.0.1") == "w2");
 }
 
+// Load pattern: the end of a day, when few standing tasks are left and the batch work that remains
+// is expected to disturb all of them.
+BOOST_AUTO_TEST_CASE(a_job_does_not_starve_while_its_pool_is_mostly_free)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("tally", jobOf("b", { opportunisticStep(8, 4650, 7152) })));
+  WorkerRoom first = roomOf("w1", 32000, 128000);
+  first.serving = { { "serving", 145, 150 } };
+  WorkerRoom second = roomOf("w2", 32000, 128000);
+  second.serving = { { "serving", 140, 150 } };
+  const auto places = placesOf(decide(jobs, { first, second }));
+  BOOST_TEST(places.size() == 1u, "one task is enough to go on");
+  BOOST_TEST(places.at("b.0.0.0") == "w2", "where it disturbs least");
+  first.used.cpuMilli = 30000;
+  second.used.cpuMilli = 30000;
+  BOOST_TEST(decide(jobs, { first, second }).assignments.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_on_which_runs_fail_is_used_last)
 {
   JobRegistry jobs = registryWithQueues();
