--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -104,6 +104,12 @@
          std::find(aRoom.labels.begin(), aRoom.labels.end(), aLabel) != aRoom.labels.end();
 }
 
+bool
+servesUsers(const JobStep& aStep)
+{
+  return aStep.longRunning() && aStep.latencyObjectiveMs() > 0;
+}
+
 /** Processor time that nothing on the worker is expected to use. */
 double
 unusedCpuMilli(const WorkerRoom& aRoom)
@@ -150,15 +156,29 @@
   return true;
 }
 
+/** Cost of a worker for a step by its load; the lowest is chosen. */
+double
+loadCost(const WorkerRoom& aRoom, const JobStep& aStep, double aExpectedRatio)
+{
+  const double capacity = std::max<double>(1, static_cast<double>(aRoom.capacity.cpuMilli));
+  const double given = static_cast<double>(aRoom.used.cpuMilli) / capacity;
+  if (servesUsers(aStep)) {
+    // The fullest worker first, and any worker with the image before all others.
+    constexpr double kOtherImage = 1;
+    constexpr double kNoImage = 2;
+    const double unlike = aRoom.servingRuns.empty() ? kNoImage : kOtherImage;
+    return (aRoom.servingRuns.contains(aStep.image()) ? 0 : unlike) - given;
+  }
+  return (aStep.longRunning() ? given : 1 - unusedCpuMilli(aRoom) / capacity) + aExpectedRatio;
+}
+
 /** Cost of a worker for a step; the lowest is chosen. */
 auto
 cost(const WorkerRoom& aRoom, const JobStep& aStep, double aExpectedRatio)
 {
   const bool isFar = !aStep.preferredRack().empty() && aStep.preferredRack() != aRoom.rack;
-  const double capacity = std::max<double>(1, static_cast<double>(aRoom.capacity.cpuMilli));
-  const double load = aStep.longRunning() ? static_cast<double>(aRoom.used.cpuMilli) / capacity
-                                          : 1 - unusedCpuMilli(aRoom) / capacity;
-  return std::tuple(aRoom.recentFailures, isFar, load + aExpectedRatio, aRoom.worker);
+  return std::tuple(
+    aRoom.recentFailures, isFar, loadCost(aRoom, aStep, aExpectedRatio), aRoom.worker);
 }
 
 class Round
@@ -477,6 +497,9 @@
   } else if (aStep.longRunning()) {
     aRoom.longRunningCpuMilli += aStep.resources().cpuMilli();
   }
+  if (servesUsers(aStep)) {
+    aRoom.servingRuns[aStep.image()]++;
+  }
   aRoom.runsOfStep[stepName(aTask)]++;
 }
 
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -47,6 +47,8 @@
   std::vector<EvictableRun> evictable;
   /** The tasks that serve users here. */
   std::vector<ServingTask> serving;
+  /** Active runs that serve users, by image; also those that no report shows yet. */
+  std::map<std::string, std::int64_t> servingRuns;
   /** Opportunistic tasks that the figures of the serving tasks do not show yet. */
   DisturbanceGuard::ImageShares unobserved;
   /** Runs that failed here lately, beyond what is usual. A worker with many is used last. */
@@ -109,8 +111,9 @@
  * Order: by priority of the queue; then jobs that can still meet their objective before those that
  * are late, each by the end of the objective. A task is only put where its declared size fits. For
  * a task that fits nowhere, runs of queues that go later are stopped, the cheapest first, and the
- * room is kept for it. While its pool is mostly free, each job has a task at work, even an
- * opportunistic one where it may disturb.
+ * room is kept for it. Tasks that serve users share workers, first with tasks of the same image, so
+ * that other workers are left on which opportunistic tasks disturb nobody. While its pool is mostly
+ * free, each job has a task at work, even an opportunistic one where it may disturb.
  */
 class JobScheduler
 {
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 using namespace magnoliadrum;
 using namespace magnoliadrum::fixture;
@@ -157,6 +158,42 @@
   BOOST_TEST(decide(jobs, { nearlyFull, other }).assignments.size() == 2u);
 }
 
+// Load pattern: standing tasks of several images take most of a pool, and batch work of many images
+// disturbs some of them.
+BOOST_AUTO_TEST_CASE(serving_tasks_share_workers_with_their_image_and_leave_others_free)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields other = longRunningStep(4, 6400, 13000);
+  other.image = "other";
+  jobs.apply(submitOf("urgent", jobOf("a", { longRunningStep(4, 6400, 13000) })));
+  jobs.apply(submitOf("urgent", jobOf("b", { other })));
+  jobs.apply(submitOf("urgent", jobOf("c", { longRunningStep(1, 6400, 13000) })));
+  std::vector<WorkerRoom> rooms;
+  for (const char* name : { "w1", "w2", "w3", "w4" }) {
+    rooms.push_back(roomOf(name, 32000, 128000));
+  }
+  std::map<std::string, std::set<std::string>> imagesByWorker;
+  for (const auto& [task, worker] : placesOf(decide(jobs, rooms))) {
+    imagesByWorker[worker].insert(task.front() == 'b' ? "other" : "serving");
+  }
+  BOOST_TEST(imagesByWorker.size() == 2u, "nine tasks fit on two workers");
+}
+
+BOOST_AUTO_TEST_CASE(serving_tasks_go_to_their_image_before_the_fullest_worker)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("a", { longRunningStep(1, 6400, 13000) })));
+  WorkerRoom like = roomOf("w1", 32000, 128000);
+  like.used.cpuMilli = 6400;
+  like.servingRuns["serving"] = 1;
+  WorkerRoom fuller = roomOf("w2", 32000, 128000);
+  fuller.used.cpuMilli = 19200;
+  fuller.servingRuns["other"] = 3;
+  WorkerRoom empty = roomOf("w3", 48000, 128000);
+  BOOST_TEST(placesOf(decide(jobs, { empty, fuller, like })).at("a.0.0.0") == "w1");
+  BOOST_TEST(placesOf(decide(jobs, { empty, fuller })).at("a.0.0.0") == "w2");
+}
+
 // Load pattern: opportunistic tasks have filled the memory when standing tasks come back.
 BOOST_AUTO_TEST_CASE(room_is_made_for_a_queue_that_goes_first)
 {
