The guard follows each pair of images by itself, within seconds, and lets harmless images go on

The guard remembered 16 s of reports, treated unknown pairs like disturbing ones, and after it had stopped the culprit stopped all others too, because the reported latency falls only within 1.2 s.

Now each pair has a Kalman filter of its own that fades within seconds; a falling latency teaches nothing; harmless images go on beside a task near its objective.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -359,8 +359,10 @@
   for (const std::string& name : mRuns.runsOf(aKey)) {
     const TrackedRun& run = mRuns.run(name);
     if (run.step().latencyObjectiveMs() > 0 && run.isConfirmed && !run.endProposed) {
-      tasks.push_back(
-        { run.step().image(), run.figure, static_cast<double>(run.step().latencyObjectiveMs()) });
+      tasks.push_back({ run.step().image(),
+                        run.figure,
+                        static_cast<double>(run.step().latencyObjectiveMs()),
+                        name });
     }
   }
   return tasks;
@@ -390,9 +392,9 @@
   const std::vector<ServingTask> serving = servingTasks(aKey);
   const std::vector<OpportunisticTask> others =
     opportunisticTasks(aKey, aLife.description.capacity().cpuMilli());
-  mGuard.observe(serving, others);
-  for (const PaceDecision& decision :
-       mGuard.decide(aLife.guardState, serving, others, mContext.mNow())) {
+  const MonotonicTime now = mContext.mNow();
+  mGuard.observe(aLife.guardState, serving, others, now);
+  for (const PaceDecision& decision : mGuard.decide(aLife.guardState, serving, others, now)) {
     TrackedRun& run = mRuns.runs().at(decision.task);
     logInfo("pace of an opportunistic task",
             { { "task", decision.task },
--- a/src/jobs/DisturbanceGuard.cpp
+++ b/src/jobs/DisturbanceGuard.cpp
@@ -10,16 +10,13 @@
 constexpr std::int64_t kFullPercent = 100;
 /** First step from a standstill. */
 constexpr std::int64_t kFirstPercent = 30;
-/** A latency swings by about a factor of two with a task's own load, which is not reported. */
-constexpr double kNoiseVariance = 0.25;
-/** A disturbing image that gets the whole worker can make a latency grow by e to the 10. */
-constexpr double kFactorVariance = 100;
-
-std::uint32_t
-indexOf(std::unordered_map<std::string, std::uint32_t>& aIndexes, const std::string& aName)
-{
-  return aIndexes.try_emplace(aName, static_cast<std::uint32_t>(aIndexes.size())).first->second;
-}
+/** Reports that come closer together mostly repeat the same figures. */
+constexpr std::int64_t kNewFiguresMs = 150;
+/** A reported latency shows a disturbance that is over for this long. */
+constexpr std::int64_t kLatencyMemoryMs = 1300;
+/** Weight of one report in the level of a task, without neighbours and beside some. */
+constexpr double kLevelWeight = 0.3;
+constexpr double kLevelWeightBeside = 0.05;
 
 double
 worstRatio(const std::vector<ServingTask>& aServing)
@@ -40,51 +37,82 @@
   return std::max(aTask.usedShare, paced);
 }
 
-} // namespace
-
-DisturbanceGuard::DisturbanceGuard()
-  : mModel({ .noiseVariance = kNoiseVariance, .factorVariance = kFactorVariance })
-{
-}
-
+/** Follows what runs beside the serving tasks; a share that falls is kept while latencies show it.
+ */
 void
-DisturbanceGuard::observe(const std::vector<ServingTask>& aServing,
-                          const std::vector<OpportunisticTask>& aOthers)
+updateBeside(std::map<std::string, DisturbanceGuard::Neighbour>& aBeside,
+             const std::vector<OpportunisticTask>& aOthers,
+             MonotonicTime aNow)
 {
-  std::vector<EntryLoad> others;
+  ImageShares present;
   for (const OpportunisticTask& other : aOthers) {
-    others.push_back({ indexOf(mImageIndexes, other.image), other.usedShare });
+    present[other.image] += other.usedShare;
   }
-  constexpr double kUnknownLoad = 0;
-  for (const ServingTask& task : aServing) {
-    mModel.learn(indexOf(mServingIndexes, task.image), task.latencyMs, kUnknownLoad, others);
+  for (const auto& [image, share] : present) {
+    aBeside.try_emplace(image);
   }
+  for (auto& [image, neighbour] : aBeside) {
+    const auto share = present.find(image);
+    neighbour.present = share == present.end() ? 0 : share->second;
+    if (neighbour.present >= neighbour.shown || aNow.msSince(neighbour.at) >= kLatencyMemoryMs) {
+      neighbour.shown = neighbour.present;
+      neighbour.at = aNow;
+    }
+  }
+  std::erase_if(aBeside, [](const auto& aItem) { return aItem.second.shown <= 0; });
 }
 
-double
-DisturbanceGuard::growth(const std::string& aServingImage,
-                         const std::string& aImage,
-                         double aShare) const
+ImageShares
+shownShares(const DisturbanceGuard::State& aState)
 {
-  const auto serving = mServingIndexes.find(aServingImage);
-  const auto image = mImageIndexes.find(aImage);
-  if (serving == mServingIndexes.end() || image == mImageIndexes.end()) {
-    return 0;
+  ImageShares shares;
+  for (const auto& [image, neighbour] : aState.beside) {
+    shares.emplace(image, neighbour.shown);
   }
-  return mModel.factor(serving->second, image->second) * aShare;
+  return shares;
 }
 
-double
-DisturbanceGuard::cautiousGrowth(const std::string& aServingImage,
-                                 const std::string& aImage,
-                                 double aShare) const
+} // namespace
+
+void
+DisturbanceGuard::observe(State& aState,
+                          const std::vector<ServingTask>& aServing,
+                          const std::vector<OpportunisticTask>& aOthers,
+                          MonotonicTime aNow)
+{
+  if (aNow.msSince(aState.observedAt) < kNewFiguresMs) {
+    return;
+  }
+  aState.observedAt = aNow;
+  updateBeside(aState.beside, aOthers, aNow);
+  const ImageShares beside = shownShares(aState);
+  std::map<std::string, double> levels;
+  for (const ServingTask& task : aServing) {
+    if (task.latencyMs <= 0) {
+      continue;
+    }
+    const double latency = std::log(task.latencyMs);
+    const auto known = aState.levels.find(task.task);
+    const double level = known == aState.levels.end() ? latency : known->second;
+    if (isFalling(aState, task)) {
+      levels.emplace(task.task, level);
+      continue;
+    }
+    mModel.learn(task.image, latency - level, beside, aNow);
+    const double alone = latency - mModel.growth(task.image, beside);
+    const double weight = beside.empty() ? kLevelWeight : kLevelWeightBeside;
+    levels.emplace(task.task, level + weight * (alone - level));
+  }
+  aState.levels = std::move(levels);
+}
+
+bool
+DisturbanceGuard::isFalling(const State& aState, const ServingTask& aTask) const
 {
-  const auto serving = mServingIndexes.find(aServingImage);
-  const auto image = mImageIndexes.find(aImage);
-  const bool isKnown = serving != mServingIndexes.end() && image != mImageIndexes.end() &&
-                       mModel.uncertainty(serving->second, image->second) <= kUnknownDeviation;
-  const double learned = growth(aServingImage, aImage, aShare);
-  return isKnown ? learned : std::max(learned, kUnknownFactor * aShare);
+  return std::any_of(aState.beside.begin(), aState.beside.end(), [&](const auto& aItem) {
+    const double over = aItem.second.shown - aItem.second.present;
+    return mModel.growth(aTask.image, aItem.first, over) >= kDisturbs;
+  });
 }
 
 double
@@ -95,9 +123,11 @@
   for (const ServingTask& task : aServing) {
     double sum = 0;
     for (const auto& [image, share] : aMore) {
-      sum += cautiousGrowth(task.image, image, share);
+      sum += mModel.cautiousGrowth(task.image, image, share);
+    }
+    if (sum >= kHarmless) {
+      worst = std::max(worst, task.ratio() * std::exp(sum));
     }
-    worst = std::max(worst, task.ratio() * std::exp(sum));
   }
   return worst;
 }
@@ -109,12 +139,35 @@
   double most = 0;
   for (const ServingTask& task : aServing) {
     if (task.ratio() >= kNear) {
-      most = std::max(most, growth(task.image, aTask.image, presentShare(aTask)));
+      most = std::max(most, mModel.growth(task.image, aTask.image, presentShare(aTask)));
+    }
+  }
+  return most;
+}
+
+double
+DisturbanceGuard::largestBlame(const State& aState, const std::vector<ServingTask>& aServing) const
+{
+  double most = 0;
+  for (const ServingTask& task : aServing) {
+    for (const auto& [image, neighbour] : aState.beside) {
+      if (task.ratio() >= kNear) {
+        most = std::max(most, mModel.growth(task.image, image, neighbour.shown));
+      }
     }
   }
   return most;
 }
 
+bool
+DisturbanceGuard::isExplained(const State& aState, const std::vector<ServingTask>& aServing) const
+{
+  const ImageShares beside = shownShares(aState);
+  return std::all_of(aServing.begin(), aServing.end(), [&](const ServingTask& aTask) {
+    return aTask.ratio() < 1 || aTask.ratio() * std::exp(-mModel.growth(aTask.image, beside)) < 1;
+  });
+}
+
 PaceDecision
 DisturbanceGuard::slowDown(const std::vector<ServingTask>& aServing,
                            const OpportunisticTask& aTask,
@@ -127,46 +180,72 @@
 }
 
 std::vector<PaceDecision>
-DisturbanceGuard::decide(State& aState,
-                         const std::vector<ServingTask>& aServing,
-                         const std::vector<OpportunisticTask>& aOthers,
-                         MonotonicTime aNow) const
+DisturbanceGuard::slowDownCulprits(State& aState,
+                                   const std::vector<ServingTask>& aServing,
+                                   const std::vector<OpportunisticTask>& aOthers,
+                                   MonotonicTime aNow) const
 {
+  const bool isMissed = worstRatio(aServing) >= 1;
+  const double culprit = std::max(kDisturbs, kPartOfLargest * largestBlame(aState, aServing));
   std::vector<PaceDecision> decisions;
-  const double worst = worstRatio(aServing);
-  const bool isMissed = worst >= 1;
-  if (isMissed) {
-    aState.missedSince = aState.missedSince.value_or(aNow);
-  } else if (worst < kNear) {
+  for (const OpportunisticTask& other : aOthers) {
+    if (other.percent > 0 && blame(aServing, other) >= culprit) {
+      decisions.push_back(slowDown(aServing, other, isMissed));
+    }
+  }
+  if (!isMissed || !decisions.empty() || isExplained(aState, aServing)) {
     aState.missedSince.reset();
+    return decisions;
   }
-  if (worst >= kNear) {
-    for (const OpportunisticTask& other : aOthers) {
-      if (other.percent > 0 && blame(aServing, other) >= kDisturbs) {
-        decisions.push_back(slowDown(aServing, other, isMissed));
-      }
+  aState.missedSince = aState.missedSince.value_or(aNow);
+  if (aNow.msSince(*aState.missedSince) < kStopAllMs) {
+    return decisions;
+  }
+  for (const OpportunisticTask& other : aOthers) {
+    if (other.percent > 0) {
+      decisions.push_back({ other.task, 0, false });
     }
-    const bool stopsAll =
-      decisions.empty() && aState.missedSince && aNow.msSince(*aState.missedSince) >= kStopAllMs;
-    for (const OpportunisticTask& other : aOthers) {
-      if (stopsAll && other.percent > 0) {
-        decisions.push_back({ other.task, 0, false });
-      }
+  }
+  return decisions;
+}
+
+std::vector<PaceDecision>
+DisturbanceGuard::speedUp(const std::vector<ServingTask>& aServing,
+                          const std::vector<OpportunisticTask>& aOthers) const
+{
+  std::vector<PaceDecision> decisions;
+  ImageShares more;
+  for (const OpportunisticTask& other : aOthers) {
+    if (other.percent >= kFullPercent) {
+      continue;
     }
-  } else if (worst < kFar && aNow.msSince(aState.changedAt) >= kRaiseEveryMs) {
-    for (const OpportunisticTask& other : aOthers) {
-      if (other.percent >= kFullPercent) {
-        continue;
-      }
-      const std::int64_t percent =
-        std::min(kFullPercent, std::max(kFirstPercent, other.percent * 2));
-      const double more = other.declaredShare * static_cast<double>(percent - other.percent) /
+    const std::int64_t percent = std::min(kFullPercent, std::max(kFirstPercent, other.percent * 2));
+    ImageShares tried = more;
+    tried[other.image] += other.declaredShare * static_cast<double>(percent - other.percent) /
                           static_cast<double>(kFullPercent);
-      if (expectedRatio(aServing, { { other.image, more } }) < kNear) {
-        decisions.push_back({ other.task, percent, false });
-      }
+    if (expectedRatio(aServing, tried) < kNear) {
+      more = std::move(tried);
+      decisions.push_back({ other.task, percent, false });
     }
   }
+  return decisions;
+}
+
+std::vector<PaceDecision>
+DisturbanceGuard::decide(State& aState,
+                         const std::vector<ServingTask>& aServing,
+                         const std::vector<OpportunisticTask>& aOthers,
+                         MonotonicTime aNow) const
+{
+  std::vector<PaceDecision> decisions;
+  if (worstRatio(aServing) >= kNear) {
+    decisions = slowDownCulprits(aState, aServing, aOthers, aNow);
+  } else {
+    aState.missedSince.reset();
+  }
+  if (decisions.empty() && !aState.missedSince && aNow.msSince(aState.changedAt) >= kRaiseEveryMs) {
+    decisions = speedUp(aServing, aOthers);
+  }
   if (!decisions.empty()) {
     aState.changedAt = aNow;
   }
--- a/src/jobs/DisturbanceGuard.h
+++ b/src/jobs/DisturbanceGuard.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "core/core.h"
-#include "placement/InterferenceModel.h"
+#include "jobs/DisturbanceModel.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace magnoliadrum {
@@ -19,6 +18,8 @@
   /** Tail latency over the last half second; 0 when it is not known. */
   double latencyMs = 0;
   double objectiveMs = 0;
+  /** Name; tells tasks of the same image apart. */
+  std::string task;
 
   double ratio() const { return objectiveMs > 0 ? latencyMs / objectiveMs : 0; }
 };
@@ -50,38 +51,57 @@
  * Keeps opportunistic tasks from pushing the tasks that serve users beyond their latency
  * objectives.
  *
- * Which image disturbs which differs much and is not declared, so it is learned from what the
- * workers report. Slowed down are the tasks whose image is known to disturb a task that is near its
- * objective; when none is known and the objective is missed for a while, all of them.
+ * Which image disturbs which differs much, changes within seconds and is not declared, so it is
+ * learned from what the workers report. Slowed down are the tasks whose image disturbs a task that
+ * is near its objective; when nothing learned explains an objective that is missed for a while, all
+ * of them.
  */
 class DisturbanceGuard
 {
 public:
   /** Share of an objective above which disturbing tasks are slowed down. */
   static constexpr double kNear = 0.8;
-  /** Share of an objective below which slowed tasks may go faster. */
-  static constexpr double kFar = 0.65;
   /** Growth of the latency (as a logarithm) that makes an image count as disturbing. */
   static constexpr double kDisturbs = 0.2;
+  /** An image is slowed down only with this part of the largest blame; a rise of which the cause
+   * is known says little about the others. */
+  static constexpr double kPartOfLargest = 0.4;
   /** At full speed; above it the task is better moved than slowed down. */
   static constexpr double kDisturbsMuch = 0.5;
+  /** Growth below which an image counts as harmless, whatever the latency beside it is. */
+  static constexpr double kHarmless = 0.05;
   /** An objective that is missed for this long stops all opportunistic tasks on the worker. */
   static constexpr std::int64_t kStopAllMs = 1200;
-  /** Time between two changes upwards: more than one report with the effect of the last. */
-  static constexpr std::int64_t kRaiseEveryMs = 900;
+  /** Time between two changes upwards: the next report shows most of the effect of the last. */
+  static constexpr std::int64_t kRaiseEveryMs = 500;
+
+  /** What runs of an opportunistic image beside the serving tasks of a worker. */
+  struct Neighbour
+  {
+    /** Share that the latest report tells. */
+    double present = 0;
+    /** Share whose effect the latest latencies show, and since when. */
+    double shown = 0;
+    MonotonicTime at;
+  };
 
   /** What is kept for each worker. */
   struct State
   {
     MonotonicTime changedAt;
+    MonotonicTime observedAt;
     std::optional<MonotonicTime> missedSince;
+    /** By image. */
+    std::map<std::string, Neighbour> beside;
+    /** Logarithm of the latency of each serving task without neighbours. */
+    std::map<std::string, double> levels;
   };
 
-  DisturbanceGuard();
-
   /** Learns from one report of a worker. */
-  void observe(const std::vector<ServingTask>& aServing,
-               const std::vector<OpportunisticTask>& aOthers);
+  void observe(State& aState,
+               const std::vector<ServingTask>& aServing,
+               const std::vector<OpportunisticTask>& aOthers,
+               MonotonicTime aNow);
 
   /** Decides for the opportunistic tasks of a worker; those that stay as they are are left out. */
   std::vector<PaceDecision> decide(State& aState,
@@ -89,36 +109,32 @@
                                    const std::vector<OpportunisticTask>& aOthers,
                                    MonotonicTime aNow) const;
 
-  /** Shares of a worker's processors by image. */
-  using ImageShares = std::map<std::string, double>;
-
   /**
    * The largest share of its objective that a serving task is expected to reach when aMore works
-   * beside it in addition to what its last figure shows. An image that was hardly observed beside
-   * it is expected to disturb, so that it is tried with few tasks first.
+   * beside it in addition to what its last figure shows; 0 when aMore disturbs none. An image that
+   * was hardly observed beside it is expected to disturb, so that it is tried with few tasks first.
    */
   double expectedRatio(const std::vector<ServingTask>& aServing, const ImageShares& aMore) const;
 
 private:
-  /** What an image is taken to add per share while it was hardly observed. */
-  static constexpr double kUnknownFactor = 4;
-  /** An image counts as hardly observed above this standard deviation of its factor. */
-  static constexpr double kUnknownDeviation = 5;
-
-  double cautiousGrowth(const std::string& aServingImage,
-                        const std::string& aImage,
-                        double aShare) const;
-
-  /** Growth of the latency as a logarithm. */
-  double growth(const std::string& aServingImage, const std::string& aImage, double aShare) const;
+  /** Whether the latency still shows a disturbance that has stopped, so nothing is learned of it.
+   */
+  bool isFalling(const State& aState, const ServingTask& aTask) const;
   double blame(const std::vector<ServingTask>& aServing, const OpportunisticTask& aTask) const;
+  /** The largest growth that an image causes to a task near its objective, as its latency shows. */
+  double largestBlame(const State& aState, const std::vector<ServingTask>& aServing) const;
+  bool isExplained(const State& aState, const std::vector<ServingTask>& aServing) const;
   PaceDecision slowDown(const std::vector<ServingTask>& aServing,
                         const OpportunisticTask& aTask,
                         bool aIsMissed) const;
-
-  InterferenceModel mModel;
-  std::unordered_map<std::string, std::uint32_t> mServingIndexes;
-  std::unordered_map<std::string, std::uint32_t> mImageIndexes;
+  std::vector<PaceDecision> slowDownCulprits(State& aState,
+                                             const std::vector<ServingTask>& aServing,
+                                             const std::vector<OpportunisticTask>& aOthers,
+                                             MonotonicTime aNow) const;
+  std::vector<PaceDecision> speedUp(const std::vector<ServingTask>& aServing,
+                                    const std::vector<OpportunisticTask>& aOthers) const;
+
+  DisturbanceModel mModel;
 };
 
 } // namespace magnoliadrum
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -341,7 +341,7 @@
     if (!aStep.opportunistic()) {
       return 0;
     }
-    DisturbanceGuard::ImageShares more = aRoom.unobserved;
+    ImageShares more = aRoom.unobserved;
     more[aStep.image()] += cpuShare(aRoom, aStep);
     return mGuard.expectedRatio(aRoom.serving, more);
   }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -50,7 +50,7 @@
   /** Active runs that serve users, by image; also those that no report shows yet. */
   std::map<std::string, std::int64_t> servingRuns;
   /** Opportunistic tasks that the figures of the serving tasks do not show yet. */
-  DisturbanceGuard::ImageShares unobserved;
+  ImageShares unobserved;
   /** Runs that failed here lately, beyond what is usual. A worker with many is used last. */
   std::int64_t recentFailures = 0;
   /** Active runs by step (JOB.OCCURRENCE.STEP). */
