--- a/src/agent/AgentService.cpp
+++ b/src/agent/AgentService.cpp
@@ -109,7 +109,8 @@
                               .mIncarnation = mIncarnation,
                               .mControlAddresses = mSettings.controlAddresses(),
                               .mLeaseMs = mSettings.lease().leaseMs(),
-                              .mHeartbeatMs = mSettings.lease().heartbeatMs() };
+                              .mHeartbeatMs = mSettings.lease().heartbeatMs(),
+                              .mSilenceMs = mSettings.lease().leaderSilenceMs() };
   mLink = ControlLink::create(mLoop, std::move(options), controlHandlers());
   mLink->start();
   mTick = mLoop.runEvery(mSettings.lease().heartbeatMs(), [this]() { tick(); });
--- a/src/core/Error.cpp
+++ b/src/core/Error.cpp
@@ -20,6 +20,8 @@
       return "not-leader";
     case ErrorCode::eUnavailable:
       return "unavailable";
+    case ErrorCode::eNotSent:
+      return "not-sent";
     case ErrorCode::eTimeout:
       return "timeout";
     case ErrorCode::eCorrupt:
--- a/src/core/Error.h
+++ b/src/core/Error.h
@@ -15,6 +15,7 @@
   eNotLeader,   /**< The peer is not the control leader. */
   eUnavailable, /**< The peer or the quorum cannot be reached. */
   eTimeout,     /**< The deadline passed. */
+  eNotSent,     /**< The request surely did not reach the peer. */
   eCorrupt,     /**< Stored data fails its checksum or cannot be decoded. */
   eIo           /**< An operating system call failed. */
 };
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -129,7 +129,8 @@
                                .mIncarnation = mIncarnation,
                                .mControlAddresses = controlAddresses(mSettings),
                                .mLeaseMs = mSettings.lease().leaseMs(),
-                               .mHeartbeatMs = mSettings.lease().heartbeatMs() },
+                               .mHeartbeatMs = mSettings.lease().heartbeatMs(),
+                               .mSilenceMs = mSettings.lease().leaderSilenceMs() },
                              std::move(handlers));
 }
 
--- a/src/gateway/OperatorInterface.cpp
+++ b/src/gateway/OperatorInterface.cpp
@@ -216,6 +216,7 @@
       return kStatusConflict;
     case ErrorCode::eNotLeader:
     case ErrorCode::eUnavailable:
+    case ErrorCode::eNotSent:
       return kStatusUnavailable;
     case ErrorCode::eTimeout:
       return kStatusTimeout;
--- a/src/platform/CallerServer.cpp
+++ b/src/platform/CallerServer.cpp
@@ -26,6 +26,8 @@
 
 /** The platform takes a VM out of rotation after two failed probes, one a second. */
 constexpr std::int64_t kRotationMs = 2500;
+/** When a caller should try again after no leader was found: about the time of an election. */
+constexpr std::int64_t kRetryAfterMs = 1000;
 /** Period at which a shutdown looks whether everything is answered. */
 constexpr std::int64_t kShutdownStepMs = 20;
 
@@ -140,6 +142,10 @@
     if (error.code() == ErrorCode::eInvalid) {
       return refusal(kStatusBadRequest, error.detail());
     }
+    if (error.code() == ErrorCode::eNotSent) {
+      // It reached no leader, so it surely has not run.
+      return refusal(kStatusUnavailable, error.detail(), kRetryAfterMs);
+    }
     // The request may have taken effect, so the answer must not say that it did not.
     return refusal(kStatusTimeout, error.detail());
   }
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -46,7 +46,8 @@
                                   .mIncarnation = newIncarnation(),
                                   .mControlAddresses = controlAddresses(aSettings),
                                   .mLeaseMs = aSettings.lease().leaseMs(),
-                                  .mHeartbeatMs = aSettings.lease().heartbeatMs() },
+                                  .mHeartbeatMs = aSettings.lease().heartbeatMs(),
+                                  .mSilenceMs = aSettings.lease().leaderSilenceMs() },
                                 std::move(handlers));
   }
 
--- a/src/session/ControlLink.cpp
+++ b/src/session/ControlLink.cpp
@@ -19,6 +19,12 @@
  * it in time. */
 constexpr std::int64_t kSilenceDivisor = 3;
 
+/** The next address is tried when a connection is not open after this time, because a VM without
+ * power does not refuse it. It doubles with each attempt that fails, so that a leader gets through
+ * a crowd of openings. */
+constexpr std::int64_t kConnectMs = 400;
+constexpr std::int64_t kLongestConnectMs = 3200;
+
 } // namespace
 
 ControlLink::ControlLink(EventLoop& aLoop,
@@ -27,6 +33,7 @@
   : mLoop(aLoop)
   , mOptions(std::move(aOptions))
   , mHandlers(std::move(aHandlers))
+  , mConnectWaitMs(kConnectMs)
 {
   assert(!mOptions.mControlAddresses.empty());
   assert(mHandlers.fillOpen && mHandlers.fillHeartbeat);
@@ -84,6 +91,13 @@
     return;
   }
   mConnection = takeValue(std::move(connection));
+  mConnectLimit = mLoop.runAt(mLoop.now().plusMs(mConnectWaitMs), [this]() {
+    if (mConnection != nullptr && !mConnection->isOpen()) {
+      mConnectWaitMs = std::min(mConnectWaitMs * 2, kLongestConnectMs);
+      logInfo("control replica does not answer", { { "peer", mConnection->peer() } });
+      dropConnection("no answer");
+    }
+  });
 }
 
 void
@@ -143,8 +157,9 @@
   if (mClosed || mConnection == nullptr) {
     return;
   }
-  const std::int64_t limitMs =
-    std::max(mOptions.mLeaseMs / kSilenceDivisor, mOptions.mHeartbeatMs * 2);
+  const std::int64_t silenceMs =
+    mOptions.mSilenceMs > 0 ? mOptions.mSilenceMs : mOptions.mLeaseMs / kSilenceDivisor;
+  const std::int64_t limitMs = std::max(silenceMs, mOptions.mHeartbeatMs * 2);
   if (mLoop.now().msSince(mLastHeard) > limitMs) {
     logWarning("control replica is silent", { { "peer", mConnection->peer() } });
     dropConnection("silent");
@@ -208,6 +223,7 @@
   }
   const bool isNew = aMessage.session() != mSession;
   mGranted = true;
+  mConnectWaitMs = kConnectMs;
   if (isNew) {
     mSession = aMessage.session();
     mLeaseUntil = Deadline();
@@ -307,11 +323,23 @@
   assert(!mCalls.contains(requestId));
   PendingCall pending{ aMessage, std::move(aCallback), nullptr };
   pending.mTimeout = mLoop.runAt(aDeadline, [this, requestId]() {
+    const bool wasSent = mCalls.at(requestId).mSent;
     failCall(requestId,
-             Error::create(ErrorCode::eTimeout, "control call", "control", "deadline passed"));
+             wasSent
+               ? Error::create(ErrorCode::eTimeout, "control call", "control", "deadline passed")
+               : Error::create(ErrorCode::eNotSent,
+                               "control call",
+                               "control",
+                               "no leader until the deadline, not sent"));
   });
-  mCalls.emplace(requestId, std::move(pending));
-  send(aMessage);
+  sendCall(mCalls.emplace(requestId, std::move(pending)).first->second);
+}
+
+void
+ControlLink::sendCall(PendingCall& aCall)
+{
+  const bool isSent = send(aCall.mMessage);
+  aCall.mSent = aCall.mSent || isSent;
 }
 
 bool
@@ -353,8 +381,8 @@
 void
 ControlLink::resendCalls()
 {
-  for (const auto& [requestId, pending] : mCalls) {
-    send(pending.mMessage);
+  for (auto& [requestId, pending] : mCalls) {
+    sendCall(pending);
   }
 }
 
--- a/src/session/ControlLink.h
+++ b/src/session/ControlLink.h
@@ -21,6 +21,8 @@
   std::vector<std::string> mControlAddresses;
   std::int64_t mLeaseMs = 0;
   std::int64_t mHeartbeatMs = 0;
+  /** A leader that is silent for this long is taken as lost; 0 for a third of the lease. */
+  std::int64_t mSilenceMs = 0;
 };
 
 /** Callbacks of a link. All but the first two may be empty. */
@@ -102,7 +104,8 @@
 
   /**
    * Sends a message that has a requestId and calls aCallback once with its answer, or with an Error
-   * at aDeadline. It is sent again after each reconnection, so it must be idempotent.
+   * at aDeadline: eTimeout when it may have reached a leader, eNotSent when it surely has not.
+   * It is sent again after each reconnection, so it must be idempotent.
    * OperationFailed becomes an Error.
    */
   void call(const Message& aMessage, Deadline aDeadline, CallCallback aCallback);
@@ -120,6 +123,8 @@
     Message mMessage;
     CallCallback mCallback;
     EventHandlePointer mTimeout;
+    /** It may have reached a leader. */
+    bool mSent = false;
   };
 
   ControlLink(EventLoop& aLoop, ControlLinkOptions aOptions, ControlLinkHandlers aHandlers);
@@ -138,6 +143,7 @@
   void acceptLease(std::int64_t aLeaseUntilMs, std::int64_t aTerm);
   bool finishCall(const Message& aMessage);
   void failCall(const std::string& aRequestId, const Error& aError);
+  void sendCall(PendingCall& aCall);
   void resendCalls();
 
   EventLoop& mLoop;
@@ -146,6 +152,8 @@
   MessageConnectionPointer mConnection;
   EventHandlePointer mTick;
   EventHandlePointer mReconnect;
+  EventHandlePointer mConnectLimit;
+  std::int64_t mConnectWaitMs;
   std::size_t mNextAddress = 0;
   std::string mLeaderHint;
   MonotonicTime mLastHeard;
--- a/src/session/session_test.cpp
+++ b/src/session/session_test.cpp
@@ -11,6 +11,8 @@
 const std::string kFollower = loopbackHost(1) + ":7002";
 constexpr std::int64_t kTestLimitMs = 20000;
 constexpr std::int64_t kLeaseMs = 3000;
+constexpr std::int64_t kHeartbeatMs = 100;
+constexpr std::int64_t kSilenceMs = 300;
 
 /** Answers like a control leader, or like a follower that knows the leader. */
 class FakeControl
@@ -32,12 +34,17 @@
   int mOpens = 0;
   int mQueries = 0;
   bool mDropFirstQuery = false;
+  bool mAnswersQueries = true;
+  bool mIsSilent = false;
 
 private:
   void onMessage(MessageConnection& aConnection, const Message& aMessage)
   {
     if (const SessionOpen* open = std::get_if<SessionOpen>(&aMessage)) {
       mOpens++;
+      if (mIsSilent) {
+        return;
+      }
       if (!mIsLeader) {
         aConnection.send(valueOf(SessionRefused::create(
           { .reason = SessionRefusal::eNotLeader, .leaderAddress = kLeader })));
@@ -47,6 +54,9 @@
         { .session = 7, .leaseUntilMs = open->sentAtMs() + kLeaseMs, .term = 1 })));
     } else if (const StatusQuery* query = std::get_if<StatusQuery>(&aMessage)) {
       mQueries++;
+      if (!mAnswersQueries) {
+        return;
+      }
       if (mDropFirstQuery && mQueries == 1) {
         const MessageConnectionPointer connection = aConnection.shared_from_this();
         connection->close("test");
@@ -75,10 +85,15 @@
   {
     aHandlers.fillOpen = [](SessionOpen::Fields& /*aFields*/) { return true; };
     aHandlers.fillHeartbeat = [](SessionHeartbeat::Fields& /*aFields*/) {};
-    return ControlLink::create(
-      *mLoop,
-      { ProcessKind::eGateway, "gateway-1", "1", { kFollower, kLeader }, kLeaseMs, 100 },
-      std::move(aHandlers));
+    return ControlLink::create(*mLoop,
+                               { .mProcessKind = ProcessKind::eGateway,
+                                 .mProcessId = "gateway-1",
+                                 .mIncarnation = "1",
+                                 .mControlAddresses = { kFollower, kLeader },
+                                 .mLeaseMs = kLeaseMs,
+                                 .mHeartbeatMs = kHeartbeatMs,
+                                 .mSilenceMs = kSilenceMs },
+                               std::move(aHandlers));
   }
 
   std::unique_ptr<EventLoop> mLoop;
@@ -146,9 +161,46 @@
                mLoop->stop();
              });
   mLoop->run();
+  BOOST_TEST((code == ErrorCode::eNotSent), "a call that was never sent surely had no effect");
+}
+
+// Guards against a refusal that says "not run" of a call that may have reached a leader.
+BOOST_FIXTURE_TEST_CASE(call_that_reached_a_silent_leader_may_have_had_an_effect, LinkFixture)
+{
+  FakeControl leader(*mLoop, kLeader, true);
+  leader.mAnswersQueries = false;
+  const std::unique_ptr<ControlLink> link = createLink({});
+  std::optional<ErrorCode> code;
+  constexpr std::int64_t kShortMs = 2000;
+  link->start();
+  link->call(valueOf(StatusQuery::create({ .requestId = "q" })),
+             mLoop->now().plusMs(kShortMs),
+             [&](const Result<Message>& aResult) {
+               code = errorOf(aResult).code();
+               mLoop->stop();
+             });
+  mLoop->run();
+  BOOST_TEST(leader.mQueries >= 1);
   BOOST_TEST((code == ErrorCode::eTimeout));
 }
 
+// Guards against waiting for the end of the lease when a leader's VM has lost power.
+BOOST_FIXTURE_TEST_CASE(link_leaves_a_silent_replica_long_before_the_lease_ends, LinkFixture)
+{
+  FakeControl silent(*mLoop, kFollower, true);
+  silent.mIsSilent = true;
+  const FakeControl leader(*mLoop, kLeader, true);
+  ControlLinkHandlers handlers;
+  handlers.onSession = [&](std::int64_t /*aSession*/) { mLoop->stop(); };
+  const std::unique_ptr<ControlLink> link = createLink(handlers);
+  const MonotonicTime start = mLoop->now();
+  link->start();
+  mLoop->run();
+  BOOST_REQUIRE(!mTimedOut);
+  BOOST_TEST(silent.mOpens >= 1);
+  BOOST_TEST(mLoop->now().msSince(start) < kLeaseMs / 2);
+}
+
 // Guards against an old leader or a late message that takes a catalogue change back.
 BOOST_AUTO_TEST_CASE(catalogue_copy_never_goes_back)
 {
