--- a/src/jobs/DisturbanceGuard.cpp
+++ b/src/jobs/DisturbanceGuard.cpp
@@ -132,6 +132,18 @@
   return worst;
 }
 
+double
+DisturbanceGuard::worstGrowth(const std::vector<ServingTask>& aServing,
+                              const std::string& aImage,
+                              double aShare) const
+{
+  double worst = 0;
+  for (const ServingTask& task : aServing) {
+    worst = std::max(worst, mModel.worstGrowth(task.image, aImage, aShare));
+  }
+  return worst;
+}
+
 double
 DisturbanceGuard::blame(const std::vector<ServingTask>& aServing,
                         const OpportunisticTask& aTask) const
--- a/src/jobs/DisturbanceGuard.h
+++ b/src/jobs/DisturbanceGuard.h
@@ -116,6 +116,12 @@
    */
   double expectedRatio(const std::vector<ServingTask>& aServing, const ImageShares& aMore) const;
 
+  /** The growth that aShare of an image may cause to a serving task: the worst of the last minutes.
+   */
+  double worstGrowth(const std::vector<ServingTask>& aServing,
+                     const std::string& aImage,
+                     double aShare) const;
+
 private:
   /** Whether the latency still shows a disturbance that has stopped, so nothing is learned of it.
    */
--- a/src/jobs/DisturbanceModel.cpp
+++ b/src/jobs/DisturbanceModel.cpp
@@ -26,6 +26,7 @@
   const double seconds =
     std::max(0.0, static_cast<double>(aNow.msSince(factor.observedAt)) / kMsPerSecond);
   factor.mean *= std::exp(-seconds / kFadeSeconds);
+  factor.largest *= std::exp(-seconds / kRememberSeconds);
   factor.variance =
     std::min(kUnknownDeviation * kUnknownDeviation, factor.variance + kVariancePerSecond * seconds);
   factor.observedAt = aNow;
@@ -56,6 +57,7 @@
     const double gain = factor.variance * share / total;
     factor.mean = std::max(0.0, factor.mean + gain * error);
     factor.variance -= gain * share * factor.variance;
+    factor.largest = std::max(factor.largest, factor.mean);
     mFactors.insert_or_assign({ aServing, image }, factor);
   }
   while (mFactors.size() > kMostPairs) {
@@ -84,6 +86,14 @@
   return sum;
 }
 
+double
+DisturbanceModel::worstGrowth(const std::string& aServing,
+                              const std::string& aImage,
+                              double aShare) const
+{
+  return present(aServing, aImage, mLatest).largest * aShare;
+}
+
 double
 DisturbanceModel::cautiousGrowth(const std::string& aServing,
                                  const std::string& aImage,
--- a/src/jobs/DisturbanceModel.h
+++ b/src/jobs/DisturbanceModel.h
@@ -27,6 +27,8 @@
   static constexpr double kUnknownDeviation = 10;
   /** An unobserved factor fades by a factor of e in this time. */
   static constexpr double kFadeSeconds = 4;
+  /** The largest value of a factor fades by a factor of e in this time. */
+  static constexpr double kRememberSeconds = 60;
   /** Growth of a factor's variance per second; a pair is unknown again after 25 s. */
   static constexpr double kVariancePerSecond = 4;
   /** Variance of the logarithm of a latency around its own recent level. */
@@ -48,6 +50,11 @@
                         const std::string& aImage,
                         double aShare) const;
 
+  /** The growth at the worst time of the last minutes; a pair that disturbed is likely to do so
+   * again.
+   */
+  double worstGrowth(const std::string& aServing, const std::string& aImage, double aShare) const;
+
   /** Sum of growth() over all images. */
   double growth(const std::string& aServing, const ImageShares& aBeside) const;
 
@@ -57,6 +64,8 @@
     double mean = 0;
     double variance = kUnknownDeviation * kUnknownDeviation;
     MonotonicTime observedAt;
+    /** The largest mean of the last minutes. */
+    double largest = 0;
   };
 
   /** The factor of a pair as it is expected to be at aNow. */
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -237,7 +237,7 @@
   {
     const JobStep& step = aReady.description();
     WorkerRoom* best = nullptr;
-    double bestRatio = 0;
+    double bestExpected = 0;
     for (WorkerRoom& room : aRooms) {
       if ((aRack && room.rack != *aRack) || !allows(room, aReady, aStepName) ||
           !hasRoom(room, step)) {
@@ -247,9 +247,10 @@
       if (ratio > JobScheduler::kMostOfObjective) {
         continue;
       }
-      if (best == nullptr || cost(room, step, ratio) < cost(*best, step, bestRatio)) {
+      const double expected = ratio + risk(room, step);
+      if (best == nullptr || cost(room, step, expected) < cost(*best, step, bestExpected)) {
         best = &room;
-        bestRatio = ratio;
+        bestExpected = expected;
       }
     }
     if (best == nullptr) {
@@ -346,6 +347,16 @@
     return mGuard.expectedRatio(aRoom.serving, more);
   }
 
+  /** What a placement costs for disturbances that are not there now but may come back. */
+  double risk(const WorkerRoom& aRoom, const JobStep& aStep) const
+  {
+    if (!aStep.opportunistic()) {
+      return 0;
+    }
+    const double growth = mGuard.worstGrowth(aRoom.serving, aStep.image(), cpuShare(aRoom, aStep));
+    return std::min(JobScheduler::kMostRisk, growth);
+  }
+
   /**
    * Keeps room for a task that fits nowhere: room that is being freed, or that the end of runs of
    * queues that go later will free. The task starts in a later round.
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -119,11 +119,13 @@
 {
 public:
   /** Share of their declared processor time that long-running tasks are expected to use. */
-  static constexpr double kLongRunningUse = 0.6;
+  static constexpr double kLongRunningUse = 0.45;
   /** An opportunistic task needs this share of its processor time to be unused. */
   static constexpr double kOpportunisticShare = 0.8;
   /** An opportunistic task goes where no objective is expected to be used up to this share. */
   static constexpr double kMostOfObjective = 0.85;
+  /** Most that a disturbance which may come back counts, against a worker's load of 1. */
+  static constexpr double kMostRisk = 0.5;
   /** Below this share of given-away processor time a pool counts as mostly free. */
   static constexpr double kMostlyFree = 0.6;
   /** Most runs that one round stops. */
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -250,6 +250,37 @@
   BOOST_TEST(places.at("b.0.0.1") == "w2");
 }
 
+// Load pattern: batch work of many jobs, one image of which disturbs an image of standing tasks
+// from time to time.
+BOOST_AUTO_TEST_CASE(an_image_that_has_disturbed_prefers_other_workers_while_it_is_calm)
+{
+  DisturbanceGuard guard;
+  DisturbanceGuard::State state;
+  const MonotonicTime start = MonotonicTime::fromMs(1000000);
+  constexpr std::int64_t kReportMs = 250;
+  constexpr int kReports = 80;
+  const std::vector<OpportunisticTask> beside = { { "x.0.0.0", "batch", 0.1, 0.1, 100 } };
+  for (int report = 0; report < kReports; report++) {
+    // Disturbed for two seconds in the middle.
+    const bool isDisturbed = report >= 20 && report < 28;
+    guard.observe(
+      state,
+      { { "frail", isDisturbed ? 300.0 : 40.0, 150, "s.0.0.0" }, { "robust", 40, 150, "s.0.0.1" } },
+      report < 10 ? std::vector<OpportunisticTask>() : beside,
+      start.plusMs(report * kReportMs));
+  }
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("tally", jobOf("b", { opportunisticStep(1, 3500, 6400) })));
+  WorkerRoom frail = roomOf("w1", 32000, 128000);
+  frail.serving = { { "frail", 40, 150, "s.0.0.0" } };
+  WorkerRoom busierRobust = roomOf("w2", 32000, 128000);
+  busierRobust.serving = { { "robust", 40, 150, "s.0.0.1" } };
+  busierRobust.used.cpuMilli = 4000;
+  std::vector<WorkerRoom> rooms = { frail, busierRobust };
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, rooms, 0);
+  BOOST_TEST(placesOf(plan).at("b.0.0.0") == "w2");
+}
+
 // Load pattern: the end of a day, when few standing tasks are left and the batch work that remains
 // is expected to disturb all of them.
 BOOST_AUTO_TEST_CASE(a_job_does_not_starve_while_its_pool_is_mostly_free)
