An objective that is missed for two seconds stops everything opportunistic beside the task

Ruled out: orders that are lost (no disruption was near). Now two seconds over the objective stop all, whoever is blamed, and nothing is added or sped up beside a task over its objective.

--- a/src/jobs/DisturbanceGuard.cpp
+++ b/src/jobs/DisturbanceGuard.cpp
@@ -125,7 +125,7 @@
     for (const auto& [image, share] : aMore) {
       sum += mModel.cautiousGrowth(task.image, image, share);
     }
-    if (sum >= kHarmless) {
+    if (sum >= kHarmless || task.ratio() >= 1) {
       worst = std::max(worst, task.ratio() * std::exp(sum));
     }
   }
@@ -210,9 +210,33 @@
     return decisions;
   }
   aState.missedSince = aState.missedSince.value_or(aNow);
-  if (aNow.msSince(*aState.missedSince) < kStopAllMs) {
-    return decisions;
+  return aNow.msSince(*aState.missedSince) < kStopAllMs ? decisions : stopAll(aOthers);
+}
+
+bool
+DisturbanceGuard::mustStopAll(State& aState,
+                              const std::vector<ServingTask>& aServing,
+                              MonotonicTime aNow)
+{
+  std::map<std::string, MonotonicTime> overSince;
+  bool isLong = false;
+  for (const ServingTask& task : aServing) {
+    if (task.ratio() < 1) {
+      continue;
+    }
+    const auto known = aState.overSince.find(task.task);
+    const MonotonicTime since = known == aState.overSince.end() ? aNow : known->second;
+    overSince.emplace(task.task, since);
+    isLong = isLong || aNow.msSince(since) >= kAlwaysStopMs;
   }
+  aState.overSince = std::move(overSince);
+  return isLong;
+}
+
+std::vector<PaceDecision>
+DisturbanceGuard::stopAll(const std::vector<OpportunisticTask>& aOthers)
+{
+  std::vector<PaceDecision> decisions;
   for (const OpportunisticTask& other : aOthers) {
     if (other.percent > 0) {
       decisions.push_back({ other.task, 0, false });
@@ -249,6 +273,10 @@
                          const std::vector<OpportunisticTask>& aOthers,
                          MonotonicTime aNow) const
 {
+  if (mustStopAll(aState, aServing, aNow)) {
+    aState.changedAt = aNow;
+    return stopAll(aOthers);
+  }
   std::vector<PaceDecision> decisions;
   if (worstRatio(aServing) >= kNear) {
     decisions = slowDownCulprits(aState, aServing, aOthers, aNow);
--- a/src/jobs/DisturbanceGuard.h
+++ b/src/jobs/DisturbanceGuard.h
@@ -72,6 +72,9 @@
   static constexpr double kHarmless = 0.05;
   /** An objective that is missed for this long stops all opportunistic tasks on the worker. */
   static constexpr std::int64_t kStopAllMs = 1200;
+  /** An objective that is missed for this long on end stops all opportunistic tasks on the worker,
+   * even when the culprits seem to be known: some of the blame may be wrong. */
+  static constexpr std::int64_t kAlwaysStopMs = 2000;
   /** Time between two changes upwards: the next report shows most of the effect of the last. */
   static constexpr std::int64_t kRaiseEveryMs = 500;
 
@@ -93,6 +96,8 @@
     std::optional<MonotonicTime> missedSince;
     /** By image. */
     std::map<std::string, Neighbour> beside;
+    /** Since when each task that misses its objective does so. */
+    std::map<std::string, MonotonicTime> overSince;
     /** Logarithm of the latency of each serving task without neighbours. */
     std::map<std::string, double> levels;
   };
@@ -111,8 +116,9 @@
 
   /**
    * The largest share of its objective that a serving task is expected to reach when aMore works
-   * beside it in addition to what its last figure shows; 0 when aMore disturbs none. An image that
-   * was hardly observed beside it is expected to disturb, so that it is tried with few tasks first.
+   * beside it in addition to what its last figure shows; 0 when all tasks are within their
+   * objectives and aMore disturbs none. An image that was hardly observed beside it is expected to
+   * disturb, so that it is tried with few tasks first.
    */
   double expectedRatio(const std::vector<ServingTask>& aServing, const ImageShares& aMore) const;
 
@@ -130,6 +136,11 @@
   /** The largest growth that an image causes to a task near its objective, as its latency shows. */
   double largestBlame(const State& aState, const std::vector<ServingTask>& aServing) const;
   bool isExplained(const State& aState, const std::vector<ServingTask>& aServing) const;
+  /** Whether a task has missed its objective for so long that nothing may work beside it. */
+  static bool mustStopAll(State& aState,
+                          const std::vector<ServingTask>& aServing,
+                          MonotonicTime aNow);
+  static std::vector<PaceDecision> stopAll(const std::vector<OpportunisticTask>& aOthers);
   PaceDecision slowDown(const std::vector<ServingTask>& aServing,
                         const OpportunisticTask& aTask,
                         bool aIsMissed) const;
--- a/src/jobs/DisturbanceGuard_test.cpp
+++ b/src/jobs/DisturbanceGuard_test.cpp
@@ -172,6 +172,8 @@
   BOOST_TEST(
     guard.decide(state, { serving("frail", 140) }, { other("q", "quiet") }, kStart).empty());
   BOOST_TEST(guard.expectedRatio({ serving("robust", 140) }, { { "quiet", 0.01 } }) < 0.8);
+  BOOST_TEST(guard.expectedRatio({ serving("robust", 160) }, { { "quiet", 0.01 } }) > 1,
+             "nothing is added beside a task over its objective");
 }
 
 // Load pattern: a task was stopped for disturbing; the latencies fall only after a second.
@@ -198,4 +200,28 @@
   }
 }
 
+// Load pattern: batch work of an image that is taken for harmless beside a task that stays over its
+// objective, as in 'mix --seed 725590453363' of lsibg-drum (HARM).
+BOOST_AUTO_TEST_CASE(nothing_works_long_beside_a_task_over_its_objective_whoever_is_to_blame)
+{
+  DisturbanceGuard guard = experienced();
+  DisturbanceGuard::State state;
+  const std::vector<ServingTask> over = { serving("frail", 170) };
+  std::vector<OpportunisticTask> others = { other("q", "quiet"), other("n", "noisy", 20) };
+  bool allStopped = false;
+  MonotonicTime now = kStart;
+  for (; now < kStart.plusMs(DisturbanceGuard::kAlwaysStopMs + kReportMs);
+       now = now.plusMs(kReportMs)) {
+    guard.observe(state, over, others, now);
+    for (const PaceDecision& decision : guard.decide(state, over, others, now)) {
+      for (OpportunisticTask& task : others) {
+        task.percent = task.task == decision.task ? decision.percent : task.percent;
+      }
+    }
+    allStopped = others.front().percent == 0 && others.back().percent == 0;
+  }
+  BOOST_TEST(allStopped);
+  BOOST_TEST(guard.decide(state, over, others, now).empty(), "and nothing is sped up meanwhile");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
