--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -121,10 +121,62 @@
   return platform::OperatorServer::start(aLoop, aSettings.platformAddress(), call);
 }
 
+/** Follows the leader and sends operators on to it; for a VM without a disk, which cannot vote. */
+int
+runWithoutDisk(const ControlSettings& aSettings)
+{
+  auto created = EventLoop::create();
+  if (!isOk(created)) {
+    logError("event loop", errorOf(created));
+    return kExitFailure;
+  }
+  const auto loop = takeValue(std::move(created));
+  loop->setSourceHost(hostOfAddress(aSettings.listenAddress()));
+  ControlLinkHandlers handlers;
+  handlers.fillOpen = [](SessionOpen::Fields& /*aFields*/) { return true; };
+  handlers.fillHeartbeat = [](SessionHeartbeat::Fields& /*aFields*/) {};
+  const auto link = ControlLink::create(*loop,
+                                        { .mProcessKind = ProcessKind::eRelay,
+                                          .mProcessId = aSettings.processId(),
+                                          .mIncarnation = newIncarnation(),
+                                          .mControlAddresses = seeds(aSettings),
+                                          .mLeaseMs = aSettings.lease().leaseMs(),
+                                          .mHeartbeatMs = aSettings.lease().heartbeatMs(),
+                                          .mSilenceMs = aSettings.lease().leaderSilenceMs() },
+                                        std::move(handlers));
+  const auto operators = platform::OperatorServer::start(
+    *loop,
+    aSettings.platformAddress(),
+    [&link](const Message& /*aMessage*/,
+            const std::function<void(const platform::OperatorServer::Reply&)>& aDone) {
+      const std::string leader = link->leaderAddress();
+      aDone({ Error::create(
+                ErrorCode::eNotLeader, "operator request", leader, "this process has no log"),
+              leader });
+    });
+  if (!isOk(operators)) {
+    logError("control cannot start", errorOf(operators));
+    return kExitFailure;
+  }
+  link->start();
+  const auto onTerminate = loop->onSignal(SIGTERM, [&loop]() { loop->stop(); });
+  const auto onInterrupt = loop->onSignal(SIGINT, [&loop]() { loop->stop(); });
+  const auto reload =
+    reloadOnHangup<ControlSettings>(*loop, FLAGS_settings, [&link](const ControlSettings& aNew) {
+      link->setControlAddresses(seeds(aNew));
+    });
+  logInfo("control started without a disk", { { "address", aSettings.listenAddress() } });
+  loop->run();
+  return 0;
+}
+
 int
 runControl(const ControlSettings& aSettings)
 {
   configureLogging(aSettings.processId(), toText(aSettings.logLevel()));
+  if (aSettings.dataFolder().empty()) {
+    return runWithoutDisk(aSettings);
+  }
   auto created = EventLoop::create();
   if (!isOk(created)) {
     logError("event loop", errorOf(created));
--- a/src/session/ControlLink.cpp
+++ b/src/session/ControlLink.cpp
@@ -296,6 +296,12 @@
   }
 }
 
+std::string
+ControlLink::leaderAddress() const
+{
+  return mGranted && mConnection != nullptr ? mConnection->peer() : "";
+}
+
 std::uint64_t
 ControlLink::bytesSent() const
 {
--- a/src/session/ControlLink.h
+++ b/src/session/ControlLink.h
@@ -84,6 +84,9 @@
 
   Deadline leaseUntil() const { return mLeaseUntil; }
 
+  /** IP:port of the leader that has granted the session on the present connection; else empty. */
+  std::string leaderAddress() const;
+
   /** Number of the session; 0 when there is none. */
   std::int64_t session() const { return mSession; }
 
--- a/src/settings/SettingsFile.cpp
+++ b/src/settings/SettingsFile.cpp
@@ -75,6 +75,10 @@
   checkOptionalAddress(aSettings.platformAddress(), "platformAddress", aFaults);
   checkAddresses(aSettings.initialReplicas(), "initialReplicas", aFaults);
   checkAddresses(aSettings.controlSeeds(), "controlSeeds", aFaults);
+  if (aSettings.dataFolder().empty() &&
+      (aSettings.controlSeeds().empty() || aSettings.platformAddress().empty())) {
+    aFaults.push_back("dataFolder: may be empty only with controlSeeds and a platformAddress");
+  }
   if (!aSettings.initialReplicas().empty() && !aSettings.controlSeeds().empty()) {
     aFaults.push_back("initialReplicas, controlSeeds: only one of them is allowed");
   }
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -49,6 +49,20 @@
   }
 }
 
+// Guards against a control VM without a disk that ends at its start, or that founds a group.
+BOOST_AUTO_TEST_CASE(a_control_process_without_a_data_folder_needs_a_leader_to_follow)
+{
+  const std::string common =
+    R"({"processId":"c","listenAddress":"127.0.0.1:1","dataCentre":"Waco","dataFolder":"")";
+  const TemporaryFile follower(
+    common + R"(,"controlSeeds":["127.0.0.2:1"],"platformAddress":"127.0.0.1:2"})");
+  BOOST_TEST(isOk(readSettings<ControlSettings>(follower.name())));
+  const TemporaryFile alone(common + "}");
+  const Result<ControlSettings> settings = readSettings<ControlSettings>(alone.name());
+  BOOST_REQUIRE(!isOk(settings));
+  BOOST_TEST(errorOf(settings).detail().find("dataFolder") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(values_that_do_not_fit_together_are_refused)
 {
   const TemporaryFile file(
