Of two assignments of the same run only the first is ordered

Reading the path found one way to it: when the log holds two assignments of the same task and run number (one of the predecessor that is committed late, or one whose commit failed for this leader but took place), the state keeps the first, but the leader ordered the second as well, because it compared the run number and not the worker. That this is the cause of what was seen is likely, not shown; it stays listed as open.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -473,7 +473,13 @@
     const std::optional<TaskId> task = TaskId::parse(start.task());
     const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
     const JobTaskRecord::Fields* record = job != nullptr ? job->find(*task) : nullptr;
-    if (record == nullptr || !record->active || record->run != start.run()) {
+    // The log may hold two assignments of the same run, of which only the first counts: this one and
+    // an earlier one that was not known to be committed when this one was proposed.
+    const bool counts = record != nullptr && record->active && record->run == start.run() &&
+                        record->worker == start.worker() && record->bornMs == start.bornMs();
+    if (!counts) {
+      logInfo("assignment does not count",
+              { { "task", start.task() }, { "run", start.run() }, { "worker", start.worker() } });
       continue;
     }
     const LifeKey key{ start.worker(), start.bornMs() };
