--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -473,8 +473,8 @@
     const std::optional<TaskId> task = TaskId::parse(start.task());
     const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
     const JobTaskRecord::Fields* record = job != nullptr ? job->find(*task) : nullptr;
-    // The log may hold two assignments of the same run, of which only the first counts: this one and
-    // an earlier one that was not known to be committed when this one was proposed.
+    // The log may hold two assignments of the same run, of which only the first counts: this one
+    // and an earlier one that was not known to be committed when this one was proposed.
     const bool counts = record != nullptr && record->active && record->run == start.run() &&
                         record->worker == start.worker() && record->bornMs == start.bornMs();
     if (!counts) {
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -169,8 +169,9 @@
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
 }
 
-// Guards against TWICE and LIMIT after a change of leader: an assignment of the predecessor is committed late, when this
-// leader has already proposed another one with the same run number for another worker.
+// Guards against TWICE and LIMIT after a change of leader: an assignment of the predecessor is
+// committed late, when this leader has already proposed another one with the same run number for
+// another worker.
 BOOST_FIXTURE_TEST_CASE(of_two_assignments_of_a_run_only_the_first_is_ordered, JobHarness)
 {
   join(kRelay, worker("w1"));
@@ -179,10 +180,10 @@
   const std::string first = jobs().find("j")->find({ "j", 0, 0, 0 })->worker;
   const std::string second = first == "w1" ? "w2" : "w1";
   mSent.clear();
-  mLog.propose(buildValue<StartRuns>(
-                 { .runs = { buildValue<RunStart>(
-                     { .task = "j.0.0.0", .run = 1, .worker = second, .bornMs = 1 }) } }),
-               [](const CommandResult& /*aResult*/) {});
+  mLog.propose(
+    buildValue<StartRuns>({ .runs = { buildValue<RunStart>(
+                              { .task = "j.0.0.0", .run = 1, .worker = second, .bornMs = 1 }) } }),
+    [](const CommandResult& /*aResult*/) {});
   settle();
   wait(RunTracker::kResendMs * 2);
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->worker == first);
