One piece of code each for orders to several lives, lists in the platform's JSON and host names; InterferenceModel as it was

Read again: the loop that sends orders to a set of lives stood three times in JobService, reading an array three times in JsonReader, lower-casing a host twice. The assumptions that InterferenceModel got for the first guard have no caller since the guard has its own filter. No behaviour changes.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -263,11 +263,10 @@
   if (aReport.listFence() == life->fence && aReport.clockMs() >= life->listClockMs) {
     takeLists(*life, key, aReport);
   }
-  WorkerOrders::Fields orders;
   if (aReport.clockMs() > 0 && !life->leftAt) {
     mFleet.renew(*life, aReport.clockMs(), now);
   }
-  sendOrders(*life, key, std::move(orders));
+  sendOrders(*life, key);
   if (mScheduleDue) {
     schedule();
   }
@@ -501,9 +500,7 @@
     touched.insert(key);
   }
   proposeEnds(std::move(lost));
-  for (const LifeKey& key : touched) {
-    sendOrders(*mFleet.find(key), key);
-  }
+  sendOrdersTo(touched);
 }
 
 void
@@ -542,11 +539,7 @@
       touched.insert(run.life);
     }
   }
-  for (const LifeKey& key : touched) {
-    if (WorkerLife* life = mFleet.find(key)) {
-      sendOrders(*life, key);
-    }
-  }
+  sendOrdersTo(touched);
   for (const std::string& jobId : aJobs) {
     mBegun.erase(jobId);
   }
@@ -569,6 +562,16 @@
   mSessions.sendTo(aLife.session, buildValue<WorkerOrders>(std::move(aOrders)));
 }
 
+void
+JobService::sendOrdersTo(const std::set<LifeKey>& aLives)
+{
+  for (const LifeKey& key : aLives) {
+    if (WorkerLife* life = mFleet.find(key)) {
+      sendOrders(*life, key);
+    }
+  }
+}
+
 void
 JobService::tick()
 {
@@ -698,11 +701,7 @@
     run->stopWanted = true;
     touched.insert(run->life);
   }
-  for (const LifeKey& key : touched) {
-    if (WorkerLife* life = mFleet.find(key)) {
-      sendOrders(*life, key);
-    }
-  }
+  sendOrdersTo(touched);
 }
 
 void
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -65,6 +65,7 @@
   void logWaiting(const std::vector<WaitReason>& aReasons);
   void proposeEnds(std::vector<RunEnding> aEnds);
   void sendOrders(WorkerLife& aLife, const LifeKey& aKey, WorkerOrders::Fields aOrders = {});
+  void sendOrdersTo(const std::set<LifeKey>& aLives);
   void stopOverJobs(const std::set<std::string>& aJobs);
   void schedule();
   std::vector<WorkerRoom> rooms();
--- a/src/placement/InterferenceModel.cpp
+++ b/src/placement/InterferenceModel.cpp
@@ -14,8 +14,12 @@
 constexpr std::size_t kConstant = 0;
 constexpr std::size_t kOwnLoad = 1;
 constexpr double kConstantVariance = 100;
+/** A pair at full load is not expected to slow a service down by more than about e^2. */
+constexpr double kFactorVariance = 4;
 /** Forgetting must not let the variance of a factor grow that is not observed for a while. */
 constexpr double kLargestVariance = 100;
+/** Relative noise of a measured p99 of about 0.2. */
+constexpr double kNoiseVariance = 0.04;
 constexpr double kLargestExponent = 20;
 
 } // namespace
@@ -32,7 +36,7 @@
   ServiceModel& model = mServices[aService];
   if (model.samples == 0) {
     addFactor(model, kConstantVariance);
-    addFactor(model, mAssumptions.factorVariance);
+    addFactor(model, kFactorVariance);
     model.factors[kConstant] = std::log(aLatencyMs);
   }
   ++model.samples;
@@ -58,12 +62,12 @@
 std::vector<double>
 InterferenceModel::features(ServiceModel& aModel,
                             double aOwnLoad,
-                            const std::vector<EntryLoad>& aOthers) const
+                            const std::vector<EntryLoad>& aOthers)
 {
   for (const EntryLoad& other : aOthers) {
     if (other.share > 0 && aModel.factors.size() < kMostFactors &&
         aModel.positions.try_emplace(other.entry, aModel.factors.size()).second) {
-      addFactor(aModel, mAssumptions.factorVariance);
+      addFactor(aModel, kFactorVariance);
     }
   }
   std::vector<double> result(aModel.factors.size(), 0.0);
@@ -81,12 +85,12 @@
 void
 InterferenceModel::update(ServiceModel& aModel,
                           const std::vector<double>& aFeatures,
-                          double aTarget) const
+                          double aTarget)
 {
   const std::size_t size = aFeatures.size();
   std::vector<double> spread(size, 0.0);
   double error = aTarget;
-  double total = mAssumptions.noiseVariance;
+  double total = kNoiseVariance;
   for (std::size_t row = 0; row < size; ++row) {
     for (std::size_t column = 0; column < size; ++column) {
       spread[row] += aModel.covariance[row * size + column] * aFeatures[column];
@@ -101,8 +105,7 @@
     }
   }
   for (std::size_t row = 0; row < size; ++row) {
-    if (aModel.covariance[row * size + row] >=
-        std::max(kLargestVariance, mAssumptions.factorVariance)) {
+    if (aModel.covariance[row * size + row] >= kLargestVariance) {
       return;
     }
   }
@@ -146,11 +149,11 @@
 {
   const auto model = mServices.find(aService);
   if (model == mServices.end()) {
-    return std::sqrt(mAssumptions.factorVariance);
+    return std::sqrt(kFactorVariance);
   }
   const auto position = model->second.positions.find(aEntry);
   if (position == model->second.positions.end()) {
-    return std::sqrt(mAssumptions.factorVariance);
+    return std::sqrt(kFactorVariance);
   }
   const std::size_t size = model->second.factors.size();
   return std::sqrt(
--- a/src/placement/InterferenceModel.h
+++ b/src/placement/InterferenceModel.h
@@ -24,22 +24,6 @@
 class InterferenceModel
 {
 public:
-  /** What is assumed before anything is observed. */
-  struct Assumptions
-  {
-    /** Variance of the logarithm of a measured latency; 0.04 is a relative noise of 0.2. */
-    double noiseVariance = 0.04;
-    /** Variance of a factor: a pair at full load is not expected to slow a service down by more
-     * than about e to the square root of it. */
-    double factorVariance = 4;
-  };
-
-  InterferenceModel() = default;
-  explicit InterferenceModel(Assumptions aAssumptions)
-    : mAssumptions(aAssumptions)
-  {
-  }
-
   /**
    * Takes in one observation. aOwnLoad is the service's own processor share and aOthers what else
    * ran when the latency was measured.
@@ -76,13 +60,12 @@
     std::vector<double> covariance;
   };
 
-  std::vector<double> features(ServiceModel& aModel,
-                               double aOwnLoad,
-                               const std::vector<EntryLoad>& aOthers) const;
+  static std::vector<double> features(ServiceModel& aModel,
+                                      double aOwnLoad,
+                                      const std::vector<EntryLoad>& aOthers);
   static void addFactor(ServiceModel& aModel, double aVariance);
-  void update(ServiceModel& aModel, const std::vector<double>& aFeatures, double aTarget) const;
+  static void update(ServiceModel& aModel, const std::vector<double>& aFeatures, double aTarget);
 
-  Assumptions mAssumptions;
   std::unordered_map<std::uint32_t, ServiceModel> mServices;
 };
 
--- a/src/platform/CallerServer.cpp
+++ b/src/platform/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "observability/observability.h"
 #include "platform/Answers.h"
+#include "platform/HostName.h"
 #include "platform/JobCodec.h"
 
 #include <algorithm>
@@ -44,12 +45,8 @@
 std::string
 hostOf(const HttpRequest& aRequest)
 {
-  std::string host = aRequest.header("Host").value_or("");
-  host = host.substr(0, host.find(':'));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aCharacter) {
-    return static_cast<char>(std::tolower(aCharacter));
-  });
-  return host;
+  const std::string host = aRequest.header("Host").value_or("");
+  return lowerCaseHost(host.substr(0, host.find(':')));
 }
 
 std::int64_t
--- a/src/platform/CatalogueCodec.cpp
+++ b/src/platform/CatalogueCodec.cpp
@@ -1,5 +1,6 @@
 #include "platform/CatalogueCodec.h"
 
+#include "platform/HostName.h"
 #include "platform/JsonReader.h"
 
 #include <algorithm>
@@ -12,15 +13,6 @@
 
 const char* const kStep = "decode catalogue";
 
-std::string
-lowerCase(std::string aText)
-{
-  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aCharacter) {
-    return static_cast<char>(std::tolower(aCharacter));
-  });
-  return aText;
-}
-
 template<typename Type>
 void
 add(const Result<Type>& aValue,
@@ -39,7 +31,7 @@
 decodeQueue(const JsonReader& aRoute)
 {
   JobQueue::Fields fields{ .name = aRoute.text("Name", true),
-                           .host = lowerCase(aRoute.text("Host", true)),
+                           .host = lowerCaseHost(aRoute.text("Host", true)),
                            .pathPrefix = aRoute.text("PathPrefix", true),
                            // The platform calls a pool of workers a service.
                            .poolName = aRoute.text("Service", true),
--- a/src/platform/JsonReader.cpp
+++ b/src/platform/JsonReader.cpp
@@ -38,6 +38,17 @@
   return &*position;
 }
 
+const json*
+JsonReader::list(const char* aName, bool aIsRequired) const
+{
+  const json* value = member(aName, aIsRequired);
+  if (value != nullptr && !value->is_array()) {
+    addFault(aName, "not a list");
+    return nullptr;
+  }
+  return value;
+}
+
 bool
 JsonReader::has(const char* aName) const
 {
@@ -104,15 +115,11 @@
 JsonReader::integers(const char* aName) const
 {
   std::vector<std::int64_t> values;
-  const json* list = member(aName, false);
-  if (list == nullptr) {
+  const json* array = list(aName, false);
+  if (array == nullptr) {
     return values;
   }
-  if (!list->is_array()) {
-    addFault(aName, "not a list");
-    return values;
-  }
-  for (const json& value : *list) {
+  for (const json& value : *array) {
     if (!value.is_number_integer()) {
       addFault(aName, "not a list of whole numbers");
       return {};
@@ -126,15 +133,11 @@
 JsonReader::texts(const char* aName) const
 {
   std::vector<std::string> values;
-  const json* list = member(aName, false);
-  if (list == nullptr) {
+  const json* array = list(aName, false);
+  if (array == nullptr) {
     return values;
   }
-  if (!list->is_array()) {
-    addFault(aName, "not a list");
-    return values;
-  }
-  for (const json& value : *list) {
+  for (const json& value : *array) {
     if (!value.is_string()) {
       addFault(aName, "not a list of strings");
       return {};
@@ -148,17 +151,13 @@
 JsonReader::items(const char* aName, bool aIsRequired) const
 {
   std::vector<JsonReader> readers;
-  const json* list = member(aName, aIsRequired);
-  if (list == nullptr) {
-    return readers;
-  }
-  if (!list->is_array()) {
-    addFault(aName, "not a list");
+  const json* array = list(aName, aIsRequired);
+  if (array == nullptr) {
     return readers;
   }
   const std::string prefix = (mPath.empty() ? "" : mPath + ".") + aName;
-  for (std::size_t index = 0; index < list->size(); index++) {
-    readers.emplace_back((*list)[index], prefix + "[" + std::to_string(index) + "]", mFaults);
+  for (std::size_t index = 0; index < array->size(); index++) {
+    readers.emplace_back((*array)[index], prefix + "[" + std::to_string(index) + "]", mFaults);
   }
   return readers;
 }
--- a/src/platform/JsonReader.h
+++ b/src/platform/JsonReader.h
@@ -45,6 +45,9 @@
 private:
   const nlohmann::json* member(const char* aName, bool aIsRequired) const;
 
+  /** The member as an array; null when it is absent or of another type. */
+  const nlohmann::json* list(const char* aName, bool aIsRequired) const;
+
   const nlohmann::json& mJson;
   std::string mPath;
   std::vector<std::string>& mFaults;
