Relay: orders that wait for the worker are dropped once their reason has gone

Cause: orders beyond six unanswered calls waited in one queue of the worker's client, without a limit. A start could leave seconds after the leader had stopped its run (its job was cancelled), or after the next leader had taken over; the stop waited behind it. A worker that leaves half of its orders unanswered holds each connection for a second, so the wait is seconds long.

Now OrderQueue sends stops first, a stop removes the waiting start of its run, a start that waited for a second is not sent (the leader repeats it), and a new fence empties the queue.

Also: the notice of exit of a worker that has not announced that it drains no longer ends its runs at once. Read late, after the same id has registered again, it made the leader start the runs of the live worker elsewhere. The runs of such a worker now end with its lease.

--- a/src/platform/PlatformWorkerClient.cpp
+++ b/src/platform/PlatformWorkerClient.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformWorkerClient.h"
 
 #include "platform/WorkerCodec.h"
+#include "relay/relay.h"
 
 #include <utility>
 
@@ -37,7 +38,7 @@
                              const std::string& aAddress,
                              const std::string& aWorkerId)
 {
-  auto orderClient = HttpClient::create(aLoop, aAddress, kOrderConnections);
+  auto orderClient = HttpClient::create(aLoop, aAddress, WorkerRelay::kMaxOrdersInProgress);
   if (!isOk(orderClient)) {
     return errorOf(orderClient);
   }
@@ -73,51 +74,37 @@
                             std::int64_t aLeaseUntilMs,
                             OrderCallback aCallback)
 {
-  enqueueOrder(kStartPath, encodeStart(aOrder, aFence, aLeaseUntilMs), std::move(aCallback));
+  sendOrder(kStartPath, encodeStart(aOrder, aFence, aLeaseUntilMs), std::move(aCallback));
 }
 
 void
 PlatformWorkerClient::stop(const StopOrder& aOrder, std::int64_t aFence, OrderCallback aCallback)
 {
-  enqueueOrder(kStopPath, encodeStop(aOrder, aFence), std::move(aCallback));
+  sendOrder(kStopPath, encodeStop(aOrder, aFence), std::move(aCallback));
 }
 
 void
 PlatformWorkerClient::pace(const PaceOrder& aOrder, std::int64_t aFence, OrderCallback aCallback)
 {
-  enqueueOrder(kPacePath, encodePace(aOrder, aFence), std::move(aCallback));
+  sendOrder(kPacePath, encodePace(aOrder, aFence), std::move(aCallback));
 }
 
 void
-PlatformWorkerClient::enqueueOrder(std::string aPath, std::string aBody, OrderCallback aCallback)
+PlatformWorkerClient::sendOrder(std::string aPath, std::string aBody, OrderCallback aCallback)
 {
-  mQueuedOrders.push_back({ std::move(aPath), std::move(aBody), std::move(aCallback) });
-  sendQueuedOrders();
-}
-
-void
-PlatformWorkerClient::sendQueuedOrders()
-{
-  while (!mQueuedOrders.empty() && mOrderClient->inProgress() < kOrderConnections) {
-    QueuedOrder next = std::move(mQueuedOrders.front());
-    mQueuedOrders.pop_front();
-    mOrderClient->send(
-      makeHttpCall(std::move(next.path), std::move(next.body), kOrderTimeoutMs),
-      [this, alive = std::weak_ptr<bool>(mAlive), callback = std::move(next.callback)](
-        const Result<HttpAnswer>& aAnswer) {
-        if (alive.expired()) {
-          return;
-        }
-        OrderOutcome outcome;
-        if (isOk(aAnswer)) {
-          outcome = decodeOrderOutcome(valueOf(aAnswer).status(), valueOf(aAnswer).body());
-        }
-        callback(outcome.result, outcome.clockMs);
-        if (!alive.expired()) {
-          sendQueuedOrders();
-        }
-      });
-  }
+  mOrderClient->send(makeHttpCall(std::move(aPath), std::move(aBody), kOrderTimeoutMs),
+                     [alive = std::weak_ptr<bool>(mAlive),
+                      callback = std::move(aCallback)](const Result<HttpAnswer>& aAnswer) {
+                       if (alive.expired()) {
+                         return;
+                       }
+                       OrderOutcome outcome;
+                       if (isOk(aAnswer)) {
+                         outcome =
+                           decodeOrderOutcome(valueOf(aAnswer).status(), valueOf(aAnswer).body());
+                       }
+                       callback(outcome.result, outcome.clockMs);
+                     });
 }
 
 void
--- a/src/platform/PlatformWorkerClient.h
+++ b/src/platform/PlatformWorkerClient.h
@@ -4,19 +4,15 @@
 #include "transport/transport.h"
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <string>
 
 namespace magnoliadrum::platform {
 
-/** Calls a worker of the platform over HTTP. Orders beyond kOrderConnections calls are queued. */
+/** Calls a worker of the platform over HTTP. */
 class PlatformWorkerClient : public WorkerClient
 {
 public:
-  /** Connections for orders. An order takes about a millisecond, and each new connection has a
-   * cost. */
-  static constexpr std::size_t kOrderConnections = 6;
   /** One list request that waits at the worker, and a second one when the fence has changed. */
   static constexpr std::size_t kListConnections = 2;
   /** Timeout of an order. A worker on the same VM answers within milliseconds or not at all. */
@@ -39,25 +35,16 @@
                 std::function<void(Result<RunLists>)> aCallback) override;
 
 private:
-  struct QueuedOrder
-  {
-    std::string path;
-    std::string body;
-    OrderCallback callback;
-  };
-
   PlatformWorkerClient(EventLoop& aLoop, std::string aAddress, std::string aWorkerId);
 
   HttpCall makeHttpCall(std::string aPath, std::string aBody, std::int64_t aTimeoutMs) const;
-  void enqueueOrder(std::string aPath, std::string aBody, OrderCallback aCallback);
-  void sendQueuedOrders();
+  void sendOrder(std::string aPath, std::string aBody, OrderCallback aCallback);
 
   EventLoop& mLoop;
   std::string mAddress;
   std::string mWorkerId;
   std::unique_ptr<HttpClient> mOrderClient;
   std::unique_ptr<HttpClient> mListClient;
-  std::deque<QueuedOrder> mQueuedOrders;
   /** Callbacks hold a weak pointer to this to detect that the object was destroyed. */
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/src/relay/WorkerClient.h
+++ b/src/relay/WorkerClient.h
@@ -19,6 +19,8 @@
   std::vector<ListedRun> running;
   /** Ended runs that were not acknowledged yet, oldest first. */
   std::vector<ListedEnd> ended;
+  /** Whether the worker holds further ended runs that the list leaves out. */
+  bool hasMoreEnds = false;
 };
 
 /** A request for the worker's run lists, which can also extend the lease. */
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -8,6 +8,16 @@
 
 namespace magnoliadrum {
 
+namespace {
+
+std::string
+runName(const std::string& aTask, std::int64_t aRun)
+{
+  return aTask + "/" + std::to_string(aRun);
+}
+
+} // namespace
+
 void
 WorkerRelay::onRegistration(const WorkerDescription& aWorker,
                             const std::string& aAddress,
@@ -65,6 +75,8 @@
   mAckedEnds = 0;
   mLastReceivedEnd = 0;
   mListRequestsInProgress = 0;
+  mOrderQueue.clear();
+  mOrdersInProgress = 0;
   mStartsInProgress.clear();
   mAnswers.clear();
 }
@@ -75,10 +87,11 @@
   if (!mWorker || mWorker->workerId() != aWorkerId) {
     return;
   }
-  logInfo("worker deregistered", { { "worker", aWorkerId } });
+  const bool isAnnounced = mWorker->draining();
+  logInfo("worker deregistered", { { "worker", aWorkerId }, { "wasDraining", isAnnounced } });
   WorkerDescription::Fields fields = mWorker->fields();
   fields.draining = true;
-  fields.gone = true;
+  fields.gone = isAnnounced;
   mWorker = valueOf(WorkerDescription::create(std::move(fields)));
   sendReport(nullptr, 0);
 }
@@ -110,75 +123,114 @@
   mAckedEnds = std::max(mAckedEnds, aOrders.ackedEnds());
   if (aOrders.fence() > mFence) {
     mFence = aOrders.fence();
+    // What waits here was ordered by an earlier leader and must not be sent under the new fence.
+    mOrderQueue.clear();
     // A list request in progress may wait up to kMaxListWaitMs; the worker must see the new fence
     // immediately.
     requestRunLists(0);
   }
-  sendOrders(aOrders);
+  queueOrders(aOrders);
   if (mListRequestsInProgress == 0 && shouldRequestRunLists(mContext.now())) {
     requestRunLists(kMaxListWaitMs);
   }
 }
 
 void
-WorkerRelay::sendOrders(const WorkerOrders& aOrders)
+WorkerRelay::queueOrders(const WorkerOrders& aOrders)
 {
   for (const StopOrder& order : aOrders.stops()) {
-    sendStop(order);
+    mOrderQueue.addStop(order);
   }
   for (const PaceOrder& order : aOrders.paces()) {
-    sendPace(order);
+    mOrderQueue.addPace(order);
   }
   for (const StartOrder& order : aOrders.starts()) {
-    sendStart(order, aOrders.leaseUntilMs());
+    queueStart(order, aOrders.leaseUntilMs());
   }
+  sendQueuedOrders();
 }
 
 void
-WorkerRelay::sendStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs)
+WorkerRelay::queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs)
 {
   if (mWorker->draining()) {
     recordAnswer(OrderKind::eStart, aOrder.task(), aOrder.run(), OrderResult::eUnhealthy, 0);
     return;
   }
-  const std::string name = aOrder.task() + "/" + std::to_string(aOrder.run());
-  if (!mStartsInProgress.insert(name).second) {
+  if (!mStartsInProgress.contains(runName(aOrder.task(), aOrder.run()))) {
+    // Keeps the lease that came with the order: a delayed order must not get a later lease.
+    mOrderQueue.addStart({ aOrder, aLeaseUntilMs }, mContext.now().plusMs(kMaxStartWaitMs));
+  }
+}
+
+void
+WorkerRelay::sendQueuedOrders()
+{
+  while (mClient && mOrdersInProgress < kMaxOrdersInProgress) {
+    const std::optional<QueuedOrder> next = mOrderQueue.takeNext(mContext.now());
+    if (!next) {
+      return;
+    }
+    std::visit([this](const auto& aOrder) { send(aOrder); }, *next);
+  }
+}
+
+void
+WorkerRelay::send(const LeasedStart& aStart)
+{
+  const StartOrder& order = aStart.order;
+  if (mWorker->draining()) {
+    recordAnswer(OrderKind::eStart, order.task(), order.run(), OrderResult::eUnhealthy, 0);
     return;
   }
+  mStartsInProgress.insert(runName(order.task(), order.run()));
+  mOrdersInProgress++;
   mClient->start(
-    aOrder,
+    order,
     mFence,
-    // Uses the lease that came with the order: a delayed order must not get a later lease.
-    aLeaseUntilMs,
-    [this, name, task = aOrder.task(), run = aOrder.run()](OrderResult aResult,
-                                                           std::int64_t aClockMs) {
-      mStartsInProgress.erase(name);
-      recordAnswer(OrderKind::eStart, task, run, aResult, aClockMs);
+    aStart.leaseUntilMs,
+    [this, task = order.task(), run = order.run()](OrderResult aResult, std::int64_t aClockMs) {
+      mStartsInProgress.erase(runName(task, run));
+      onOrderAnswered(OrderKind::eStart, task, run, aResult, aClockMs);
     });
 }
 
 void
-WorkerRelay::sendStop(const StopOrder& aOrder)
+WorkerRelay::send(const StopOrder& aOrder)
 {
+  mOrdersInProgress++;
   mClient->stop(
     aOrder,
     mFence,
     [this, task = aOrder.task(), run = aOrder.run()](OrderResult aResult, std::int64_t aClockMs) {
-      recordAnswer(OrderKind::eStop, task, run, aResult, aClockMs);
+      onOrderAnswered(OrderKind::eStop, task, run, aResult, aClockMs);
     });
 }
 
 void
-WorkerRelay::sendPace(const PaceOrder& aOrder)
+WorkerRelay::send(const PaceOrder& aOrder)
 {
+  mOrdersInProgress++;
   mClient->pace(
     aOrder,
     mFence,
     [this, task = aOrder.task(), run = aOrder.run()](OrderResult aResult, std::int64_t aClockMs) {
-      recordAnswer(OrderKind::ePace, task, run, aResult, aClockMs);
+      onOrderAnswered(OrderKind::ePace, task, run, aResult, aClockMs);
     });
 }
 
+void
+WorkerRelay::onOrderAnswered(OrderKind aKind,
+                             const std::string& aTask,
+                             std::int64_t aRun,
+                             OrderResult aResult,
+                             std::int64_t aClockMs)
+{
+  mOrdersInProgress--;
+  recordAnswer(aKind, aTask, aRun, aResult, aClockMs);
+  sendQueuedOrders();
+}
+
 void
 WorkerRelay::recordAnswer(OrderKind aKind,
                           const std::string& aTask,
@@ -254,6 +306,7 @@
     fields.clockMs = aLists->clockMs;
     fields.running = aLists->running;
     fields.ended = aLists->ended;
+    fields.hasMoreEnds = aLists->hasMoreEnds;
   }
   const Result<WorkerReport> message = WorkerReport::create(std::move(fields));
   if (!isOk(message)) {
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "observability/observability.h"
+#include "relay/OrderQueue.h"
 #include "relay/WorkerClient.h"
 
 #include <functional>
@@ -45,6 +46,11 @@
   static constexpr std::int64_t kListRefreshMs = 300;
   /** Answers to orders are batched for this long (ms) before they are reported. */
   static constexpr std::int64_t kAnswerBatchMs = 30;
+  /** Orders that the worker may leave unanswered at a time; the others wait. */
+  static constexpr std::size_t kMaxOrdersInProgress = 6;
+  /** A start order that has waited for this long (ms) is not sent. The leader repeats it, unless it
+   * has stopped the run meanwhile. */
+  static constexpr std::int64_t kMaxStartWaitMs = 1000;
   /** Period of tick() in ms. */
   static constexpr std::int64_t kTickMs = 20;
 
@@ -62,7 +68,11 @@
                       const std::string& aAddress,
                       std::int64_t aSequence);
 
-  /** Handles the worker's notice that it is about to exit. */
+  /**
+   * Handles the worker's notice that it is about to exit. A worker announces that it is draining
+   * before it exits, so a notice without that may be a delayed one of an earlier incarnation with
+   * the same id. It then only ends the starts, and the runs are given up when their lease expires.
+   */
   void onDeregistration(const std::string& aWorkerId);
 
   /** Ignores orders for another incarnation or with a lower fence than the last one. */
@@ -82,10 +92,18 @@
 private:
   bool isNewIncarnation(const WorkerDescription& aWorker) const;
   void beginIncarnation(const WorkerDescription& aWorker, const std::string& aAddress);
-  void sendOrders(const WorkerOrders& aOrders);
-  void sendStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs);
-  void sendStop(const StopOrder& aOrder);
-  void sendPace(const PaceOrder& aOrder);
+  void queueOrders(const WorkerOrders& aOrders);
+  void queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs);
+  /** Sends queued orders until kMaxOrdersInProgress are unanswered. */
+  void sendQueuedOrders();
+  void send(const LeasedStart& aStart);
+  void send(const StopOrder& aOrder);
+  void send(const PaceOrder& aOrder);
+  void onOrderAnswered(OrderKind aKind,
+                       const std::string& aTask,
+                       std::int64_t aRun,
+                       OrderResult aResult,
+                       std::int64_t aClockMs);
   void recordAnswer(OrderKind aKind,
                     const std::string& aTask,
                     std::int64_t aRun,
@@ -110,6 +128,8 @@
   bool mHasOrdersSinceListRequest = false;
   /** When the last list request was answered or failed. */
   MonotonicTime mLastListAt;
+  OrderQueue mOrderQueue;
+  std::size_t mOrdersInProgress = 0;
   /** Start calls in progress, as TASK/RUN, so that a repeated order causes no second call. */
   std::set<std::string> mStartsInProgress;
   /** Answers to orders that were not reported yet. */
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -179,4 +179,73 @@
   BOOST_TEST(mReports.size() == before);
 }
 
+// Guards against a start that waits behind unanswered orders and is sent seconds after the run was
+// stopped, for example because its job was cancelled.
+BOOST_FIXTURE_TEST_CASE(waiting_start_is_not_sent_after_the_stop_of_its_run, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  for (std::size_t index = 0; index <= WorkerRelay::kMaxOrdersInProgress; index++) {
+    mRelay.onOrders(workerOrders(7, 5, "c.0.0." + std::to_string(index)));
+  }
+  BOOST_TEST(mRecord.orders.size() == WorkerRelay::kMaxOrdersInProgress);
+  const std::string waiting = "c.0.0." + std::to_string(WorkerRelay::kMaxOrdersInProgress);
+  mRelay.onOrders(valueOf(WorkerOrders::create(
+    { .worker = "w",
+      .bornMs = 5,
+      .fence = 7,
+      .stops = { valueOf(StopOrder::create({ .task = waiting, .run = 1 })) } })));
+  const std::size_t sent = mRecord.orders.size();
+  mRecord.orderCallbacks.at(0)(OrderResult::eNoAnswer, 0);
+  mRecord.orderCallbacks.at(1)(OrderResult::eNoAnswer, 0);
+  BOOST_REQUIRE(mRecord.orders.size() == sent + 1);
+  BOOST_TEST(mRecord.orders.back() == "stop " + waiting + " fence 7");
+}
+
+BOOST_FIXTURE_TEST_CASE(start_that_waited_too_long_is_not_sent, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  for (std::size_t index = 0; index <= WorkerRelay::kMaxOrdersInProgress; index++) {
+    mRelay.onOrders(workerOrders(7, 5, "c.0.0." + std::to_string(index)));
+  }
+  const std::size_t sent = mRecord.orders.size();
+  mNow = mNow.plusMs(WorkerRelay::kMaxStartWaitMs + 1);
+  mRecord.orderCallbacks.at(0)(OrderResult::eNoAnswer, 0);
+  BOOST_TEST(mRecord.orders.size() == sent);
+}
+
+// Guards against orders of two leaders around a change of leader: what an earlier leader ordered
+// must not go out under the fence of its successor.
+BOOST_FIXTURE_TEST_CASE(waiting_orders_of_an_earlier_leader_are_dropped, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  for (std::size_t index = 0; index <= WorkerRelay::kMaxOrdersInProgress; index++) {
+    mRelay.onOrders(workerOrders(7, 5, "c.0.0." + std::to_string(index)));
+  }
+  const std::size_t sent = mRecord.orders.size();
+  mRelay.onOrders(workerOrders(8));
+  mRecord.orderCallbacks.at(0)(OrderResult::eNoAnswer, 0);
+  BOOST_TEST(mRecord.orders.size() == sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(deregistration_of_draining_worker_is_reported, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
+  mRelay.onDeregistration("w");
+  BOOST_TEST(mReports.back().worker().gone());
+}
+
+// Guards against runs of a live worker that are started elsewhere: the notice of an incarnation
+// that has exited is read only after its successor with the same id has registered.
+BOOST_FIXTURE_TEST_CASE(late_deregistration_of_earlier_incarnation_keeps_the_runs, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 4);
+  mRelay.onRegistration(workerDescription("w", 6), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7, 6));
+  mRelay.onDeregistration("w");
+  BOOST_TEST(!mReports.back().worker().gone());
+  BOOST_TEST(mReports.back().worker().draining());
+  mRelay.onRegistration(workerDescription("w", 6), "127.0.0.1:1", 2);
+  BOOST_TEST(!mReports.back().worker().draining(), "a later registration ends the doubt");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,5 +6,6 @@
  * leader. Depends on core, generated and observability.
  */
 
+#include "relay/OrderQueue.h"
 #include "relay/WorkerClient.h"
 #include "relay/WorkerRelay.h"
