Control: a truncated list of ends is no evidence that a run is missing

Cause: a worker lists 500 of its unacknowledged ends at a time.

The report now says that the worker holds further ends, and then no absence is inferred. The test a_run_missing_from_truncated_lists_is_neither_stopped_nor_ended failed without the check.

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -276,6 +276,31 @@
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 2);
 }
 
+// Guards against a second run of a task that is done: a worker lists only its oldest ends at a
+// time, so a confirmed run that is in neither list may be among the others.
+BOOST_FIXTURE_TEST_CASE(a_run_missing_from_truncated_lists_is_neither_stopped_nor_ended,
+                        JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  std::int64_t clockMs = kWorkerClockMs;
+  report(kRelay,
+         worker("w1"),
+         { .listFence = mFence, .clockMs = clockMs, .running = { running("j.0.0.0", 1) } });
+  mSent.clear();
+  constexpr std::int64_t kStepMs = 200;
+  for (std::int64_t elapsedMs = 0; elapsedMs <= RunTracker::kMissingTimeoutMs * 2;
+       elapsedMs += kStepMs) {
+    waitWithHeartbeats(kStepMs);
+    clockMs += kStepMs;
+    const auto orders = report(
+      kRelay, worker("w1"), { .listFence = mFence, .clockMs = clockMs, .hasMoreEnds = true });
+    BOOST_REQUIRE(!orders.empty());
+    BOOST_REQUIRE(orders.back().stops().empty());
+  }
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_later_incarnation_replaces_the_earlier_one_after_sending_its_lists,
                         JobServiceFixture)
 {
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -97,6 +97,10 @@
     }
   }
   std::vector<RunEnding> neverRan;
+  if (aReport.hasMoreEnds()) {
+    // A run that is not listed may be among the ends that the list leaves out.
+    return neverRan;
+  }
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
     if (listed.contains(name) || run.endProposed) {
--- a/src/platform/WorkerCodec.cpp
+++ b/src/platform/WorkerCodec.cpp
@@ -20,6 +20,9 @@
 /** Index of the rack in a worker's labels, which are its kind and its rack, in this order. */
 constexpr std::size_t kRackLabelIndex = 1;
 
+/** Largest number of ended runs in one answer of a worker. */
+constexpr std::size_t kMaxListedEnds = 500;
+
 OrderResult
 resultForReason(const std::string& aReason)
 {
@@ -215,6 +218,7 @@
   lists.clockMs = reader.integer("ClockMs", 0, true);
   lists.running = decodeRows<ListedRun>(*body, "Running", decodeRunningRow);
   lists.ended = decodeRows<ListedEnd>(*body, "EndedRuns", decodeEndedRow);
+  lists.hasMoreEnds = lists.ended.size() >= kMaxListedEnds;
   if (!faults.empty()) {
     return Error::create(ErrorCode::eInvalid, "decode lists", aPeer, joinFaults(faults));
   }
