Core: the monotonic clock counts the time for which the VM is suspended

Cause: CLOCK_MONOTONIC stands still while a VM is suspended. A leader that was suspended for seconds held its leader lease for up to one more election timeout after the resume: it could answer reads of the catalogue with an older version, and renew the leases of workers past the time for which its successor waits.

CLOCK_BOOTTIME counts that time. Timers still use libevent's clock and fire late after a suspension, which only delays work.

--- a/src/core/MonotonicTime.cpp
+++ b/src/core/MonotonicTime.cpp
@@ -14,7 +14,9 @@
 MonotonicTime::now()
 {
   timespec reading{};
-  clock_gettime(CLOCK_MONOTONIC, &reading);
+  // Unlike CLOCK_MONOTONIC it counts the time for which the VM is suspended. A lease that expired
+  // meanwhile must not count as valid after the resume.
+  clock_gettime(CLOCK_BOOTTIME, &reading);
   return fromMs(reading.tv_sec * kMsPerSecond + reading.tv_nsec / kNsPerMs);
 }
 
--- a/src/core/MonotonicTime.h
+++ b/src/core/MonotonicTime.h
@@ -6,7 +6,8 @@
 namespace magnoliadrum {
 
 /**
- * A point on one VM's monotonic clock (CLOCK_MONOTONIC), in milliseconds.
+ * A point on one VM's monotonic clock (CLOCK_BOOTTIME, which also counts suspended time), in
+ * milliseconds.
  *
  * All processes of one VM share this clock; readings of two VMs cannot be compared without an
  * offset.
