--- a/src/core/Error.cpp
+++ b/src/core/Error.cpp
@@ -28,6 +28,8 @@
       return "corrupt";
     case ErrorCode::eIo:
       return "io";
+    case ErrorCode::eNoSpace:
+      return "no-space";
   }
   return "unknown";
 }
--- a/src/core/Error.h
+++ b/src/core/Error.h
@@ -17,7 +17,8 @@
   eTimeout,     /**< The deadline passed. */
   eNotSent,     /**< The request surely did not reach the peer. */
   eCorrupt,     /**< Stored data fails its checksum or cannot be decoded. */
-  eIo           /**< An operating system call failed. */
+  eIo,          /**< An operating system call failed. */
+  eNoSpace      /**< The disk is full. */
 };
 
 /** Returns the stable lower-case name of a code, as used in logs and answers. */
--- a/src/gateway/OperatorInterface.cpp
+++ b/src/gateway/OperatorInterface.cpp
@@ -223,6 +223,7 @@
       return kStatusTimeout;
     case ErrorCode::eCorrupt:
     case ErrorCode::eIo:
+    case ErrorCode::eNoSpace:
       return kStatusInternalError;
   }
   return kStatusInternalError;
--- a/src/storage/FileOperations.cpp
+++ b/src/storage/FileOperations.cpp
@@ -16,18 +16,34 @@
 constexpr mode_t kFileMode = 0640;
 constexpr std::size_t kReadChunkBytes = std::size_t{ 1 } << 18;
 
+ErrorCode
+codeOf(int aErrorNumber)
+{
+  switch (aErrorNumber) {
+    case ENOENT:
+      return ErrorCode::eNotFound;
+    case ENOSPC:
+    case EDQUOT:
+      return ErrorCode::eNoSpace;
+    default:
+      return ErrorCode::eIo;
+  }
+}
+
 Error
 systemError(const char* aStep, const std::string& aFile)
 {
   const int errorNumber = errno;
-  const ErrorCode code = errorNumber == ENOENT ? ErrorCode::eNotFound : ErrorCode::eIo;
-  return Error::create(code, aStep, aFile, std::generic_category().message(errorNumber));
+  return Error::create(
+    codeOf(errorNumber), aStep, aFile, std::generic_category().message(errorNumber));
 }
 
 Error
 folderError(const char* aStep, const std::string& aFolder, const std::error_code& aCode)
 {
-  return Error::create(ErrorCode::eIo, aStep, aFolder, aCode.message());
+  const ErrorCode code =
+    aCode == std::errc::no_space_on_device ? ErrorCode::eNoSpace : ErrorCode::eIo;
+  return Error::create(code, aStep, aFolder, aCode.message());
 }
 
 std::string
--- a/src/storage/FileOperations.h
+++ b/src/storage/FileOperations.h
@@ -17,7 +17,8 @@
 /**
  * Interface through which the stores access files; tests replace it to make any operation fail.
  *
- * Operations fail with eIo; some fail with eNotFound when a path does not exist.
+ * Operations fail with eIo, with eNoSpace when the disk is full; some fail with eNotFound when a
+ * path does not exist.
  */
 class FileOperations
 {
