--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -125,11 +125,17 @@
 
 void
 EventLoop::post(std::function<void()> aCallback)
+{
+  postAt(now(), std::move(aCallback));
+}
+
+void
+EventLoop::postAt(Deadline aDeadline, std::function<void()> aCallback)
 {
   assert(aCallback);
-  const timeval atOnce{};
+  const timeval delay = toTimeval(std::max<std::int64_t>(0, aDeadline.msSince(now())));
   auto* callback = new std::function<void()>(std::move(aCallback));
-  event_base_once(mBase, -1, EV_TIMEOUT, runPosted, callback, &atOnce);
+  event_base_once(mBase, -1, EV_TIMEOUT, runPosted, callback, &delay);
 }
 
 } // namespace magnoliadrum
