Control: operators wait for a leader, and a replica on a full disk waits for space

Cause 1: an operator's request during an election or at the first start was refused at once, by every replica. Requests now wait for up to 800 ms, less than the second that operators wait.

A replica that cannot open its log for lack of space now waits and tries again every 500 ms. A replica that runs out of space while it runs still ends once.

--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -30,6 +30,10 @@
 /** The platform's operators wait about a second for an answer before they try another address. */
 constexpr std::int64_t kOperatorRequestTimeoutMs = 3000;
 
+/** How long an operator's request waits for a leader: less than the operator waits for an answer.
+ */
+constexpr std::int64_t kOperatorLeaderWaitMs = 800;
+
 std::string
 ownAddress(const ControlSettings& aSettings)
 {
@@ -98,28 +102,85 @@
   std::_Exit(kExitFailure);
 }
 
-/** Starts the platform's interface for operators; null when the settings have no address for it. */
-Result<std::unique_ptr<platform::OperatorServer>>
-startOperatorServer(EventLoop& aLoop, const ControlSettings& aSettings, ControlProcess& aProcess)
+/** Period at which a replica whose disk is full tries to start again. */
+constexpr std::int64_t kFullDiskRetryMs = 500;
+
+/**
+ * Opens the replicated log. While the disk is full this replica waits, without a vote and without
+ * an operator interface, instead of ending and being started again in vain. Returns eUnavailable
+ * when the process is told to stop meanwhile.
+ */
+Result<std::unique_ptr<ReplicatedCommandLog>>
+openLog(EventLoop& aLoop, const ControlSettings& aSettings, ControlState& aState)
 {
-  if (aSettings.platformAddress().empty()) {
-    return std::unique_ptr<platform::OperatorServer>();
+  bool isStopped = false;
+  const auto stopWaiting = [&]() {
+    isStopped = true;
+    aLoop.stop();
+  };
+  const EventHandlePointer onTerminate = aLoop.onSignal(SIGTERM, stopWaiting);
+  const EventHandlePointer onInterrupt = aLoop.onSignal(SIGINT, stopWaiting);
+  bool isLogged = false;
+  while (!isStopped) {
+    auto log = ReplicatedCommandLog::create(aLoop,
+                                            replicatorSettings(aSettings),
+                                            replicaTransport(aLoop, aSettings),
+                                            aState,
+                                            terminateImmediately);
+    if (isOk(log) || errorOf(log).code() != ErrorCode::eNoSpace) {
+      return log;
+    }
+    if (!std::exchange(isLogged, true)) {
+      logError("the disk is full: the replica waits for space", errorOf(log));
+    }
+    aState = ControlState();
+    const EventHandlePointer retry =
+      aLoop.runAt(aLoop.now().plusMs(kFullDiskRetryMs), [&aLoop]() { aLoop.stop(); });
+    aLoop.run();
   }
-  const auto call =
-    [&aLoop, &aProcess](const Message& aMessage,
-                        const std::function<void(const platform::OperatorServer::Reply&)>& aDone) {
-      aProcess.call(
-        aMessage, aLoop.now().plusMs(kOperatorRequestTimeoutMs), [aDone](const Message& aAnswer) {
-          const OperationFailed* failed = std::get_if<OperationFailed>(&aAnswer);
-          if (failed == nullptr) {
-            aDone({ aAnswer, "" });
-            return;
-          }
-          const bool isNotLeader = failed->code() == FailureCode::eNotLeader;
-          aDone({ toError(*failed), isNotLeader ? failed->leaderAddress() : "" });
-        });
-    };
-  return platform::OperatorServer::start(aLoop, aSettings.platformAddress(), call);
+  return Error::create(ErrorCode::eUnavailable,
+                       "control.start",
+                       aSettings.processId(),
+                       "stopped while waiting for space");
+}
+
+using OperatorReply = platform::OperatorServer::Reply;
+using OperatorLeaderWait = LeaderWait<OperatorReply>;
+
+/** Starts the platform's interface for operators. Requests wait for a leader when there is none. */
+Result<std::unique_ptr<platform::OperatorServer>>
+startOperatorServer(EventLoop& aLoop, const std::string& aAddress, OperatorLeaderWait::Call aCall)
+{
+  const WaitTimer timer{ .now = [&aLoop]() { return aLoop.now(); },
+                         .runAt =
+                           [&aLoop](Deadline aDeadline, std::function<void()> aFunction) {
+                             aLoop.postAt(aDeadline, std::move(aFunction));
+                           } };
+  return platform::OperatorServer::start(
+    aLoop,
+    aAddress,
+    [&aLoop, wait = OperatorLeaderWait::create(timer, std::move(aCall))](
+      const Message& aMessage, const std::function<void(const OperatorReply&)>& aDone) {
+      wait->call(aMessage, aLoop.now().plusMs(kOperatorLeaderWaitMs), aDone);
+    });
+}
+
+/** Makes an operator's call at the control process of this replica. */
+OperatorLeaderWait::Call
+callProcess(EventLoop& aLoop, ControlProcess& aProcess)
+{
+  return [&aLoop, &aProcess](const Message& aMessage, const OperatorLeaderWait::Callback& aDone) {
+    aProcess.call(
+      aMessage, aLoop.now().plusMs(kOperatorRequestTimeoutMs), [aDone](const Message& aAnswer) {
+        const OperationFailed* failed = std::get_if<OperationFailed>(&aAnswer);
+        if (failed == nullptr) {
+          aDone({ aAnswer, "" });
+          return;
+        }
+        const bool isNotLeader = failed->code() == FailureCode::eNotLeader;
+        aDone({ toError(*failed), isNotLeader ? failed->leaderAddress() : "" });
+      });
+  };
 }
 
 /**
@@ -148,11 +209,10 @@
                                           .mHeartbeatMs = aSettings.lease().heartbeatMs(),
                                           .mSilenceMs = aSettings.lease().leaderSilenceMs() },
                                         std::move(handlers));
-  const auto operatorServer = platform::OperatorServer::start(
+  const auto operatorServer = startOperatorServer(
     *loop,
     aSettings.platformAddress(),
-    [&link](const Message& /*aMessage*/,
-            const std::function<void(const platform::OperatorServer::Reply&)>& aDone) {
+    [&link](const Message& /*aMessage*/, const OperatorLeaderWait::Callback& aDone) {
       const std::string leader = link->leaderAddress();
       aDone({ Error::create(ErrorCode::eNotLeader,
                             "operator request",
@@ -193,11 +253,11 @@
   const std::unique_ptr<FaultPointFile> faultPoints =
     FaultPointFile::watch(*loop, FLAGS_fault_points_file);
   ControlState state;
-  auto log = ReplicatedCommandLog::create(*loop,
-                                          replicatorSettings(aSettings),
-                                          replicaTransport(*loop, aSettings),
-                                          state,
-                                          terminateImmediately);
+  auto log = openLog(*loop, aSettings, state);
+  if (!isOk(log) && errorOf(log).code() == ErrorCode::eUnavailable) {
+    logInfo("stopped while waiting for space on the disk");
+    return 0;
+  }
   if (!isOk(log)) {
     logError("the replicated log cannot start", errorOf(log));
     return kExitFailure;
@@ -212,10 +272,15 @@
     logError("control cannot start", errorOf(process));
     return kExitFailure;
   }
-  const auto operatorServer = startOperatorServer(*loop, aSettings, *valueOf(process));
-  if (!isOk(operatorServer)) {
-    logError("control cannot start", errorOf(operatorServer));
-    return kExitFailure;
+  std::unique_ptr<platform::OperatorServer> operatorServer;
+  if (!aSettings.platformAddress().empty()) {
+    auto started = startOperatorServer(
+      *loop, aSettings.platformAddress(), callProcess(*loop, *valueOf(process)));
+    if (!isOk(started)) {
+      logError("control cannot start", errorOf(started));
+      return kExitFailure;
+    }
+    operatorServer = takeValue(std::move(started));
   }
   const auto onTerminate = loop->onSignal(SIGTERM, [&]() { valueOf(process)->shutDown(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&]() { valueOf(process)->shutDown(); });
