Jobs: a burst leaves as many jobs as possible on time, and a round looks up each pair of images once

Earliest deadline first gives every job a part. JobSelector gives up as few jobs as possible (Moore and Hodgson, by value for the remaining work), once for the objective and once for the time until which a completion is useful.

InterferenceForecast keeps one number for each pair of images in a round and one entry for each serving image on a worker.

Tests: job_selector, interference_forecast, in_a_burst_the_capacity_goes_to_jobs_that_can_be_on_time.

--- a/src/jobs/InterferenceGuard.cpp
+++ b/src/jobs/InterferenceGuard.cpp
@@ -134,15 +134,16 @@
 }
 
 double
-InterferenceGuard::worstGrowth(const std::vector<ServingTask>& aServing,
-                               const std::string& aImage,
-                               double aShare) const
+InterferenceGuard::cautiousGrowthPerShare(const std::string& aServing,
+                                          const std::string& aImage) const
 {
-  double worst = 0;
-  for (const ServingTask& task : aServing) {
-    worst = std::max(worst, mModel.worstGrowth(task.image, aImage, aShare));
-  }
-  return worst;
+  return mModel.cautiousGrowth(aServing, aImage, 1);
+}
+
+double
+InterferenceGuard::worstGrowthPerShare(const std::string& aServing, const std::string& aImage) const
+{
+  return mModel.worstGrowth(aServing, aImage, 1);
 }
 
 double
--- a/src/jobs/InterferenceGuard.h
+++ b/src/jobs/InterferenceGuard.h
@@ -133,11 +133,12 @@
    */
   double expectedRatio(const std::vector<ServingTask>& aServing, const ImageShares& aAdded) const;
 
-  /** Returns the growth that aShare of an image may cause to a serving task, going by the strongest
-   * interference of the last minutes. */
-  double worstGrowth(const std::vector<ServingTask>& aServing,
-                     const std::string& aImage,
-                     double aShare) const;
+  /** Growth of the logarithm of a serving image's latency per share of the worker's processors that
+   * an opportunistic image uses, with a margin for a pair that was rarely observed. */
+  double cautiousGrowthPerShare(const std::string& aServing, const std::string& aImage) const;
+
+  /** The same for the strongest interference of the last minutes. */
+  double worstGrowthPerShare(const std::string& aServing, const std::string& aImage) const;
 
 private:
   /** Whether the latency still includes interference that has ended; nothing is learned from such a
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -1,9 +1,11 @@
 #include "jobs/JobScheduler.h"
 
 #include "core/core.h"
+#include "jobs/JobSelector.h"
 
 #include <algorithm>
-#include <limits>
+#include <iterator>
+#include <map>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -12,6 +14,33 @@
 
 namespace {
 
+constexpr double kMilliPerCore = 1000;
+
+/** Processor time of the worker that is expected to stay unused. */
+double
+unusedCpuMilli(const WorkerCandidate& aWorker)
+{
+  const std::int64_t shortRunningCpuMilli = aWorker.used.cpuMilli - aWorker.longRunningCpuMilli;
+  return static_cast<double>(aWorker.capacity.cpuMilli - shortRunningCpuMilli -
+                             aWorker.opportunisticCpuMilli) -
+         JobScheduler::kLongRunningCpuUsage * static_cast<double>(aWorker.longRunningCpuMilli);
+}
+
+/** Share of a job's value that does not depend on its size. */
+constexpr double kFixedShareOfValue = 0.3;
+
+/** A completion is useful until the objective has passed this many times. */
+constexpr std::int64_t kUsefulObjectives = 3;
+
+/** An occurrence of a job that is due and not completed. */
+struct DueJob
+{
+  const Job* job = nullptr;
+  std::int64_t occurrence = 0;
+  JobDemand demand;
+  JobOutlook outlook = JobOutlook::eOnTime;
+};
+
 /** A step that may start now and has open tasks. */
 struct ReadyStep
 {
@@ -19,17 +48,19 @@
   std::int64_t occurrence = 0;
   std::int64_t step = 0;
   std::int64_t priority = 0;
-  bool isLate = false;
-  std::int64_t objectiveEndMs = 0;
+  JobOutlook outlook = JobOutlook::eOnTime;
+  /** Order among steps with the same outlook. */
+  double order = 0;
 
   const JobStep& description() const { return job->steps()[static_cast<std::size_t>(step)]; }
 
-  auto sortKey() const { return std::tuple(priority, isLate, objectiveEndMs, job->jobId(), step); }
+  auto sortKey() const { return std::tuple(priority, outlook, order, job->jobId(), step); }
 };
 
-/** Longest sum of estimates along the dependencies from a step to the end of its job. */
-std::int64_t
-remainingCriticalPathMs(const Job& aJob, std::size_t aStep)
+/** Longest sum of estimates along the dependencies from a step to the end of its job, for each
+ * step. */
+std::vector<std::int64_t>
+criticalPathsMs(const Job& aJob)
 {
   std::vector<std::int64_t> pathMs(aJob.steps().size(), 0);
   for (std::size_t step = aJob.steps().size(); step-- > 0;) {
@@ -39,56 +70,167 @@
       earlierMs = std::max(earlierMs, pathMs[step]);
     }
   }
-  return pathMs[aStep];
+  return pathMs;
 }
 
-std::int64_t
-criticalPathMs(const Job& aJob)
+/** Work of some tasks of a step that share the opportunistic capacity, in core-milliseconds. */
+double
+opportunisticWork(const JobStep& aStep, std::int64_t aTasks)
 {
-  std::int64_t longest = 0;
+  return aStep.opportunistic()
+           ? static_cast<double>(aTasks) * static_cast<double>(aStep.resources().cpuMilli()) /
+               kMilliPerCore * static_cast<double>(aStep.estimateMs())
+           : 0;
+}
+
+double
+totalOpportunisticWork(const Job& aJob)
+{
+  double work = 0;
+  for (const JobStep& step : aJob.steps()) {
+    work += opportunisticWork(step, step.count());
+  }
+  return work;
+}
+
+/** Describes what an occurrence still needs; its value is set by the caller. */
+JobDemand
+demandOf(const Job& aJob, std::int64_t aOccurrence)
+{
+  const std::vector<std::int64_t> pathsMs = criticalPathsMs(aJob);
+  const std::int64_t startMs = aJob.isRecurring() ? aJob.dueMs(aOccurrence) : aJob.acceptedAtMs();
+  const std::int64_t objectiveMs =
+    static_cast<std::int64_t>(aJob.queue().stretch() * static_cast<double>(*std::max_element(
+                                                         pathsMs.begin(), pathsMs.end()))) +
+    aJob.queue().objectiveMs();
+  JobDemand demand;
+  demand.objectiveEndMs = startMs + objectiveMs;
+  demand.usefulUntilMs = startMs + kUsefulObjectives * objectiveMs;
+  demand.isStarted = aJob.hasStarted();
   for (std::size_t step = 0; step < aJob.steps().size(); step++) {
-    longest = std::max(longest, remainingCriticalPathMs(aJob, step));
+    const std::int64_t open = aJob.openTasks(aOccurrence, static_cast<std::int64_t>(step));
+    if (open > 0) {
+      demand.remainingWork += opportunisticWork(aJob.steps()[step], open);
+      demand.remainingPathMs = std::max(demand.remainingPathMs, pathsMs[step]);
+    }
   }
-  return longest;
+  return demand;
 }
 
-void
-addReadySteps(const Job& aJob, std::int64_t aWallMs, std::vector<ReadyStep>& aReady)
+std::vector<DueJob>
+findDueJobs(const JobRegistry& aJobs, std::int64_t aWallMs)
 {
-  for (std::int64_t occurrence = 0; occurrence < aJob.occurrences(); occurrence++) {
-    const std::int64_t dueMs = aJob.dueMs(occurrence);
-    if (aJob.isRecurring() && dueMs > aWallMs) {
-      return;
+  std::vector<DueJob> due;
+  for (const std::string& jobId : aJobs.openJobs()) {
+    const Job* job = aJobs.find(jobId);
+    if (job->isFinished()) {
+      continue;
     }
-    const std::int64_t startMs = aJob.isRecurring() ? dueMs : aJob.acceptedAtMs();
-    const std::int64_t objectiveMs =
-      static_cast<std::int64_t>(aJob.queue().stretch() *
-                                static_cast<double>(criticalPathMs(aJob))) +
-      aJob.queue().objectiveMs();
-    for (std::size_t step = 0; step < aJob.steps().size(); step++) {
-      const std::int64_t number = static_cast<std::int64_t>(step);
-      if (aJob.openTasks(occurrence, number) == 0 || !aJob.isStepReady(occurrence, number)) {
-        continue;
+    for (std::int64_t occurrence = 0; occurrence < job->occurrences(); occurrence++) {
+      if (job->isRecurring() && job->dueMs(occurrence) > aWallMs) {
+        break;
       }
-      ReadyStep ready{ .job = &aJob,
-                       .occurrence = occurrence,
-                       .step = number,
-                       .priority = aJob.queue().priority(),
-                       .objectiveEndMs = startMs + objectiveMs };
-      ready.isLate = aWallMs + remainingCriticalPathMs(aJob, step) > ready.objectiveEndMs;
-      aReady.push_back(ready);
+      due.push_back({ .job = job, .occurrence = occurrence, .demand = demandOf(*job, occurrence) });
+    }
+  }
+  return due;
+}
+
+/** Values the jobs by their size relative to the mean due job of their queue. */
+void
+setValues(std::vector<DueJob>& aDue)
+{
+  struct Sum
+  {
+    double work = 0;
+    double jobs = 0;
+  };
+  std::map<std::string, Sum> sums;
+  for (const DueJob& due : aDue) {
+    Sum& sum = sums[due.job->queue().name()];
+    sum.work += totalOpportunisticWork(*due.job);
+    sum.jobs += 1;
+  }
+  for (DueJob& due : aDue) {
+    const Sum& sum = sums.at(due.job->queue().name());
+    const double relativeSize =
+      sum.work > 0 ? totalOpportunisticWork(*due.job) * sum.jobs / sum.work : 1;
+    due.demand.value = kFixedShareOfValue + (1 - kFixedShareOfValue) * relativeSize;
+  }
+}
+
+/** Processor time of a pool that opportunistic tasks use or may use, in cores. */
+double
+opportunisticCores(const std::vector<WorkerCandidate>& aWorkers, const std::string& aPool)
+{
+  double cpuMilli = 0;
+  for (const WorkerCandidate& worker : aWorkers) {
+    if (worker.poolName == aPool) {
+      cpuMilli +=
+        std::max(0.0, unusedCpuMilli(worker) + static_cast<double>(worker.opportunisticCpuMilli));
+    }
+  }
+  return cpuMilli / kMilliPerCore;
+}
+
+/** Sets the outlooks of the jobs. Jobs without opportunistic steps only have to be in time. */
+void
+setOutlooks(std::vector<DueJob>& aDue,
+            const std::vector<WorkerCandidate>& aWorkers,
+            std::int64_t aWallMs)
+{
+  std::map<std::string, std::vector<std::size_t>> sharing;
+  for (std::size_t index = 0; index < aDue.size(); index++) {
+    DueJob& due = aDue[index];
+    if (due.demand.remainingWork > 0) {
+      sharing[due.job->queue().poolName()].push_back(index);
+    } else if (aWallMs + due.demand.remainingPathMs > due.demand.objectiveEndMs) {
+      due.outlook = JobOutlook::eLate;
+    }
+  }
+  for (const auto& [pool, indexes] : sharing) {
+    std::vector<JobDemand> demands;
+    for (const std::size_t index : indexes) {
+      demands.push_back(aDue[index].demand);
+    }
+    const std::vector<JobOutlook> outlooks =
+      JobSelector::select(demands, opportunisticCores(aWorkers, pool), aWallMs);
+    for (std::size_t position = 0; position < indexes.size(); position++) {
+      aDue[indexes[position]].outlook = outlooks[position];
     }
   }
 }
 
+/** Earliest deadline first; of the jobs without a deadline that can be met, the shortest first. */
+double
+orderOf(const DueJob& aDue)
+{
+  switch (aDue.outlook) {
+    case JobOutlook::eOnTime:
+      return static_cast<double>(aDue.demand.objectiveEndMs);
+    case JobOutlook::eLate:
+      return static_cast<double>(aDue.demand.usefulUntilMs);
+    case JobOutlook::eOverdue:
+      break;
+  }
+  return aDue.demand.remainingWork;
+}
+
 std::vector<ReadyStep>
-findReadySteps(const JobRegistry& aJobs, std::int64_t aWallMs)
+findReadySteps(const std::vector<DueJob>& aDueJobs)
 {
   std::vector<ReadyStep> ready;
-  for (const std::string& jobId : aJobs.openJobs()) {
-    const Job* job = aJobs.find(jobId);
-    if (!job->isFinished()) {
-      addReadySteps(*job, aWallMs, ready);
+  for (const DueJob& due : aDueJobs) {
+    for (std::int64_t step = 0; step < std::ssize(due.job->steps()); step++) {
+      if (due.job->openTasks(due.occurrence, step) > 0 &&
+          due.job->isStepReady(due.occurrence, step)) {
+        ready.push_back({ .job = due.job,
+                          .occurrence = due.occurrence,
+                          .step = step,
+                          .priority = due.job->queue().priority(),
+                          .outlook = due.outlook,
+                          .order = orderOf(due) });
+      }
     }
   }
   std::sort(ready.begin(), ready.end(), [](const ReadyStep& aLeft, const ReadyStep& aRight) {
@@ -110,16 +252,6 @@
   return aStep.longRunning() && aStep.latencyObjectiveMs() > 0;
 }
 
-/** Processor time of the worker that is expected to stay unused. */
-double
-unusedCpuMilli(const WorkerCandidate& aWorker)
-{
-  const std::int64_t shortRunningCpuMilli = aWorker.used.cpuMilli - aWorker.longRunningCpuMilli;
-  return static_cast<double>(aWorker.capacity.cpuMilli - shortRunningCpuMilli -
-                             aWorker.opportunisticCpuMilli) -
-         JobScheduler::kLongRunningCpuUsage * static_cast<double>(aWorker.longRunningCpuMilli);
-}
-
 /** Whether the declared size fits in the free capacity. */
 bool
 fits(const WorkerCandidate& aWorker, const JobStep& aStep)
@@ -184,10 +316,11 @@
 {
   const bool isOutsidePreferredRack =
     !aStep.preferredRack().empty() && aStep.preferredRack() != aWorker.rack;
-  return std::tuple(aWorker.recentFailures,
-                    isOutsidePreferredRack,
-                    loadCost(aWorker, aStep, aInterferenceCost),
-                    aWorker.worker);
+  return std::tuple<std::int64_t, bool, double, const std::string&>(
+    aWorker.recentFailures,
+    isOutsidePreferredRack,
+    loadCost(aWorker, aStep, aInterferenceCost),
+    aWorker.worker);
 }
 
 /** Assigns the ready steps one after the other to the workers of a round. */
@@ -195,9 +328,12 @@
 {
 public:
   SchedulingRound(const InterferenceGuard& aGuard, std::vector<WorkerCandidate>& aWorkers)
-    : mGuard(aGuard)
+    : mForecast(aGuard)
     , mWorkers(aWorkers)
   {
+    for (WorkerCandidate& worker : mWorkers) {
+      worker.interference = mForecast.loadOf(worker.serving, worker.unobservedShares);
+    }
   }
 
   void place(const ReadyStep& aReady)
@@ -247,6 +383,7 @@
               const std::optional<std::string>& aRack)
   {
     const JobStep& step = aReady.description();
+    const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     double bestInterferenceCost = 0;
     for (WorkerCandidate& worker : aWorkers) {
@@ -254,11 +391,11 @@
           !hasCapacity(worker, step)) {
         continue;
       }
-      const double ratio = expectedRatio(worker, step);
+      const double ratio = expectedRatio(worker, step, image);
       if (ratio > JobScheduler::kMaxExpectedRatio) {
         continue;
       }
-      const double interferenceCost = ratio + riskCost(worker, step);
+      const double interferenceCost = ratio + riskCost(worker, step, image);
       if (best == nullptr ||
           cost(worker, step, interferenceCost) < cost(*best, step, bestInterferenceCost)) {
         best = &worker;
@@ -296,12 +433,14 @@
                                  const std::string& aStepName)
   {
     const JobStep& step = aReady.description();
+    const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     for (WorkerCandidate& worker : mWorkers) {
       if (!isEligible(worker, aReady, aStepName) || !fits(worker, step)) {
         continue;
       }
-      if (best == nullptr || expectedRatio(worker, step) < expectedRatio(*best, step)) {
+      if (best == nullptr ||
+          expectedRatio(worker, step, image) < expectedRatio(*best, step, image)) {
         best = &worker;
       }
     }
@@ -316,8 +455,8 @@
   {
     const JobStep& step = aReady.description();
     addRun(aWorker, step, aTask);
-    if (step.opportunistic()) {
-      aWorker.unobservedShares[step.image()] += cpuShare(aWorker, step);
+    if (const std::optional<std::size_t> image = opportunisticImage(step)) {
+      mForecast.add(aWorker.interference, *image, cpuShare(aWorker, step));
     }
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
@@ -350,26 +489,32 @@
     mPlan.waiting.push_back(std::move(reason));
   }
 
+  /** Number of the step's image in the forecast; empty for a step that interferes with nothing. */
+  std::optional<std::size_t> opportunisticImage(const JobStep& aStep)
+  {
+    return aStep.opportunistic() ? std::optional(mForecast.numberOf(aStep.image())) : std::nullopt;
+  }
+
   /** Largest ratio of latency to objective on the worker that is expected after placing a task of
-   * an opportunistic step there; 0 for other steps. */
-  double expectedRatio(const WorkerCandidate& aWorker, const JobStep& aStep) const
+   * the step there; 0 for a step that is not opportunistic. */
+  double expectedRatio(const WorkerCandidate& aWorker,
+                       const JobStep& aStep,
+                       const std::optional<std::size_t>& aImage)
   {
-    if (!aStep.opportunistic()) {
-      return 0;
-    }
-    ImageShares added = aWorker.unobservedShares;
-    added[aStep.image()] += cpuShare(aWorker, aStep);
-    return mGuard.expectedRatio(aWorker.serving, added);
+    return aImage ? mForecast.expectedRatio(aWorker.interference, *aImage, cpuShare(aWorker, aStep))
+                  : 0;
   }
 
   /** Cost of interference that is absent now but may recur. */
-  double riskCost(const WorkerCandidate& aWorker, const JobStep& aStep) const
+  double riskCost(const WorkerCandidate& aWorker,
+                  const JobStep& aStep,
+                  const std::optional<std::size_t>& aImage)
   {
-    if (!aStep.opportunistic()) {
+    if (!aImage) {
       return 0;
     }
     const double growth =
-      mGuard.worstGrowth(aWorker.serving, aStep.image(), cpuShare(aWorker, aStep));
+      mForecast.worstGrowth(aWorker.interference, *aImage, cpuShare(aWorker, aStep));
     return std::min(JobScheduler::kMaxRiskCost, growth);
   }
 
@@ -490,7 +635,7 @@
     return true;
   }
 
-  const InterferenceGuard& mGuard;
+  InterferenceForecast mForecast;
   std::vector<WorkerCandidate>& mWorkers;
   SchedulePlan mPlan;
 };
@@ -532,7 +677,9 @@
   if (servesUsers(aStep)) {
     aWorker.servingRuns[aStep.image()]++;
   }
-  aWorker.runsOfStep[stepName(aTask)]++;
+  if (aStep.maxPerWorker() > 0) {
+    aWorker.runsOfStep[stepName(aTask)]++;
+  }
 }
 
 SchedulePlan
@@ -541,8 +688,11 @@
                      std::vector<WorkerCandidate>& aWorkers,
                      std::int64_t aWallMs)
 {
+  std::vector<DueJob> dueJobs = findDueJobs(aJobs, aWallMs);
+  setValues(dueJobs);
+  setOutlooks(dueJobs, aWorkers, aWallMs);
   SchedulingRound round(aGuard, aWorkers);
-  for (const ReadyStep& ready : findReadySteps(aJobs, aWallMs)) {
+  for (const ReadyStep& ready : findReadySteps(dueJobs)) {
     if (round.isFull()) {
       break;
     }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jobs/InterferenceGuard.h"
+#include "jobs/InterferenceForecast.h"
 #include "jobs/JobRegistry.h"
 #include "placement/ResourceAmount.h"
 
@@ -56,10 +56,13 @@
   std::map<std::string, std::int64_t> servingRuns;
   /** Shares of opportunistic tasks whose effect the latencies in serving do not include yet. */
   ImageShares unobservedShares;
+  /** What is expected of added opportunistic tasks, from serving and unobservedShares; set by
+   * JobScheduler::decide(). */
+  InterferenceForecast::WorkerLoad interference;
   /** Recently failed runs on this worker, 0 if their number is usual. Workers with fewer are
    * preferred. */
   std::int64_t recentFailures = 0;
-  /** Number of active runs by step name (JOB.OCCURRENCE.STEP). */
+  /** Number of active runs of the steps that limit it, by step name (JOB.OCCURRENCE.STEP). */
   std::map<std::string, std::int64_t> runsOfStep;
 };
 
@@ -120,8 +123,8 @@
  * Decides which waiting tasks start now and on which workers. Uses no clock and no sockets; the
  * same input gives the same assignments.
  *
- * Steps are scheduled by the priority of their queue, then those of jobs that can still meet their
- * objective before those of late jobs, then by the time at which the objective ends. A task is only
+ * Steps are scheduled by the priority of their queue, then by the outlook of their job (see
+ * JobSelector), then by the deadline that this outlook refers to. A task is only
  * assigned to a worker with enough free capacity for what it requires. For a task that fits
  * nowhere, runs of queues with a lower priority are stopped, the cheapest first, and the capacity
  * is reserved for it. Tasks that serve users are packed on few workers, preferably with tasks of
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -317,4 +317,25 @@
   BOOST_TEST(workersByTask(decide(jobs, { failing })).at("j.0.0.0") == "w1");
 }
 
+// Load: a burst in which the job with the earliest deadline is larger than the capacity until then.
+// Earliest deadline first gives it all workers, and every job is late.
+BOOST_AUTO_TEST_CASE(in_a_burst_the_capacity_goes_to_jobs_that_can_be_on_time)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("tally", jobOf("large", { opportunisticStep(200, 1000, 10) }), 0));
+  for (const char* name : { "a", "b", "c" }) {
+    jobs.apply(submitOf("tally", jobOf(name, { opportunisticStep(8, 1000, 10) }), 1));
+  }
+  const SchedulePlan plan =
+    decide(jobs, { workerOf("w1", 12000, 100000), workerOf("w2", 12000, 100000) }, 1);
+  std::map<std::string, int> tasksByJob;
+  for (const Assignment& assignment : plan.assignments) {
+    tasksByJob[assignment.task.jobId]++;
+  }
+  BOOST_TEST(tasksByJob["a"] == 8);
+  BOOST_TEST(tasksByJob["b"] == 8);
+  BOOST_TEST(tasksByJob["c"] == 8);
+  BOOST_TEST(tasksByJob["large"] <= 1, "at most the task that keeps a waiting job going");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -8,9 +8,11 @@
  * uses a socket or reads a clock. Depends on core, generated and placement/ResourceAmount.
  */
 
+#include "jobs/InterferenceForecast.h"
 #include "jobs/InterferenceGuard.h"
 #include "jobs/Job.h"
 #include "jobs/JobRegistry.h"
 #include "jobs/JobRules.h"
 #include "jobs/JobScheduler.h"
+#include "jobs/JobSelector.h"
 #include "jobs/TaskId.h"
