--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -30,10 +30,6 @@
 /** The platform's operators wait about a second for an answer before they try another address. */
 constexpr std::int64_t kOperatorRequestTimeoutMs = 3000;
 
-/** How long an operator's request waits for a leader: less than the operator waits for an answer.
- */
-constexpr std::int64_t kOperatorLeaderWaitMs = 800;
-
 std::string
 ownAddress(const ControlSettings& aSettings)
 {
@@ -144,43 +140,28 @@
                        "stopped while waiting for space");
 }
 
-using OperatorReply = platform::OperatorServer::Reply;
-using OperatorLeaderWait = LeaderWait<OperatorReply>;
-
-/** Starts the platform's interface for operators. Requests wait for a leader when there is none. */
+/** Starts the platform's interface for operators; null when the settings have no address for it. */
 Result<std::unique_ptr<platform::OperatorServer>>
-startOperatorServer(EventLoop& aLoop, const std::string& aAddress, OperatorLeaderWait::Call aCall)
-{
-  const WaitTimer timer{ .now = [&aLoop]() { return aLoop.now(); },
-                         .runAt =
-                           [&aLoop](Deadline aDeadline, std::function<void()> aFunction) {
-                             aLoop.postAt(aDeadline, std::move(aFunction));
-                           } };
-  return platform::OperatorServer::start(
-    aLoop,
-    aAddress,
-    [&aLoop, wait = OperatorLeaderWait::create(timer, std::move(aCall))](
-      const Message& aMessage, const std::function<void(const OperatorReply&)>& aDone) {
-      wait->call(aMessage, aLoop.now().plusMs(kOperatorLeaderWaitMs), aDone);
-    });
-}
-
-/** Makes an operator's call at the control process of this replica. */
-OperatorLeaderWait::Call
-callProcess(EventLoop& aLoop, ControlProcess& aProcess)
+startOperatorServer(EventLoop& aLoop, const ControlSettings& aSettings, ControlProcess& aProcess)
 {
-  return [&aLoop, &aProcess](const Message& aMessage, const OperatorLeaderWait::Callback& aDone) {
-    aProcess.call(
-      aMessage, aLoop.now().plusMs(kOperatorRequestTimeoutMs), [aDone](const Message& aAnswer) {
-        const OperationFailed* failed = std::get_if<OperationFailed>(&aAnswer);
-        if (failed == nullptr) {
-          aDone({ aAnswer, "" });
-          return;
-        }
-        const bool isNotLeader = failed->code() == FailureCode::eNotLeader;
-        aDone({ toError(*failed), isNotLeader ? failed->leaderAddress() : "" });
-      });
-  };
+  if (aSettings.platformAddress().empty()) {
+    return std::unique_ptr<platform::OperatorServer>();
+  }
+  const auto call =
+    [&aLoop, &aProcess](const Message& aMessage,
+                        const std::function<void(const platform::OperatorServer::Reply&)>& aDone) {
+      aProcess.call(
+        aMessage, aLoop.now().plusMs(kOperatorRequestTimeoutMs), [aDone](const Message& aAnswer) {
+          const OperationFailed* failed = std::get_if<OperationFailed>(&aAnswer);
+          if (failed == nullptr) {
+            aDone({ aAnswer, "" });
+            return;
+          }
+          const bool isNotLeader = failed->code() == FailureCode::eNotLeader;
+          aDone({ toError(*failed), isNotLeader ? failed->leaderAddress() : "" });
+        });
+    };
+  return platform::OperatorServer::start(aLoop, aSettings.platformAddress(), call);
 }
 
 /**
@@ -209,10 +190,11 @@
                                           .mHeartbeatMs = aSettings.lease().heartbeatMs(),
                                           .mSilenceMs = aSettings.lease().leaderSilenceMs() },
                                         std::move(handlers));
-  const auto operatorServer = startOperatorServer(
+  const auto operatorServer = platform::OperatorServer::start(
     *loop,
     aSettings.platformAddress(),
-    [&link](const Message& /*aMessage*/, const OperatorLeaderWait::Callback& aDone) {
+    [&link](const Message& /*aMessage*/,
+            const std::function<void(const platform::OperatorServer::Reply&)>& aDone) {
       const std::string leader = link->leaderAddress();
       aDone({ Error::create(ErrorCode::eNotLeader,
                             "operator request",
@@ -272,15 +254,10 @@
     logError("control cannot start", errorOf(process));
     return kExitFailure;
   }
-  std::unique_ptr<platform::OperatorServer> operatorServer;
-  if (!aSettings.platformAddress().empty()) {
-    auto started = startOperatorServer(
-      *loop, aSettings.platformAddress(), callProcess(*loop, *valueOf(process)));
-    if (!isOk(started)) {
-      logError("control cannot start", errorOf(started));
-      return kExitFailure;
-    }
-    operatorServer = takeValue(std::move(started));
+  const auto operatorServer = startOperatorServer(*loop, aSettings, *valueOf(process));
+  if (!isOk(operatorServer)) {
+    logError("control cannot start", errorOf(operatorServer));
+    return kExitFailure;
   }
   const auto onTerminate = loop->onSignal(SIGTERM, [&]() { valueOf(process)->shutDown(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&]() { valueOf(process)->shutDown(); });
--- a/src/jobs/InterferenceForecast_test.cpp
+++ b/src/jobs/InterferenceForecast_test.cpp
@@ -34,7 +34,7 @@
     }
     const ImageShares unobserved = { { images[image(random)], share(random) },
                                      { images[image(random)], share(random) } };
-    const std::string added = images[image(random)];
+    const std::string& added = images[image(random)];
     const double addedShare = share(random);
     ImageShares all = unobserved;
     all[added] += addedShare;
--- a/src/session/session.h
+++ b/src/session/session.h
@@ -6,5 +6,4 @@
 #include "session/CatalogueCopy.h"
 #include "session/ControlLink.h"
 #include "session/Incarnation.h"
-#include "session/LeaderWait.h"
 #include "session/RequestAnswers.h"
--- a/src/transport/EventLoop.cpp
+++ b/src/transport/EventLoop.cpp
@@ -125,17 +125,11 @@
 
 void
 EventLoop::post(std::function<void()> aCallback)
-{
-  postAt(now(), std::move(aCallback));
-}
-
-void
-EventLoop::postAt(Deadline aDeadline, std::function<void()> aCallback)
 {
   assert(aCallback);
-  const timeval delay = toTimeval(std::max<std::int64_t>(0, aDeadline.msSince(now())));
+  const timeval atOnce{};
   auto* callback = new std::function<void()>(std::move(aCallback));
-  event_base_once(mBase, -1, EV_TIMEOUT, runPosted, callback, &delay);
+  event_base_once(mBase, -1, EV_TIMEOUT, runPosted, callback, &atOnce);
 }
 
 } // namespace magnoliadrum
--- a/src/transport/EventLoop.h
+++ b/src/transport/EventLoop.h
@@ -69,9 +69,6 @@
   /** Calls aCallback from the loop after the callbacks that are already due. */
   void post(std::function<void()> aCallback);
 
-  /** Calls aCallback once at aDeadline. Unlike with runAt() the call cannot be cancelled. */
-  void postAt(Deadline aDeadline, std::function<void()> aCallback);
-
   /**
    * Makes message connections leave from this IP address, so that a VM with several addresses
    * always shows the one of its settings. Empty lets the system choose.
