--- /dev/null
+++ b/src/jobs/DueJobs.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "jobs/JobRegistry.h"
+#include "jobs/JobScheduler.h"
+#include "jobs/JobSelector.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** An occurrence of a job that is due and not completed. */
+struct DueJob
+{
+  const Job* job = nullptr;
+  std::int64_t occurrence = 0;
+  JobDemand demand;
+  JobOutlook outlook = JobOutlook::eOnTime;
+
+  /** Order of service among occurrences with the same outlook, the smallest first: earliest
+   * deadline first, and without a deadline that can be met the shortest first. */
+  double order() const;
+};
+
+/**
+ * Returns the due occurrences of all jobs with their outlooks. Jobs with opportunistic steps
+ * compete for what aWorkers have left; the others only have to be in time.
+ */
+std::vector<DueJob>
+findDueJobs(const JobRegistry& aJobs,
+            const std::vector<WorkerCandidate>& aWorkers,
+            std::int64_t aWallMs);
+
+} // namespace magnoliadrum
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -115,6 +115,11 @@
 double
 cpuShare(const WorkerCandidate& aWorker, const JobStep& aStep);
 
+/** Returns the processor time of the worker that is expected to stay unused, in thousandths of a
+ * core; negative when more is in use than there is. */
+double
+unusedCpuMilli(const WorkerCandidate& aWorker);
+
 /** Adds a run of a step to the used capacity and the run counts of a worker. */
 void
 addRun(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask);
