Relay: reports and logs name the runs that were started shortly before a crash

On-call engineers could see that a worker was lost, but not which start preceded the loss. The relay sees the broken connection within milliseconds, so it records which runs the worker has not yet listed for a second and names them while the worker accepts no connection and for 15 s after its successor has registered. The leader logs their number; no decision uses them. An order that surely did not reach the worker has the result not-sent.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -258,6 +258,7 @@
             { { "worker", key.worker }, { "born", key.startedAtMs } });
     return;
   }
+  mFleet.setCrashSuspects(aReport.crashSuspects());
   mRuns.applyAnswers(key, aReport.answers());
   if (aReport.listFence() > 0) {
     proposeReportedEnds(*incarnation, key, aReport);
@@ -594,9 +595,11 @@
   for (const IncarnationKey& key : mFleet.markLost(now)) {
     std::vector<RunEnding> ends = mRuns.takeLapsedEnds(key);
     if (!ends.empty()) {
-      logWarning(
-        "worker lost",
-        { { "worker", key.worker }, { "born", key.startedAtMs }, { "runs", ends.size() } });
+      logWarning("worker lost",
+                 { { "worker", key.worker },
+                   { "born", key.startedAtMs },
+                   { "runs", ends.size() },
+                   { "suspects", mFleet.find(key)->crashSuspects.size() } });
       proposeEnds(std::move(ends));
     } else if (mRuns.tasksOn(key).empty()) {
       logInfo("lost worker removed", { { "worker", key.worker }, { "born", key.startedAtMs } });
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -146,6 +146,7 @@
         run->startSentAt.reset();
         break;
       case OrderResult::eNoAnswer:
+      case OrderResult::eNotSent:
       case OrderResult::eOtherLife:
         break;
       case OrderResult::eRoom:
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -115,6 +115,21 @@
   }
 }
 
+void
+WorkerFleet::setCrashSuspects(const std::vector<CrashSuspects>& aSuspects)
+{
+  for (const CrashSuspects& suspects : aSuspects) {
+    WorkerIncarnation* incarnation = find({ suspects.worker(), suspects.bornMs() });
+    if (incarnation == nullptr) {
+      continue;
+    }
+    incarnation->crashSuspects.clear();
+    for (const RunReference& run : suspects.runs()) {
+      incarnation->crashSuspects[run.task()] = run.run();
+    }
+  }
+}
+
 void
 WorkerFleet::renewLease(WorkerIncarnation& aIncarnation, std::int64_t aClockMs, MonotonicTime aNow)
 {
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -56,6 +56,8 @@
   /** When the worker announced its shutdown or a later incarnation of the worker, or at its relay,
    * first reported. */
   std::optional<MonotonicTime> leftAt;
+  /** Runs that may have crashed the incarnation, by task name; its relay names them. */
+  std::map<std::string, std::int64_t> crashSuspects;
   /** All runs of the incarnation have ended. It is kept until their ends are committed; a report
    * after that adds it again with a higher fence. */
   bool isLost = false;
@@ -121,6 +123,9 @@
                                   std::int64_t aSession,
                                   MonotonicTime aNow);
 
+  /** Replaces the crash suspects of the incarnations that a report names and that are known. */
+  void setCrashSuspects(const std::vector<CrashSuspects>& aSuspects);
+
   /** Extends the lease of an incarnation that reported aClockMs and is answered at aNow. */
   void renewLease(WorkerIncarnation& aIncarnation, std::int64_t aClockMs, MonotonicTime aNow);
 
--- a/src/platform/PlatformWorkerClient.cpp
+++ b/src/platform/PlatformWorkerClient.cpp
@@ -102,6 +102,8 @@
                        if (isOk(aAnswer)) {
                          outcome =
                            decodeOrderOutcome(valueOf(aAnswer).status(), valueOf(aAnswer).body());
+                       } else if (errorOf(aAnswer).code() == ErrorCode::eRefused) {
+                         outcome.result = OrderResult::eNotSent;
                        }
                        callback(outcome.result, outcome.clockMs);
                      });
@@ -124,7 +126,7 @@
       }
       const HttpAnswer& answer = valueOf(aAnswer);
       if (answer.status() != kOk) {
-        callback(Error::create(ErrorCode::eRefused,
+        callback(Error::create(ErrorCode::eInvalid,
                                "worker lists",
                                address,
                                "status " + std::to_string(answer.status())));
--- a/src/relay/WorkerClient.h
+++ b/src/relay/WorkerClient.h
@@ -56,6 +56,8 @@
   virtual void stop(const StopOrder& aOrder, std::int64_t aFence, OrderCallback aCallback) = 0;
   /** Limits a run to a share of its speed. */
   virtual void pace(const PaceOrder& aOrder, std::int64_t aFence, OrderCallback aCallback) = 0;
+  /** Requests the run lists. Fails with eRefused if no connection could be opened and with
+   * eUnavailable if the connection failed before the answer. */
   virtual void listRuns(const RunListRequest& aRequest,
                         std::function<void(Result<RunLists>)> aCallback) = 0;
 };
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -55,6 +55,7 @@
 void
 WorkerRelay::beginIncarnation(const WorkerDescription& aWorker, const std::string& aAddress)
 {
+  keepCrashSuspects();
   Result<std::unique_ptr<WorkerClient>> client =
     mContext.createClient(aAddress, aWorker.workerId());
   if (!isOk(client)) {
@@ -78,9 +79,51 @@
   mOrderQueue.clear();
   mOrdersInProgress = 0;
   mStartsInProgress.clear();
+  mRecentStarts.clear();
+  mIsUnreachable = false;
   mAnswers.clear();
 }
 
+CrashSuspects
+WorkerRelay::currentSuspects() const
+{
+  return valueOf(CrashSuspects::create({ .worker = mWorker->workerId(),
+                                         .bornMs = mWorker->bornMs(),
+                                         .runs = mRecentStarts.suspects() }));
+}
+
+void
+WorkerRelay::keepCrashSuspects()
+{
+  if (!mWorker || mWorker->draining()) {
+    return;
+  }
+  mCrashCount++;
+  const CrashSuspects suspects = currentSuspects();
+  logWarning("worker incarnation ended without an announcement",
+             { { "worker", suspects.worker() },
+               { "born", suspects.bornMs() },
+               { "startedRecently", suspects.runs().size() },
+               { "first", suspects.runs().empty() ? "" : suspects.runs().front().task() } });
+  mEndedIncarnations.push_back({ suspects, mContext.now().plusMs(kReportSuspectsMs) });
+}
+
+void
+WorkerRelay::setReachable(bool aIsReachable)
+{
+  if (mIsUnreachable != aIsReachable) {
+    return;
+  }
+  mIsUnreachable = !aIsReachable;
+  logInfo(aIsReachable ? "worker accepts connections again" : "worker accepts no connections",
+          { { "worker", mWorker->workerId() },
+            { "born", mWorker->bornMs() },
+            { "startedRecently", mRecentStarts.suspects().size() } });
+  if (mIsUnreachable) {
+    sendReport(nullptr, 0);
+  }
+}
+
 void
 WorkerRelay::onDeregistration(const std::string& aWorkerId)
 {
@@ -184,6 +227,7 @@
     return;
   }
   mStartsInProgress.insert(runName(order.task(), order.run()));
+  mRecentStarts.onStartSent(order.task(), order.run());
   mOrdersInProgress++;
   mClient->start(
     order,
@@ -191,6 +235,7 @@
     aStart.leaseUntilMs,
     [this, task = order.task(), run = order.run()](OrderResult aResult, std::int64_t aClockMs) {
       mStartsInProgress.erase(runName(task, run));
+      mRecentStarts.onStartAnswered(task, run, aResult);
       onOrderAnswered(OrderKind::eStart, task, run, aResult, aClockMs);
     });
 }
@@ -281,6 +326,10 @@
             { { "worker", mWorker->workerId() },
               { "code", errorCodeName(errorOf(aResult).code()) },
               { "detail", errorOf(aResult).detail() } });
+    const ErrorCode code = errorOf(aResult).code();
+    if (code == ErrorCode::eUnavailable || code == ErrorCode::eRefused) {
+      setReachable(false);
+    }
     return;
   }
   const RunLists& lists = valueOf(aResult);
@@ -291,6 +340,8 @@
               { "announced", mWorker->bornMs() } });
     return;
   }
+  setReachable(true);
+  mRecentStarts.onRunLists(lists);
   if (!lists.ended.empty()) {
     mLastReceivedEnd = std::max(mLastReceivedEnd, lists.ended.back().number());
   }
@@ -300,7 +351,18 @@
 void
 WorkerRelay::sendReport(const RunLists* aLists, std::int64_t aFence)
 {
-  WorkerReport::Fields fields{ .worker = *mWorker, .answers = mAnswers };
+  WorkerReport::Fields fields{ .worker = *mWorker,
+                               .answers = mAnswers,
+                               .unreachable = mIsUnreachable };
+  if (mIsUnreachable) {
+    fields.crashSuspects.push_back(currentSuspects());
+  }
+  std::erase_if(mEndedIncarnations, [now = mContext.now()](const EndedIncarnation& aEnded) {
+    return now > aEnded.reportUntil;
+  });
+  for (const EndedIncarnation& ended : mEndedIncarnations) {
+    fields.crashSuspects.push_back(ended.suspects);
+  }
   if (aLists != nullptr) {
     fields.listFence = aFence;
     fields.clockMs = aLists->clockMs;
@@ -322,6 +384,8 @@
 WorkerRelay::setMetrics(MetricsRegistry& aMetrics) const
 {
   aMetrics.set("relay_has_worker", "", mWorker ? 1 : 0);
+  aMetrics.set("relay_worker_unreachable", "", mIsUnreachable ? 1 : 0);
+  aMetrics.set("relay_worker_crashes", "", static_cast<double>(mCrashCount));
   aMetrics.set("relay_fence", "", static_cast<double>(mFence));
   for (const auto& [key, count] : mOrderCounts) {
     aMetrics.set("relay_orders",
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -2,6 +2,7 @@
 
 #include "observability/observability.h"
 #include "relay/OrderQueue.h"
+#include "relay/RecentStarts.h"
 #include "relay/WorkerClient.h"
 
 #include <functional>
@@ -51,6 +52,9 @@
   /** A start order that has waited for this long (ms) is not sent. The leader repeats it, unless it
    * has stopped the run meanwhile. */
   static constexpr std::int64_t kMaxStartWaitMs = 1000;
+  /** Reports name the crash suspects of an earlier incarnation for this long (ms) after its
+   * successor has registered, so that a leader elected meanwhile learns of them too. */
+  static constexpr std::int64_t kReportSuspectsMs = 15000;
   /** Period of tick() in ms. */
   static constexpr std::int64_t kTickMs = 20;
 
@@ -92,6 +96,11 @@
 private:
   bool isNewIncarnation(const WorkerDescription& aWorker) const;
   void beginIncarnation(const WorkerDescription& aWorker, const std::string& aAddress);
+  /** Keeps the crash suspects of the current incarnation, which a successor replaces. */
+  void keepCrashSuspects();
+  /** Records whether the worker's process accepts connections; reports a loss immediately. */
+  void setReachable(bool aIsReachable);
+  CrashSuspects currentSuspects() const;
   void queueOrders(const WorkerOrders& aOrders);
   void queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs);
   /** Sends queued orders until kMaxOrdersInProgress are unanswered. */
@@ -132,6 +141,18 @@
   std::size_t mOrdersInProgress = 0;
   /** Start calls in progress, as TASK/RUN, so that a repeated order causes no second call. */
   std::set<std::string> mStartsInProgress;
+  RecentStarts mRecentStarts;
+  /** The latest list request or order found that the worker's process accepts no connection. */
+  bool mIsUnreachable = false;
+  /** Crash suspects of an earlier incarnation, and until when reports name them. */
+  struct EndedIncarnation
+  {
+    CrashSuspects suspects;
+    Deadline reportUntil;
+  };
+  std::vector<EndedIncarnation> mEndedIncarnations;
+  /** Number of incarnations that ended without an announcement. */
+  std::int64_t mCrashCount = 0;
   /** Answers to orders that were not reported yet. */
   std::vector<OrderAnswer> mAnswers;
   /** Number of orders by kind and result since the start of the process. */
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -101,6 +101,13 @@
     callback(lists);
   }
 
+  void failListRequest(ErrorCode aCode)
+  {
+    const auto callback = std::move(mRecord.listCallbacks.back());
+    mRecord.listCallbacks.pop_back();
+    callback(Error::create(aCode, "worker lists", "127.0.0.1:1", "failed by the test"));
+  }
+
   MonotonicTime mNow = MonotonicTime::fromMs(100000);
   RecordingWorkerClient::Record mRecord;
   std::vector<WorkerReport> mReports;
@@ -248,4 +255,43 @@
   BOOST_TEST(!mReports.back().worker().draining(), "a later registration ends the doubt");
 }
 
+// Guards against a crash without a trace: the reports name the runs that were started shortly
+// before, while the worker is down and after its successor has registered.
+BOOST_FIXTURE_TEST_CASE(reports_name_the_runs_started_shortly_before_a_crash, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7, 5, "c.0.0.0"));
+  mRecord.orderCallbacks.back()(OrderResult::eNoAnswer, 0);
+  failListRequest(ErrorCode::eUnavailable);
+  BOOST_TEST(mReports.back().unreachable());
+  BOOST_REQUIRE(mReports.back().crashSuspects().size() == 1u);
+  BOOST_TEST(mReports.back().crashSuspects().front().runs().front().task() == "c.0.0.0");
+  mRelay.onRegistration(workerDescription("v", 6), "127.0.0.1:1", 1);
+  BOOST_TEST(!mReports.back().unreachable());
+  BOOST_REQUIRE(mReports.back().crashSuspects().size() == 1u);
+  BOOST_TEST(mReports.back().crashSuspects().front().worker() == "w");
+  BOOST_TEST(mReports.back().crashSuspects().front().runs().front().task() == "c.0.0.0");
+  mNow = mNow.plusMs(WorkerRelay::kReportSuspectsMs + 1);
+  mRelay.onSession();
+  BOOST_TEST(mReports.back().crashSuspects().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(worker_that_left_after_draining_has_no_crash_suspects, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7, 5, "c.0.0.0"));
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 2);
+  mRelay.onRegistration(workerDescription("v", 6), "127.0.0.1:1", 1);
+  BOOST_TEST(mReports.back().crashSuspects().empty());
+}
+
+// A slow worker answers late but lives, so a timeout alone does not make it unreachable.
+BOOST_FIXTURE_TEST_CASE(worker_that_answers_late_is_not_reported_as_unreachable, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7));
+  failListRequest(ErrorCode::eTimeout);
+  BOOST_TEST(!mReports.back().unreachable());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
