--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -35,6 +35,10 @@
 magnoliadrum_program(fault-proxy testbench fault_proxy_main.cpp)
 magnoliadrum_program(history-checker testbench history_checker_main.cpp)
 
+# Model of a fleet in virtual time, on the fixtures of the control tests.
+magnoliadrum_module(fleetmodel control relay)
+target_sources(fleetmodel PRIVATE src/control/InMemoryCommandLog_test.cpp)
+
 # Whole deployments on loopback.
 magnoliadrum_module(integration core generated session cli testbench Boost::filesystem Threads::Threads)
 magnoliadrum_program(magnoliadrum-demo integration demo_main.cpp)
--- /dev/null
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -0,0 +1,79 @@
+#include "fleetmodel/fleetmodel.h"
+#include "jobs/JobsFixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+constexpr ResourceAmount kWorkerCapacity{ 4000, 100000, 0 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crashing_tasks)
+
+// Guards against BUDGET: a task that crashes each worker that starts it is started without end.
+BOOST_AUTO_TEST_CASE(task_that_crashes_its_workers_is_given_up)
+{
+  FleetModel fleet(4, kWorkerCapacity);
+  fleet.run(1000);
+  fleet.submit(jobOf("deadly", { stepOf(2, 1000, 10) }));
+  fleet.makeDeadly("deadly.0.0.1");
+  fleet.run(30000);
+  BOOST_TEST(fleet.violations() == "");
+  BOOST_TEST((fleet.stateOf("deadly") == JobState::eFailed));
+}
+
+// Guards against a count of crashes that a change of leader resets.
+BOOST_AUTO_TEST_CASE(crashes_are_counted_across_changes_of_leader)
+{
+  FleetModel fleet(4, kWorkerCapacity);
+  fleet.run(1000);
+  fleet.submit(jobOf("deadly", { stepOf(1, 1000, 10) }));
+  fleet.makeDeadly("deadly.0.0.0");
+  for (int change = 0; change < 15; change++) {
+    fleet.run(2000);
+    fleet.changeLeader();
+  }
+  fleet.run(10000);
+  BOOST_TEST(fleet.violations() == "");
+  BOOST_TEST((fleet.stateOf("deadly") == JobState::eFailed));
+}
+
+// Guards against blaming the tasks that shared a worker with a crashing one, in every crash.
+BOOST_AUTO_TEST_CASE(tasks_beside_a_crashing_task_complete)
+{
+  for (unsigned seed = 1; seed <= 10; seed++) {
+    std::mt19937 random(seed);
+    FleetModel fleet(5, kWorkerCapacity);
+    fleet.run(1000);
+    std::vector<std::string> harmless;
+    std::vector<std::string> deadly;
+    for (int job = 0; job < 24; job++) {
+      const std::string id = "j" + std::to_string(job);
+      fleet.submit(jobOf(id, { stepOf(3, 400, 10) }));
+      const bool isDeadly = random() % 8 == 0;
+      (isDeadly ? deadly : harmless).push_back(id);
+      if (isDeadly) {
+        fleet.makeDeadly(id + ".0.0." + std::to_string(random() % 3));
+      }
+      fleet.run(static_cast<std::int64_t>(random() % 300));
+    }
+    fleet.run(60000);
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      BOOST_TEST(fleet.violations() == "");
+      for (const std::string& id : harmless) {
+        BOOST_TEST((fleet.stateOf(id) == JobState::eCompleted), id);
+      }
+      for (const std::string& id : deadly) {
+        BOOST_TEST((fleet.stateOf(id) == JobState::eFailed), id);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/fleetmodel/FleetModel.cpp
@@ -0,0 +1,342 @@
+#include "fleetmodel/FleetModel.h"
+
+#include "jobs/JobsFixture.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+constexpr ConnectionId kFirstRelay = 100;
+constexpr ConnectionId kCaller = 21;
+constexpr std::int64_t kHeartbeatMs = 100;
+/** Time in ms of a message between a relay and the leader. */
+constexpr std::int64_t kMessageMs = 2;
+/** The users' rule BUDGET: a deadly task may be started this often less one after as many crashes.
+ */
+constexpr std::int64_t kBudgetCrashes = 3;
+
+/** Connects a relay to a model worker. */
+class ModelWorkerClient : public WorkerClient
+{
+public:
+  explicit ModelWorkerClient(std::shared_ptr<ModelWorker> aWorker)
+    : mWorker(std::move(aWorker))
+  {
+  }
+
+  void start(const StartOrder& aOrder,
+             std::int64_t aFence,
+             std::int64_t aLeaseUntilMs,
+             OrderCallback aCallback) override
+  {
+    mWorker->start(aOrder, aFence, aLeaseUntilMs, guarded(std::move(aCallback)));
+  }
+  void stop(const StopOrder& aOrder, std::int64_t aFence, OrderCallback aCallback) override
+  {
+    mWorker->stop(aOrder, aFence, guarded(std::move(aCallback)));
+  }
+  void pace(const PaceOrder& /*aOrder*/, std::int64_t /*aFence*/, OrderCallback aCallback) override
+  {
+    aCallback(OrderResult::eAccepted, 0);
+  }
+  void listRuns(const RunListRequest& aRequest,
+                std::function<void(Result<RunLists>)> aCallback) override
+  {
+    mWorker->listRuns(aRequest,
+                      [alive = std::weak_ptr<bool>(mAlive),
+                       callback = std::move(aCallback)](const Result<RunLists>& aLists) {
+                        if (!alive.expired()) {
+                          callback(aLists);
+                        }
+                      });
+  }
+
+private:
+  OrderCallback guarded(OrderCallback aCallback) const
+  {
+    return [alive = std::weak_ptr<bool>(mAlive),
+            callback = std::move(aCallback)](OrderResult aResult, std::int64_t aClockMs) {
+      if (!alive.expired()) {
+        callback(aResult, aClockMs);
+      }
+    };
+  }
+
+  std::shared_ptr<ModelWorker> mWorker;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+FleetModel::FleetModel(std::size_t aWorkers, const ResourceAmount& aCapacity)
+  : mCapacity(aCapacity)
+{
+  deliver(kCaller,
+          buildValue<QueueCatalogueSubmit>(
+            { .requestId = "c1",
+              .catalogue = fixture::queueCatalogue(
+                1, { fixture::jobQueue("urgent", 0, 3), fixture::jobQueue("tally", 2, 3) }) }));
+  mSlots.resize(aWorkers);
+  for (std::size_t slot = 0; slot < aWorkers; slot++) {
+    mSlots[slot].connection = kFirstRelay + slot;
+    mSlots[slot].processId = "relay-" + std::to_string(slot);
+    openSession(mSlots[slot]);
+    createRelay(slot);
+    createWorker(slot);
+  }
+}
+
+FleetModel::~FleetModel() = default;
+
+void
+FleetModel::openSession(Slot& aSlot)
+{
+  aSlot.session = open(
+    aSlot.connection,
+    buildValue<AdmitSession>(
+      { .processId = aSlot.processId, .processKind = ProcessKind::eRelay, .incarnation = "i1" }));
+}
+
+void
+FleetModel::createRelay(std::size_t aSlot)
+{
+  Slot& slot = mSlots.at(aSlot);
+  RelayContext context;
+  context.now = [this]() { return mNow; };
+  context.send = [this, connection = slot.connection](const Message& aMessage) {
+    runLater(kMessageMs, [this, connection, aMessage]() { deliver(connection, aMessage); });
+    return true;
+  };
+  context.createClient = [this, aSlot](const std::string& /*aAddress*/,
+                                       const std::string& /*aId*/) {
+    return Result<std::unique_ptr<WorkerClient>>(
+      std::make_unique<ModelWorkerClient>(mSlots.at(aSlot).worker));
+  };
+  slot.relay = std::make_unique<WorkerRelay>(std::move(context));
+}
+
+void
+FleetModel::createWorker(std::size_t aSlot)
+{
+  Slot& slot = mSlots.at(aSlot);
+  ModelWorkerContext context;
+  context.now = [this]() { return mNow; };
+  context.runLater = [this](std::int64_t aMs, std::function<void()> aFunction) {
+    runLater(aMs, std::move(aFunction));
+  };
+  context.onStarted = [this, aSlot](const std::string& aTask, std::int64_t aRun) {
+    checkStart(aSlot, aTask, aRun);
+  };
+  context.sizeOf = [this](const std::string& aTask) { return requiredResources(stepOf(aTask)); };
+  context.runTimeMs = [this](const std::string& aTask) {
+    return stepOf(aTask).longRunning() ? 0 : stepOf(aTask).estimateMs();
+  };
+  context.crashDelayMs = [this](const std::string& aTask) {
+    const auto deadly = mDeadlyTasks.find(aTask);
+    return deadly == mDeadlyTasks.end() ? -1 : deadly->second;
+  };
+  mIncarnations++;
+  slot.worker = std::make_shared<ModelWorker>(
+    std::move(context), "w" + std::to_string(mIncarnations), mCapacity);
+  mWorkers.push_back(slot.worker);
+  slot.registrations = 0;
+  slot.earlierCapacities.clear();
+}
+
+const JobStep&
+FleetModel::stepOf(const std::string& aTask) const
+{
+  const std::optional<TaskId> task = TaskId::parse(aTask);
+  return mJobs.at(task->jobId).steps().at(static_cast<std::size_t>(task->step));
+}
+
+void
+FleetModel::submit(const JobDescription& aJob, const std::string& aQueue)
+{
+  mJobs.emplace(aJob.jobId(), aJob);
+  deliver(kCaller,
+          buildValue<JobSubmit>({ .requestId = "s-" + aJob.jobId(),
+                                  .queue = buildValue<QueueSelector>({ .name = aQueue }),
+                                  .job = aJob }));
+}
+
+void
+FleetModel::makeDeadly(const std::string& aTask, std::int64_t aDelayMs)
+{
+  mDeadlyTasks[aTask] = aDelayMs;
+}
+
+void
+FleetModel::run(std::int64_t aMs)
+{
+  const MonotonicTime end = mNow.plusMs(aMs);
+  while (mNow < end) {
+    step();
+  }
+}
+
+void
+FleetModel::step()
+{
+  mNow = mNow.plusMs(kStepMs);
+  while (!mTimers.empty() && mTimers.begin()->first <= mNow.ms()) {
+    const std::function<void()> function = std::move(mTimers.begin()->second);
+    mTimers.erase(mTimers.begin());
+    function();
+    runPostedFunctions();
+  }
+  for (std::size_t slot = 0; slot < mSlots.size(); slot++) {
+    stepSlot(slot);
+  }
+  if (mNow.ms() % ControlService::kTickMs == 0) {
+    mService.tick();
+    runPostedFunctions();
+  }
+}
+
+void
+FleetModel::stepSlot(std::size_t aSlot)
+{
+  Slot& slot = mSlots.at(aSlot);
+  slot.worker->tick();
+  if (!slot.worker->isUp()) {
+    if (slot.restartAt == MonotonicTime()) {
+      slot.restartAt = mNow.plusMs(kRestartMs);
+    } else if (mNow >= slot.restartAt) {
+      slot.restartAt = MonotonicTime();
+      createWorker(aSlot);
+    }
+  }
+  const bool isRegistrationDue =
+    slot.registrations == 0 || mNow.msSince(slot.registeredAt) >= kRegistrationMs;
+  if (slot.worker->isUp() && isRegistrationDue) {
+    slot.registeredAt = mNow;
+    slot.registrations++;
+    toRelay(slot,
+            [this, aSlot, worker = slot.worker->description(), number = slot.registrations]() {
+              mSlots.at(aSlot).relay->onRegistration(worker, "model", number);
+            });
+  }
+  for (const WorkerOrders& orders : takeMessages<WorkerOrders>(slot.connection)) {
+    toRelay(slot, [this, aSlot, orders]() { mSlots.at(aSlot).relay->onOrders(orders); });
+  }
+  if (mNow < slot.frozenUntil) {
+    return;
+  }
+  for (const std::function<void()>& function : std::exchange(slot.waiting, {})) {
+    function();
+  }
+  if (mNow.ms() % WorkerRelay::kTickMs == 0) {
+    slot.relay->tick();
+  }
+  if (mNow.ms() % kHeartbeatMs == 0) {
+    heartbeat(slot.connection, slot.session, slot.processId);
+  }
+}
+
+void
+FleetModel::toRelay(Slot& aSlot, std::function<void()> aFunction)
+{
+  aSlot.waiting.push_back(std::move(aFunction));
+}
+
+void
+FleetModel::runLater(std::int64_t aMs, std::function<void()> aFunction)
+{
+  mTimers.emplace(mNow.ms() + aMs, std::move(aFunction));
+}
+
+void
+FleetModel::changeLeader()
+{
+  mLog.setLeader(false, mNow);
+  mLog.setLeader(true, mNow);
+  for (Slot& slot : mSlots) {
+    mSent[slot.connection].clear();
+    openSession(slot);
+    slot.relay->onSession();
+  }
+}
+
+void
+FleetModel::restartRelay(std::size_t aSlot)
+{
+  Slot& slot = mSlots.at(aSlot);
+  slot.waiting.clear();
+  createRelay(aSlot);
+  openSession(slot);
+}
+
+void
+FleetModel::crashWorker(std::size_t aSlot)
+{
+  if (worker(aSlot).isUp()) {
+    worker(aSlot).crash();
+  }
+}
+
+void
+FleetModel::setCapacity(std::size_t aSlot, const ResourceAmount& aCapacity)
+{
+  Slot& slot = mSlots.at(aSlot);
+  slot.earlierCapacities.emplace_back(slot.worker->capacity(), mNow);
+  slot.worker->setCapacity(aCapacity);
+}
+
+void
+FleetModel::freezeRelay(std::size_t aSlot, std::int64_t aMs)
+{
+  mSlots.at(aSlot).frozenUntil = mNow.plusMs(aMs);
+}
+
+std::int64_t
+FleetModel::startsOf(const std::string& aTask) const
+{
+  const auto position = mStarts.find(aTask);
+  return position == mStarts.end() ? 0 : position->second;
+}
+
+void
+FleetModel::addViolation(const std::string& aRule, const std::string& aWhat)
+{
+  mViolations += aRule + ": " + aWhat + "\n";
+}
+
+void
+FleetModel::checkStart(std::size_t aSlot, const std::string& aTask, std::int64_t aRun)
+{
+  const Slot& slot = mSlots.at(aSlot);
+  const std::string what = aTask + " run " + std::to_string(aRun) + " at " +
+                           std::to_string(mNow.ms()) + " on " + slot.worker->workerId();
+  mStarts[aTask]++;
+  ResourceAmount allowed = slot.worker->capacity();
+  for (const auto& [capacity, endedAt] : slot.earlierCapacities) {
+    if (mNow.msSince(endedAt) <= kContactMs + kRegistrationMs) {
+      allowed = allowed.componentMax(capacity);
+    }
+  }
+  if (!slot.worker->used().fitsIn(allowed)) {
+    addViolation("LIMIT", what);
+  }
+  for (const Slot& other : mSlots) {
+    if (&other != &slot && other.worker->isUp() && other.worker->runs(aTask)) {
+      addViolation("TWICE", what + ", also on " + other.worker->workerId());
+    }
+  }
+  if (!mDeadlyTasks.contains(aTask)) {
+    return;
+  }
+  mCrashes++;
+  if (mCrashesUnder[aTask] >= kBudgetCrashes) {
+    mStartsAfterThreeCrashes[aTask]++;
+    if (mStartsAfterThreeCrashes[aTask] == kBudgetCrashes) {
+      addViolation("BUDGET", what);
+    }
+  }
+  mCrashesUnder[aTask]++;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/fleetmodel/FleetModel.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "control/control_fixture_test.h"
+#include "fleetmodel/ModelWorker.h"
+#include "relay/relay.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/**
+ * A control service, relays and model workers in virtual time. Records violations of the users'
+ * rules LIMIT, BUDGET and TWICE from what the workers see, as the users' bench does.
+ */
+class FleetModel : public fixture::ControlServiceFixture
+{
+public:
+  /** Bounds in ms that the users state for the small deployments (ContactMs, HeartbeatMs). */
+  static constexpr std::int64_t kContactMs = 3000;
+  static constexpr std::int64_t kRegistrationMs = 1500;
+  /** Time in ms after which a crashed worker is back. */
+  static constexpr std::int64_t kRestartMs = 3000;
+  static constexpr std::int64_t kStepMs = 10;
+
+  FleetModel(std::size_t aWorkers, const ResourceAmount& aCapacity);
+  ~FleetModel();
+
+  FleetModel(const FleetModel&) = delete;
+  FleetModel& operator=(const FleetModel&) = delete;
+
+  void submit(const JobDescription& aJob, const std::string& aQueue = "urgent");
+
+  /** Every worker that begins a run of the task crashes after aDelayMs. */
+  void makeDeadly(const std::string& aTask, std::int64_t aDelayMs = kStepMs);
+
+  /** Advances the virtual time. */
+  void run(std::int64_t aMs);
+
+  void changeLeader();
+  void restartRelay(std::size_t aSlot);
+  void crashWorker(std::size_t aSlot);
+  void setCapacity(std::size_t aSlot, const ResourceAmount& aCapacity);
+  /** The relay's machine stands still for a time: it handles nothing, and messages and
+   * registrations wait for it. */
+  void freezeRelay(std::size_t aSlot, std::int64_t aMs);
+  ModelWorker& worker(std::size_t aSlot) { return *mSlots.at(aSlot).worker; }
+  std::size_t slots() const { return mSlots.size(); }
+
+  JobState stateOf(const std::string& aJobId) const { return mState.jobs().find(aJobId)->state(); }
+  std::int64_t startsOf(const std::string& aTask) const;
+  std::int64_t crashes() const { return mCrashes; }
+  /** The violated rules, one a line. */
+  const std::string& violations() const { return mViolations; }
+
+private:
+  struct Slot
+  {
+    ConnectionId connection = 0;
+    std::string processId;
+    std::int64_t session = 0;
+    std::unique_ptr<WorkerRelay> relay;
+    std::shared_ptr<ModelWorker> worker;
+    std::int64_t registrations = 0;
+    MonotonicTime registeredAt;
+    MonotonicTime restartAt;
+    MonotonicTime frozenUntil;
+    /** What the relay gets when it is no longer frozen, in order. */
+    std::vector<std::function<void()>> waiting;
+    /** Earlier capacities of the incarnation and when each ended. */
+    std::vector<std::pair<ResourceAmount, MonotonicTime>> earlierCapacities;
+  };
+
+  /** The description of a job's step; requires that the job was submitted. */
+  const JobStep& stepOf(const std::string& aTask) const;
+  void openSession(Slot& aSlot);
+  void createRelay(std::size_t aSlot);
+  void createWorker(std::size_t aSlot);
+  void toRelay(Slot& aSlot, std::function<void()> aFunction);
+  void step();
+  void stepSlot(std::size_t aSlot);
+  void addViolation(const std::string& aRule, const std::string& aWhat);
+  void checkStart(std::size_t aSlot, const std::string& aTask, std::int64_t aRun);
+  void runLater(std::int64_t aMs, std::function<void()> aFunction);
+
+  ResourceAmount mCapacity;
+  std::vector<Slot> mSlots;
+  std::int64_t mIncarnations = 0;
+  std::multimap<std::int64_t, std::function<void()>> mTimers;
+  /** All incarnations, because calls that are still in progress refer to them. */
+  std::vector<std::shared_ptr<ModelWorker>> mWorkers;
+  std::map<std::string, JobDescription> mJobs;
+  std::map<std::string, std::int64_t> mDeadlyTasks;
+  std::map<std::string, std::int64_t> mStarts;
+  std::map<std::string, std::int64_t> mCrashesUnder;
+  std::map<std::string, std::int64_t> mStartsAfterThreeCrashes;
+  std::int64_t mCrashes = 0;
+  std::string mViolations;
+};
+
+} // namespace magnoliadrum
