Jobs: a task that crashes its workers is tried apart and given up

Cause: a run that ends because its worker is lost left no trace in its task, so the task was assigned again at once and without limit, with the other lost runs beside it. The class of the fault: a retry without a budget, because only ends that the worker reports count as attempts.

Now the log counts the crashes after which a run was a suspect, from what the relay names. A suspected task is tried on a worker of its own, apart from other suspects; after two crashes, the last of which it alone may have caused, its job fails, and after five in any case. That works because a trial leaves one suspect, and because the count is replicated: a new leader goes on with it.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -533,6 +533,16 @@
               { "checkpoint", end.checkpoint() } });
     const std::optional<TaskId> task = TaskId::parse(end.task());
     const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
+    if (end.crashSuspects() > 0) {
+      const JobTaskRecord::Fields* record = job != nullptr ? job->find(*task) : nullptr;
+      logWarning("run may have crashed its worker",
+                 { { "task", end.task() },
+                   { "run", end.run() },
+                   { "worker", worker },
+                   { "suspects", end.crashSuspects() },
+                   { "crashes", record != nullptr ? record->crashes : 0 },
+                   { "givenUp", record == nullptr || job->isFinished() } });
+    }
     if (job != nullptr && job->isFinished() && finishedJobs.insert(task->jobId).second) {
       logInfo("job finished", { { "job", task->jobId }, { "state", toText(job->state()) } });
     }
@@ -593,7 +603,7 @@
   }
   const MonotonicTime now = mContext.mNow();
   for (const IncarnationKey& key : mFleet.markLost(now)) {
-    std::vector<RunEnding> ends = mRuns.takeLapsedEnds(key);
+    std::vector<RunEnding> ends = mRuns.takeLapsedEnds(key, mFleet.find(key)->crashSuspects);
     if (!ends.empty()) {
       logWarning("worker lost",
                  { { "worker", key.worker },
@@ -631,6 +641,10 @@
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
+      if (!run.isHarmless) {
+        candidate.unprovenRuns++;
+        candidate.isReserved = candidate.isReserved || run.job->find(run.task)->crashes > 0;
+      }
       if (run.step().opportunistic() && run.latencyMsOrCpuMilli <= 0 &&
           run.desiredPacePercent > 0) {
         candidate.unobservedShares[run.step().image()] += cpuShare(candidate, run.step());
@@ -698,7 +712,8 @@
               { "noLabel", reason.missingLabelWorkers },
               { "spread", reason.perWorkerLimitWorkers },
               { "noRoom", reason.fullWorkers },
-              { "disturbs", reason.interferenceWorkers } });
+              { "disturbs", reason.interferenceWorkers },
+              { "reserved", reason.reservedWorkers } });
   }
 }
 
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -84,6 +84,9 @@
     listed.insert(running.task());
     run->isConfirmed = true;
     run->missingSince.reset();
+    run->firstListedClockMs = run->firstListedClockMs.value_or(aReport.clockMs());
+    run->isHarmless =
+      run->isHarmless || aReport.clockMs() - *run->firstListedClockMs >= kHarmlessRunMs;
     run->progressPercent = running.percent();
     run->latencyMsOrCpuMilli = running.figure();
     if (!running.checkpoint().empty()) {
@@ -206,7 +209,8 @@
 }
 
 std::vector<RunEnding>
-RunTracker::takeLapsedEnds(const IncarnationKey& aKey)
+RunTracker::takeLapsedEnds(const IncarnationKey& aKey,
+                           const std::map<std::string, std::int64_t>& aSuspects)
 {
   std::vector<RunEnding> ends;
   for (const std::string& name : tasksOn(aKey)) {
@@ -214,8 +218,14 @@
     if (std::exchange(run.endProposed, true)) {
       continue;
     }
+    const auto suspect = aSuspects.find(name);
+    const bool isSuspect = suspect != aSuspects.end() && suspect->second == run.run;
     ends.push_back(buildValue<RunEnding>(
-      { .task = name, .run = run.run, .how = RunEnd::eLapsed, .checkpoint = run.checkpoint }));
+      { .task = name,
+        .run = run.run,
+        .how = RunEnd::eLapsed,
+        .checkpoint = run.checkpoint,
+        .crashSuspects = isSuspect ? static_cast<std::int64_t>(aSuspects.size()) : 0 }));
   }
   return ends;
 }
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -24,6 +24,10 @@
   const Job* job = nullptr;
   /** The worker has listed the run or accepted its start order. */
   bool isConfirmed = false;
+  /** Worker's clock at the first list with the run. */
+  std::optional<std::int64_t> firstListedClockMs;
+  /** The worker has listed the run for kHarmlessRunMs. */
+  bool isHarmless = false;
   /** The run is to be stopped. A run that has not started is closed: its worker never starts it. */
   bool shouldStop = false;
   /** The end of the run is proposed to the log. */
@@ -98,8 +102,10 @@
   void addDueOrders(const IncarnationKey& aKey, MonotonicTime aNow, WorkerOrders::Fields& aOrders);
 
   /** Returns the ends of all runs of a lost incarnation and marks them as proposed; ends that are
-   * already proposed are left out. */
-  std::vector<RunEnding> takeLapsedEnds(const IncarnationKey& aKey);
+   * already proposed are left out. aSuspects are the runs, by task, that may have crashed the
+   * incarnation. */
+  std::vector<RunEnding> takeLapsedEnds(const IncarnationKey& aKey,
+                                        const std::map<std::string, std::int64_t>& aSuspects);
 
 private:
   bool needsStop(const TrackedRun& aRun) const { return aRun.shouldStop || aRun.job->isFinished(); }
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -90,6 +90,7 @@
   incarnation.description = aReport.worker();
   incarnation.relay = aRelay;
   incarnation.relaySession = aSession;
+  incarnation.crashSuspects.clear();
   incarnation.reportedAt = aNow;
   if (aReport.worker().gone() && !incarnation.leftAt) {
     incarnation.leftAt = aNow;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -9,3 +9,4 @@
 #include "core/Error.h"
 #include "core/MonotonicTime.h"
 #include "core/Result.h"
+#include "core/RunTrial.h"
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -77,6 +77,7 @@
   mOpenTasks.assign(mSteps.size() * static_cast<std::size_t>(mOccurrences), 0);
   mOpenTaskCount = 0;
   mActiveRuns = 0;
+  mCrashSuspects = 0;
   if (mTasks.empty()) {
     return;
   }
@@ -84,6 +85,7 @@
     mActiveRuns += aRecord.active ? 1 : 0;
     mStarted = mStarted || aRecord.run > 0;
     if (!aRecord.done) {
+      mCrashSuspects += aRecord.crashes > 0 ? 1 : 0;
       mOpenTasks[stepPosition(aTask.occurrence, aTask.step)]++;
       mOpenTaskCount++;
     }
@@ -220,6 +222,8 @@
     finishTask(aTask, record);
   } else if (!isFinished() && aEnd.how() == RunEnd::eFailed) {
     countFailure(aTask, aEnd.run());
+  } else if (!isFinished() && aEnd.crashSuspects() > 0) {
+    countCrash(record, aEnd.crashSuspects());
   }
   dropContentIfUnused();
   return true;
@@ -236,6 +240,7 @@
     if (!std::exchange(aTaskRecord.done, true)) {
       mOpenTasks[stepPosition(aTask.occurrence, aTask.step)]--;
       mOpenTaskCount--;
+      mCrashSuspects -= aTaskRecord.crashes > 0 ? 1 : 0;
     }
   };
   markDone(aRecord);
@@ -274,6 +279,21 @@
   }
 }
 
+void
+Job::countCrash(JobTaskRecord::Fields& aRecord, std::int64_t aSuspects)
+{
+  mCrashSuspects += aRecord.crashes == 0 ? 1 : 0;
+  aRecord.crashes++;
+  // Two crashes in a row at the same place may be the worker's own fault.
+  const bool isElsewhere = aRecord.place != aRecord.crashPlace;
+  aRecord.crashPlace = aRecord.place;
+  const bool isOnlyCause =
+    aSuspects == 1 && aRecord.crashes >= kMaxCrashesAlone + (isElsewhere ? 0 : 1);
+  if (isOnlyCause || aRecord.crashes >= kMaxCrashes) {
+    setOutcome(JobState::eFailed);
+  }
+}
+
 bool
 Job::cancel()
 {
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -52,6 +52,15 @@
   /** Whether all tasks of the steps that the step depends on are done. */
   bool isStepReady(std::int64_t aOccurrence, std::int64_t aStep) const;
 
+  /** Number of workers that may be crashed by a task before its job is given up, if each time other
+   * runs may have been the cause. */
+  static constexpr std::int64_t kMaxCrashes = 5;
+  /** The same if the task was the only possible cause of the last crash. */
+  static constexpr std::int64_t kMaxCrashesAlone = 2;
+
+  /** Whether a task that is not done may have crashed a worker. */
+  bool hasCrashSuspects() const { return mCrashSuspects > 0; }
+
   /** Number of tasks of the step that are not done. */
   std::int64_t openTasks(std::int64_t aOccurrence, std::int64_t aStep) const;
 
@@ -81,6 +90,7 @@
   std::size_t stepPosition(std::int64_t aOccurrence, std::int64_t aStep) const;
   void finishTask(const TaskId& aTask, JobTaskRecord::Fields& aRecord);
   void countFailure(const TaskId& aTask, std::int64_t aRun);
+  void countCrash(JobTaskRecord::Fields& aRecord, std::int64_t aSuspects);
   void setOutcome(JobState aOutcome);
   /** Frees the payload, steps and tasks once the job is finished and has no active runs. */
   void dropContentIfUnused();
@@ -103,6 +113,8 @@
   std::vector<std::int64_t> mOpenTasks;
   std::int64_t mOpenTaskCount = 0;
   std::int64_t mActiveRuns = 0;
+  /** Number of tasks that are not done and may have crashed a worker. */
+  std::int64_t mCrashSuspects = 0;
   bool mStarted = false;
 };
 
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "jobs/DueJobs.h"
+#include "jobs/TrialPlanner.h"
 
 #include <algorithm>
 #include <iterator>
@@ -60,12 +61,6 @@
          std::find(aWorker.labels.begin(), aWorker.labels.end(), aLabel) != aWorker.labels.end();
 }
 
-bool
-servesUsers(const JobStep& aStep)
-{
-  return aStep.longRunning() && aStep.latencyObjectiveMs() > 0;
-}
-
 /** Whether the declared size fits in the free capacity. */
 bool
 fits(const WorkerCandidate& aWorker, const JobStep& aStep)
@@ -88,9 +83,9 @@
   return true;
 }
 
-/** Whether the worker may run a task of the step, free capacity aside. */
+/** Whether the worker may run a task of the step, free capacity and reservations aside. */
 bool
-isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
+isPermitted(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
 {
   const JobStep& step = aReady.description();
   if (aWorker.poolName != aReady.job->queue().poolName() ||
@@ -106,6 +101,13 @@
   return true;
 }
 
+/** isPermitted(), and the worker is not reserved for the trial of another task. */
+bool
+isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
+{
+  return !aWorker.isReserved && isPermitted(aWorker, aReady, aStepName);
+}
+
 /** Part of cost() that depends on the load of the worker. */
 double
 loadCost(const WorkerCandidate& aWorker, const JobStep& aStep, double aInterferenceCost)
@@ -161,7 +163,7 @@
     const std::string name = stepName(task);
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
-      if (record->done || record->active) {
+      if (record->done || record->active || record->crashes > 0) {
         continue;
       }
       if (isFull()) {
@@ -181,6 +183,32 @@
     }
   }
 
+  /** Assigns the tasks that may have crashed a worker, each where another crash would show it. */
+  void placeTrials(const std::vector<ReadyStep>& aReadySteps)
+  {
+    std::vector<std::pair<const ReadyStep*, TrialTask>> waiting;
+    std::vector<TrialTask> tasks;
+    for (const ReadyStep& ready : aReadySteps) {
+      for (TrialTask& task : findTrialTasks(ready)) {
+        waiting.emplace_back(&ready, task);
+        tasks.push_back(std::move(task));
+      }
+    }
+    TrialPlanner planner(mWorkers, tasks);
+    for (const auto& [ready, task] : waiting) {
+      const std::string name = stepName(task.task);
+      WorkerCandidate* worker =
+        planner.choose(task, [this, step = ready, &name](const WorkerCandidate& aWorker) {
+          return trialFit(aWorker, *step, name);
+        });
+      if (worker != nullptr) {
+        addAssignment(*worker, *ready, task.task);
+      } else {
+        addWaitReason(*ready, task.task, name);
+      }
+    }
+  }
+
   bool isFull() const { return mPlan.assignments.size() >= JobScheduler::kMaxAssignments; }
   SchedulePlan takePlan() { return std::move(mPlan); }
 
@@ -190,6 +218,37 @@
     return { aReady.job->jobId(), aReady.occurrence, aReady.step, 0 };
   }
 
+  static std::vector<TrialTask> findTrialTasks(const ReadyStep& aReady)
+  {
+    std::vector<TrialTask> tasks;
+    const JobStep& step = aReady.description();
+    if (!aReady.job->hasCrashSuspects() || step.gang()) {
+      return tasks;
+    }
+    TaskId task = firstTask(aReady);
+    for (task.index = 0; task.index < step.count(); task.index++) {
+      const JobTaskRecord::Fields* record = aReady.job->find(task);
+      if (!record->done && !record->active && record->crashes > 0) {
+        tasks.push_back(
+          { task, aReady.job->queue().poolName(), record->crashes, record->crashPlace });
+      }
+    }
+    return tasks;
+  }
+
+  TrialFit trialFit(const WorkerCandidate& aWorker,
+                    const ReadyStep& aReady,
+                    const std::string& aStepName)
+  {
+    const JobStep& step = aReady.description();
+    if (!isPermitted(aWorker, aReady, aStepName) ||
+        !requiredResources(step).fitsIn(aWorker.capacity) ||
+        expectedRatio(aWorker, step, opportunisticImage(step)) > JobScheduler::kMaxExpectedRatio) {
+      return TrialFit::eNever;
+    }
+    return hasCapacity(aWorker, step) ? TrialFit::eNow : TrialFit::eLater;
+  }
+
   bool assign(const ReadyStep& aReady,
               const TaskId& aTask,
               const std::string& aStepName,
@@ -292,6 +351,8 @@
         reason.otherPoolWorkers++;
       } else if (!hasLabel(worker, step.requiredLabel())) {
         reason.missingLabelWorkers++;
+      } else if (worker.isReserved) {
+        reason.reservedWorkers++;
       } else if (!isEligible(worker, aReady, aStepName)) {
         reason.perWorkerLimitWorkers++;
       } else if (!hasCapacity(worker, step)) {
@@ -456,55 +517,6 @@
 
 } // namespace
 
-ResourceAmount
-requiredResources(const JobStep& aStep)
-{
-  ResourceAmount size = ResourceAmount::of(aStep.resources());
-  if (aStep.opportunistic()) {
-    size.cpuMilli = 0;
-  }
-  return size;
-}
-
-std::string
-stepName(const TaskId& aTask)
-{
-  return aTask.jobId + "." + std::to_string(aTask.occurrence) + "." + std::to_string(aTask.step);
-}
-
-double
-cpuShare(const WorkerCandidate& aWorker, const JobStep& aStep)
-{
-  const double capacity = std::max<double>(1, static_cast<double>(aWorker.capacity.cpuMilli));
-  return static_cast<double>(aStep.resources().cpuMilli()) / capacity;
-}
-
-void
-addRun(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask)
-{
-  aWorker.used = aWorker.used.plus(requiredResources(aStep));
-  if (aStep.opportunistic()) {
-    aWorker.opportunisticCpuMilli += aStep.resources().cpuMilli();
-  } else if (aStep.longRunning()) {
-    aWorker.longRunningCpuMilli += aStep.resources().cpuMilli();
-  }
-  if (servesUsers(aStep)) {
-    aWorker.servingRuns[aStep.image()]++;
-  }
-  if (aStep.maxPerWorker() > 0) {
-    aWorker.runsOfStep[stepName(aTask)]++;
-  }
-}
-
-double
-unusedCpuMilli(const WorkerCandidate& aWorker)
-{
-  const std::int64_t shortRunningCpuMilli = aWorker.used.cpuMilli - aWorker.longRunningCpuMilli;
-  return static_cast<double>(aWorker.capacity.cpuMilli - shortRunningCpuMilli -
-                             aWorker.opportunisticCpuMilli) -
-         JobScheduler::kLongRunningCpuUsage * static_cast<double>(aWorker.longRunningCpuMilli);
-}
-
 SchedulePlan
 JobScheduler::decide(const JobRegistry& aJobs,
                      const InterferenceGuard& aGuard,
@@ -512,8 +524,10 @@
                      std::int64_t aWallMs)
 {
   const std::vector<DueJob> dueJobs = findDueJobs(aJobs, aWorkers, aWallMs);
+  const std::vector<ReadyStep> readySteps = findReadySteps(dueJobs);
   SchedulingRound round(aGuard, aWorkers);
-  for (const ReadyStep& ready : findReadySteps(dueJobs)) {
+  round.placeTrials(readySteps);
+  for (const ReadyStep& ready : readySteps) {
     if (round.isFull()) {
       break;
     }
--- /dev/null
+++ b/src/jobs/TrialPlanner.cpp
@@ -0,0 +1,87 @@
+#include "jobs/TrialPlanner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace magnoliadrum {
+
+std::size_t
+TrialPlanner::Pool::maxReserved() const
+{
+  return std::max<std::size_t>(1, workers / kWorkersPerTrial);
+}
+
+std::size_t
+TrialPlanner::Pool::groupSize() const
+{
+  return (firstTrials + maxReserved() - 1) / maxReserved();
+}
+
+TrialPlanner::TrialPlanner(std::vector<WorkerCandidate>& aWorkers,
+                           const std::vector<TrialTask>& aWaiting)
+  : mWorkers(aWorkers)
+{
+  for (const WorkerCandidate& worker : aWorkers) {
+    Pool& pool = mPools[worker.poolName];
+    pool.workers++;
+    pool.reserved += worker.isReserved ? 1 : 0;
+  }
+  for (const TrialTask& task : aWaiting) {
+    mPools[task.poolName].firstTrials += task.crashes == 1 ? 1 : 0;
+  }
+}
+
+bool
+TrialPlanner::canShare(const WorkerCandidate& aWorker,
+                       const TrialTask& aTask,
+                       const Pool& aPool) const
+{
+  const auto group = mGroups.find(aWorker.worker);
+  return aTask.crashes == 1 && group != mGroups.end() && group->second < aPool.groupSize();
+}
+
+WorkerCandidate*
+TrialPlanner::choose(const TrialTask& aTask,
+                     const std::function<TrialFit(const WorkerCandidate&)>& aFit)
+{
+  Pool& pool = mPools[aTask.poolName];
+  const auto order = [&aTask](const WorkerCandidate& aWorker, TrialFit aWorkerFit) {
+    return std::tuple(aWorker.relay == aTask.crashPlace,
+                      aWorker.isReserved,
+                      aWorkerFit != TrialFit::eNow,
+                      aWorker.unprovenRuns,
+                      aWorker.used.cpuMilli,
+                      aWorker.worker);
+  };
+  WorkerCandidate* best = nullptr;
+  TrialFit bestFit = TrialFit::eNever;
+  for (WorkerCandidate& worker : mWorkers) {
+    const bool isAvailable =
+      worker.isReserved ? canShare(worker, aTask, pool) : pool.reserved < pool.maxReserved();
+    const TrialFit fit = isAvailable ? aFit(worker) : TrialFit::eNever;
+    if (fit == TrialFit::eNever || (worker.isReserved && fit != TrialFit::eNow)) {
+      continue;
+    }
+    if (best == nullptr || order(worker, fit) < order(*best, bestFit)) {
+      best = &worker;
+      bestFit = fit;
+    }
+  }
+  if (best == nullptr) {
+    return nullptr;
+  }
+  const bool isShared = best->isReserved;
+  if (!isShared) {
+    best->isReserved = true;
+    pool.reserved++;
+    if (bestFit != TrialFit::eNow || best->unprovenRuns > 0) {
+      return nullptr;
+    }
+  }
+  if (aTask.crashes == 1) {
+    mGroups[best->worker]++;
+  }
+  return best;
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/jobs/WorkerCandidate.cpp
@@ -0,0 +1,62 @@
+#include "jobs/WorkerCandidate.h"
+
+#include <algorithm>
+
+namespace magnoliadrum {
+
+bool
+servesUsers(const JobStep& aStep)
+{
+  return aStep.longRunning() && aStep.latencyObjectiveMs() > 0;
+}
+
+ResourceAmount
+requiredResources(const JobStep& aStep)
+{
+  ResourceAmount size = ResourceAmount::of(aStep.resources());
+  if (aStep.opportunistic()) {
+    size.cpuMilli = 0;
+  }
+  return size;
+}
+
+std::string
+stepName(const TaskId& aTask)
+{
+  return aTask.jobId + "." + std::to_string(aTask.occurrence) + "." + std::to_string(aTask.step);
+}
+
+double
+cpuShare(const WorkerCandidate& aWorker, const JobStep& aStep)
+{
+  const double capacity = std::max<double>(1, static_cast<double>(aWorker.capacity.cpuMilli));
+  return static_cast<double>(aStep.resources().cpuMilli()) / capacity;
+}
+
+void
+addRun(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask)
+{
+  aWorker.used = aWorker.used.plus(requiredResources(aStep));
+  if (aStep.opportunistic()) {
+    aWorker.opportunisticCpuMilli += aStep.resources().cpuMilli();
+  } else if (aStep.longRunning()) {
+    aWorker.longRunningCpuMilli += aStep.resources().cpuMilli();
+  }
+  if (servesUsers(aStep)) {
+    aWorker.servingRuns[aStep.image()]++;
+  }
+  if (aStep.maxPerWorker() > 0) {
+    aWorker.runsOfStep[stepName(aTask)]++;
+  }
+}
+
+double
+unusedCpuMilli(const WorkerCandidate& aWorker)
+{
+  const std::int64_t shortRunningCpuMilli = aWorker.used.cpuMilli - aWorker.longRunningCpuMilli;
+  return static_cast<double>(aWorker.capacity.cpuMilli - shortRunningCpuMilli -
+                             aWorker.opportunisticCpuMilli) -
+         kLongRunningCpuUsage * static_cast<double>(aWorker.longRunningCpuMilli);
+}
+
+} // namespace magnoliadrum
--- /dev/null
+++ b/src/jobs/WorkerCandidate.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "jobs/InterferenceForecast.h"
+#include "jobs/Job.h"
+#include "placement/ResourceAmount.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace magnoliadrum {
+
+/** A run that may be stopped to free capacity for a task of a queue with a higher priority. */
+struct EvictableRun
+{
+  TaskId task;
+  std::int64_t run = 0;
+  /** Priority of its queue; lower numbers go first. */
+  std::int64_t priority = 0;
+  /** Capacity that is freed when the run ends. */
+  ResourceAmount size;
+  /** Work that is lost when the run is stopped, in core-milliseconds. */
+  double lostWork = 0;
+
+  friend bool operator==(const EvictableRun&, const EvictableRun&) = default;
+};
+
+/** A worker that may be assigned runs, with the capacity that its active runs take. */
+struct WorkerCandidate
+{
+  std::string worker;
+  /** Start of the worker process in ms since 1970; tells it from an earlier one under the same id.
+   */
+  std::int64_t startedAtMs = 0;
+  /** Relay beside the worker. */
+  std::string relay;
+  std::string poolName;
+  std::string rack;
+  std::vector<std::string> labels;
+  ResourceAmount capacity;
+  /** Sum of requiredResources() over all active runs; opportunistic runs take no processor time of
+   * it.
+   */
+  ResourceAmount used;
+  /** Part of used.cpuMilli that long-running tasks take. */
+  std::int64_t longRunningCpuMilli = 0;
+  /** Declared processor time of the opportunistic runs, which they use if nothing limits them. */
+  std::int64_t opportunisticCpuMilli = 0;
+  /** Part of used that is held by runs that are being stopped. */
+  ResourceAmount releasing;
+  std::vector<EvictableRun> evictable;
+  /** The tasks on this worker that serve users. */
+  std::vector<ServingTask> serving;
+  /** Number of active runs that serve users, by image, including those that no report lists yet. */
+  std::map<std::string, std::int64_t> servingRuns;
+  /** Shares of opportunistic tasks whose effect the latencies in serving do not include yet. */
+  ImageShares unobservedShares;
+  /** What is expected of added opportunistic tasks, from serving and unobservedShares; set by
+   * JobScheduler::decide(). */
+  InterferenceForecast::WorkerLoad interference;
+  /** Recently failed runs on this worker, 0 if their number is usual. Workers with fewer are
+   * preferred. */
+  std::int64_t recentFailures = 0;
+  /** Number of active runs that are not yet known to be harmless to the worker. */
+  std::int64_t unprovenRuns = 0;
+  /** A run of a task that may have crashed a worker is on trial here, or will be. Other tasks are
+   * not assigned. */
+  bool isReserved = false;
+  /** Number of active runs of the steps that limit it, by step name (JOB.OCCURRENCE.STEP). */
+  std::map<std::string, std::int64_t> runsOfStep;
+};
+
+/** Share of their declared processor time that long-running tasks are expected to use. */
+inline constexpr double kLongRunningCpuUsage = 0.45;
+
+/** Whether tasks of the step serve users of their own. */
+bool
+servesUsers(const JobStep& aStep);
+
+/** Returns the resources that a task of the step takes; an opportunistic one takes no processor
+ * time. */
+ResourceAmount
+requiredResources(const JobStep& aStep);
+
+/** Returns the name of a task's step, JOB.OCCURRENCE.STEP. */
+std::string
+stepName(const TaskId& aTask);
+
+/** Returns the share of the worker's processors that a task of the step declares. */
+double
+cpuShare(const WorkerCandidate& aWorker, const JobStep& aStep);
+
+/** Returns the processor time of the worker that is expected to stay unused, in thousandths of a
+ * core; negative when more is in use than there is. */
+double
+unusedCpuMilli(const WorkerCandidate& aWorker);
+
+/** Adds a run of a step to the used capacity and the run counts of a worker. */
+void
+addRun(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask);
+
+} // namespace magnoliadrum
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -16,3 +16,5 @@
 #include "jobs/JobScheduler.h"
 #include "jobs/JobSelector.h"
 #include "jobs/TaskId.h"
+#include "jobs/TrialPlanner.h"
+#include "jobs/WorkerCandidate.h"
--- a/src/relay/RecentStarts.cpp
+++ b/src/relay/RecentStarts.cpp
@@ -49,7 +49,7 @@
     }
     started.firstListedClockMs = started.firstListedClockMs.value_or(aLists.clockMs);
     started.isHarmless =
-      started.isHarmless || aLists.clockMs - *started.firstListedClockMs >= kHarmlessMs;
+      started.isHarmless || aLists.clockMs - *started.firstListedClockMs >= kHarmlessRunMs;
   }
   for (const ListedEnd& ended : aLists.ended) {
     const auto position = mRuns.find(ended.task());
--- a/src/relay/RecentStarts.h
+++ b/src/relay/RecentStarts.h
@@ -15,16 +15,13 @@
  * Tracks which runs of one worker incarnation were started so recently that they may be the cause
  * if the worker crashes now.
  *
- * A run leaves this set when the worker has listed it for kHarmlessMs, when it has ended, and when
- * the worker has rejected its start order. A start order without an answer may still take effect,
- * so its run stays.
+ * A run leaves this set when the worker has listed it for kHarmlessRunMs, when it has ended, and
+ * when the worker has rejected its start order. A start order without an answer may still take
+ * effect, so its run stays.
  */
 class RecentStarts
 {
 public:
-  /** A run that the worker has listed for this long, in ms, is not suspected of a crash. */
-  static constexpr std::int64_t kHarmlessMs = 1000;
-
   void clear() { mRuns.clear(); }
 
   /** Adds a run whose start order is sent now. */
--- a/src/relay/RecentStarts_test.cpp
+++ b/src/relay/RecentStarts_test.cpp
@@ -39,7 +39,7 @@
   starts.onRunLists(listsAt(1000, { "a.0.0.0" }));
   starts.onStartSent("b.0.0.0", 1);
   BOOST_TEST(suspectsOf(starts) == (std::vector<std::string>{ "a.0.0.0", "b.0.0.0" }));
-  starts.onRunLists(listsAt(1000 + RecentStarts::kHarmlessMs, { "a.0.0.0", "b.0.0.0" }));
+  starts.onRunLists(listsAt(1000 + kHarmlessRunMs, { "a.0.0.0", "b.0.0.0" }));
   BOOST_TEST(suspectsOf(starts) == std::vector<std::string>{ "b.0.0.0" });
 }
 
