Control: no start order is repeated to a worker whose capacity has shrunk

A worker that shrinks keeps what runs on it, and a run that was assigned before but has not started was ordered again with each resend and by each new leader, which brings the worker over its capacity (LIMIT) long after it has reported the smaller one.

Cause: capacity was checked when a run was assigned and not when its order was sent; class of the fault: a decision carried out on a state that has changed since. Ruled out: the scheduler, which uses the latest report (worker_that_shrank_gets_no_run_beyond_its_capacity passed before). Now the orders of an incarnation are checked against its latest capacity; while its runs exceed it no start is ordered, and runs that may not have started are closed and assigned anew.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -580,7 +580,8 @@
   aOrders.leaseUntilMs = aIncarnation.leaseUntilMs;
   aOrders.ackedEnds = aIncarnation.ackedEnds;
   if (aIncarnation.canReceiveOrders()) {
-    mRuns.addDueOrders(aKey, mContext.mNow(), aOrders);
+    mRuns.addDueOrders(
+      aKey, ResourceAmount::of(aIncarnation.description.capacity()), mContext.mNow(), aOrders);
   }
   mSessions.sendTo(aIncarnation.relaySession, buildValue<WorkerOrders>(std::move(aOrders)));
 }
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -1,5 +1,6 @@
 #include "control/RunTracker.h"
 
+#include "observability/observability.h"
 #include "state/BuildValue.h"
 
 #include <utility>
@@ -163,11 +164,39 @@
   }
 }
 
+bool
+RunTracker::withdrawUnstartedRuns(const IncarnationKey& aKey, const ResourceAmount& aCapacity)
+{
+  ResourceAmount used;
+  for (const std::string& name : tasksOn(aKey)) {
+    used = used.plus(requiredResources(mRuns.at(name).step()));
+  }
+  if (used.fitsIn(aCapacity)) {
+    return true;
+  }
+  for (const std::string& name : tasksOn(aKey)) {
+    TrackedRun& run = mRuns.at(name);
+    if (run.isConfirmed || used.fitsIn(aCapacity)) {
+      continue;
+    }
+    used = used.minus(requiredResources(run.step()));
+    if (!needsStop(run)) {
+      // An order may be in transit, so the run is closed before it is assigned again.
+      run.shouldStop = true;
+      logInfo("run withdrawn: its worker's capacity has shrunk",
+              { { "task", name }, { "run", run.run }, { "worker", aKey.worker } });
+    }
+  }
+  return false;
+}
+
 void
 RunTracker::addDueOrders(const IncarnationKey& aKey,
+                         const ResourceAmount& aCapacity,
                          MonotonicTime aNow,
                          WorkerOrders::Fields& aOrders)
 {
+  const bool canStart = withdrawUnstartedRuns(aKey, aCapacity);
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
     if (needsStop(run)) {
@@ -178,7 +207,7 @@
       }
       continue;
     }
-    if (!run.isConfirmed && !run.closedAtClockMs && isDue(run.startSentAt, aNow)) {
+    if (canStart && !run.isConfirmed && !run.closedAtClockMs && isDue(run.startSentAt, aNow)) {
       run.startSentAt = aNow;
       const JobTaskRecord::Fields* record = run.job->find(run.task);
       aOrders.starts.push_back(buildValue<StartOrder>({ .task = name,
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -98,8 +98,15 @@
   /** Applies a worker's answers to orders. */
   void applyAnswers(const IncarnationKey& aKey, const std::vector<OrderAnswer>& aAnswers);
 
-  /** Adds the orders that are due to aOrders and records them as sent at aNow. */
-  void addDueOrders(const IncarnationKey& aKey, MonotonicTime aNow, WorkerOrders::Fields& aOrders);
+  /**
+   * Adds the orders that are due to aOrders and records them as sent at aNow. While the runs of the
+   * incarnation exceed aCapacity, which may have shrunk since their assignment, no start is ordered
+   * and the runs that may not have started are withdrawn until the others fit.
+   */
+  void addDueOrders(const IncarnationKey& aKey,
+                    const ResourceAmount& aCapacity,
+                    MonotonicTime aNow,
+                    WorkerOrders::Fields& aOrders);
 
   /** Returns the ends of all runs of a lost incarnation and marks them as proposed; ends that are
    * already proposed are left out. aSuspects are the runs, by task, that may have crashed the
@@ -108,6 +115,9 @@
                                         const std::map<std::string, std::int64_t>& aSuspects);
 
 private:
+  /** Returns whether all runs of the incarnation fit in aCapacity; withdraws runs if they do not.
+   */
+  bool withdrawUnstartedRuns(const IncarnationKey& aKey, const ResourceAmount& aCapacity);
   bool needsStop(const TrackedRun& aRun) const { return aRun.shouldStop || aRun.job->isFinished(); }
   static void addDuePaceOrder(TrackedRun& aRun, MonotonicTime aNow, WorkerOrders::Fields& aOrders);
 
