Relay: a start order expires two seconds after the lists on which it is based

A relay whose machine stood still for 5 s sent the start order that waited in its socket when it woke, seconds after its worker had shrunk and had told so: LIMIT. The lease does not catch this, because it is longer than the standstill.

Cause: an order carried the end of its lease but not the age of what it was decided on; class of the fault: a process that was paused acts on a permission that has run out. Ruled out: the queue inside the relay, which drops starts after a second but counts from when it reads them. Now the leader states the worker's clock at the lists it decided on, and the relay, which knows that clock, sends no start more than 2 s after it. The leader repeats an order that had no effect, based on newer lists.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -579,6 +579,7 @@
   aOrders.fence = aIncarnation.fence;
   aOrders.leaseUntilMs = aIncarnation.leaseUntilMs;
   aOrders.ackedEnds = aIncarnation.ackedEnds;
+  aOrders.basisClockMs = aIncarnation.listClockMs;
   if (aIncarnation.canReceiveOrders()) {
     mRuns.addDueOrders(
       aKey, ResourceAmount::of(aIncarnation.description.capacity()), mContext.mNow(), aOrders);
--- a/src/relay/OrderQueue.cpp
+++ b/src/relay/OrderQueue.cpp
@@ -72,7 +72,7 @@
       return waiting.start;
     }
     mExpiredStarts++;
-    logInfo("start order dropped: it waited too long for a connection to the worker",
+    logInfo("start order dropped: it is too old to be sent",
             { { "task", waiting.start.order.task() }, { "run", waiting.start.order.run() } });
   }
   return std::nullopt;
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -80,6 +80,7 @@
   mOrdersInProgress = 0;
   mStartsInProgress.clear();
   mRecentStarts.clear();
+  mWorkerClock.reset();
   mIsUnreachable = false;
   mAnswers.clear();
 }
@@ -187,14 +188,31 @@
   for (const PaceOrder& order : aOrders.paces()) {
     mOrderQueue.addPace(order);
   }
+  const Deadline sendBefore = startDeadline(aOrders.basisClockMs());
   for (const StartOrder& order : aOrders.starts()) {
-    queueStart(order, aOrders.leaseUntilMs());
+    queueStart(order, aOrders.leaseUntilMs(), sendBefore);
   }
   sendQueuedOrders();
 }
 
+Deadline
+WorkerRelay::startDeadline(std::int64_t aBasisClockMs) const
+{
+  const MonotonicTime now = mContext.now();
+  const Deadline longestWait = now.plusMs(kMaxStartWaitMs);
+  if (aBasisClockMs == 0) {
+    return longestWait;
+  }
+  if (!mWorkerClock) {
+    // This relay process cannot tell the age of the order yet. The leader repeats it.
+    return now.plusMs(-1);
+  }
+  const std::int64_t ageAtReadingMs = mWorkerClock->clockMs - aBasisClockMs;
+  return std::min(longestWait, mWorkerClock->receivedAt.plusMs(kMaxBasisAgeMs - ageAtReadingMs));
+}
+
 void
-WorkerRelay::queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs)
+WorkerRelay::queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs, Deadline aSendBefore)
 {
   if (mWorker->draining()) {
     recordAnswer(OrderKind::eStart, aOrder.task(), aOrder.run(), OrderResult::eUnhealthy, 0);
@@ -202,7 +220,7 @@
   }
   if (!mStartsInProgress.contains(runName(aOrder.task(), aOrder.run()))) {
     // Keeps the lease that came with the order: a delayed order must not get a later lease.
-    mOrderQueue.addStart({ aOrder, aLeaseUntilMs }, mContext.now().plusMs(kMaxStartWaitMs));
+    mOrderQueue.addStart({ aOrder, aLeaseUntilMs }, aSendBefore);
   }
 }
 
@@ -341,6 +359,7 @@
     return;
   }
   setReachable(true);
+  mWorkerClock = ClockReading{ lists.clockMs, mContext.now() };
   mRecentStarts.onRunLists(lists);
   if (!lists.ended.empty()) {
     mLastReceivedEnd = std::max(mLastReceivedEnd, lists.ended.back().number());
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -55,6 +55,9 @@
   /** Reports name the crash suspects of an earlier incarnation for this long (ms) after its
    * successor has registered, so that a leader elected meanwhile learns of them too. */
   static constexpr std::int64_t kReportSuspectsMs = 15000;
+  /** A start order is not sent this long (ms) after the lists on which it is based. A delayed order
+   * must not bring a worker over a capacity that has shrunk meanwhile. */
+  static constexpr std::int64_t kMaxBasisAgeMs = 2000;
   /** Period of tick() in ms. */
   static constexpr std::int64_t kTickMs = 20;
 
@@ -102,7 +105,10 @@
   void setReachable(bool aIsReachable);
   CrashSuspects currentSuspects() const;
   void queueOrders(const WorkerOrders& aOrders);
-  void queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs);
+  void queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs, Deadline aSendBefore);
+  /** Returns until when starts may be sent that are based on lists at aBasisClockMs of the worker's
+   * clock; 0 when the leader does not know it. */
+  Deadline startDeadline(std::int64_t aBasisClockMs) const;
   /** Sends queued orders until kMaxOrdersInProgress are unanswered. */
   void sendQueuedOrders();
   void send(const LeasedStart& aStart);
@@ -135,6 +141,13 @@
   int mListRequestsInProgress = 0;
   /** Whether the leader has sent orders since the last list request. */
   bool mHasOrdersSinceListRequest = false;
+  /** Worker's clock at the last lists, and when they arrived. */
+  struct ClockReading
+  {
+    std::int64_t clockMs = 0;
+    MonotonicTime receivedAt;
+  };
+  std::optional<ClockReading> mWorkerClock;
   /** When the last list request was answered or failed. */
   MonotonicTime mLastListAt;
   OrderQueue mOrderQueue;
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -294,4 +294,23 @@
   BOOST_TEST(!mReports.back().unreachable());
 }
 
+// Guards against a permission that ran out while the relay stood still: the order came in time and
+// is read seconds later.
+BOOST_FIXTURE_TEST_CASE(start_based_on_old_lists_is_not_sent, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7));
+  answerListRequest();
+  const auto startBasedOn = [](std::int64_t aClockMs) {
+    WorkerOrders::Fields fields = workerOrders(7, 5, "c.0.0.0").fields();
+    fields.basisClockMs = aClockMs;
+    return valueOf(WorkerOrders::create(std::move(fields)));
+  };
+  mNow = mNow.plusMs(WorkerRelay::kMaxBasisAgeMs + 1);
+  mRelay.onOrders(startBasedOn(1000));
+  BOOST_TEST(mRecord.orders.empty());
+  mRelay.onOrders(startBasedOn(1000 + WorkerRelay::kMaxBasisAgeMs));
+  BOOST_TEST(mRecord.orders.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
