Control: a worker whose process is gone gets no new run

Cause: whether a worker may get runs was judged by the age of its relay's last report, and the relay goes on reporting that orders are not answered; class of the fault: the health of one process inferred from another. Now the relay's word that the worker accepts no connection ends the assignments, and the next lists resume them.

Evidence: job_service/a_worker_that_accepts_no_connections_gets_no_new_run failed before (run 1 was assigned).

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -251,6 +251,8 @@
   }
   const MonotonicTime now = mContext.mNow();
   const IncarnationKey key{ aReport.worker().workerId(), aReport.worker().bornMs() };
+  const WorkerIncarnation* known = mFleet.find(key);
+  const bool wasUnreachable = known != nullptr && known->isUnreachable;
   WorkerIncarnation* incarnation =
     mFleet.handleReport(aReport, session->processId(), session->session(), now);
   if (incarnation == nullptr) {
@@ -266,6 +268,7 @@
   if (aReport.listFence() == incarnation->fence && aReport.clockMs() >= incarnation->listClockMs) {
     applyLists(*incarnation, key, aReport);
   }
+  mScheduleDue = mScheduleDue || wasUnreachable != incarnation->isUnreachable;
   if (aReport.clockMs() > 0 && !incarnation->leftAt) {
     mFleet.renewLease(*incarnation, aReport.clockMs(), now);
   }
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -424,4 +424,18 @@
   BOOST_TEST(jobs().catalogue()->version() == 1);
 }
 
+// Guards against runs that wait for the end of a crashed worker: it is the emptiest one in sight,
+// and its relay goes on reporting.
+BOOST_FIXTURE_TEST_CASE(a_worker_that_accepts_no_connections_gets_no_new_run, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  report(kRelay, worker("w1"), { .unreachable = true });
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  waitWithHeartbeats(200);
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 0);
+  report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 300 });
+  waitWithHeartbeats(100);
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1, "a reset connection passes");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -92,6 +92,7 @@
   incarnation.relaySession = aSession;
   incarnation.crashSuspects.clear();
   incarnation.reportedAt = aNow;
+  incarnation.isUnreachable = aReport.unreachable();
   if (aReport.worker().gone() && !incarnation.leftAt) {
     incarnation.leftAt = aNow;
     logInfo("worker announced its shutdown",
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -49,6 +49,8 @@
    * ended before. */
   MonotonicTime leaseExpiresAt;
   MonotonicTime reportedAt;
+  /** The worker's process accepts no connections, as its relay has reported. */
+  bool isUnreachable = false;
   /** Run ends up to this number are committed. */
   std::int64_t ackedEnds = 0;
   /** Run ends up to this number are proposed. */
@@ -75,7 +77,7 @@
   /** Whether new runs may be assigned. */
   bool canAcceptRuns(MonotonicTime aNow) const
   {
-    return canReceiveOrders() && !description.draining() && !description.gone() &&
+    return canReceiveOrders() && !isUnreachable && !description.draining() && !description.gone() &&
            aNow.msSince(reportedAt) < kReportTimeoutMs;
   }
 };
