Control: a worker that lists an unassigned run gets no start until the run is gone

Found while looking for further causes of LIMIT: a run that the log does not place on its worker is stopped, but until then it takes capacity that the leader does not count, so a start in these up to 0.9 s can bring the worker over its capacity. Class of the fault: what is being stopped still counts.

Now such a worker gets neither new assignments nor repeated start orders until its lists are free of unassigned runs. Evidence: the two cases job_service/a_worker_with_an_unassigned_run_* failed before (run 1 was assigned; one start was ordered).

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -299,6 +299,8 @@
       mStartedJobs.insert(task->jobId);
     }
   }
+  mScheduleDue = mScheduleDue || (aIncarnation.hasUnassignedRuns && unassigned.empty());
+  aIncarnation.hasUnassignedRuns = !unassigned.empty();
   proposeEnds(std::move(neverRan));
   adjustPaces(aIncarnation, aKey);
   if (unassigned.empty()) {
@@ -584,8 +586,11 @@
   aOrders.ackedEnds = aIncarnation.ackedEnds;
   aOrders.basisClockMs = aIncarnation.listClockMs;
   if (aIncarnation.canReceiveOrders()) {
-    mRuns.addDueOrders(
-      aKey, ResourceAmount::of(aIncarnation.description.capacity()), mContext.mNow(), aOrders);
+    mRuns.addDueOrders(aKey,
+                       ResourceAmount::of(aIncarnation.description.capacity()),
+                       !aIncarnation.hasUnassignedRuns,
+                       mContext.mNow(),
+                       aOrders);
   }
   mSessions.sendTo(aIncarnation.relaySession, buildValue<WorkerOrders>(std::move(aOrders)));
 }
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -438,4 +438,39 @@
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1, "a reset connection passes");
 }
 
+// Guards against LIMIT: a run that the log does not place on the worker takes capacity until it has
+// been stopped, and its size is unknown.
+BOOST_FIXTURE_TEST_CASE(a_worker_with_an_unassigned_run_gets_no_new_run, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  report(
+    kRelay,
+    worker("w1"),
+    { .listFence = mFence, .clockMs = kWorkerClockMs + 10, .running = { running("x.0.0.0", 3) } });
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  waitWithHeartbeats(200);
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 0);
+  report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 300 });
+  waitWithHeartbeats(100);
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
+}
+
+// Guards against LIMIT: the start of a run that was assigned before is repeated beside an
+// unassigned one.
+BOOST_FIXTURE_TEST_CASE(a_worker_with_an_unassigned_run_gets_no_start_order, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  waitWithHeartbeats(RunTracker::kResendMs);
+  std::size_t starts = 0;
+  for (const WorkerOrders& orders : report(kRelay,
+                                           worker("w1"),
+                                           { .listFence = mFence,
+                                             .clockMs = kWorkerClockMs + 10,
+                                             .running = { running("x.0.0.0", 3) } })) {
+    starts += orders.starts().size();
+  }
+  BOOST_TEST(starts == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -193,10 +193,11 @@
 void
 RunTracker::addDueOrders(const IncarnationKey& aKey,
                          const ResourceAmount& aCapacity,
+                         bool aMayStart,
                          MonotonicTime aNow,
                          WorkerOrders::Fields& aOrders)
 {
-  const bool canStart = withdrawUnstartedRuns(aKey, aCapacity);
+  const bool canStart = withdrawUnstartedRuns(aKey, aCapacity) && aMayStart;
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
     if (needsStop(run)) {
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -101,10 +101,12 @@
   /**
    * Adds the orders that are due to aOrders and records them as sent at aNow. While the runs of the
    * incarnation exceed aCapacity, which may have shrunk since their assignment, no start is ordered
-   * and the runs that may not have started are withdrawn until the others fit.
+   * and the runs that may not have started are withdrawn until the others fit. Without aMayStart no
+   * start is ordered.
    */
   void addDueOrders(const IncarnationKey& aKey,
                     const ResourceAmount& aCapacity,
+                    bool aMayStart,
                     MonotonicTime aNow,
                     WorkerOrders::Fields& aOrders);
 
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -41,6 +41,9 @@
   /** The worker has sent its lists under the fence, so orders with a lower fence no longer take
    * effect. */
   bool isSynced = false;
+  /** The latest lists name a run that the log does not place on this incarnation. It takes capacity
+   * that the leader does not count. */
+  bool hasUnassignedRuns = false;
   /** Worker's clock at its latest lists. */
   std::int64_t listClockMs = 0;
   /** End of the lease by the worker's clock. */
@@ -77,8 +80,8 @@
   /** Whether new runs may be assigned. */
   bool canAcceptRuns(MonotonicTime aNow) const
   {
-    return canReceiveOrders() && !isUnreachable && !description.draining() && !description.gone() &&
-           aNow.msSince(reportedAt) < kReportTimeoutMs;
+    return canReceiveOrders() && !hasUnassignedRuns && !isUnreachable && !description.draining() &&
+           !description.gone() && aNow.msSince(reportedAt) < kReportTimeoutMs;
   }
 };
 
