Jobs: crashes without a witness neither hide a crashing task nor blame another one

When a relay restarts while its worker is down, or a leader changes too, nobody can name the suspects, so a crashing task was not charged. And a relay that had stood still named runs that had ended, or had never begun, before the crash.

Now, without the word of a relay, every run that the leader does not know to be harmless is charged; only a crash that the relay saw with fresh lists counts towards giving a task up as the only possible cause; the others count towards the upper limit of five. A run that proved harmless clears the count of its task, so crashes far apart do not add up for a standing task.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -328,16 +328,20 @@
       continue;
     }
     lastNumber = std::max(lastNumber, ended.number());
-    ends.push_back(buildValue<RunEnding>({ .task = ended.task(),
-                                           .run = std::max<std::int64_t>(1, ended.run()),
-                                           .how = ended.how(),
-                                           .checkpoint = ended.checkpoint() }));
+    TrackedRun* run = mRuns.find(ended.task(), ended.run());
+    const bool hasWorked = ended.how() == RunEnd::eDone || ended.how() == RunEnd::eFailed;
+    ends.push_back(
+      buildValue<RunEnding>({ .task = ended.task(),
+                              .run = std::max<std::int64_t>(1, ended.run()),
+                              .how = ended.how(),
+                              .checkpoint = ended.checkpoint(),
+                              .harmless = hasWorked || (run != nullptr && run->isHarmless) }));
     if (ended.how() == RunEnd::eDone) {
       aIncarnation.consecutiveFailures = 0;
     } else if (ended.how() == RunEnd::eFailed) {
       aIncarnation.consecutiveFailures++;
     }
-    if (TrackedRun* run = mRuns.find(ended.task(), ended.run())) {
+    if (run != nullptr) {
       run->endProposed = true;
       mStartedJobs.insert(run->task.jobId);
     }
@@ -613,13 +617,15 @@
   }
   const MonotonicTime now = mContext.mNow();
   for (const IncarnationKey& key : mFleet.markLost(now)) {
-    std::vector<RunEnding> ends = mRuns.takeLapsedEnds(key, mFleet.find(key)->crashSuspects);
+    std::vector<RunEnding> ends = mRuns.takeLapsedEnds(key, *mFleet.find(key));
     if (!ends.empty()) {
       logWarning("worker lost",
                  { { "worker", key.worker },
                    { "born", key.startedAtMs },
                    { "runs", ends.size() },
-                   { "suspects", mFleet.find(key)->crashSuspects.size() } });
+                   { "suspects", std::count_if(ends.begin(), ends.end(), [](const RunEnding& aEnd) {
+                       return aEnd.crashSuspects() > 0;
+                     }) } });
       proposeEnds(std::move(ends));
     } else if (mRuns.tasksOn(key).empty()) {
       logInfo("lost worker removed", { { "worker", key.worker }, { "born", key.startedAtMs } });
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -3,6 +3,7 @@
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
+#include <iterator>
 #include <utility>
 
 namespace magnoliadrum {
@@ -238,24 +239,42 @@
     buildValue<PaceOrder>({ .task = aRun.task.text(), .run = aRun.run, .percent = percent }));
 }
 
+std::map<std::string, std::int64_t>
+RunTracker::crashSuspects(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation) const
+{
+  if (aIncarnation.crashSuspects || aIncarnation.isLeaving()) {
+    return aIncarnation.crashSuspects.value_or(std::map<std::string, std::int64_t>());
+  }
+  std::map<std::string, std::int64_t> suspects;
+  for (const std::string& name : tasksOn(aKey)) {
+    const TrackedRun& run = mRuns.at(name);
+    if (!run.isHarmless) {
+      suspects[name] = run.run;
+    }
+  }
+  return suspects;
+}
+
 std::vector<RunEnding>
-RunTracker::takeLapsedEnds(const IncarnationKey& aKey,
-                           const std::map<std::string, std::int64_t>& aSuspects)
+RunTracker::takeLapsedEnds(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation)
 {
+  const std::map<std::string, std::int64_t> suspects = crashSuspects(aKey, aIncarnation);
   std::vector<RunEnding> ends;
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
     if (std::exchange(run.endProposed, true)) {
       continue;
     }
-    const auto suspect = aSuspects.find(name);
-    const bool isSuspect = suspect != aSuspects.end() && suspect->second == run.run;
-    ends.push_back(buildValue<RunEnding>(
-      { .task = name,
-        .run = run.run,
-        .how = RunEnd::eLapsed,
-        .checkpoint = run.checkpoint,
-        .crashSuspects = isSuspect ? static_cast<std::int64_t>(aSuspects.size()) : 0 }));
+    const auto suspect = suspects.find(name);
+    const bool isSuspect = suspect != suspects.end() && suspect->second == run.run;
+    ends.push_back(
+      buildValue<RunEnding>({ .task = name,
+                              .run = run.run,
+                              .how = RunEnd::eLapsed,
+                              .checkpoint = run.checkpoint,
+                              .crashSuspects = isSuspect ? std::ssize(suspects) : 0,
+                              .crashCertain = isSuspect && aIncarnation.areSuspectsCertain,
+                              .harmless = run.isHarmless && !isSuspect }));
   }
   return ends;
 }
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -111,12 +111,15 @@
                     WorkerOrders::Fields& aOrders);
 
   /** Returns the ends of all runs of a lost incarnation and marks them as proposed; ends that are
-   * already proposed are left out. aSuspects are the runs, by task, that may have crashed the
-   * incarnation. */
+   * already proposed are left out. aIncarnation is the lost incarnation, which tells the runs that
+   * may have crashed it. */
   std::vector<RunEnding> takeLapsedEnds(const IncarnationKey& aKey,
-                                        const std::map<std::string, std::int64_t>& aSuspects);
+                                        const WorkerIncarnation& aIncarnation);
 
 private:
+  /** Returns the runs, by task, that may have crashed a lost incarnation. */
+  std::map<std::string, std::int64_t> crashSuspects(const IncarnationKey& aKey,
+                                                    const WorkerIncarnation& aIncarnation) const;
   /** Returns whether all runs of the incarnation fit in aCapacity; withdraws runs if they do not.
    */
   bool withdrawUnstartedRuns(const IncarnationKey& aKey, const ResourceAmount& aCapacity);
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -90,7 +90,8 @@
   incarnation.description = aReport.worker();
   incarnation.relay = aRelay;
   incarnation.relaySession = aSession;
-  incarnation.crashSuspects.clear();
+  incarnation.crashSuspects.reset();
+  incarnation.areSuspectsCertain = false;
   incarnation.reportedAt = aNow;
   incarnation.isUnreachable = aReport.unreachable();
   if (aReport.worker().gone() && !incarnation.leftAt) {
@@ -125,9 +126,10 @@
     if (incarnation == nullptr) {
       continue;
     }
-    incarnation->crashSuspects.clear();
+    incarnation->areSuspectsCertain = suspects.certain();
+    std::map<std::string, std::int64_t>& runs = incarnation->crashSuspects.emplace();
     for (const RunReference& run : suspects.runs()) {
-      incarnation->crashSuspects[run.task()] = run.run();
+      runs[run.task()] = run.run();
     }
   }
 }
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -61,8 +61,11 @@
   /** When the worker announced its shutdown or a later incarnation of the worker, or at its relay,
    * first reported. */
   std::optional<MonotonicTime> leftAt;
-  /** Runs that may have crashed the incarnation, by task name; its relay names them. */
-  std::map<std::string, std::int64_t> crashSuspects;
+  /** Runs that may have crashed the incarnation, by task name. Empty optional until its relay has
+   * named them. */
+  std::optional<std::map<std::string, std::int64_t>> crashSuspects;
+  /** The relay is sure that no other run crashed the incarnation. */
+  bool areSuspectsCertain = false;
   /** All runs of the incarnation have ended. It is kept until their ends are committed; a report
    * after that adds it again with a higher fence. */
   bool isLost = false;
@@ -74,6 +77,9 @@
    */
   static constexpr std::int64_t kReportTimeoutMs = 1000;
 
+  /** Whether the incarnation has announced that it leaves. */
+  bool isLeaving() const { return description.draining() || description.gone(); }
+
   /** Whether orders to start, stop or pace assigned runs may be sent. */
   bool canReceiveOrders() const { return isSynced && !leftAt && !isLost; }
 
--- a/src/fleetmodel/CrashingTasks_test.cpp
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -76,4 +76,57 @@
   }
 }
 
+// Guards against BUDGET and against blaming harmless tasks when the evidence is lost with relays,
+// leaders change, workers crash by themselves and tasks crash their workers late.
+BOOST_AUTO_TEST_CASE(random_faults_neither_hide_crashing_tasks_nor_blame_others)
+{
+  constexpr int kEvents = 50;
+  for (unsigned seed = 1; seed <= 40; seed++) {
+    std::mt19937 random(seed);
+    const auto below = [&random](std::int64_t aLimit) {
+      return static_cast<std::int64_t>(random() % static_cast<unsigned>(aLimit));
+    };
+    FleetModel fleet(6, kWorkerCapacity);
+    fleet.run(1000);
+    std::vector<std::string> harmless;
+    for (int event = 0; event < kEvents; event++) {
+      const std::size_t slot = static_cast<std::size_t>(below(6));
+      const std::string id = "j" + std::to_string(event);
+      const std::int64_t count = 1 + below(5);
+      fleet.submit(jobOf(id, { stepOf(count, 200 + 200 * below(4), 10) }));
+      if (below(12) == 0) {
+        fleet.makeDeadly(id + ".0.0." + std::to_string(below(count)), 10 + below(500));
+      } else {
+        harmless.push_back(id);
+      }
+      switch (below(8)) {
+        case 0:
+          fleet.crashWorker(slot);
+          break;
+        case 1:
+          fleet.restartRelay(slot);
+          break;
+        case 2:
+          fleet.freezeRelay(slot, 500 + below(4000));
+          break;
+        case 3:
+          fleet.changeLeader();
+          break;
+        default:
+          break;
+      }
+      fleet.run(50 + below(800));
+    }
+    fleet.run(60000);
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      BOOST_TEST(fleet.violations() == "");
+      for (const std::string& id : harmless) {
+        const bool isGivenUp = fleet.stateOf(id) == JobState::eFailed && fleet.mayBeGivenUp(id);
+        BOOST_TEST((fleet.stateOf(id) == JobState::eCompleted || isGivenUp), id);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -18,6 +18,9 @@
  */
 constexpr std::int64_t kBudgetCrashes = 3;
 
+/** A task under which this many workers have crashed may be given up. */
+constexpr std::int64_t kCrashesToGiveUp = 2;
+
 /** Connects a relay to a model worker. */
 class ModelWorkerClient : public WorkerClient
 {
@@ -130,6 +133,7 @@
   context.onStarted = [this, aSlot](const std::string& aTask, std::int64_t aRun) {
     checkStart(aSlot, aTask, aRun);
   };
+  context.onCrashed = [this](const std::string& aTask) { mCrashesUnder[aTask]++; };
   context.sizeOf = [this](const std::string& aTask) { return requiredResources(stepOf(aTask)); };
   context.runTimeMs = [this](const std::string& aTask) {
     return stepOf(aTask).longRunning() ? 0 : stepOf(aTask).estimateMs();
@@ -299,6 +303,14 @@
   return position == mStarts.end() ? 0 : position->second;
 }
 
+bool
+FleetModel::mayBeGivenUp(const std::string& aJobId) const
+{
+  return std::any_of(mCrashesUnder.begin(), mCrashesUnder.end(), [&aJobId](const auto& aItem) {
+    return TaskId::parse(aItem.first)->jobId == aJobId && aItem.second >= kCrashesToGiveUp;
+  });
+}
+
 void
 FleetModel::addViolation(const std::string& aRule, const std::string& aWhat)
 {
@@ -329,14 +341,12 @@
   if (!mDeadlyTasks.contains(aTask)) {
     return;
   }
-  mCrashes++;
   if (mCrashesUnder[aTask] >= kBudgetCrashes) {
     mStartsAfterThreeCrashes[aTask]++;
     if (mStartsAfterThreeCrashes[aTask] == kBudgetCrashes) {
       addViolation("BUDGET", what);
     }
   }
-  mCrashesUnder[aTask]++;
 }
 
 } // namespace magnoliadrum
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -54,7 +54,8 @@
 
   JobState stateOf(const std::string& aJobId) const { return mState.jobs().find(aJobId)->state(); }
   std::int64_t startsOf(const std::string& aTask) const;
-  std::int64_t crashes() const { return mCrashes; }
+  /** Whether two workers have crashed under a task of the job, so that it may be given up. */
+  bool mayBeGivenUp(const std::string& aJobId) const;
   /** The violated rules, one a line. */
   const std::string& violations() const { return mViolations; }
 
@@ -97,9 +98,9 @@
   std::map<std::string, JobDescription> mJobs;
   std::map<std::string, std::int64_t> mDeadlyTasks;
   std::map<std::string, std::int64_t> mStarts;
+  /** Number of workers that crashed while they ran the task. */
   std::map<std::string, std::int64_t> mCrashesUnder;
   std::map<std::string, std::int64_t> mStartsAfterThreeCrashes;
-  std::int64_t mCrashes = 0;
   std::string mViolations;
 };
 
--- a/src/fleetmodel/ModelWorker.cpp
+++ b/src/fleetmodel/ModelWorker.cpp
@@ -44,6 +44,9 @@
 ModelWorker::crash()
 {
   mIsUp = false;
+  for (const auto& [task, run] : mRuns) {
+    mContext.onCrashed(task);
+  }
   mRuns.clear();
   for (const auto& [number, fail] : std::exchange(mPendingCalls, {})) {
     fail();
--- a/src/fleetmodel/ModelWorker.h
+++ b/src/fleetmodel/ModelWorker.h
@@ -21,6 +21,8 @@
   std::function<void(std::int64_t, std::function<void()>)> runLater;
   /** Called when the worker begins a run. */
   std::function<void(const std::string& aTask, std::int64_t aRun)> onStarted;
+  /** Called for each run that the worker holds when it crashes. */
+  std::function<void(const std::string& aTask)> onCrashed;
   /** Size and run time of a task; a run time of 0 never ends. */
   std::function<ResourceAmount(const std::string& aTask)> sizeOf;
   std::function<std::int64_t(const std::string& aTask)> runTimeMs;
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -218,12 +218,18 @@
   if (!aEnd.checkpoint().empty()) {
     record.checkpoint = aEnd.checkpoint();
   }
+  if (aEnd.harmless() && record.crashes > 0) {
+    record.crashes = 0;
+    record.certainCrashes = 0;
+    record.crashPlace = "";
+    mCrashSuspects--;
+  }
   if (!isFinished() && aEnd.how() == RunEnd::eDone) {
     finishTask(aTask, record);
   } else if (!isFinished() && aEnd.how() == RunEnd::eFailed) {
     countFailure(aTask, aEnd.run());
   } else if (!isFinished() && aEnd.crashSuspects() > 0) {
-    countCrash(record, aEnd.crashSuspects());
+    countCrash(record, aEnd);
   }
   dropContentIfUnused();
   return true;
@@ -280,15 +286,16 @@
 }
 
 void
-Job::countCrash(JobTaskRecord::Fields& aRecord, std::int64_t aSuspects)
+Job::countCrash(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd)
 {
   mCrashSuspects += aRecord.crashes == 0 ? 1 : 0;
   aRecord.crashes++;
+  aRecord.certainCrashes += aEnd.crashCertain() ? 1 : 0;
   // Two crashes in a row at the same place may be the worker's own fault.
   const bool isElsewhere = aRecord.place != aRecord.crashPlace;
   aRecord.crashPlace = aRecord.place;
-  const bool isOnlyCause =
-    aSuspects == 1 && aRecord.crashes >= kMaxCrashesAlone + (isElsewhere ? 0 : 1);
+  const bool isOnlyCause = aEnd.crashCertain() && aEnd.crashSuspects() == 1 &&
+                           aRecord.certainCrashes >= kMaxCrashesAlone + (isElsewhere ? 0 : 1);
   if (isOnlyCause || aRecord.crashes >= kMaxCrashes) {
     setOutcome(JobState::eFailed);
   }
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -55,7 +55,8 @@
   /** Number of workers that may be crashed by a task before its job is given up, if each time other
    * runs may have been the cause. */
   static constexpr std::int64_t kMaxCrashes = 5;
-  /** The same if the task was the only possible cause of the last crash. */
+  /** The same if a run of the task was surely there at each crash and was the only possible cause
+   * of the last one. */
   static constexpr std::int64_t kMaxCrashesAlone = 2;
 
   /** Whether a task that is not done may have crashed a worker. */
@@ -90,7 +91,7 @@
   std::size_t stepPosition(std::int64_t aOccurrence, std::int64_t aStep) const;
   void finishTask(const TaskId& aTask, JobTaskRecord::Fields& aRecord);
   void countFailure(const TaskId& aTask, std::int64_t aRun);
-  void countCrash(JobTaskRecord::Fields& aRecord, std::int64_t aSuspects);
+  void countCrash(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd);
   void setOutcome(JobState aOutcome);
   /** Frees the payload, steps and tasks once the job is finished and has no active runs. */
   void dropContentIfUnused();
--- a/src/jobs/TrialPlanner_test.cpp
+++ b/src/jobs/TrialPlanner_test.cpp
@@ -48,7 +48,8 @@
       EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = "j.0.0.0",
                                                               .run = run,
                                                               .how = RunEnd::eLapsed,
-                                                              .crashSuspects = aSuspects })) } })));
+                                                              .crashSuspects = aSuspects,
+                                                              .crashCertain = true })) } })));
   }
   return jobs;
 }
@@ -72,17 +73,35 @@
   BOOST_TEST((registryWithSuspect(Job::kMaxCrashes, 7).find("j")->state() == JobState::eFailed));
 }
 
-// Guards against failing a job because of a worker that crashes by itself, again and again.
-BOOST_AUTO_TEST_CASE(two_crashes_at_the_same_place_are_not_enough)
+// Guards against failing a job whose task was assigned to crashed workers but never seen on them.
+BOOST_AUTO_TEST_CASE(crashes_without_a_witness_count_only_towards_the_upper_limit)
 {
   JobRegistry jobs = registryWithQueues();
   jobs.apply(submitOf("urgent", jobOf("j", { stepOf(1, 1000, 10) })));
-  for (std::int64_t run = 1; run <= 2; run++) {
+  for (std::int64_t run = 1; run <= Job::kMaxCrashes; run++) {
+    BOOST_TEST((jobs.find("j")->state() != JobState::eFailed));
     jobs.apply(startOf("j.0.0.0", run));
     jobs.apply(valueOf(EndRuns::create(
       { .ends = { valueOf(RunEnding::create(
           { .task = "j.0.0.0", .run = run, .how = RunEnd::eLapsed, .crashSuspects = 1 })) } })));
   }
+  BOOST_TEST((jobs.find("j")->state() == JobState::eFailed));
+}
+
+// Guards against failing a job because of a worker that crashes by itself, again and again.
+BOOST_AUTO_TEST_CASE(two_crashes_at_the_same_place_are_not_enough)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("j", { stepOf(1, 1000, 10) })));
+  for (std::int64_t run = 1; run <= 2; run++) {
+    jobs.apply(startOf("j.0.0.0", run));
+    jobs.apply(valueOf(
+      EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = "j.0.0.0",
+                                                              .run = run,
+                                                              .how = RunEnd::eLapsed,
+                                                              .crashSuspects = 1,
+                                                              .crashCertain = true })) } })));
+  }
   BOOST_TEST((jobs.find("j")->state() == JobState::eRunning));
 }
 
@@ -96,6 +115,18 @@
   BOOST_TEST(restored.find("j")->find({ "j", 0, 0, 0 })->crashes == 1);
 }
 
+// Guards against giving up a standing task because of crashes that lie far apart.
+BOOST_AUTO_TEST_CASE(harmless_run_clears_the_crashes_of_its_task)
+{
+  JobRegistry jobs = registryWithSuspect(1, 1);
+  jobs.apply(startOf("j.0.0.0", 2));
+  jobs.apply(valueOf(EndRuns::create(
+    { .ends = { valueOf(RunEnding::create(
+        { .task = "j.0.0.0", .run = 2, .how = RunEnd::eStopped, .harmless = true })) } })));
+  BOOST_TEST(!jobs.find("j")->hasCrashSuspects());
+  BOOST_TEST(jobs.find("j")->find({ "j", 0, 0, 0 })->crashes == 0);
+}
+
 // Guards against a second crash that does not tell which run caused it.
 BOOST_AUTO_TEST_CASE(trial_gets_a_worker_of_its_own)
 {
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -90,7 +90,8 @@
 {
   return valueOf(CrashSuspects::create({ .worker = mWorker->workerId(),
                                          .bornMs = mWorker->bornMs(),
-                                         .runs = mRecentStarts.suspects() }));
+                                         .runs = mRecentStarts.suspects(),
+                                         .certain = mIsUnreachable && mSawCrash }));
 }
 
 void
@@ -116,10 +117,13 @@
     return;
   }
   mIsUnreachable = !aIsReachable;
+  mSawCrash = mIsUnreachable && mWorkerClock &&
+              mContext.now().msSince(mWorkerClock->receivedAt) <= kFreshListsMs;
   logInfo(aIsReachable ? "worker accepts connections again" : "worker accepts no connections",
           { { "worker", mWorker->workerId() },
             { "born", mWorker->bornMs() },
-            { "startedRecently", mRecentStarts.suspects().size() } });
+            { "startedRecently", mRecentStarts.suspects().size() },
+            { "certain", mSawCrash } });
   if (mIsUnreachable) {
     sendReport(nullptr, 0);
   }
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -58,6 +58,9 @@
   /** A start order is not sent this long (ms) after the lists on which it is based. A delayed order
    * must not bring a worker over a capacity that has shrunk meanwhile. */
   static constexpr std::int64_t kMaxBasisAgeMs = 2000;
+  /** The crash suspects are certain if the last lists came at most this long (ms) before. After a
+   * longer gap, such as a standstill of this VM, a suspect may have ended before the crash. */
+  static constexpr std::int64_t kFreshListsMs = 600;
   /** Period of tick() in ms. */
   static constexpr std::int64_t kTickMs = 20;
 
@@ -157,6 +160,8 @@
   RecentStarts mRecentStarts;
   /** The latest list request or order found that the worker's process accepts no connection. */
   bool mIsUnreachable = false;
+  /** The lists were fresh when the worker became unreachable. */
+  bool mSawCrash = false;
   /** Crash suspects of an earlier incarnation, and until when reports name them. */
   struct EndedIncarnation
   {
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -313,4 +313,21 @@
   BOOST_TEST(mRecord.orders.size() == 1u);
 }
 
+// Guards against blaming a run that ended while the relay stood still, before the crash.
+BOOST_FIXTURE_TEST_CASE(suspects_are_certain_only_after_fresh_lists, RelayFixture)
+{
+  for (const std::int64_t gapMs : { WorkerRelay::kFreshListsMs, WorkerRelay::kFreshListsMs + 1 }) {
+    mRelay.onRegistration(workerDescription("w", 5 + gapMs), "127.0.0.1:1", 1);
+    mRelay.onOrders(workerOrders(7, 5 + gapMs));
+    answerListRequest(5 + gapMs);
+    mRelay.onOrders(workerOrders(7, 5 + gapMs, "c.0.0.0"));
+    mRelay.tick();
+    mNow = mNow.plusMs(gapMs);
+    failListRequest(ErrorCode::eUnavailable);
+    BOOST_REQUIRE(!mReports.back().crashSuspects().empty());
+    BOOST_TEST(mReports.back().crashSuspects().front().certain() ==
+               (gapMs == WorkerRelay::kFreshListsMs));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
