Jobs: a trial neither waits for capacity of standing tasks nor starves

Found on reading the change: a trial could reserve a worker for ever, because standing tasks hold the capacity that it waits for, and the trial of an opportunistic task that would interfere everywhere waited without limit, although other tasks of a job without runs do not. Such a worker is now left out, and the rule for starved jobs holds for trials too. Test: worker_filled_by_standing_tasks_is_not_reserved.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -241,9 +241,14 @@
                     const std::string& aStepName)
   {
     const JobStep& step = aReady.description();
-    if (!isPermitted(aWorker, aReady, aStepName) ||
-        !requiredResources(step).fitsIn(aWorker.capacity) ||
-        expectedRatio(aWorker, step, opportunisticImage(step)) > JobScheduler::kMaxExpectedRatio) {
+    // Long-running tasks do not end, so waiting for their capacity would reserve the worker for
+    // ever.
+    ResourceAmount attainable = aWorker.capacity;
+    attainable.cpuMilli -= aWorker.longRunningCpuMilli;
+    const bool interferes =
+      expectedRatio(aWorker, step, opportunisticImage(step)) > JobScheduler::kMaxExpectedRatio;
+    if (!isPermitted(aWorker, aReady, aStepName) || !requiredResources(step).fitsIn(attainable) ||
+        (interferes && !isStarved(aReady))) {
       return TrialFit::eNever;
     }
     return hasCapacity(aWorker, step) ? TrialFit::eNow : TrialFit::eLater;
--- a/src/jobs/TrialPlanner_test.cpp
+++ b/src/jobs/TrialPlanner_test.cpp
@@ -190,4 +190,18 @@
   BOOST_TEST(plan.assignments[1].start.worker() == "w1");
 }
 
+// Guards against a worker that is reserved for ever, for capacity that standing tasks hold.
+BOOST_AUTO_TEST_CASE(worker_filled_by_standing_tasks_is_not_reserved)
+{
+  const JobRegistry jobs = registryWithSuspect(1, 1);
+  const InterferenceGuard guard;
+  std::vector<WorkerCandidate> workers = poolOf(2);
+  workers[1].used.cpuMilli = 3500;
+  workers[1].longRunningCpuMilli = 3500;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(!plan.assignments.empty());
+  BOOST_TEST(plan.assignments[0].start.task() == "j.0.0.0");
+  BOOST_TEST(plan.assignments[0].start.worker() == "w1", "although a worker crashed there before");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
