Relay: only a run that had begun counts as seen at a crash

At the first counted crash another task had taken the worker down while the start order was on its way, so this run had never begun.

--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -239,17 +239,17 @@
     buildValue<PaceOrder>({ .task = aRun.task.text(), .run = aRun.run, .percent = percent }));
 }
 
-std::map<std::string, std::int64_t>
+std::map<std::string, CrashSuspect>
 RunTracker::crashSuspects(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation) const
 {
   if (aIncarnation.crashSuspects || aIncarnation.isLeaving()) {
-    return aIncarnation.crashSuspects.value_or(std::map<std::string, std::int64_t>());
+    return aIncarnation.crashSuspects.value_or(std::map<std::string, CrashSuspect>());
   }
-  std::map<std::string, std::int64_t> suspects;
+  std::map<std::string, CrashSuspect> suspects;
   for (const std::string& name : tasksOn(aKey)) {
     const TrackedRun& run = mRuns.at(name);
     if (!run.isHarmless) {
-      suspects[name] = run.run;
+      suspects[name] = { run.run, false };
     }
   }
   return suspects;
@@ -258,7 +258,7 @@
 std::vector<RunEnding>
 RunTracker::takeLapsedEnds(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation)
 {
-  const std::map<std::string, std::int64_t> suspects = crashSuspects(aKey, aIncarnation);
+  const std::map<std::string, CrashSuspect> suspects = crashSuspects(aKey, aIncarnation);
   std::vector<RunEnding> ends;
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
@@ -266,15 +266,14 @@
       continue;
     }
     const auto suspect = suspects.find(name);
-    const bool isSuspect = suspect != suspects.end() && suspect->second == run.run;
-    ends.push_back(
-      buildValue<RunEnding>({ .task = name,
-                              .run = run.run,
-                              .how = RunEnd::eLapsed,
-                              .checkpoint = run.checkpoint,
-                              .crashSuspects = isSuspect ? std::ssize(suspects) : 0,
-                              .crashCertain = isSuspect && aIncarnation.areSuspectsCertain,
-                              .harmless = run.isHarmless && !isSuspect }));
+    const bool isSuspect = suspect != suspects.end() && suspect->second.run == run.run;
+    ends.push_back(buildValue<RunEnding>({ .task = name,
+                                           .run = run.run,
+                                           .how = RunEnd::eLapsed,
+                                           .checkpoint = run.checkpoint,
+                                           .crashSuspects = isSuspect ? std::ssize(suspects) : 0,
+                                           .crashCertain = isSuspect && suspect->second.isCertain,
+                                           .harmless = run.isHarmless && !isSuspect }));
   }
   return ends;
 }
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -118,7 +118,7 @@
 
 private:
   /** Returns the runs, by task, that may have crashed a lost incarnation. */
-  std::map<std::string, std::int64_t> crashSuspects(const IncarnationKey& aKey,
+  std::map<std::string, CrashSuspect> crashSuspects(const IncarnationKey& aKey,
                                                     const WorkerIncarnation& aIncarnation) const;
   /** Returns whether all runs of the incarnation fit in aCapacity; withdraws runs if they do not.
    */
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -91,7 +91,6 @@
   incarnation.relay = aRelay;
   incarnation.relaySession = aSession;
   incarnation.crashSuspects.reset();
-  incarnation.areSuspectsCertain = false;
   incarnation.reportedAt = aNow;
   incarnation.isUnreachable = aReport.unreachable();
   if (aReport.worker().gone() && !incarnation.leftAt) {
@@ -126,10 +125,9 @@
     if (incarnation == nullptr) {
       continue;
     }
-    incarnation->areSuspectsCertain = suspects.certain();
-    std::map<std::string, std::int64_t>& runs = incarnation->crashSuspects.emplace();
-    for (const RunReference& run : suspects.runs()) {
-      runs[run.task()] = run.run();
+    std::map<std::string, CrashSuspect>& runs = incarnation->crashSuspects.emplace();
+    for (const SuspectedRun& run : suspects.runs()) {
+      runs[run.task()] = { run.run(), suspects.certain() && run.begun() };
     }
   }
 }
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -26,6 +26,16 @@
   friend auto operator<=>(const IncarnationKey&, const IncarnationKey&) = default;
 };
 
+/** A run that may have crashed its worker. */
+struct CrashSuspect
+{
+  std::int64_t run = 0;
+  /** The relay is sure that the run was there and that no run but the suspects is the cause. */
+  bool isCertain = false;
+
+  friend bool operator==(const CrashSuspect&, const CrashSuspect&) = default;
+};
+
 /** What the leader knows about one incarnation of a worker. Kept in memory for one leadership only.
  */
 struct WorkerIncarnation
@@ -63,9 +73,7 @@
   std::optional<MonotonicTime> leftAt;
   /** Runs that may have crashed the incarnation, by task name. Empty optional until its relay has
    * named them. */
-  std::optional<std::map<std::string, std::int64_t>> crashSuspects;
-  /** The relay is sure that no other run crashed the incarnation. */
-  bool areSuspectsCertain = false;
+  std::optional<std::map<std::string, CrashSuspect>> crashSuspects;
   /** All runs of the incarnation have ended. It is kept until their ends are committed; a report
    * after that adds it again with a higher fence. */
   bool isLost = false;
--- a/src/relay/RecentStarts.cpp
+++ b/src/relay/RecentStarts.cpp
@@ -25,9 +25,11 @@
 RecentStarts::onStartAnswered(const std::string& aTask, std::int64_t aRun, OrderResult aResult)
 {
   const auto position = mRuns.find(aTask);
-  if (position == mRuns.end() || position->second.run != aRun ||
-      position->second.firstListedClockMs || aResult == OrderResult::eAccepted ||
-      aResult == OrderResult::eNoAnswer) {
+  if (position == mRuns.end() || position->second.run != aRun) {
+    return;
+  }
+  position->second.hasBegun = position->second.hasBegun || aResult == OrderResult::eAccepted;
+  if (position->second.hasBegun || aResult == OrderResult::eNoAnswer) {
     return;
   }
   // An earlier copy of an order that did not reach the worker may have reached it.
@@ -47,6 +49,7 @@
     if (started.run != running.run()) {
       continue;
     }
+    started.hasBegun = true;
     started.firstListedClockMs = started.firstListedClockMs.value_or(aLists.clockMs);
     started.isHarmless =
       started.isHarmless || aLists.clockMs - *started.firstListedClockMs >= kHarmlessRunMs;
@@ -62,13 +65,14 @@
   });
 }
 
-std::vector<RunReference>
+std::vector<SuspectedRun>
 RecentStarts::suspects() const
 {
-  std::vector<RunReference> runs;
+  std::vector<SuspectedRun> runs;
   for (const auto& [task, started] : mRuns) {
     if (!started.isHarmless) {
-      runs.push_back(valueOf(RunReference::create({ .task = task, .run = started.run })));
+      runs.push_back(valueOf(
+        SuspectedRun::create({ .task = task, .run = started.run, .begun = started.hasBegun })));
     }
   }
   return runs;
--- a/src/relay/RecentStarts.h
+++ b/src/relay/RecentStarts.h
@@ -34,7 +34,7 @@
   void onRunLists(const RunLists& aLists);
 
   /** Returns the runs that may have caused a crash at this moment. */
-  std::vector<RunReference> suspects() const;
+  std::vector<SuspectedRun> suspects() const;
 
 private:
   struct StartedRun
@@ -42,6 +42,8 @@
     std::int64_t run = 0;
     /** Number of start orders for the run that may have reached the worker. */
     int orders = 0;
+    /** The worker has accepted or listed the run. */
+    bool hasBegun = false;
     /** Worker's clock at the first list with the run. */
     std::optional<std::int64_t> firstListedClockMs;
     bool isHarmless = false;
--- a/src/relay/RecentStarts_test.cpp
+++ b/src/relay/RecentStarts_test.cpp
@@ -21,7 +21,7 @@
 suspectsOf(const RecentStarts& aStarts)
 {
   std::vector<std::string> tasks;
-  for (const RunReference& run : aStarts.suspects()) {
+  for (const SuspectedRun& run : aStarts.suspects()) {
     tasks.push_back(run.task());
   }
   return tasks;
@@ -77,4 +77,16 @@
   BOOST_TEST(starts.suspects().empty());
 }
 
+// Guards against a job that is given up for a crash that another task caused while the start order
+// of this one was on its way.
+BOOST_AUTO_TEST_CASE(run_without_an_answer_is_not_known_to_have_begun)
+{
+  RecentStarts starts;
+  starts.onStartSent("a.0.0.0", 1);
+  starts.onStartAnswered("a.0.0.0", 1, OrderResult::eNoAnswer);
+  BOOST_TEST(!starts.suspects().front().begun());
+  starts.onStartAnswered("a.0.0.0", 1, OrderResult::eAccepted);
+  BOOST_TEST(starts.suspects().front().begun());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
