--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -503,10 +503,7 @@
       }
       const auto [status, body] = handle(request);
       const std::string text = body.dump();
-      if (request.start.find("/-/hold") != std::string::npos && listDelayMs > 0) {
-        sleepMs(listDelayMs);
-      }
-      if (!isLife(aLife) || !writeAll(aConnection,
+      if (!writeAll(aConnection,
                     "HTTP/1.1 " + std::to_string(status) +
                       " X\r\nContent-Type: application/json\r\nContent-Length: " +
                       std::to_string(text.size()) + "\r\n\r\n" + text)) {
@@ -810,8 +807,6 @@
   }
 
 public:
-  /** How long an answer to a list request is under way. */
-  std::atomic<std::int64_t> listDelayMs{ 0 };
   /** How long a stop takes, up to StopMs. */
   std::int64_t stopTakesMs = 50;
   /** From the start of a life to its first status report. */
