--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -34,6 +34,7 @@
   state.mIntents = IntentRegistry::fromSnapshot(snapshot);
   state.mServiceLevel = ServiceLevelHistory::fromSnapshot(snapshot);
   state.mJobs = JobRegistry::fromSnapshot(snapshot);
+  state.mLearnedFigures = snapshot.learnedFigures();
   return state;
 }
 
@@ -48,6 +49,7 @@
   mIntents.writeTo(fields);
   mServiceLevel.writeTo(fields);
   mJobs.writeTo(fields);
+  fields.learnedFigures = mLearnedFigures;
   return encodeSnapshotContent(buildValue<StateSnapshot>(std::move(fields)));
 }
 
@@ -179,4 +181,11 @@
   return mJobs.apply(aCommand);
 }
 
+Outcome
+ControlState::applyCommand(const SaveLearnedFigures& aCommand)
+{
+  mLearnedFigures = aCommand.figures();
+  return LearnedFiguresSaved{};
+}
+
 } // namespace magnoliadrum
--- a/src/state/ControlState.h
+++ b/src/state/ControlState.h
@@ -51,6 +51,8 @@
   const IntentRegistry& intents() const { return mIntents; }
   const ServiceLevelHistory& serviceLevel() const { return mServiceLevel; }
   const JobRegistry& jobs() const { return mJobs; }
+  /** What leaders have learned about tasks and images; empty until the first save. */
+  const LearnedFigures& learnedFigures() const { return mLearnedFigures; }
 
   /**
    * Returns the ids of the tasks that changed since the last call. They are not part of the
@@ -76,6 +78,7 @@
   Outcome applyCommand(const CancelJob& aCommand);
   Outcome applyCommand(const StartRuns& aCommand);
   Outcome applyCommand(const EndRuns& aCommand);
+  Outcome applyCommand(const SaveLearnedFigures& aCommand);
 
   std::int64_t mAppliedIndex = 0;
   Catalogue mCatalogue;
@@ -84,6 +87,7 @@
   IntentRegistry mIntents;
   ServiceLevelHistory mServiceLevel;
   JobRegistry mJobs;
+  LearnedFigures mLearnedFigures;
 };
 
 } // namespace magnoliadrum
--- a/src/state/ControlState_test.cpp
+++ b/src/state/ControlState_test.cpp
@@ -24,7 +24,7 @@
 
   Command next(const ControlState& aState)
   {
-    switch (pick(14)) {
+    switch (pick(15)) {
       case 0:
         return buildValue<ApplyChange>({ .change = nextChange(aState) });
       case 1:
@@ -44,12 +44,24 @@
       case 8:
       case 9:
         return nextPlacement(aState);
+      case 10:
+        return buildValue<SaveLearnedFigures>({ .figures = nextFigures() });
       default:
         return nextReport(aState);
     }
   }
 
 private:
+  LearnedFigures nextFigures()
+  {
+    return buildValue<LearnedFigures>(
+      { .savedAtMs = pick(1000),
+        .runTimes = { buildValue<LearnedRunTime>(
+          { .queueName = "quotes", .count = 3, .meanLogRatio = 0.1 * pick(20) }) },
+        .interference = { buildValue<LearnedInterference>(
+          { .serving = "web", .image = "batch", .mean = 0.1 * pick(20), .ageMs = pick(1000) }) } });
+  }
+
   int pick(int aBound) { return std::uniform_int_distribution<int>(0, aBound - 1)(mRandom); }
 
   std::string anyProcess() { return "vm-" + std::to_string(pick(4)); }
--- a/src/state/Outcome.h
+++ b/src/state/Outcome.h
@@ -87,6 +87,12 @@
   friend bool operator==(const ServiceLevelRecorded&, const ServiceLevelRecorded&) = default;
 };
 
+/** Outcome of SaveLearnedFigures. */
+struct LearnedFiguresSaved
+{
+  friend bool operator==(const LearnedFiguresSaved&, const LearnedFiguresSaved&) = default;
+};
+
 /** Result of a command. An Error means that the command changed nothing. */
 using Outcome = std::variant<ChangeAnswer,
                              SessionAdmitted,
@@ -99,6 +105,7 @@
                              QueueCatalogueSet,
                              JobChanged,
                              RunsChanged,
+                             LearnedFiguresSaved,
                              Error>;
 
 } // namespace magnoliadrum
