Jobs: a worker that was cut off has not crashed, and trials use idle workers

Cause: a lease that lapsed without a word of the worker's relay charged each run that had not been listed for a second with a crash, up to the fifth. The charged tasks then waited for the third of the pool that trials may reserve. Evidence of a crash is now the relay's word or a later incarnation; trials that find no place in their third get workers that nothing else uses.

Ruled out: the same inference elsewhere. WorkerFleet::markLost only ends runs; RecentStarts is kept by the relay, which runs on.

Tests: fleetmodel crashing_tasks/tasks_of_workers_that_were_cut_off_are_not_suspected and jobs crash_trials/suspects_are_tried_on_idle_workers_beyond_a_third_of_the_pool failed before (jobs j0-2 and j1-0 were not completed; 2 assignments in place of 3) and pass.

--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -245,6 +245,11 @@
   if (aIncarnation.crashSuspects || aIncarnation.isLeaving()) {
     return aIncarnation.crashSuspects.value_or(std::map<std::string, CrashSuspect>());
   }
+  if (!aIncarnation.leftAt) {
+    // The lease has lapsed without a word of the relay. The network between them and this leader
+    // may be cut, so this is no evidence of a crash.
+    return {};
+  }
   std::map<std::string, CrashSuspect> suspects;
   for (const std::string& name : tasksOn(aKey)) {
     const TrackedRun& run = mRuns.at(name);
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -117,7 +117,8 @@
                                         const WorkerIncarnation& aIncarnation);
 
 private:
-  /** Returns the runs, by task, that may have crashed a lost incarnation. */
+  /** Returns the runs, by task, that may have crashed a lost incarnation. Evidence of a crash is
+   * the relay's word or a later incarnation; a lapsed lease is none. */
   std::map<std::string, CrashSuspect> crashSuspects(const IncarnationKey& aKey,
                                                     const WorkerIncarnation& aIncarnation) const;
   /** Returns whether all runs of the incarnation fit in aCapacity; withdraws runs if they do not.
--- a/src/fleetmodel/CrashingTasks_test.cpp
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -76,6 +76,31 @@
   }
 }
 
+// Guards against taking a cut for a crash: the tasks of cut workers then wait for trials beside
+// idle workers, and their jobs are given up.
+BOOST_AUTO_TEST_CASE(tasks_of_workers_that_were_cut_off_are_not_suspected)
+{
+  constexpr std::size_t kWorkers = 8;
+  FleetModel fleet(kWorkers, kWorkerCapacity);
+  fleet.run(1000);
+  std::vector<std::string> jobs;
+  for (std::size_t round = 0; round < 30; round++) {
+    for (int job = 0; job < 3; job++) {
+      jobs.push_back("j" + std::to_string(round) + "-" + std::to_string(job));
+      fleet.submit(jobOf(jobs.back(), { stepOf(4, 400, 10) }));
+    }
+    fleet.run(20);
+    fleet.cutRelay(round % kWorkers, 6500);
+    fleet.cutRelay((round + 3) % kWorkers, 6500);
+    fleet.run(1980);
+  }
+  fleet.run(10000);
+  BOOST_TEST(fleet.violations() == "");
+  for (const std::string& id : jobs) {
+    BOOST_TEST((fleet.stateOf(id) == JobState::eCompleted), id);
+  }
+}
+
 // Guards against BUDGET and against blaming harmless tasks when the evidence is lost with relays,
 // leaders change, workers crash by themselves and tasks crash their workers late.
 BOOST_AUTO_TEST_CASE(random_faults_neither_hide_crashing_tasks_nor_blame_others)
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -109,7 +109,10 @@
   Slot& slot = mSlots.at(aSlot);
   RelayContext context;
   context.now = [this]() { return mNow; };
-  context.send = [this, connection = slot.connection](const Message& aMessage) {
+  context.send = [this, aSlot, connection = slot.connection](const Message& aMessage) {
+    if (mSlots.at(aSlot).isCut) {
+      return false;
+    }
     runLater(kMessageMs, [this, connection, aMessage]() { deliver(connection, aMessage); });
     return true;
   };
@@ -224,7 +227,16 @@
               mSlots.at(aSlot).relay->onRegistration(worker, "model", number);
             });
   }
+  if (slot.isCut && mNow >= slot.cutUntil) {
+    slot.isCut = false;
+    mSent[slot.connection].clear();
+    openSession(slot);
+    slot.relay->onSession();
+  }
   for (const WorkerOrders& orders : takeMessages<WorkerOrders>(slot.connection)) {
+    if (slot.isCut) {
+      continue;
+    }
     toRelay(slot, [this, aSlot, orders]() { mSlots.at(aSlot).relay->onOrders(orders); });
   }
   if (mNow < slot.frozenUntil) {
@@ -236,7 +248,7 @@
   if (mNow.ms() % WorkerRelay::kTickMs == 0) {
     slot.relay->tick();
   }
-  if (mNow.ms() % kHeartbeatMs == 0) {
+  if (mNow.ms() % kHeartbeatMs == 0 && !slot.isCut) {
     heartbeat(slot.connection, slot.session, slot.processId);
   }
 }
@@ -259,6 +271,9 @@
   mLog.setLeader(false, mNow);
   mLog.setLeader(true, mNow);
   for (Slot& slot : mSlots) {
+    if (slot.isCut) {
+      continue;
+    }
     mSent[slot.connection].clear();
     openSession(slot);
     slot.relay->onSession();
@@ -296,6 +311,14 @@
   mSlots.at(aSlot).frozenUntil = mNow.plusMs(aMs);
 }
 
+void
+FleetModel::cutRelay(std::size_t aSlot, std::int64_t aMs)
+{
+  Slot& slot = mSlots.at(aSlot);
+  slot.isCut = true;
+  slot.cutUntil = std::max(slot.cutUntil, mNow.plusMs(aMs));
+}
+
 std::int64_t
 FleetModel::startsOf(const std::string& aTask) const
 {
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -49,6 +49,8 @@
   /** The relay's machine stands still for a time: it handles nothing, and messages and
    * registrations wait for it. */
   void freezeRelay(std::size_t aSlot, std::int64_t aMs);
+  /** Nothing passes between the relay and the leader for a time, and the relay runs on. */
+  void cutRelay(std::size_t aSlot, std::int64_t aMs);
   ModelWorker& worker(std::size_t aSlot) { return *mSlots.at(aSlot).worker; }
   std::size_t slots() const { return mSlots.size(); }
 
@@ -71,6 +73,8 @@
     MonotonicTime registeredAt;
     MonotonicTime restartAt;
     MonotonicTime frozenUntil;
+    MonotonicTime cutUntil;
+    bool isCut = false;
     /** What the relay gets when it is no longer frozen, in order. */
     std::vector<std::function<void()>> waiting;
     /** Earlier capacities of the incarnation and when each ended. */
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -5,6 +5,7 @@
 #include "jobs/TrialPlanner.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <map>
 #include <optional>
@@ -186,26 +187,28 @@
   /** Assigns the tasks that may have crashed a worker, each where another crash would show it. */
   void placeTrials(const std::vector<ReadyStep>& aReadySteps)
   {
-    std::vector<std::pair<const ReadyStep*, TrialTask>> waiting;
     std::vector<TrialTask> tasks;
     for (const ReadyStep& ready : aReadySteps) {
       for (TrialTask& task : findTrialTasks(ready)) {
-        waiting.emplace_back(&ready, task);
+        mWaitingTrials.emplace_back(&ready, task);
         tasks.push_back(std::move(task));
       }
     }
-    TrialPlanner planner(mWorkers, tasks);
-    for (const auto& [ready, task] : waiting) {
-      const std::string name = stepName(task.task);
-      WorkerCandidate* worker =
-        planner.choose(task, [this, step = ready, &name](const WorkerCandidate& aWorker) {
-          return trialFit(aWorker, *step, name);
-        });
-      if (worker != nullptr) {
-        addAssignment(*worker, *ready, task.task);
-      } else {
-        addWaitReason(*ready, task.task, name);
-      }
+    mTrialPlanner.emplace(mWorkers, tasks);
+    assignTrials([this](const TrialTask& aTask, const TrialPlanner::Fit& aFit) {
+      return mTrialPlanner->choose(aTask, aFit);
+    });
+  }
+
+  /** Assigns the tasks that placeTrials() has left waiting to workers that nothing else uses.
+   * Precondition: placeTrials() and then place() have been called. */
+  void placeTrialsOnIdleWorkers()
+  {
+    assignTrials([this](const TrialTask& aTask, const TrialPlanner::Fit& aFit) {
+      return mTrialPlanner->chooseIdle(aTask, aFit);
+    });
+    for (const auto& [ready, task] : mWaitingTrials) {
+      addWaitReason(*ready, task.task, stepName(task.task));
     }
   }
 
@@ -218,6 +221,25 @@
     return { aReady.job->jobId(), aReady.occurrence, aReady.step, 0 };
   }
 
+  /** Assigns the waiting trials for which aChoose returns a worker. */
+  void assignTrials(
+    const std::function<WorkerCandidate*(const TrialTask&, const TrialPlanner::Fit&)>& aChoose)
+  {
+    std::erase_if(mWaitingTrials, [this, &aChoose](const auto& aItem) {
+      const auto& [ready, task] = aItem;
+      const std::string name = stepName(task.task);
+      WorkerCandidate* worker =
+        aChoose(task, [this, step = ready, &name](const WorkerCandidate& aWorker) {
+          return trialFit(aWorker, *step, name);
+        });
+      if (worker == nullptr) {
+        return false;
+      }
+      addAssignment(*worker, *ready, task.task);
+      return true;
+    });
+  }
+
   static std::vector<TrialTask> findTrialTasks(const ReadyStep& aReady)
   {
     std::vector<TrialTask> tasks;
@@ -333,6 +355,7 @@
   {
     const JobStep& step = aReady.description();
     addRun(aWorker, step, aTask);
+    aWorker.unprovenRuns++;
     if (const std::optional<std::size_t> image = opportunisticImage(step)) {
       mForecast.add(aWorker.interference, *image, cpuShare(aWorker, step));
     }
@@ -517,6 +540,9 @@
 
   InterferenceForecast mForecast;
   std::vector<WorkerCandidate>& mWorkers;
+  std::optional<TrialPlanner> mTrialPlanner;
+  /** Tasks that wait for a trial, with their step. */
+  std::vector<std::pair<const ReadyStep*, TrialTask>> mWaitingTrials;
   SchedulePlan mPlan;
 };
 
@@ -538,6 +564,7 @@
     }
     round.place(ready);
   }
+  round.placeTrialsOnIdleWorkers();
   return round.takePlan();
 }
 
--- a/src/jobs/TrialPlanner.cpp
+++ b/src/jobs/TrialPlanner.cpp
@@ -41,8 +41,7 @@
 }
 
 WorkerCandidate*
-TrialPlanner::choose(const TrialTask& aTask,
-                     const std::function<TrialFit(const WorkerCandidate&)>& aFit)
+TrialPlanner::choose(const TrialTask& aTask, const Fit& aFit)
 {
   Pool& pool = mPools[aTask.poolName];
   const auto order = [&aTask](const WorkerCandidate& aWorker, TrialFit aWorkerFit) {
@@ -84,4 +83,24 @@
   return best;
 }
 
+WorkerCandidate*
+TrialPlanner::chooseIdle(const TrialTask& aTask, const Fit& aFit)
+{
+  const auto order = [&aTask](const WorkerCandidate& aWorker) {
+    return std::tuple(aWorker.relay == aTask.crashPlace, aWorker.used.cpuMilli, aWorker.worker);
+  };
+  WorkerCandidate* best = nullptr;
+  for (WorkerCandidate& worker : mWorkers) {
+    const bool isIdle = !worker.isReserved && worker.unprovenRuns == 0;
+    if (isIdle && aFit(worker) == TrialFit::eNow &&
+        (best == nullptr || order(worker) < order(*best))) {
+      best = &worker;
+    }
+  }
+  if (best != nullptr) {
+    best->isReserved = true;
+  }
+  return best;
+}
+
 } // namespace magnoliadrum
--- a/src/jobs/TrialPlanner.h
+++ b/src/jobs/TrialPlanner.h
@@ -36,9 +36,9 @@
  *
  * A trial gets a worker on which every other run is known to be harmless, and no other run is
  * assigned to that worker until the trial run is harmless too. If there is no such worker, one is
- * reserved and its recent runs are awaited. At most a third of a pool is reserved. Tasks with a
- * single crash share workers when there are more of them than workers for trials; a later crash
- * leaves fewer suspects, which are then tried alone.
+ * reserved and its recent runs are awaited. At most a third of a pool is reserved, and beyond that
+ * the workers that are left idle. Tasks with a single crash share workers when there are more of
+ * them than workers for trials; a later crash leaves fewer suspects, which are then tried alone.
  */
 class TrialPlanner
 {
@@ -46,12 +46,18 @@
   /** The reciprocal of the share of a pool's workers that trials may reserve. */
   static constexpr std::size_t kWorkersPerTrial = 3;
 
+  using Fit = std::function<TrialFit(const WorkerCandidate&)>;
+
   TrialPlanner(std::vector<WorkerCandidate>& aWorkers, const std::vector<TrialTask>& aWaiting);
 
   /** Returns the worker for the task's next run, or null if the task has to wait. Marks the chosen
    * worker as reserved. */
-  WorkerCandidate* choose(const TrialTask& aTask,
-                          const std::function<TrialFit(const WorkerCandidate&)>& aFit);
+  WorkerCandidate* choose(const TrialTask& aTask, const Fit& aFit);
+
+  /** Returns a worker beyond the share for trials, on which all runs are known to be harmless and
+   * which can take the task now, or null. To be called once all other tasks are assigned, so that
+   * trials neither hold up other tasks nor wait beside idle workers. */
+  WorkerCandidate* chooseIdle(const TrialTask& aTask, const Fit& aFit);
 
 private:
   /** The trials of a pool. */
--- a/src/jobs/TrialPlanner_test.cpp
+++ b/src/jobs/TrialPlanner_test.cpp
@@ -190,6 +190,29 @@
   BOOST_TEST(plan.assignments[1].start.worker() == "w1");
 }
 
+// Guards against tasks that wait for trials beside idle workers: all tasks of the pool are
+// suspects, and the third of it that trials may reserve is taken.
+BOOST_AUTO_TEST_CASE(suspects_are_tried_on_idle_workers_beyond_a_third_of_the_pool)
+{
+  JobRegistry jobs = registryWithSuspect(2, 7);
+  jobs.apply(submitOf("urgent", jobOf("k", { stepOf(1, 1000, 10) })));
+  for (std::int64_t run = 1; run <= 2; run++) {
+    jobs.apply(startOf("k.0.0.0", run));
+    jobs.apply(valueOf(EndRuns::create(
+      { .ends = { valueOf(RunEnding::create(
+          { .task = "k.0.0.0", .run = run, .how = RunEnd::eLapsed, .crashSuspects = 7 })) } })));
+  }
+  const InterferenceGuard guard;
+  std::vector<WorkerCandidate> workers = poolOf(4);
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_TEST(plan.assignments.size() == 3u);
+  std::set<std::string> used;
+  for (const Assignment& assignment : plan.assignments) {
+    used.insert(assignment.start.worker());
+  }
+  BOOST_TEST(used.size() == 3u, "each on a worker of its own");
+}
+
 // Guards against a worker that is reserved for ever, for capacity that standing tasks hold.
 BOOST_AUTO_TEST_CASE(worker_filled_by_standing_tasks_is_not_reserved)
 {
