A restarted worker gets nothing that was meant for its predecessor

Cause: after a crash the relay went on with list requests to the same id and address. A new life under the same id passes Expect-Instance, took the AckCursor of the old life for its own, and its first ends were never listed. Ruled out: comparing born in the answer (the cursor has done its harm by then); a probe before each call (one more call each time, and a life may still change in between). Now a connection of its own, on which the expected life has answered a list request without cursor and lease, is kept open and idle. A connection ends with its process, so while the kernel holds it open, other calls reach this life. Without it, a call waits for a new proof (500 ms at most) or fails as not sent. A worker that closes each connection is proven before each call. Same cause elsewhere: the lease (a point on the old clock) and start, stop and pace orders went to a new life too; they wait for the same proof. HttpClient also no longer sends on an idle connection that has ended already: such a call failed as 'unavailable', which the relay would take for an unreachable worker.

--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -113,8 +113,8 @@
     runLater(kMessageMs, [this, connection, aMessage]() { deliver(connection, aMessage); });
     return true;
   };
-  context.createClient = [this, aSlot](const std::string& /*aAddress*/,
-                                       const std::string& /*aId*/) {
+  context.createClient = [this, aSlot](const WorkerDescription& /*aWorker*/,
+                                       const std::string& /*aAddress*/) {
     return Result<std::unique_ptr<WorkerClient>>(
       std::make_unique<ModelWorkerClient>(mSlots.at(aSlot).worker));
   };
--- a/src/platform/PlatformWorkerClient.cpp
+++ b/src/platform/PlatformWorkerClient.cpp
@@ -36,7 +36,7 @@
 Result<std::unique_ptr<WorkerClient>>
 PlatformWorkerClient::create(EventLoop& aLoop,
                              const std::string& aAddress,
-                             const std::string& aWorkerId)
+                             const WorkerDescription& aWorker)
 {
   auto orderClient = HttpClient::create(aLoop, aAddress, WorkerRelay::kMaxOrdersInProgress);
   if (!isOk(orderClient)) {
@@ -46,10 +46,21 @@
   if (!isOk(listClient)) {
     return errorOf(listClient);
   }
+  auto proofClient = HttpClient::create(aLoop, aAddress, 1);
+  if (!isOk(proofClient)) {
+    return errorOf(proofClient);
+  }
   std::unique_ptr<PlatformWorkerClient> client(
-    new PlatformWorkerClient(aLoop, aAddress, aWorkerId));
+    new PlatformWorkerClient(aLoop, aAddress, aWorker.workerId()));
   client->mOrderClient = takeValue(std::move(orderClient));
   client->mListClient = takeValue(std::move(listClient));
+  client->mProof = std::make_unique<IncarnationProof>(
+    takeValue(std::move(proofClient)),
+    aWorker.bornMs(),
+    aAddress,
+    [self = client.get()](const RunListRequest& aRequest) {
+      return self->makeHttpCall(kListPath, encodeRunListRequest(aRequest), kProofTimeoutMs);
+    });
   return std::unique_ptr<WorkerClient>(std::move(client));
 }
 
@@ -74,23 +85,41 @@
                             std::int64_t aLeaseUntilMs,
                             OrderCallback aCallback)
 {
-  sendOrder(kStartPath, encodeStart(aOrder, aFence, aLeaseUntilMs), std::move(aCallback));
+  sendOrder(kStartPath, encodeStart(aOrder, aFence, aLeaseUntilMs), aFence, std::move(aCallback));
 }
 
 void
 PlatformWorkerClient::stop(const StopOrder& aOrder, std::int64_t aFence, OrderCallback aCallback)
 {
-  sendOrder(kStopPath, encodeStop(aOrder, aFence), std::move(aCallback));
+  sendOrder(kStopPath, encodeStop(aOrder, aFence), aFence, std::move(aCallback));
 }
 
 void
 PlatformWorkerClient::pace(const PaceOrder& aOrder, std::int64_t aFence, OrderCallback aCallback)
 {
-  sendOrder(kPacePath, encodePace(aOrder, aFence), std::move(aCallback));
+  sendOrder(kPacePath, encodePace(aOrder, aFence), aFence, std::move(aCallback));
+}
+
+void
+PlatformWorkerClient::sendOrder(std::string aPath,
+                                std::string aBody,
+                                std::int64_t aFence,
+                                OrderCallback aCallback)
+{
+  mProof->whenProven(
+    aFence,
+    [this, path = std::move(aPath), body = std::move(aBody), callback = std::move(aCallback)](
+      const Result<Done>& aProven) {
+      if (!isOk(aProven)) {
+        callback(OrderResult::eNotSent, 0);
+        return;
+      }
+      sendProvenOrder(path, body, callback);
+    });
 }
 
 void
-PlatformWorkerClient::sendOrder(std::string aPath, std::string aBody, OrderCallback aCallback)
+PlatformWorkerClient::sendProvenOrder(std::string aPath, std::string aBody, OrderCallback aCallback)
 {
   mOrderClient->send(makeHttpCall(std::move(aPath), std::move(aBody), kOrderTimeoutMs),
                      [alive = std::weak_ptr<bool>(mAlive),
@@ -112,6 +141,21 @@
 void
 PlatformWorkerClient::listRuns(const RunListRequest& aRequest,
                                std::function<void(Result<RunLists>)> aCallback)
+{
+  mProof->whenProven(
+    aRequest.fence,
+    [this, request = aRequest, callback = std::move(aCallback)](const Result<Done>& aProven) {
+      if (!isOk(aProven)) {
+        callback(errorOf(aProven));
+        return;
+      }
+      sendProvenListRequest(request, callback);
+    });
+}
+
+void
+PlatformWorkerClient::sendProvenListRequest(const RunListRequest& aRequest,
+                                            std::function<void(Result<RunLists>)> aCallback)
 {
   mListClient->send(
     makeHttpCall(kListPath, encodeRunListRequest(aRequest), aRequest.waitMs + kListTimeoutMarginMs),
--- a/src/platform/PlatformWorkerClient.h
+++ b/src/platform/PlatformWorkerClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/IncarnationProof.h"
 #include "relay/WorkerClient.h"
 #include "transport/transport.h"
 
@@ -19,11 +20,14 @@
   static constexpr std::int64_t kOrderTimeoutMs = 1000;
   /** Added to RunListRequest::waitMs for the timeout of a list request. */
   static constexpr std::int64_t kListTimeoutMarginMs = 1000;
+  /** Timeout of the call that proves the incarnation. Orders wait for it, and the relay relies on
+   * their age. */
+  static constexpr std::int64_t kProofTimeoutMs = 500;
 
   /** Fails when aAddress is not IP:port. */
   static Result<std::unique_ptr<WorkerClient>> create(EventLoop& aLoop,
                                                       const std::string& aAddress,
-                                                      const std::string& aWorkerId);
+                                                      const WorkerDescription& aWorker);
 
   void start(const StartOrder& aOrder,
              std::int64_t aFence,
@@ -38,13 +42,20 @@
   PlatformWorkerClient(EventLoop& aLoop, std::string aAddress, std::string aWorkerId);
 
   HttpCall makeHttpCall(std::string aPath, std::string aBody, std::int64_t aTimeoutMs) const;
-  void sendOrder(std::string aPath, std::string aBody, OrderCallback aCallback);
+  void sendOrder(std::string aPath,
+                 std::string aBody,
+                 std::int64_t aFence,
+                 OrderCallback aCallback);
+  void sendProvenOrder(std::string aPath, std::string aBody, OrderCallback aCallback);
+  void sendProvenListRequest(const RunListRequest& aRequest,
+                             std::function<void(Result<RunLists>)> aCallback);
 
   EventLoop& mLoop;
   std::string mAddress;
   std::string mWorkerId;
   std::unique_ptr<HttpClient> mOrderClient;
   std::unique_ptr<HttpClient> mListClient;
+  std::unique_ptr<IncarnationProof> mProof;
   /** Callbacks hold a weak pointer to this to detect that the object was destroyed. */
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -8,6 +8,7 @@
 
 #include "platform/CallerServer.h"
 #include "platform/CatalogueCodec.h"
+#include "platform/IncarnationProof.h"
 #include "platform/JobCodec.h"
 #include "platform/OperatorServer.h"
 #include "platform/PlatformWorkerClient.h"
--- a/src/relay/WorkerClient.h
+++ b/src/relay/WorkerClient.h
@@ -37,7 +37,8 @@
 };
 
 /**
- * Sends orders and list requests to one incarnation of the worker on the relay's VM. The destructor
+ * Sends orders and list requests to one incarnation of the worker on the relay's VM: none of them
+ * reaches another incarnation, also one under the same id at the same address. The destructor
  * abandons the calls in progress without calling their callbacks.
  */
 class WorkerClient
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -56,8 +56,7 @@
 WorkerRelay::beginIncarnation(const WorkerDescription& aWorker, const std::string& aAddress)
 {
   keepCrashSuspects();
-  Result<std::unique_ptr<WorkerClient>> client =
-    mContext.createClient(aAddress, aWorker.workerId());
+  Result<std::unique_ptr<WorkerClient>> client = mContext.createClient(aWorker, aAddress);
   if (!isOk(client)) {
     logWarning("cannot create client for worker", errorOf(client));
     mClient.reset();
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -22,9 +22,9 @@
   std::function<MonotonicTime()> now;
   /** Sends a message to the control leader; returns false when no session is open. */
   std::function<bool(const Message&)> send;
-  /** Creates a client for the worker aId at aAddress (IP:port). */
-  std::function<Result<std::unique_ptr<WorkerClient>>(const std::string& aAddress,
-                                                      const std::string& aId)>
+  /** Creates a client for this incarnation of a worker at aAddress (IP:port). */
+  std::function<Result<std::unique_ptr<WorkerClient>>(const WorkerDescription& aWorker,
+                                                      const std::string& aAddress)>
     createClient;
 };
 
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -84,7 +84,7 @@
                    return true;
                  },
                .createClient =
-                 [this](const std::string& /*aAddress*/, const std::string& /*aId*/) {
+                 [this](const WorkerDescription& /*aWorker*/, const std::string& /*aAddress*/) {
                    return Result<std::unique_ptr<WorkerClient>>(
                      std::make_unique<RecordingWorkerClient>(mRecord));
                  } })
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -27,8 +27,8 @@
     , mRelay({ .now = [&aLoop]() { return aLoop.now(); },
                .send = [this](const Message& aMessage) { return mLink->send(aMessage); },
                .createClient =
-                 [&aLoop](const std::string& aAddress, const std::string& aId) {
-                   return platform::PlatformWorkerClient::create(aLoop, aAddress, aId);
+                 [&aLoop](const WorkerDescription& aWorker, const std::string& aAddress) {
+                   return platform::PlatformWorkerClient::create(aLoop, aAddress, aWorker);
                  } })
   {
     ControlLinkHandlers handlers;
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <poll.h>
 #include <utility>
 
 namespace magnoliadrum {
@@ -116,7 +117,23 @@
     }
   }
 
+  bool isOpen() const { return socket() >= 0 && !hasEnded(); }
+
+  /** Whether the other end has closed the idle connection and the event loop has not handled it. */
+  bool hasEnded() const
+  {
+    // An idle connection has nothing to read but its end.
+    pollfd state{ socket(), POLLIN | POLLRDHUP, 0 };
+    return poll(&state, 1, 0) > 0;
+  }
+
 private:
+  /** Negative when there is no connection; poll() ignores it then. */
+  evutil_socket_t socket() const
+  {
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(mConnection));
+  }
+
   Error failure(ErrorCode aCode, const std::string& aDetail) const
   {
     const ErrorCode code = mWriting ? aCode : ErrorCode::eRefused;
@@ -226,6 +243,7 @@
       ErrorCode::eRefused, "http call", mState->mAddress, "all connections are in use"));
     return;
   }
+  discardEndedConnections();
   if (mState->mIdle.empty()) {
     mState->mIdle.push_back(std::make_unique<Connection>(*mState));
   }
@@ -234,10 +252,30 @@
   mState->mBusy.back()->start(aCall, valueOf(command), std::move(aCallback));
 }
 
+void
+HttpClient::discardEndedConnections()
+{
+  while (!mState->mIdle.empty() && mState->mIdle.back()->hasEnded()) {
+    // The connection may be the one whose callback runs, so it is freed from the loop.
+    const std::shared_ptr<Connection> ended = std::move(mState->mIdle.back());
+    mState->mIdle.pop_back();
+    mState->mLoop.post([state = mState, ended]() {});
+  }
+}
+
 std::size_t
 HttpClient::inProgress() const
 {
   return mState->mBusy.size();
 }
 
+bool
+HttpClient::hasOpenIdleConnection() const
+{
+  return std::any_of(
+    mState->mIdle.begin(), mState->mIdle.end(), [](const std::unique_ptr<Connection>& aConnection) {
+      return aConnection->isOpen();
+    });
+}
+
 } // namespace magnoliadrum
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -51,12 +51,22 @@
   /** Calls in progress. */
   std::size_t inProgress() const;
 
+  /**
+   * Whether an idle connection is open at this moment by the kernel's account, which may know of an
+   * end that the event loop has not handled yet. A connection ends with the process at its other
+   * end.
+   */
+  bool hasOpenIdleConnection() const;
+
 private:
   class Connection;
   struct State;
 
   explicit HttpClient(std::shared_ptr<State> aState);
 
+  /** Makes the next call open a connection instead of failing on one that has ended. */
+  void discardEndedConnections();
+
   std::shared_ptr<State> mState;
 };
 
