Each removal of a log segment is durable before the next

compact() and reset() removed several segments before they synced the folder. A loss of power may undo each removal independently; if only an older segment came back, the log had a gap and the replica refused to start. Each removal is synced now: one more folder sync for each removed 16 MiB. Looked elsewhere: SnapshotStore removes files that do not depend on each other, writeFileAtomically() has one rename. Test: the crash mode eKeptButFirstRemoval of the in-memory files, over every file change; log_survives_a_failure_of_every_file_change failed with it before (change 36: 'the preceding segment is missing').

--- a/src/storage/LogStore.cpp
+++ b/src/storage/LogStore.cpp
@@ -338,7 +338,7 @@
   while (isOk(started) && mSegments.size() > 1) {
     started = rememberFailure(removeOldestSegment());
   }
-  return isOk(started) ? rememberFailure(mOperations.syncFolder(mFolder)) : started;
+  return started;
 }
 
 Result<Done>
@@ -348,22 +348,23 @@
     return *mFailure;
   }
   Result<Done> result = Done{};
-  bool removed = false;
   while (isOk(result) && mSegments.size() > 1 && mSegments.front().highestIndex <= aIndex) {
     result = rememberFailure(removeOldestSegment());
-    removed = true;
   }
-  return isOk(result) && removed ? rememberFailure(mOperations.syncFolder(mFolder)) : result;
+  return result;
 }
 
 Result<Done>
 LogStore::removeOldestSegment()
 {
   Result<Done> removed = mOperations.remove(segmentPath(mSegments.front().number));
-  if (isOk(removed)) {
-    mSegments.pop_front();
+  if (!isOk(removed)) {
+    return removed;
   }
-  return removed;
+  mSegments.pop_front();
+  // A loss of power may undo each removal that is not synced independently of the others. If only
+  // an older segment came back, the log would have a gap.
+  return mOperations.syncFolder(mFolder);
 }
 
 Result<Done>
--- a/src/storage/LogStore.h
+++ b/src/storage/LogStore.h
@@ -93,6 +93,7 @@
   Result<Done> removeTornTail(const std::string& aPath, std::int64_t aValidBytes);
   Result<Done> startSegment(bool aReset);
   Result<Done> writeRecord(const std::string& aPayload);
+  /** Removes the oldest segment durably. */
   Result<Done> removeOldestSegment();
   /** Stores an error in mFailure and returns the result unchanged. */
   Result<Done> rememberFailure(Result<Done> aResult);
--- a/src/storage/MemoryFileOperations_test.h
+++ b/src/storage/MemoryFileOperations_test.h
@@ -21,13 +21,15 @@
 
 /**
  * How much a crash leaves of the bytes that were written but not synced. With eKept, changes to
- * file names that were not synced survive too.
+ * file names that were not synced survive too. With eKeptButFirstRemoval, the file whose name comes
+ * first among those whose removal was not synced is there again.
  */
 enum class UnsyncedBytes
 {
   eLost,
   eHalf,
-  eKept
+  eKept,
+  eKeptButFirstRemoval
 };
 
 /** In-memory file system that can fail at the n-th change and lose unsynced data in a crash. */
@@ -55,7 +57,12 @@
 
   void crash(UnsyncedBytes aUnsynced)
   {
-    mFiles = aUnsynced == UnsyncedBytes::eKept ? mFiles : mDurableFiles;
+    if (aUnsynced == UnsyncedBytes::eKeptButFirstRemoval) {
+      restoreFirstRemoved();
+    }
+    const bool areNamesKept =
+      aUnsynced == UnsyncedBytes::eKept || aUnsynced == UnsyncedBytes::eKeptButFirstRemoval;
+    mFiles = areNamesKept ? mFiles : mDurableFiles;
     for (auto& [name, file] : mFiles) {
       const std::size_t unsyncedBytes = file->content.size() - file->syncedBytes;
       const std::size_t lostBytes = aUnsynced == UnsyncedBytes::eLost   ? unsyncedBytes
@@ -143,6 +150,15 @@
   }
 
 private:
+  void restoreFirstRemoved()
+  {
+    for (const auto& [path, file] : mDurableFiles) {
+      if (mFiles.try_emplace(path, file).second) {
+        return;
+      }
+    }
+  }
+
   File& file(FileHandle aFile) { return *mOpenFiles.at(static_cast<std::size_t>(aFile)); }
 
   Result<Done> performChange(const std::function<void()>& aEffect = [] {})
@@ -164,6 +180,7 @@
 
 inline constexpr std::array kAllUnsyncedBytes = { UnsyncedBytes::eLost,
                                                   UnsyncedBytes::eHalf,
-                                                  UnsyncedBytes::eKept };
+                                                  UnsyncedBytes::eKept,
+                                                  UnsyncedBytes::eKeptButFirstRemoval };
 
 } // namespace magnoliadrum
