Processes find the control group after all its VMs were replaced

Cause: the addresses came from the settings as read at the start or at a SIGHUP, and a settings file may change without one. Now each session tells the addresses of the replicas when it is granted, and in a renewal after they have changed; a process tries them first, then those of the settings. When all were tried without a leader, the settings file is read again. How old each may be: learned ones as old as the last renewal, configured ones as old as the last failed round. Looked at every program with addresses: gateway, relay, agent (which did not follow SIGHUP either), control without a replica and the joiner of spare replicas use the same class; magnoliadrumctl gets its addresses with each call. Tests: link_finds_leader_at_address_that_an_earlier_leader_named, link_reads_addresses_again_when_none_leads_to_a_leader, learned_addresses_are_tried_before_configured_ones, session_learns_replica_addresses_once_after_each_change.

--- a/src/agent/AgentService.h
+++ b/src/agent/AgentService.h
@@ -18,6 +18,17 @@
   static Result<std::unique_ptr<AgentService>> start(EventLoop& aLoop,
                                                      const AgentSettings& aSettings);
 
+  void setControlAddresses(std::vector<std::string> aAddresses)
+  {
+    mControlLink->setControlAddresses(std::move(aAddresses));
+  }
+
+  /** See ControlLink::setAddressReader(). */
+  void setAddressReader(std::function<std::vector<std::string>()> aReadAddresses)
+  {
+    mControlLink->setAddressReader(std::move(aReadAddresses));
+  }
+
   AgentService(const AgentService&) = delete;
   AgentService& operator=(const AgentService&) = delete;
 
--- a/src/agent/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -34,6 +34,11 @@
   const auto onTerminate = [&service]() { valueOf(service)->beginShutdown(); };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, onTerminate);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, onTerminate);
+  valueOf(service)->setAddressReader(controlAddressReader<AgentSettings>(FLAGS_settings));
+  const EventHandlePointer reload =
+    reloadOnHangup<AgentSettings>(events, FLAGS_settings, [&service](const AgentSettings& aNew) {
+      valueOf(service)->setControlAddresses(controlAddresses(aNew));
+    });
   const std::unique_ptr<FaultPointFile> faults =
     FaultPointFile::watch(events, FLAGS_fault_points_file);
   events.run();
--- a/src/control/ControlService_test.cpp
+++ b/src/control/ControlService_test.cpp
@@ -47,6 +47,32 @@
   BOOST_TEST((task().state() == TaskState::ePublished));
 }
 
+// Guards against a process that loses the group when all replicas that it knew are replaced while
+// its session stays open.
+BOOST_FIXTURE_TEST_CASE(session_learns_replica_addresses_once_after_each_change,
+                        ControlServiceFixture)
+{
+  const auto replicas = [](const std::string& aAddress) {
+    return std::vector{ buildValue<ReplicaStatus>({ .replicaId = "r", .address = aAddress }) };
+  };
+  const auto renewedReplicas = [this]() {
+    advance(600);
+    heartbeat(kAgent, 1, "vm-1");
+    const std::vector<SessionRenewed> renewed = takeMessages<SessionRenewed>(kAgent);
+    BOOST_REQUIRE(renewed.size() == 1U);
+    return renewed.front().replicas();
+  };
+  mLog.setReplicas(replicas("10.0.0.1:7"));
+  BOOST_REQUIRE(open(kAgent, admitWorker("vm-1", "i1")) == 1);
+  const std::vector<SessionGranted> granted = takeMessages<SessionGranted>(kAgent);
+  BOOST_REQUIRE(granted.size() == 1U);
+  BOOST_TEST(granted.front().replicas().at(0) == "10.0.0.1:7");
+  BOOST_TEST(renewedReplicas().empty());
+  mLog.setReplicas(replicas("10.0.0.2:7"));
+  BOOST_TEST(renewedReplicas().at(0) == "10.0.0.2:7");
+  BOOST_TEST(renewedReplicas().empty());
+}
+
 // Guards against starting a task a second time while the lease of its first session may be valid.
 BOOST_FIXTURE_TEST_CASE(task_is_placed_elsewhere_only_after_the_session_expired, RunningTaskFixture)
 {
--- a/src/control/GroupJoiner.cpp
+++ b/src/control/GroupJoiner.cpp
@@ -12,11 +12,13 @@
                          CommandLog& aLog,
                          Hello aOwnHello,
                          std::string aOwnAddress,
-                         std::vector<std::string> aSeeds)
+                         std::vector<std::string> aSeeds,
+                         std::function<std::vector<std::string>()> aReadSeeds)
   : mLoop(aLoop)
   , mLog(aLog)
   , mOwnHello(std::move(aOwnHello))
   , mOwnAddress(std::move(aOwnAddress))
+  , mReadSeeds(std::move(aReadSeeds))
 {
   setSeeds(std::move(aSeeds));
   mTickTimer = aLoop.runEvery(kRequestPeriodMs, [this]() { tick(); });
@@ -25,8 +27,8 @@
 void
 GroupJoiner::setSeeds(std::vector<std::string> aSeeds)
 {
-  mSeeds = std::move(aSeeds);
-  std::erase(mSeeds, mOwnAddress);
+  std::erase(aSeeds, mOwnAddress);
+  mSeeds.setConfigured(std::move(aSeeds));
 }
 
 bool
@@ -38,7 +40,7 @@
 void
 GroupJoiner::tick()
 {
-  if (knowsLeader() || mSeeds.empty()) {
+  if (knowsLeader() || mSeeds.isEmpty()) {
     if (mConnection) {
       mConnection->close("a leader is known");
       mConnection.reset();
@@ -56,13 +58,26 @@
   connect();
 }
 
+void
+GroupJoiner::readSeeds()
+{
+  std::vector<std::string> seeds = mReadSeeds ? mReadSeeds() : std::vector<std::string>();
+  std::erase(seeds, mOwnAddress);
+  if (!seeds.empty()) {
+    mSeeds.setConfigured(std::move(seeds));
+  }
+}
+
 void
 GroupJoiner::connect()
 {
   std::string address = std::exchange(mLeaderHint, "");
   if (address.empty() || address == mOwnAddress) {
-    address = mSeeds[mNextSeed % mSeeds.size()];
-    mNextSeed++;
+    if (mSeeds.hasTriedAll()) {
+      mSeeds.beginRound();
+      readSeeds();
+    }
+    address = mSeeds.takeNext();
   }
   mRequestAccepted = false;
   MessageHandlers handlers;
--- a/src/control/GroupJoiner.h
+++ b/src/control/GroupJoiner.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "control/CommandLog.h"
+#include "session/session.h"
 #include "transport/transport.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -20,14 +22,16 @@
   static constexpr std::int64_t kRequestPeriodMs = 300;
 
   /**
-   * aSeeds are addresses (IP:port) of replicas; some of them may no longer exist. aLog must outlive
-   * this object.
+   * aSeeds are addresses (IP:port) of replicas; some of them may no longer exist. When none of them
+   * accepts a request, they are read again with aReadSeeds, which returns an empty list if it
+   * fails. aLog must outlive this object.
    */
   GroupJoiner(EventLoop& aLoop,
               CommandLog& aLog,
               Hello aOwnHello,
               std::string aOwnAddress,
-              std::vector<std::string> aSeeds);
+              std::vector<std::string> aSeeds,
+              std::function<std::vector<std::string>()> aReadSeeds);
 
   GroupJoiner(const GroupJoiner&) = delete;
   GroupJoiner& operator=(const GroupJoiner&) = delete;
@@ -39,6 +43,7 @@
   bool knowsLeader() const;
   void tick();
   void connect();
+  void readSeeds();
   void sendJoinRequest();
   void onMessage(const Message& aMessage);
 
@@ -46,8 +51,8 @@
   CommandLog& mLog;
   Hello mOwnHello;
   std::string mOwnAddress;
-  std::vector<std::string> mSeeds;
-  std::size_t mNextSeed = 0;
+  ControlAddresses mSeeds;
+  std::function<std::vector<std::string>()> mReadSeeds;
   /** Address of the leader as reported by the last replica that refused; may be empty. */
   std::string mLeaderHint;
   MessageConnectionPointer mConnection;
--- a/src/control/InMemoryCommandLog_test.h
+++ b/src/control/InMemoryCommandLog_test.h
@@ -33,7 +33,8 @@
   std::string leaderId() const override { return mIsLeader ? "in-memory" : ""; }
   std::string leaderAddress() const override { return mIsLeader ? mAddress : ""; }
   std::string replicaId() const override { return "in-memory"; }
-  std::vector<ReplicaStatus> replicas() const override { return {}; }
+  std::vector<ReplicaStatus> replicas() const override { return mReplicas; }
+  void setReplicas(std::vector<ReplicaStatus> aReplicas) { mReplicas = std::move(aReplicas); }
   void changeMembership(const MembershipRequest& aRequest,
                         std::function<void(const Result<Done>&)> aCallback) override;
   void stepDown(std::function<void(const Result<Done>&)> aDone) override;
@@ -43,6 +44,7 @@
   }
 
 private:
+  std::vector<ReplicaStatus> mReplicas;
   ControlState& mState;
   PostFunction mPost;
   std::string mAddress;
--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -117,8 +117,37 @@
     aConnection,
     buildValue<SessionGranted>({ .session = session,
                                  .leaseUntilMs = mLeases.leaseUntilMs(aSentAtMs),
-                                 .term = mContext.mLog.term() }));
+                                 .term = mContext.mLog.term(),
+                                 .replicas = replicaAddresses() }));
   bindConnection(aConnection, session);
+  mLiveSessions.at(session).mSentReplicas = mReplicaAddresses;
+}
+
+const std::vector<std::string>&
+SessionService::replicaAddresses()
+{
+  const MonotonicTime now = mContext.mNow();
+  if (mReplicaAddresses.empty() || now.msSince(mReplicaAddressesAt) >= kReplicaAddressesAgeMs) {
+    mReplicaAddressesAt = now;
+    mReplicaAddresses.clear();
+    for (const ReplicaStatus& replica : mContext.mLog.replicas()) {
+      if (!replica.address().empty()) {
+        mReplicaAddresses.push_back(replica.address());
+      }
+    }
+  }
+  return mReplicaAddresses;
+}
+
+std::vector<std::string>
+SessionService::takeChangedReplicas(LiveSession& aLive)
+{
+  const std::vector<std::string>& current = replicaAddresses();
+  if (aLive.mSentReplicas == current) {
+    return {};
+  }
+  aLive.mSentReplicas = current;
+  return current;
 }
 
 void
@@ -129,6 +158,9 @@
     mSessionsByConnection.erase(*live.mConnection);
     mContext.mMessageSender.close(*live.mConnection, "the session has a newer connection");
   }
+  if (live.mConnection != aConnection) {
+    live.mSentReplicas.clear();
+  }
   live.mConnection = aConnection;
   mSessionsByConnection[aConnection] = aSession;
   mCatalogueVersions.onReconnected(aSession);
@@ -159,13 +191,14 @@
   }
   const MonotonicTime now = mContext.mNow();
   mLeases.renew(aMessage.session(), now);
+  LiveSession& live = mLiveSessions.at(aMessage.session());
   mContext.mMessageSender.send(
     aConnection,
     buildValue<SessionRenewed>({ .session = aMessage.session(),
                                  .leaseUntilMs = mLeases.leaseUntilMs(aMessage.sentAtMs()),
-                                 .term = mContext.mLog.term() }));
+                                 .term = mContext.mLog.term(),
+                                 .replicas = takeChangedReplicas(live) }));
   mCatalogueVersions.recordReportedVersion(aMessage.session(), aMessage.catalogueVersion());
-  LiveSession& live = mLiveSessions.at(aMessage.session());
   if (live.mConnection != aConnection) {
     bindConnection(aConnection, aMessage.session());
   }
--- a/src/control/SessionService.h
+++ b/src/control/SessionService.h
@@ -21,6 +21,8 @@
   bool mLeaving = false;
   TargetUsage mUsage;
   std::optional<MonotonicTime> mUsageAt;
+  /** Replica addresses that were sent on mConnection. */
+  std::vector<std::string> mSentReplicas;
 };
 
 /** Receives session events. Called only while this replica is the leader. */
@@ -100,6 +102,13 @@
   void sendCatalogueUpdates(std::int64_t aSession);
   void sendTargetTable(std::int64_t aSession);
   std::vector<TargetStatus> executorTargets() const;
+  /** Addresses of the replicas, at most kReplicaAddressesAgeMs old. */
+  const std::vector<std::string>& replicaAddresses();
+  /** Returns the addresses of the replicas if they were not sent on the session's connection. */
+  std::vector<std::string> takeChangedReplicas(LiveSession& aLive);
+
+  /** Bounds the cost of listing the replicas at each heartbeat. */
+  static constexpr std::int64_t kReplicaAddressesAgeMs = 500;
 
   ControlContext& mContext;
   SessionListener& mListener;
@@ -110,6 +119,8 @@
   std::map<std::int64_t, LiveSession> mLiveSessions;
   std::map<ConnectionId, std::int64_t> mSessionsByConnection;
   bool mTargetTableChanged = false;
+  std::vector<std::string> mReplicaAddresses;
+  MonotonicTime mReplicaAddressesAt;
 };
 
 } // namespace magnoliadrum
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -44,6 +44,18 @@
   return withPort(aSettings.controlSeeds(), portOfAddress(aSettings.listenAddress()));
 }
 
+/** Reads the seeds again from the settings file; empty if it is invalid. */
+std::vector<std::string>
+readSeedAddresses()
+{
+  const Result<ControlSettings> settings = readSettings<ControlSettings>(FLAGS_settings);
+  if (!isOk(settings)) {
+    logWarning("settings are not reloaded", errorOf(settings));
+    return {};
+  }
+  return seedAddresses(valueOf(settings));
+}
+
 Hello
 ownHello(const ControlSettings& aSettings)
 {
@@ -206,6 +218,7 @@
     logError("control cannot start", errorOf(operatorServer));
     return kExitFailure;
   }
+  link->setAddressReader(readSeedAddresses);
   link->start();
   const auto onTerminate = loop->onSignal(SIGTERM, [&loop]() { loop->stop(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&loop]() { loop->stop(); });
@@ -246,8 +259,12 @@
   }
   std::optional<GroupJoiner> joiner;
   if (!aSettings.controlSeeds().empty()) {
-    joiner.emplace(
-      *loop, *valueOf(log), ownHello(aSettings), ownAddress(aSettings), seedAddresses(aSettings));
+    joiner.emplace(*loop,
+                   *valueOf(log),
+                   ownHello(aSettings),
+                   ownAddress(aSettings),
+                   seedAddresses(aSettings),
+                   readSeedAddresses);
   }
   auto process = ControlProcess::start(*loop, aSettings, state, *valueOf(log));
   if (!isOk(process)) {
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -37,6 +37,12 @@
     mControlLink->setControlAddresses(std::move(aAddresses));
   }
 
+  /** See ControlLink::setAddressReader(). */
+  void setAddressReader(std::function<std::vector<std::string>()> aReadAddresses)
+  {
+    mControlLink->setAddressReader(std::move(aReadAddresses));
+  }
+
   /** Whether this gateway holds a valid lease from the control leader. */
   bool holdsLease() const { return mControlLink->holdsLease(mLoop.now()); }
 
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -54,6 +54,7 @@
     logError("gateway cannot start", errorOf(process));
     return EXIT_FAILURE;
   }
+  valueOf(process)->setAddressReader(controlAddressReader<GatewaySettings>(FLAGS_settings));
   const Result<std::unique_ptr<platform::CallerServer>> callers =
     startCallerServer(events, aSettings, *valueOf(process));
   if (!isOk(callers)) {
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -49,6 +49,7 @@
                                   .mHeartbeatMs = aSettings.lease().heartbeatMs(),
                                   .mSilenceMs = aSettings.lease().leaderSilenceMs() },
                                 std::move(handlers));
+    mLink->setAddressReader(controlAddressReader<RelaySettings>(FLAGS_settings));
   }
 
   Result<Done> start(const std::string& aAddress, const std::string& aMetricsAddress)
--- a/src/session/ControlLink.cpp
+++ b/src/session/ControlLink.cpp
@@ -35,7 +35,8 @@
   , mHandlers(std::move(aHandlers))
   , mConnectTimeoutMs(kInitialConnectTimeoutMs)
 {
-  assert(!mOptions.mControlAddresses.empty());
+  mAddresses.setConfigured(mOptions.mControlAddresses);
+  assert(!mAddresses.isEmpty());
   assert(mHandlers.fillOpen && mHandlers.fillHeartbeat);
 }
 
@@ -50,7 +51,7 @@
 ControlLink::setControlAddresses(std::vector<std::string> aAddresses)
 {
   assert(!aAddresses.empty());
-  mOptions.mControlAddresses = std::move(aAddresses);
+  mAddresses.setConfigured(std::move(aAddresses));
 }
 
 void
@@ -65,8 +66,7 @@
 {
   std::string address = std::exchange(mLeaderAddressHint, "");
   if (address.empty()) {
-    address = mOptions.mControlAddresses[mNextAddress % mOptions.mControlAddresses.size()];
-    mNextAddress++;
+    address = takeNextAddress();
   }
   const Hello hello = valueOf(Hello::create({ .processKind = mOptions.mProcessKind,
                                               .processId = mOptions.mProcessId,
@@ -100,6 +100,22 @@
   });
 }
 
+std::string
+ControlLink::takeNextAddress()
+{
+  if (mAddresses.hasTriedAll()) {
+    mAddresses.beginRound();
+    const std::vector<std::string> addresses =
+      mReadAddresses ? mReadAddresses() : std::vector<std::string>();
+    if (!addresses.empty() && addresses != mAddresses.configured()) {
+      logInfo("control addresses taken from the changed settings file",
+              { { "count", addresses.size() }, { "first", addresses.front() } });
+      mAddresses.setConfigured(addresses);
+    }
+  }
+  return mAddresses.takeNext();
+}
+
 void
 ControlLink::scheduleReconnect()
 {
@@ -226,6 +242,10 @@
   const bool isNew = aMessage.session() != mSession;
   mSessionGranted = true;
   mConnectTimeoutMs = kInitialConnectTimeoutMs;
+  mAddresses.onLeaderFound();
+  if (!aMessage.replicas().empty()) {
+    mAddresses.setLearned(aMessage.replicas());
+  }
   if (isNew) {
     mSession = aMessage.session();
     mLeaseUntil = Deadline();
@@ -245,6 +265,9 @@
 ControlLink::onRenewed(const SessionRenewed& aMessage)
 {
   if (aMessage.session() == mSession) {
+    if (!aMessage.replicas().empty() && aMessage.term() >= mTerm) {
+      mAddresses.setLearned(aMessage.replicas());
+    }
     extendLease(aMessage.leaseUntilMs(), aMessage.term());
   }
 }
--- a/src/session/ControlLink.h
+++ b/src/session/ControlLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "session/CatalogueCopy.h"
+#include "session/ControlAddresses.h"
 #include "transport/transport.h"
 
 #include <functional>
@@ -8,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliadrum {
@@ -79,6 +81,16 @@
   /** Replaces the replica addresses to try. Precondition: aAddresses is not empty. */
   void setControlAddresses(std::vector<std::string> aAddresses);
 
+  /**
+   * Sets the function that reads the replica addresses again, because a settings file may change
+   * without a signal. It is called when no known address has led to a leader, and returns an empty
+   * list if the file is invalid.
+   */
+  void setAddressReader(std::function<std::vector<std::string>()> aReadAddresses)
+  {
+    mReadAddresses = std::move(aReadAddresses);
+  }
+
   /** Starts connecting and sending heartbeats. */
   void start();
 
@@ -137,6 +149,7 @@
   ControlLink(EventLoop& aLoop, ControlLinkOptions aOptions, ControlLinkHandlers aHandlers);
 
   void connect();
+  std::string takeNextAddress();
   void scheduleReconnect();
   void dropConnection(const std::string& aReason);
   void reconnectToLeader(const std::string& aLeaderAddress);
@@ -161,7 +174,8 @@
   EventHandlePointer mReconnectTimer;
   EventHandlePointer mConnectTimer;
   std::int64_t mConnectTimeoutMs;
-  std::size_t mNextAddress = 0;
+  ControlAddresses mAddresses;
+  std::function<std::vector<std::string>()> mReadAddresses;
   std::string mLeaderAddressHint;
   MonotonicTime mLastReceived;
   std::uint64_t mClosedConnectionBytesSent = 0;
--- a/src/session/session.h
+++ b/src/session/session.h
@@ -4,6 +4,7 @@
  * leader, with its session, lease and catalogue copy. */
 
 #include "session/CatalogueCopy.h"
+#include "session/ControlAddresses.h"
 #include "session/ControlLink.h"
 #include "session/Incarnation.h"
 #include "session/RequestAnswers.h"
--- a/src/session/session_test.cpp
+++ b/src/session/session_test.cpp
@@ -9,6 +9,7 @@
 
 const std::string kLeaderAddress = loopbackHost(1) + ":7001";
 const std::string kFollowerAddress = loopbackHost(1) + ":7002";
+const std::string kReplacementAddress = loopbackHost(1) + ":7003";
 constexpr std::int64_t kTestTimeoutMs = 20000;
 constexpr std::int64_t kLeaseMs = 3000;
 constexpr std::int64_t kHeartbeatMs = 100;
@@ -36,6 +37,7 @@
   bool mClosesOnFirstQuery = false;
   bool mAnswersQueries = true;
   bool mIgnoresSessionOpen = false;
+  std::vector<std::string> mReplicas;
 
 private:
   void onMessage(MessageConnection& aConnection, const Message& aMessage)
@@ -50,8 +52,10 @@
           { .reason = SessionRefusal::eNotLeader, .leaderAddress = kLeaderAddress })));
         return;
       }
-      aConnection.send(valueOf(SessionGranted::create(
-        { .session = 7, .leaseUntilMs = open->sentAtMs() + kLeaseMs, .term = 1 })));
+      aConnection.send(valueOf(SessionGranted::create({ .session = 7,
+                                                        .leaseUntilMs = open->sentAtMs() + kLeaseMs,
+                                                        .term = 1,
+                                                        .replicas = mReplicas })));
     } else if (const StatusQuery* query = std::get_if<StatusQuery>(&aMessage)) {
       mQueryCount++;
       if (!mAnswersQueries) {
@@ -213,3 +217,63 @@
   BOOST_TEST(copy.apply(createUpdate(3, false, 5, 6)));
   BOOST_TEST(copy.version() == 6);
 }
+
+// Guards against a process that never finds the leader again after all replicas that its settings
+// named at its start were replaced, one after the other.
+BOOST_FIXTURE_TEST_CASE(link_finds_leader_at_address_that_an_earlier_leader_named,
+                        ControlLinkFixture)
+{
+  auto first = std::make_unique<FakeControlReplica>(*mLoop, kLeaderAddress, true);
+  first->mReplicas = { kLeaderAddress, kReplacementAddress };
+  const FakeControlReplica replacement(*mLoop, kReplacementAddress, true);
+  int grants = 0;
+  ControlLinkHandlers handlers;
+  handlers.onGranted = [&]() {
+    grants++;
+    if (grants > 1) {
+      mLoop->stop();
+      return;
+    }
+    mLoop->post([&]() { first.reset(); });
+  };
+  const std::unique_ptr<ControlLink> link = createLink(handlers);
+  link->start();
+  mLoop->run();
+  BOOST_REQUIRE(!mTimedOut);
+  BOOST_TEST(replacement.mSessionOpenCount == 1);
+}
+
+// The same failure when no session was open while the replicas were replaced.
+BOOST_FIXTURE_TEST_CASE(link_reads_addresses_again_when_none_leads_to_a_leader, ControlLinkFixture)
+{
+  const FakeControlReplica replacement(*mLoop, kReplacementAddress, true);
+  ControlLinkHandlers handlers;
+  handlers.onGranted = [&]() { mLoop->stop(); };
+  const std::unique_ptr<ControlLink> link = createLink(handlers);
+  int reads = 0;
+  link->setAddressReader([&reads]() {
+    reads++;
+    return reads == 1 ? std::vector<std::string>()
+                      : std::vector<std::string>{ kReplacementAddress };
+  });
+  link->start();
+  mLoop->run();
+  BOOST_REQUIRE(!mTimedOut);
+  BOOST_TEST(reads == 2, "an invalid settings file is read again after the next round");
+}
+
+BOOST_AUTO_TEST_CASE(learned_addresses_are_tried_before_configured_ones)
+{
+  ControlAddresses addresses;
+  addresses.setConfigured({ "a", "b" });
+  addresses.setLearned({ "c", "a" });
+  std::vector<std::string> tried;
+  while (!addresses.hasTriedAll()) {
+    tried.push_back(addresses.takeNext());
+  }
+  const std::vector<std::string> expected = { "c", "a", "b" };
+  BOOST_TEST(tried == expected, boost::test_tools::per_element());
+  addresses.onLeaderFound();
+  BOOST_TEST(!addresses.hasTriedAll());
+  BOOST_TEST(addresses.takeNext() == "c");
+}
--- a/src/settings/SettingsFile.h
+++ b/src/settings/SettingsFile.h
@@ -34,6 +34,12 @@
            : withPort(aSettings.controlSeeds(), aSettings.controlPort());
 }
 
+inline std::vector<std::string>
+controlAddresses(const AgentSettings& aSettings)
+{
+  return aSettings.controlAddresses();
+}
+
 extern template Result<ControlSettings>
 readSettings(const std::string& aFileName);
 extern template Result<GatewaySettings>
--- a/src/settings/SettingsReload.h
+++ b/src/settings/SettingsReload.h
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace magnoliadrum {
 
@@ -31,4 +32,20 @@
   });
 }
 
+/** Returns a function that reads the replica addresses from the settings file; empty if it is
+ * invalid. */
+template<typename Settings>
+std::function<std::vector<std::string>()>
+controlAddressReader(const std::string& aFileName)
+{
+  return [aFileName]() {
+    const Result<Settings> settings = readSettings<Settings>(aFileName);
+    if (!isOk(settings)) {
+      logWarning("settings are not reloaded", errorOf(settings));
+      return std::vector<std::string>();
+    }
+    return controlAddresses(valueOf(settings));
+  };
+}
+
 } // namespace magnoliadrum
