--- a/src/control/ReplicaDriver.cpp
+++ b/src/control/ReplicaDriver.cpp
@@ -19,12 +19,6 @@
  */
 constexpr std::int64_t kAbandonAfterElectionTimeouts = 2;
 
-/**
- * A snapshot is also taken after this many bytes of commands, because the commands since the last
- * snapshot are all held in memory.
- */
-constexpr std::size_t kMaxBytesBetweenSnapshots = std::size_t{ 64 } << 20;
-
 const char* const kProposeStep = "log.propose";
 
 ConsensusSettings
@@ -328,7 +322,7 @@
   assert(aEntry.index() == mAppliedIndex + 1);
   mAppliedIndex = aEntry.index();
   if (aEntry.kind() == LogEntryKind::eCommand) {
-    mBytesSinceSnapshot += aEntry.data().size();
+    mBytesSinceSnapshot += std::ssize(aEntry.data());
     mCallbacks.apply(aEntry.index(), aEntry.data());
   }
   invokeCallbacks(mPendingProposals.onEntryApplied(aEntry.index(), aEntry.term()));
@@ -346,7 +340,8 @@
 ReplicaDriver::takeSnapshotIfDue()
 {
   const std::int64_t entries = mAppliedIndex - mNode->snapshotIndex();
-  if (entries < mSettings.snapshotEveryEntries && mBytesSinceSnapshot < kMaxBytesBetweenSnapshots) {
+  if (entries < mSettings.snapshotEveryEntries &&
+      mBytesSinceSnapshot < mSettings.snapshotEveryBytes) {
     return;
   }
   mBytesSinceSnapshot = 0;
--- a/src/control/ReplicaDriver.h
+++ b/src/control/ReplicaDriver.h
@@ -99,7 +99,7 @@
   bool mFailed = false;
   std::int64_t mAppliedIndex = 0;
   /** Bytes of the commands applied since the last snapshot was taken. */
-  std::size_t mBytesSinceSnapshot = 0;
+  std::int64_t mBytesSinceSnapshot = 0;
   /** Term in which this replica leads, once that was reported to the callbacks; else empty. */
   std::optional<std::int64_t> mLeadingTerm;
   std::optional<StepDown> mStepDown;
--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -59,6 +59,9 @@
   std::int64_t electionTimeoutMs = 1000;
   std::int64_t heartbeatMs = 100;
   std::int64_t snapshotEveryEntries = 20000;
+  /** A snapshot is also taken after this many bytes of commands, because the commands since the
+   * last snapshot are all held in memory, and those since the one before on the disk. */
+  std::int64_t snapshotEveryBytes = std::int64_t{ 24 } << 20U;
 };
 
 /** Why a proposal failed. */
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -27,6 +27,8 @@
 
 constexpr int kExitFailure = 1;
 
+constexpr std::int64_t kBytesPerMb = std::int64_t{ 1 } << 20U;
+
 /** The platform's operators wait about a second for an answer before they try another address. */
 constexpr std::int64_t kOperatorRequestTimeoutMs = 3000;
 
@@ -92,6 +94,7 @@
   settings.electionTimeoutMs = aSettings.electionTimeoutMs();
   settings.heartbeatMs = aSettings.replicationHeartbeatMs();
   settings.snapshotEveryEntries = aSettings.snapshotEveryEntries();
+  settings.snapshotEveryBytes = aSettings.snapshotEveryMb() * kBytesPerMb;
   return settings;
 }
 
--- a/src/settings/SettingsFile.cpp
+++ b/src/settings/SettingsFile.cpp
@@ -66,6 +66,19 @@
   }
 }
 
+/** The log holds the entries since the snapshot before the last, up to whole segments. The other
+ * half of the disk is for the snapshots: the last two and the one that is being written. */
+void
+checkDisk(const ControlSettings& aSettings, Faults& aFaults)
+{
+  constexpr std::int64_t kSegmentMb = 16;
+  const std::int64_t logMb = 2 * aSettings.snapshotEveryMb() + kSegmentMb;
+  if (aSettings.diskMb() > 0 && 2 * logMb > aSettings.diskMb()) {
+    aFaults.push_back("snapshotEveryMb: the log grows to " + std::to_string(logMb) +
+                      " MB, which is over half of diskMb");
+  }
+}
+
 void
 checkTogether(const ControlSettings& aSettings, Faults& aFaults)
 {
@@ -83,6 +96,7 @@
     aFaults.push_back("initialReplicas, controlSeeds: only one of them is allowed");
   }
   checkLease(aSettings.lease(), aFaults);
+  checkDisk(aSettings, aFaults);
   if (aSettings.replicationHeartbeatMs() * 2 > aSettings.electionTimeoutMs()) {
     aFaults.push_back("replicationHeartbeatMs: must be at most half of electionTimeoutMs");
   }
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -63,6 +63,19 @@
   BOOST_TEST(errorOf(settings).detail().find("dataFolder") != std::string::npos);
 }
 
+// Guards against a log that fills the disk between two snapshots, on which the replica would end.
+BOOST_AUTO_TEST_CASE(log_between_snapshots_must_fit_in_half_of_the_disk)
+{
+  const std::string common =
+    R"({"processId":"c","listenAddress":"127.0.0.1:1","dataCentre":"Waco","dataFolder":"d","diskMb":128)";
+  const TemporaryFile fitting(common + "}");
+  BOOST_TEST(isOk(readSettings<ControlSettings>(fitting.name())));
+  const TemporaryFile large(common + R"(,"snapshotEveryMb":25})");
+  const Result<ControlSettings> settings = readSettings<ControlSettings>(large.name());
+  BOOST_REQUIRE(!isOk(settings));
+  BOOST_TEST(errorOf(settings).detail().find("snapshotEveryMb") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(values_that_do_not_fit_together_are_refused)
 {
   const TemporaryFile file(
