Orders larger than a message are divided, and orders that were not sent are due again

Cause: one message held all due orders, MessageConnection refuses one over 4 MiB, and JobService ignored that, while the runs counted as ordered. A message over the limit is logged as an error. Same cause elsewhere: the relay's answers piled up without a session and would exceed the limit for good (2,000 in a report now). Not divided: the target table (over 4 MiB at about 20,000 executors) and the list of running runs, which must be whole (about 40,000 on one worker); both would be logged now. Tests: orders_larger_than_a_message_are_divided, orders_that_could_not_be_sent_are_due_again_at_once, answers_are_reported_in_messages_of_bounded_size; the fixture refuses messages over the limit as a connection does.

--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlProcess.h"
 
+#include "observability/observability.h"
 #include "session/Incarnation.h"
 #include "session/RequestAnswers.h"
 #include "state/BuildValue.h"
@@ -157,7 +158,12 @@
   const auto position = mConnections.find(aConnection);
   const MessageConnectionPointer connection =
     position != mConnections.end() ? position->second.lock() : nullptr;
-  return connection != nullptr && connection->send(aMessage);
+  const bool isSent = connection != nullptr && connection->send(aMessage);
+  if (!isSent && connection != nullptr && connection->isOpen()) {
+    logError("message not sent: it exceeds the message limit",
+             { { "peer", connection->peer() }, { "bytes", encodeMessage(aMessage).size() } });
+  }
+  return isSent;
 }
 
 void
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -1,5 +1,6 @@
 #include "control/JobService.h"
 
+#include "control/OrderMessages.h"
 #include "control/Utf8Truncation.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
@@ -596,7 +597,11 @@
                        mContext.mNow(),
                        aOrders);
   }
-  mSessions.sendTo(aIncarnation.relaySession, buildValue<WorkerOrders>(std::move(aOrders)));
+  for (const WorkerOrders& message : splitOrders(std::move(aOrders))) {
+    if (!mSessions.sendTo(aIncarnation.relaySession, message)) {
+      mRuns.markUnsent(message);
+    }
+  }
 }
 
 void
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -1,3 +1,4 @@
+#include "control/OrderMessages.h"
 #include "control/control_fixture_test.h"
 #include "jobs/JobsFixture.h"
 
@@ -143,6 +144,39 @@
   BOOST_TEST(orders.back().ackedEnds() == 1, "acknowledged once the end is committed");
 }
 
+// Guards against tasks that never start because all orders that are due at once, for example after
+// a standstill of the relay, exceed the message limit.
+BOOST_FIXTURE_TEST_CASE(orders_larger_than_a_message_are_divided, JobServiceFixture)
+{
+  constexpr std::int64_t kTasks = 1300;
+  constexpr std::size_t kPayloadBytes = 4000;
+  registerWorker(kRelay, worker("w1"));
+  JobDescription::Fields job = jobOf("j", { stepOf(kTasks, 1, 1) }).fields();
+  job.payload = std::string(kPayloadBytes, 'x');
+  submit("s1", buildValue<JobDescription>(std::move(job)));
+  std::size_t starts = 0;
+  for (const WorkerOrders& orders : takeMessages<WorkerOrders>(kRelay)) {
+    BOOST_TEST(encodeMessage(orders).size() <= kMaxOrderMessageBytes);
+    starts += orders.starts().size();
+  }
+  BOOST_TEST(starts == std::size_t{ kTasks });
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_that_could_not_be_sent_are_due_again_at_once, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  mRefusesMessages = true;
+  deliver(kCaller,
+          buildValue<JobSubmit>({ .requestId = "s1",
+                                  .queue = buildValue<QueueSelector>({ .name = "urgent" }),
+                                  .job = jobOf("j", { stepOf(1, 1000, 10) }) }));
+  mRefusesMessages = false;
+  const std::vector<WorkerOrders> orders =
+    report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 10 });
+  BOOST_REQUIRE(orders.size() == 1u);
+  BOOST_TEST(orders.front().starts().size() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_end_is_not_acknowledged_before_it_is_committed, JobServiceFixture)
 {
   registerWorker(kRelay, worker("w1"));
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::int64_t kFullPercent = 100;
 
+/** Differs from every pace, so that the pace is ordered again. */
+constexpr std::int64_t kUnknownPacePercent = -1;
+
 bool
 isDue(const std::optional<MonotonicTime>& aSentAt, MonotonicTime aNow)
 {
@@ -221,6 +224,26 @@
   }
 }
 
+void
+RunTracker::markUnsent(const WorkerOrders& aOrders)
+{
+  for (const StartOrder& order : aOrders.starts()) {
+    if (TrackedRun* run = find(order.task(), order.run())) {
+      run->startSentAt.reset();
+    }
+  }
+  for (const StopOrder& order : aOrders.stops()) {
+    if (TrackedRun* run = find(order.task(), order.run())) {
+      run->stopSentAt.reset();
+    }
+  }
+  for (const PaceOrder& order : aOrders.paces()) {
+    if (TrackedRun* run = find(order.task(), order.run())) {
+      run->orderedPacePercent = kUnknownPacePercent;
+    }
+  }
+}
+
 void
 RunTracker::addDuePaceOrder(TrackedRun& aRun, MonotonicTime aNow, WorkerOrders::Fields& aOrders)
 {
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -110,6 +110,9 @@
                     MonotonicTime aNow,
                     WorkerOrders::Fields& aOrders);
 
+  /** Makes orders that addDueOrders() recorded as sent due again, because they were not sent. */
+  void markUnsent(const WorkerOrders& aOrders);
+
   /** Returns the ends of all runs of a lost incarnation and marks them as proposed; ends that are
    * already proposed are left out. aIncarnation is the lost incarnation, which tells the runs that
    * may have crashed it. */
--- a/src/control/control_fixture_test.h
+++ b/src/control/control_fixture_test.h
@@ -183,12 +183,19 @@
   std::deque<std::function<void()>> mPostedFunctions;
   InMemoryCommandLog mLog;
   std::map<ConnectionId, std::vector<Message>> mSent;
+  /** No message can be sent, as on a connection that has just ended. */
+  bool mRefusesMessages = false;
   std::vector<ConnectionId> mClosed;
   ControlService mService;
 
 private:
   bool send(ConnectionId aConnection, const Message& aMessage) override
   {
+    // As MessageConnection does.
+    constexpr std::size_t kMaxMessageBytes = std::size_t{ 4 } << 20U;
+    if (mRefusesMessages || encodeMessage(aMessage).size() > kMaxMessageBytes) {
+      return false;
+    }
     mSent[aConnection].push_back(aMessage);
     return true;
   }
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -373,8 +373,10 @@
 void
 WorkerRelay::sendReport(const RunLists* aLists, std::int64_t aFence)
 {
+  const auto answersEnd =
+    mAnswers.begin() + static_cast<std::ptrdiff_t>(std::min(mAnswers.size(), kMaxReportedAnswers));
   WorkerReport::Fields fields{ .worker = *mWorker,
-                               .answers = mAnswers,
+                               .answers = { mAnswers.begin(), answersEnd },
                                .unreachable = mIsUnreachable };
   if (mIsUnreachable) {
     fields.crashSuspects.push_back(currentSuspects());
@@ -398,7 +400,7 @@
     return;
   }
   if (mContext.send(valueOf(message))) {
-    mAnswers.clear();
+    mAnswers.erase(mAnswers.begin(), answersEnd);
   }
 }
 
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -47,6 +47,9 @@
   static constexpr std::int64_t kListRefreshMs = 300;
   /** Answers to orders are batched for this long (ms) before they are reported. */
   static constexpr std::int64_t kAnswerBatchMs = 30;
+  /** Answers in one report; the others follow with the next ones. Bounds the size of a report after
+   * a long time without a session. */
+  static constexpr std::size_t kMaxReportedAnswers = 2000;
   /** Orders that the worker may leave unanswered at a time; the others wait. */
   static constexpr std::size_t kMaxOrdersInProgress = 6;
   /** A start order that has waited for this long (ms) is not sent. The leader repeats it, unless it
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -80,6 +80,9 @@
     : mRelay({ .now = [this]() { return mNow; },
                .send =
                  [this](const Message& aMessage) {
+                   if (!mHasSession) {
+                     return false;
+                   }
                    mReports.push_back(std::get<WorkerReport>(aMessage));
                    return true;
                  },
@@ -111,6 +114,7 @@
   MonotonicTime mNow = MonotonicTime::fromMs(100000);
   RecordingWorkerClient::Record mRecord;
   std::vector<WorkerReport> mReports;
+  bool mHasSession = true;
   WorkerRelay mRelay;
 };
 
@@ -313,6 +317,28 @@
   BOOST_TEST(mRecord.orders.size() == 1u);
 }
 
+// Guards against a report that grows over the message limit while there is no session, and is then
+// never sent.
+BOOST_FIXTURE_TEST_CASE(answers_are_reported_in_messages_of_bounded_size, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
+  mHasSession = false;
+  constexpr std::size_t kAnswers = WorkerRelay::kMaxReportedAnswers + 1;
+  for (std::size_t index = 0; index < kAnswers; index++) {
+    mRelay.onOrders(workerOrders(7, 5, "c.0.0." + std::to_string(index)));
+  }
+  mHasSession = true;
+  mReports.clear();
+  std::size_t reported = 0;
+  for (int round = 0; round < 2; round++) {
+    mNow = mNow.plusMs(WorkerRelay::kAnswerBatchMs);
+    mRelay.tick();
+    BOOST_TEST(mReports.back().answers().size() <= WorkerRelay::kMaxReportedAnswers);
+    reported += mReports.back().answers().size();
+  }
+  BOOST_TEST(reported == kAnswers);
+}
+
 // Guards against blaming a run that ended while the relay stood still, before the crash.
 BOOST_FIXTURE_TEST_CASE(suspects_are_certain_only_after_fresh_lists, RelayFixture)
 {
