A job is known after its queue was removed

A catalogue that removed a queue between a lost answer and its resend gave 404 for a job that was accepted and runs. Requests about a job find its queue in the job if the catalogue no longer has it; a new job and the count of a removed queue still get 404. Test: job_is_known_after_its_queue_was_removed.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -101,13 +101,15 @@
 }
 
 const JobQueue*
-JobService::resolveQueue(const RequestOrigin& aOrigin, const QueueSelector& aSelector)
+JobService::resolveQueue(const RequestOrigin& aOrigin,
+                         const QueueSelector& aSelector,
+                         const std::string& aJobId)
 {
   if (!checkLeadership(aOrigin)) {
     return nullptr;
   }
   const JobRegistry& jobs = mContext.mState.jobs();
-  const JobQueue* queue = jobs.findQueue(aSelector);
+  const JobQueue* queue = jobs.findQueueOfJob(aSelector, aJobId);
   if (queue == nullptr) {
     const bool hasCatalogue = jobs.catalogue().has_value();
     reply(aOrigin,
@@ -122,7 +124,7 @@
 JobService::onRequest(ConnectionId aConnection, const JobSubmit& aRequest)
 {
   const RequestOrigin origin{ aConnection, aRequest.requestId() };
-  const JobQueue* queue = resolveQueue(origin, aRequest.queue());
+  const JobQueue* queue = resolveQueue(origin, aRequest.queue(), aRequest.job().jobId());
   if (queue == nullptr) {
     return;
   }
@@ -145,7 +147,7 @@
 JobService::onRequest(ConnectionId aConnection, const JobCancel& aRequest)
 {
   const RequestOrigin origin{ aConnection, aRequest.requestId() };
-  if (resolveQueue(origin, aRequest.queue()) == nullptr) {
+  if (resolveQueue(origin, aRequest.queue(), aRequest.jobId()) == nullptr) {
     return;
   }
   if (mContext.mState.jobs().find(aRequest.jobId()) == nullptr) {
@@ -163,7 +165,7 @@
 JobService::onRequest(ConnectionId aConnection, const JobQuery& aRequest)
 {
   const RequestOrigin origin{ aConnection, aRequest.requestId() };
-  if (resolveQueue(origin, aRequest.queue()) == nullptr) {
+  if (resolveQueue(origin, aRequest.queue(), aRequest.jobId()) == nullptr) {
     return;
   }
   const Job* job = mContext.mState.jobs().find(aRequest.jobId());
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -49,8 +49,11 @@
   void setGauges(MetricsRegistry& aMetrics) const;
 
 private:
-  /** Returns the queue of a request. If there is none, answers the request and returns null. */
-  const JobQueue* resolveQueue(const RequestOrigin& aOrigin, const QueueSelector& aSelector);
+  /** Returns the queue of a request, for a request about a job also one that the catalogue no
+   * longer has. If there is none, answers the request and returns null. */
+  const JobQueue* resolveQueue(const RequestOrigin& aOrigin,
+                               const QueueSelector& aSelector,
+                               const std::string& aJobId = "");
   void reply(const RequestOrigin& aOrigin, JobReply::Fields aReply);
   std::int64_t countWaitingJobs(const std::string& aQueue) const;
 
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -144,6 +144,30 @@
   BOOST_TEST(orders.back().ackedEnds() == 1, "acknowledged once the end is committed");
 }
 
+// Guards against a denied job: its queue is removed after the job was accepted and before the
+// caller, whose answer was lost, sends the request again.
+BOOST_FIXTURE_TEST_CASE(job_is_known_after_its_queue_was_removed, JobServiceFixture)
+{
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  deliver(kCaller,
+          buildValue<QueueCatalogueSubmit>(
+            { .requestId = "c2", .catalogue = queueCatalogue(2, { jobQueue("tally", 2) }) }));
+  mSent.clear();
+  BOOST_TEST(
+    (submit("s2", jobOf("j", { stepOf(1, 1000, 10) })).outcome() == JobOutcome::eAccepted));
+  BOOST_TEST(
+    (submit("s3", jobOf("k", { stepOf(1, 1000, 10) })).outcome() == JobOutcome::eUnknownQueue));
+  const auto query = [this](const std::string& aQueue) {
+    deliver(kCaller,
+            buildValue<JobQuery>({ .requestId = "q",
+                                   .queue = buildValue<QueueSelector>({ .name = aQueue }),
+                                   .jobId = "j" }));
+    return takeMessages<JobReply>(kCaller).at(0).outcome();
+  };
+  BOOST_TEST((query("urgent") == JobOutcome::eKnown));
+  BOOST_TEST((query("other") == JobOutcome::eUnknownQueue));
+}
+
 // Guards against tasks that never start because all orders that are due at once, for example after
 // a standstill of the relay, exceed the message limit.
 BOOST_FIXTURE_TEST_CASE(orders_larger_than_a_message_are_divided, JobServiceFixture)
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -120,6 +120,22 @@
   }
 }
 
+bool
+JobRegistry::isSelected(const JobQueue& aQueue, const QueueSelector& aSelector)
+{
+  return aSelector.name().empty()
+           ? aQueue.host() == aSelector.host() && aSelector.path().starts_with(aQueue.pathPrefix())
+           : aQueue.name() == aSelector.name();
+}
+
+const JobQueue*
+JobRegistry::findQueueOfJob(const QueueSelector& aSelector, const std::string& aJobId) const
+{
+  const JobQueue* queue = findQueue(aSelector);
+  const Job* job = queue == nullptr ? find(aJobId) : nullptr;
+  return job != nullptr && isSelected(job->queue(), aSelector) ? &job->queue() : queue;
+}
+
 const JobQueue*
 JobRegistry::findQueue(const QueueSelector& aSelector) const
 {
@@ -128,15 +144,8 @@
     return best;
   }
   for (const JobQueue& queue : mCatalogue->queues()) {
-    if (!aSelector.name().empty()) {
-      if (queue.name() == aSelector.name()) {
-        return &queue;
-      }
-      continue;
-    }
-    const bool fits =
-      queue.host() == aSelector.host() && aSelector.path().starts_with(queue.pathPrefix());
-    if (fits && (best == nullptr || queue.pathPrefix().size() > best->pathPrefix().size())) {
+    if (isSelected(queue, aSelector) &&
+        (best == nullptr || queue.pathPrefix().size() > best->pathPrefix().size())) {
       best = &queue;
     }
   }
--- a/src/jobs/JobRegistry.h
+++ b/src/jobs/JobRegistry.h
@@ -74,6 +74,10 @@
   /** Finds a queue by name if the selector has one, otherwise by host and the longest matching path
    * prefix. Returns null if there is none. */
   const JobQueue* findQueue(const QueueSelector& aSelector) const;
+
+  /** As findQueue(). If the catalogue has no such queue, returns the one in which the job was
+   * accepted, provided that the selector names it: a queue may be removed while its jobs run. */
+  const JobQueue* findQueueOfJob(const QueueSelector& aSelector, const std::string& aJobId) const;
   const WorkerPool* findPool(const std::string& aName) const;
 
   const Job* find(const std::string& aJobId) const;
@@ -82,6 +86,8 @@
   const std::set<std::string>& openJobs() const { return mOpenJobs; }
 
 private:
+  static bool isSelected(const JobQueue& aQueue, const QueueSelector& aSelector);
+
   /** Lists a job as open or as finished; removes the oldest finished job beyond
    * kMaxFinishedJobs. */
   void updateIndexes(const Job& aJob);
