A registration of another writer does not displace a worker in touch

Cause: the relay took each registration with a later birth for the successor, and ignored the real worker's as outdated. Now the relay keeps a worker whose lists are at most a second old, logs the other registration once and counts it (relay_postponed_registrations); it takes effect if the worker is lost within 2 s, as a successor's may overtake the end of the connections. An incarnation without orders for 3 s gives way to any other one. The leader ignores an unknown incarnation of a pool that the catalogue does not name, with a log line and a counter (control_unknown_pool_reports). Tests: registration_does_not_displace_a_worker_in_touch, successor_takes_over_when_the_worker_is_lost, incarnation_without_orders_gives_way_to_an_earlier_one, report_for_an_unknown_pool_is_ignored.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -255,6 +255,9 @@
   const MonotonicTime now = mContext.mNow();
   const IncarnationKey key{ aReport.worker().workerId(), aReport.worker().bornMs() };
   const WorkerIncarnation* known = mFleet.find(key);
+  if (known == nullptr && ignoresPool(aReport.worker())) {
+    return;
+  }
   const bool wasUnreachable = known != nullptr && known->isUnreachable;
   WorkerIncarnation* incarnation =
     mFleet.handleReport(aReport, session->processId(), session->session(), now);
@@ -281,6 +284,21 @@
   }
 }
 
+bool
+JobService::ignoresPool(const WorkerDescription& aWorker)
+{
+  const JobRegistry& jobs = mContext.mState.jobs();
+  if (!jobs.catalogue() || jobs.findPool(aWorker.poolName()) != nullptr) {
+    return false;
+  }
+  mUnknownPoolReports++;
+  if (std::exchange(mLastUnknownPool, aWorker.poolName()) != aWorker.poolName()) {
+    logWarning("report ignored: the catalogue does not name the worker's pool",
+               { { "worker", aWorker.workerId() }, { "pool", aWorker.poolName() } });
+  }
+  return true;
+}
+
 void
 JobService::applyLists(WorkerIncarnation& aIncarnation,
                        const IncarnationKey& aKey,
@@ -769,6 +787,7 @@
   set("control_open_jobs", mContext.mState.jobs().openJobs().size());
   set("control_active_runs", mRuns.size());
   set("control_workers", mFleet.size());
+  set("control_unknown_pool_reports", mUnknownPoolReports);
 }
 
 } // namespace magnoliadrum
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -57,6 +57,8 @@
   void reply(const RequestOrigin& aOrigin, JobReply::Fields aReply);
   std::int64_t countWaitingJobs(const std::string& aQueue) const;
 
+  /** Whether a report of a new incarnation is ignored because the catalogue lacks its pool. */
+  bool ignoresPool(const WorkerDescription& aWorker);
   void applyLists(WorkerIncarnation& aIncarnation,
                   const IncarnationKey& aKey,
                   const WorkerReport& aReport);
@@ -91,6 +93,9 @@
   /** A change may allow a waiting task to start. */
   bool mScheduleDue = false;
   MonotonicTime mWaitReasonsLoggedAt;
+  std::size_t mUnknownPoolReports = 0;
+  /** Pool that the log line about unknown pools named last. */
+  std::string mLastUnknownPool;
   /** Changes with each start and end of a leadership, so that callbacks of earlier ones are
    * ignored. */
   std::uint64_t mGeneration = 0;
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -144,6 +144,18 @@
   BOOST_TEST(orders.back().ackedEnds() == 1, "acknowledged once the end is committed");
 }
 
+// Guards against a status report of another writer that displaces a worker at its relay.
+BOOST_FIXTURE_TEST_CASE(report_for_an_unknown_pool_is_ignored, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  WorkerDescription::Fields other = worker("w2", 900).fields();
+  other.poolName = "unknown";
+  BOOST_TEST(report(kRelay, buildValue<WorkerDescription>(std::move(other))).empty());
+  mSent.clear();
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  BOOST_TEST(takeStarts(kRelay).size() == 1u);
+}
+
 // Guards against a denied job: its queue is removed after the job was accepted and before the
 // caller, whose answer was lost, sends the request again.
 BOOST_FIXTURE_TEST_CASE(job_is_known_after_its_queue_was_removed, JobServiceFixture)
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -23,11 +23,15 @@
                             const std::string& aAddress,
                             std::int64_t aSequence)
 {
-  if (mWorker && aWorker.bornMs() < mWorker->bornMs()) {
+  if (isOutdated(aWorker)) {
     logInfo("registration of an earlier worker incarnation ignored",
             { { "worker", aWorker.workerId() }, { "born", aWorker.bornMs() } });
     return;
   }
+  if (isNewIncarnation(aWorker) && isInTouch()) {
+    postponeRegistration(aWorker, aAddress, aSequence);
+    return;
+  }
   if (isNewIncarnation(aWorker)) {
     beginIncarnation(aWorker, aAddress);
   } else if (aSequence <= mRegistrationSequence) {
@@ -45,6 +49,53 @@
   }
 }
 
+bool
+WorkerRelay::isOutdated(const WorkerDescription& aWorker) const
+{
+  const bool hasOrders =
+    mFence > 0 || mContext.now().msSince(mRegisteredAt) < kNoOrdersMs || isInTouch();
+  return mWorker && aWorker.bornMs() < mWorker->bornMs() && hasOrders;
+}
+
+bool
+WorkerRelay::isInTouch() const
+{
+  return mWorker && !mWorker->draining() && !mIsUnreachable && mWorkerClock &&
+         mContext.now().msSince(mWorkerClock->receivedAt) <= kInTouchMs;
+}
+
+void
+WorkerRelay::postponeRegistration(const WorkerDescription& aWorker,
+                                  const std::string& aAddress,
+                                  std::int64_t aSequence)
+{
+  mPostponedCount++;
+  const bool isKnown = mPostponed && mPostponed->worker.workerId() == aWorker.workerId() &&
+                       mPostponed->worker.bornMs() == aWorker.bornMs();
+  if (!isKnown) {
+    logWarning("registration of another incarnation does not displace the worker in touch",
+               { { "worker", mWorker->workerId() },
+                 { "other", aWorker.workerId() },
+                 { "born", aWorker.bornMs() },
+                 { "pool", aWorker.poolName() } });
+  }
+  mPostponed = PostponedRegistration{
+    aWorker, aAddress, aSequence, mContext.now().plusMs(kKeepRegistrationMs)
+  };
+}
+
+void
+WorkerRelay::handlePostponedRegistration()
+{
+  if (!mPostponed || isInTouch()) {
+    return;
+  }
+  const PostponedRegistration registration = *std::exchange(mPostponed, std::nullopt);
+  if (mContext.now() <= registration.keepUntil) {
+    onRegistration(registration.worker, registration.address, registration.sequence);
+  }
+}
+
 bool
 WorkerRelay::isNewIncarnation(const WorkerDescription& aWorker) const
 {
@@ -70,6 +121,7 @@
             { "pool", aWorker.poolName() } });
   mWorker = aWorker;
   mRegistrationSequence = 0;
+  mRegisteredAt = mContext.now();
   mFence = 0;
   mLeaseUntilMs = 0;
   mAckedEnds = 0;
@@ -410,6 +462,7 @@
   aMetrics.set("relay_has_worker", "", mWorker ? 1 : 0);
   aMetrics.set("relay_worker_unreachable", "", mIsUnreachable ? 1 : 0);
   aMetrics.set("relay_worker_crashes", "", static_cast<double>(mCrashCount));
+  aMetrics.set("relay_postponed_registrations", "", static_cast<double>(mPostponedCount));
   aMetrics.set("relay_fence", "", static_cast<double>(mFence));
   for (const auto& [key, count] : mOrderCounts) {
     aMetrics.set("relay_orders",
@@ -431,6 +484,7 @@
 WorkerRelay::tick()
 {
   const MonotonicTime now = mContext.now();
+  handlePostponedRegistration();
   if (mListRequestsInProgress == 0 && shouldRequestRunLists(now)) {
     requestRunLists(kMaxListWaitMs);
   }
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -64,6 +64,14 @@
   /** The crash suspects are certain if the last lists came at most this long (ms) before. After a
    * longer gap, such as a standstill of this VM, a suspect may have ended before the crash. */
   static constexpr std::int64_t kFreshListsMs = 600;
+  /** A worker is in touch while its latest lists are at most this old (ms). */
+  static constexpr std::int64_t kInTouchMs = 1000;
+  /** A registration that did not displace the worker is kept for this long (ms), longer than the
+   * longest wait for the failure of a list request. */
+  static constexpr std::int64_t kKeepRegistrationMs = 2000;
+  /** An incarnation for which no leader has sent orders for this long (ms) gives way to any other
+   * one. The system may know nothing of its pool, and its birth may lie in the future. */
+  static constexpr std::int64_t kNoOrdersMs = 3000;
   /** Period of tick() in ms. */
   static constexpr std::int64_t kTickMs = 20;
 
@@ -75,8 +83,12 @@
   WorkerRelay(const WorkerRelay&) = delete;
   WorkerRelay& operator=(const WorkerRelay&) = delete;
 
-  /** Handles a registration. aSequence rises with each registration of an incarnation;
-   * registrations that arrive out of order are ignored. */
+  /**
+   * Handles a registration. aSequence rises with each registration of an incarnation; registrations
+   * that arrive out of order are ignored. One of another incarnation does not displace a worker
+   * that is in touch, since it may come from another writer; it counts when the worker is lost soon
+   * afterwards, as at a restart.
+   */
   void onRegistration(const WorkerDescription& aWorker,
                       const std::string& aAddress,
                       std::int64_t aSequence);
@@ -104,6 +116,14 @@
 
 private:
   bool isNewIncarnation(const WorkerDescription& aWorker) const;
+  bool isInTouch() const;
+  /** Whether a registration of an incarnation that was born earlier must be ignored. */
+  bool isOutdated(const WorkerDescription& aWorker) const;
+  void postponeRegistration(const WorkerDescription& aWorker,
+                            const std::string& aAddress,
+                            std::int64_t aSequence);
+  /** Handles the postponed registration once the worker is no longer in touch. */
+  void handlePostponedRegistration();
   void beginIncarnation(const WorkerDescription& aWorker, const std::string& aAddress);
   /** Keeps the crash suspects of the current incarnation, which a successor replaces. */
   void keepCrashSuspects();
@@ -138,6 +158,17 @@
   RelayContext mContext;
   std::optional<WorkerDescription> mWorker;
   std::int64_t mRegistrationSequence = 0;
+  MonotonicTime mRegisteredAt;
+  struct PostponedRegistration
+  {
+    WorkerDescription worker;
+    std::string address;
+    std::int64_t sequence = 0;
+    Deadline keepUntil;
+  };
+  std::optional<PostponedRegistration> mPostponed;
+  /** Number of registrations that did not displace a worker in touch. */
+  std::int64_t mPostponedCount = 0;
   std::unique_ptr<WorkerClient> mClient;
   std::int64_t mFence = 0;
   std::int64_t mLeaseUntilMs = 0;
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -317,6 +317,44 @@
   BOOST_TEST(mRecord.orders.size() == 1u);
 }
 
+// Guards against a status report of another writer that displaces a live worker for good.
+BOOST_FIXTURE_TEST_CASE(registration_does_not_displace_a_worker_in_touch, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7));
+  answerListRequest();
+  mRelay.onRegistration(workerDescription("other", 900), "127.0.0.1:2", 1);
+  mRelay.tick();
+  BOOST_TEST(mReports.back().worker().workerId() == "w");
+  mRelay.onOrders(workerOrders(7, 5, "c.0.0.0"));
+  BOOST_TEST(mRecord.orders.size() == 1u);
+}
+
+// The registration of a successor may arrive before the end of the connections to its predecessor.
+BOOST_FIXTURE_TEST_CASE(successor_takes_over_when_the_worker_is_lost, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7));
+  answerListRequest();
+  mNow = mNow.plusMs(WorkerRelay::kListRefreshMs);
+  mRelay.tick();
+  mRelay.onRegistration(workerDescription("w", 6), "127.0.0.1:1", 1);
+  BOOST_TEST(mReports.back().worker().bornMs() == 5);
+  failListRequest(ErrorCode::eUnavailable);
+  mRelay.tick();
+  BOOST_TEST(mReports.back().worker().bornMs() == 6);
+}
+
+BOOST_FIXTURE_TEST_CASE(incarnation_without_orders_gives_way_to_an_earlier_one, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("other", 900), "127.0.0.1:2", 1);
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  BOOST_TEST(mReports.back().worker().workerId() == "other");
+  mNow = mNow.plusMs(WorkerRelay::kNoOrdersMs);
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 2);
+  BOOST_TEST(mReports.back().worker().workerId() == "w");
+}
+
 // Guards against a report that grows over the message limit while there is no session, and is then
 // never sent.
 BOOST_FIXTURE_TEST_CASE(answers_are_reported_in_messages_of_bounded_size, RelayFixture)
