The incarnation is proven anew after a failed call

A VM that goes silent and starts again does not end its connections, so an idle one looks open; the call that failed on another connection is the sign of it.

--- a/src/platform/IncarnationProof.h
+++ b/src/platform/IncarnationProof.h
@@ -43,6 +43,10 @@
    */
   void whenProven(std::int64_t aFence, Callback aCallback);
 
+  /** Requires a new proof after a call has failed: the worker's VM may have restarted without
+   * ending its connections. */
+  void onCallFailed() { mIsProven = false; }
+
 private:
   void onAnswer(const Result<HttpAnswer>& aAnswer);
   Result<Done> checkAnswer(const HttpAnswer& aAnswer) const;
--- a/src/platform/PlatformWorkerClient.cpp
+++ b/src/platform/PlatformWorkerClient.cpp
@@ -122,11 +122,14 @@
 PlatformWorkerClient::sendProvenOrder(std::string aPath, std::string aBody, OrderCallback aCallback)
 {
   mOrderClient->send(makeHttpCall(std::move(aPath), std::move(aBody), kOrderTimeoutMs),
-                     [alive = std::weak_ptr<bool>(mAlive),
-                      callback = std::move(aCallback)](const Result<HttpAnswer>& aAnswer) {
+                     [this, alive = std::weak_ptr<bool>(mAlive), callback = std::move(aCallback)](
+                       const Result<HttpAnswer>& aAnswer) {
                        if (alive.expired()) {
                          return;
                        }
+                       if (!isOk(aAnswer)) {
+                         mProof->onCallFailed();
+                       }
                        OrderOutcome outcome;
                        if (isOk(aAnswer)) {
                          outcome =
@@ -159,12 +162,13 @@
 {
   mListClient->send(
     makeHttpCall(kListPath, encodeRunListRequest(aRequest), aRequest.waitMs + kListTimeoutMarginMs),
-    [alive = std::weak_ptr<bool>(mAlive), address = mAddress, callback = std::move(aCallback)](
+    [this, alive = std::weak_ptr<bool>(mAlive), callback = std::move(aCallback)](
       const Result<HttpAnswer>& aAnswer) {
       if (alive.expired()) {
         return;
       }
       if (!isOk(aAnswer)) {
+        mProof->onCallFailed();
         callback(errorOf(aAnswer));
         return;
       }
@@ -172,11 +176,11 @@
       if (answer.status() != kOk) {
         callback(Error::create(ErrorCode::eInvalid,
                                "worker lists",
-                               address,
+                               mAddress,
                                "status " + std::to_string(answer.status())));
         return;
       }
-      callback(decodeRunLists(answer.body(), address));
+      callback(decodeRunLists(answer.body(), mAddress));
     });
 }
 
