--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -150,7 +150,9 @@
   registerWorker(kRelay, worker("w1"));
   WorkerDescription::Fields other = worker("w2", 900).fields();
   other.poolName = "unknown";
-  BOOST_TEST(report(kRelay, buildValue<WorkerDescription>(std::move(other))).empty());
+  const std::vector<WorkerOrders> orders =
+    report(kRelay, buildValue<WorkerDescription>(std::move(other)));
+  BOOST_TEST(orders.empty());
   mSent.clear();
   submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
   BOOST_TEST(takeStarts(kRelay).size() == 1u);
