--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -1,5 +1,6 @@
 #include "control/JobService.h"
 
+#include "control/OrderMessages.h"
 #include "control/Utf8Truncation.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
@@ -100,13 +101,15 @@
 }
 
 const JobQueue*
-JobService::resolveQueue(const RequestOrigin& aOrigin, const QueueSelector& aSelector)
+JobService::resolveQueue(const RequestOrigin& aOrigin,
+                         const QueueSelector& aSelector,
+                         const std::string& aJobId)
 {
   if (!checkLeadership(aOrigin)) {
     return nullptr;
   }
   const JobRegistry& jobs = mContext.mState.jobs();
-  const JobQueue* queue = jobs.findQueue(aSelector);
+  const JobQueue* queue = jobs.findQueueOfJob(aSelector, aJobId);
   if (queue == nullptr) {
     const bool hasCatalogue = jobs.catalogue().has_value();
     reply(aOrigin,
@@ -121,7 +124,7 @@
 JobService::onRequest(ConnectionId aConnection, const JobSubmit& aRequest)
 {
   const RequestOrigin origin{ aConnection, aRequest.requestId() };
-  const JobQueue* queue = resolveQueue(origin, aRequest.queue());
+  const JobQueue* queue = resolveQueue(origin, aRequest.queue(), aRequest.job().jobId());
   if (queue == nullptr) {
     return;
   }
@@ -144,7 +147,7 @@
 JobService::onRequest(ConnectionId aConnection, const JobCancel& aRequest)
 {
   const RequestOrigin origin{ aConnection, aRequest.requestId() };
-  if (resolveQueue(origin, aRequest.queue()) == nullptr) {
+  if (resolveQueue(origin, aRequest.queue(), aRequest.jobId()) == nullptr) {
     return;
   }
   if (mContext.mState.jobs().find(aRequest.jobId()) == nullptr) {
@@ -162,7 +165,7 @@
 JobService::onRequest(ConnectionId aConnection, const JobQuery& aRequest)
 {
   const RequestOrigin origin{ aConnection, aRequest.requestId() };
-  if (resolveQueue(origin, aRequest.queue()) == nullptr) {
+  if (resolveQueue(origin, aRequest.queue(), aRequest.jobId()) == nullptr) {
     return;
   }
   const Job* job = mContext.mState.jobs().find(aRequest.jobId());
@@ -252,6 +255,9 @@
   const MonotonicTime now = mContext.mNow();
   const IncarnationKey key{ aReport.worker().workerId(), aReport.worker().bornMs() };
   const WorkerIncarnation* known = mFleet.find(key);
+  if (known == nullptr && ignoresPool(aReport.worker())) {
+    return;
+  }
   const bool wasUnreachable = known != nullptr && known->isUnreachable;
   WorkerIncarnation* incarnation =
     mFleet.handleReport(aReport, session->processId(), session->session(), now);
@@ -278,6 +284,21 @@
   }
 }
 
+bool
+JobService::ignoresPool(const WorkerDescription& aWorker)
+{
+  const JobRegistry& jobs = mContext.mState.jobs();
+  if (!jobs.catalogue() || jobs.findPool(aWorker.poolName()) != nullptr) {
+    return false;
+  }
+  mUnknownPoolReports++;
+  if (std::exchange(mLastUnknownPool, aWorker.poolName()) != aWorker.poolName()) {
+    logWarning("report ignored: the catalogue does not name the worker's pool",
+               { { "worker", aWorker.workerId() }, { "pool", aWorker.poolName() } });
+  }
+  return true;
+}
+
 void
 JobService::applyLists(WorkerIncarnation& aIncarnation,
                        const IncarnationKey& aKey,
@@ -596,7 +617,11 @@
                        mContext.mNow(),
                        aOrders);
   }
-  mSessions.sendTo(aIncarnation.relaySession, buildValue<WorkerOrders>(std::move(aOrders)));
+  for (const WorkerOrders& message : splitOrders(std::move(aOrders))) {
+    if (!mSessions.sendTo(aIncarnation.relaySession, message)) {
+      mRuns.markUnsent(message);
+    }
+  }
 }
 
 void
@@ -762,6 +787,7 @@
   set("control_open_jobs", mContext.mState.jobs().openJobs().size());
   set("control_active_runs", mRuns.size());
   set("control_workers", mFleet.size());
+  set("control_unknown_pool_reports", mUnknownPoolReports);
 }
 
 } // namespace magnoliadrum
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -1,3 +1,4 @@
+#include "control/OrderMessages.h"
 #include "control/control_fixture_test.h"
 #include "jobs/JobsFixture.h"
 
@@ -143,6 +144,77 @@
   BOOST_TEST(orders.back().ackedEnds() == 1, "acknowledged once the end is committed");
 }
 
+// Guards against a status report of another writer that displaces a worker at its relay.
+BOOST_FIXTURE_TEST_CASE(report_for_an_unknown_pool_is_ignored, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  WorkerDescription::Fields other = worker("w2", 900).fields();
+  other.poolName = "unknown";
+  const std::vector<WorkerOrders> orders =
+    report(kRelay, buildValue<WorkerDescription>(std::move(other)));
+  BOOST_TEST(orders.empty());
+  mSent.clear();
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  BOOST_TEST(takeStarts(kRelay).size() == 1u);
+}
+
+// Guards against a denied job: its queue is removed after the job was accepted and before the
+// caller, whose answer was lost, sends the request again.
+BOOST_FIXTURE_TEST_CASE(job_is_known_after_its_queue_was_removed, JobServiceFixture)
+{
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  deliver(kCaller,
+          buildValue<QueueCatalogueSubmit>(
+            { .requestId = "c2", .catalogue = queueCatalogue(2, { jobQueue("tally", 2) }) }));
+  mSent.clear();
+  BOOST_TEST(
+    (submit("s2", jobOf("j", { stepOf(1, 1000, 10) })).outcome() == JobOutcome::eAccepted));
+  BOOST_TEST(
+    (submit("s3", jobOf("k", { stepOf(1, 1000, 10) })).outcome() == JobOutcome::eUnknownQueue));
+  const auto query = [this](const std::string& aQueue) {
+    deliver(kCaller,
+            buildValue<JobQuery>({ .requestId = "q",
+                                   .queue = buildValue<QueueSelector>({ .name = aQueue }),
+                                   .jobId = "j" }));
+    return takeMessages<JobReply>(kCaller).at(0).outcome();
+  };
+  BOOST_TEST((query("urgent") == JobOutcome::eKnown));
+  BOOST_TEST((query("other") == JobOutcome::eUnknownQueue));
+}
+
+// Guards against tasks that never start because all orders that are due at once, for example after
+// a standstill of the relay, exceed the message limit.
+BOOST_FIXTURE_TEST_CASE(orders_larger_than_a_message_are_divided, JobServiceFixture)
+{
+  constexpr std::int64_t kTasks = 1300;
+  constexpr std::size_t kPayloadBytes = 4000;
+  registerWorker(kRelay, worker("w1"));
+  JobDescription::Fields job = jobOf("j", { stepOf(kTasks, 1, 1) }).fields();
+  job.payload = std::string(kPayloadBytes, 'x');
+  submit("s1", buildValue<JobDescription>(std::move(job)));
+  std::size_t starts = 0;
+  for (const WorkerOrders& orders : takeMessages<WorkerOrders>(kRelay)) {
+    BOOST_TEST(encodeMessage(orders).size() <= kMaxOrderMessageBytes);
+    starts += orders.starts().size();
+  }
+  BOOST_TEST(starts == std::size_t{ kTasks });
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_that_could_not_be_sent_are_due_again_at_once, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  mRefusesMessages = true;
+  deliver(kCaller,
+          buildValue<JobSubmit>({ .requestId = "s1",
+                                  .queue = buildValue<QueueSelector>({ .name = "urgent" }),
+                                  .job = jobOf("j", { stepOf(1, 1000, 10) }) }));
+  mRefusesMessages = false;
+  const std::vector<WorkerOrders> orders =
+    report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 10 });
+  BOOST_REQUIRE(orders.size() == 1u);
+  BOOST_TEST(orders.front().starts().size() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_end_is_not_acknowledged_before_it_is_committed, JobServiceFixture)
 {
   registerWorker(kRelay, worker("w1"));
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -27,6 +27,8 @@
 
 constexpr int kExitFailure = 1;
 
+constexpr std::int64_t kBytesPerMb = std::int64_t{ 1 } << 20U;
+
 /** The platform's operators wait about a second for an answer before they try another address. */
 constexpr std::int64_t kOperatorRequestTimeoutMs = 3000;
 
@@ -44,6 +46,18 @@
   return withPort(aSettings.controlSeeds(), portOfAddress(aSettings.listenAddress()));
 }
 
+/** Reads the seeds again from the settings file; empty if it is invalid. */
+std::vector<std::string>
+readSeedAddresses()
+{
+  const Result<ControlSettings> settings = readSettings<ControlSettings>(FLAGS_settings);
+  if (!isOk(settings)) {
+    logWarning("settings are not reloaded", errorOf(settings));
+    return {};
+  }
+  return seedAddresses(valueOf(settings));
+}
+
 Hello
 ownHello(const ControlSettings& aSettings)
 {
@@ -80,6 +94,7 @@
   settings.electionTimeoutMs = aSettings.electionTimeoutMs();
   settings.heartbeatMs = aSettings.replicationHeartbeatMs();
   settings.snapshotEveryEntries = aSettings.snapshotEveryEntries();
+  settings.snapshotEveryBytes = aSettings.snapshotEveryMb() * kBytesPerMb;
   return settings;
 }
 
@@ -206,6 +221,7 @@
     logError("control cannot start", errorOf(operatorServer));
     return kExitFailure;
   }
+  link->setAddressReader(readSeedAddresses);
   link->start();
   const auto onTerminate = loop->onSignal(SIGTERM, [&loop]() { loop->stop(); });
   const auto onInterrupt = loop->onSignal(SIGINT, [&loop]() { loop->stop(); });
@@ -246,8 +262,12 @@
   }
   std::optional<GroupJoiner> joiner;
   if (!aSettings.controlSeeds().empty()) {
-    joiner.emplace(
-      *loop, *valueOf(log), ownHello(aSettings), ownAddress(aSettings), seedAddresses(aSettings));
+    joiner.emplace(*loop,
+                   *valueOf(log),
+                   ownHello(aSettings),
+                   ownAddress(aSettings),
+                   seedAddresses(aSettings),
+                   readSeedAddresses);
   }
   auto process = ControlProcess::start(*loop, aSettings, state, *valueOf(log));
   if (!isOk(process)) {
