Jobs: all members of a gang start from the same checkpoint

Cause: each task record kept the checkpoint of its own member, and each start order carried it.

At the assignment of a run the log now takes the checkpoint of the latest run, with the most progress, for all members. A run's members are assigned by one command after all earlier runs have ended, so neither late or lost ends nor a change of leader can give them different ones. Ends carry the progress that their worker listed with the checkpoint.

Ruled out: choosing one when the order is sent. Orders of one run are repeated, and an end between two of them would change the value.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -330,12 +330,13 @@
     lastNumber = std::max(lastNumber, ended.number());
     TrackedRun* run = mRuns.find(ended.task(), ended.run());
     const bool hasWorked = ended.how() == RunEnd::eDone || ended.how() == RunEnd::eFailed;
-    ends.push_back(
-      buildValue<RunEnding>({ .task = ended.task(),
-                              .run = std::max<std::int64_t>(1, ended.run()),
-                              .how = ended.how(),
-                              .checkpoint = ended.checkpoint(),
-                              .harmless = hasWorked || (run != nullptr && run->isHarmless) }));
+    ends.push_back(buildValue<RunEnding>(
+      { .task = ended.task(),
+        .run = std::max<std::int64_t>(1, ended.run()),
+        .how = ended.how(),
+        .checkpoint = ended.checkpoint(),
+        .checkpointPercent = run != nullptr ? run->percentAt(ended.checkpoint()) : 0,
+        .harmless = hasWorked || (run != nullptr && run->isHarmless) }));
     if (ended.how() == RunEnd::eDone) {
       aIncarnation.consecutiveFailures = 0;
     } else if (ended.how() == RunEnd::eFailed) {
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -91,8 +91,9 @@
       run->isHarmless || aReport.clockMs() - *run->firstListedClockMs >= kHarmlessRunMs;
     run->progressPercent = running.percent();
     run->latencyMsOrCpuMilli = running.figure();
-    if (!running.checkpoint().empty()) {
+    if (!running.checkpoint().empty() && running.checkpoint() != run->checkpoint) {
       run->checkpoint = running.checkpoint();
+      run->checkpointPercent = running.percent();
     }
   }
   for (const ListedEnd& ended : aReport.ended()) {
@@ -113,8 +114,11 @@
     }
     if (run.closedAtClockMs && aReport.clockMs() >= *run.closedAtClockMs) {
       run.endProposed = true;
-      neverRan.push_back(buildValue<RunEnding>(
-        { .task = name, .run = run.run, .how = RunEnd::eNeverRan, .checkpoint = run.checkpoint }));
+      neverRan.push_back(buildValue<RunEnding>({ .task = name,
+                                                 .run = run.run,
+                                                 .how = RunEnd::eNeverRan,
+                                                 .checkpoint = run.checkpoint,
+                                                 .checkpointPercent = run.checkpointPercent }));
     } else if (run.isConfirmed) {
       run.missingSince = run.missingSince.value_or(aNow);
       run.shouldStop = run.shouldStop || aNow.msSince(*run.missingSince) >= kMissingTimeoutMs;
@@ -276,6 +280,7 @@
                                            .run = run.run,
                                            .how = RunEnd::eLapsed,
                                            .checkpoint = run.checkpoint,
+                                           .checkpointPercent = run.checkpointPercent,
                                            .crashSuspects = isSuspect ? std::ssize(suspects) : 0,
                                            .crashCertain = isSuspect && suspect->second.isCertain,
                                            .harmless = run.isHarmless && !isSuspect }));
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -42,6 +42,8 @@
   /** Last reported checkpoint, progress and measurement. */
   std::string checkpoint;
   double progressPercent = 0;
+  /** Progress when the checkpoint was first reported. */
+  double checkpointPercent = 0;
   /** Tail latency in ms of a task with a latency objective, otherwise the processor time in use in
    * thousandths of a core. */
   double latencyMsOrCpuMilli = 0;
@@ -51,6 +53,12 @@
   /** Pace that the interference guard has decided. */
   std::int64_t desiredPacePercent = 100;
 
+  /** Returns the progress at a checkpoint with which the run has ended. */
+  double percentAt(const std::string& aCheckpoint) const
+  {
+    return aCheckpoint == checkpoint ? checkpointPercent : progressPercent;
+  }
+
   const JobStep& step() const { return job->steps()[static_cast<std::size_t>(task.step)]; }
 };
 
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 #include <utility>
 
 namespace magnoliadrum {
@@ -200,6 +201,12 @@
   record.worker = aStart.worker();
   record.bornMs = aStart.bornMs();
   record.place = aStart.place();
+  if (mSteps[static_cast<std::size_t>(aTask.step)].gang()) {
+    const JobTaskRecord::Fields best = gangCheckpoint(aTask);
+    record.checkpoint = best.checkpoint;
+    record.checkpointRun = best.checkpointRun;
+    record.checkpointPercent = best.checkpointPercent;
+  }
   mActiveRuns++;
   mStarted = true;
   return true;
@@ -217,6 +224,8 @@
   mActiveRuns--;
   if (!aEnd.checkpoint().empty()) {
     record.checkpoint = aEnd.checkpoint();
+    record.checkpointRun = aEnd.run();
+    record.checkpointPercent = aEnd.checkpointPercent();
   }
   if (aEnd.harmless() && record.crashes > 0) {
     record.crashes = 0;
@@ -235,6 +244,27 @@
   return true;
 }
 
+const JobTaskRecord::Fields&
+Job::gangCheckpoint(const TaskId& aMember) const
+{
+  const std::int64_t count = mSteps[static_cast<std::size_t>(aMember.step)].count();
+  TaskId member = aMember;
+  member.index = 0;
+  const JobTaskRecord::Fields* best = find(member);
+  for (member.index = 1; member.index < count; member.index++) {
+    const JobTaskRecord::Fields* record = find(member);
+    // A run starts from the checkpoint of an earlier one, so what a later run saved goes first.
+    const auto progress = [](const JobTaskRecord::Fields& aRecord) {
+      return std::tuple(
+        !aRecord.checkpoint.empty(), aRecord.checkpointRun, aRecord.checkpointPercent);
+    };
+    if (progress(*record) > progress(*best)) {
+      best = record;
+    }
+  }
+  return *best;
+}
+
 void
 Job::finishTask(const TaskId& aTask, JobTaskRecord::Fields& aRecord)
 {
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -72,8 +72,9 @@
   /** Number for the next run of a task; the same for all tasks of a gang. */
   std::int64_t nextRun(const TaskId& aTask) const;
 
-  /** Records the assignment of a run. False if the job is finished, the task is unknown, done or
-   * active, or the run number was used before. */
+  /** Records the assignment of a run. All members of a gang get the same checkpoint, that with the
+   * most progress, because they only work together from the same one. False if the job is finished,
+   * the task is unknown, done or active, or the run number was used before. */
   bool start(const TaskId& aTask, const RunStart& aStart);
 
   /** Records the end of a run. False if that run is not active. */
@@ -89,6 +90,8 @@
   void rebuildIndexes();
   std::optional<std::size_t> taskPosition(const TaskId& aTask) const;
   std::size_t stepPosition(std::int64_t aOccurrence, std::int64_t aStep) const;
+  /** Returns the record of the gang that holds its checkpoint with the most progress. */
+  const JobTaskRecord::Fields& gangCheckpoint(const TaskId& aMember) const;
   void finishTask(const TaskId& aTask, JobTaskRecord::Fields& aRecord);
   void countFailure(const TaskId& aTask, std::int64_t aRun);
   void countCrash(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd);
--- a/src/jobs/JobRegistry_test.cpp
+++ b/src/jobs/JobRegistry_test.cpp
@@ -133,6 +133,58 @@
   }
 }
 
+// Guards against GANG: after a crash the members start with different checkpoints, so they do not
+// work together, end alone and are started in the same way again.
+BOOST_AUTO_TEST_CASE(all_members_of_a_gang_start_from_the_checkpoint_with_the_most_progress)
+{
+  JobRegistry registry = registryWithQueues();
+  JobStep::Fields step = stepOf(3, 100, 10);
+  step.gang = true;
+  step.checkpoints = true;
+  registry.apply(submitOf("urgent", jobOf("g", { step })));
+  const auto startAll = [&registry](std::int64_t aRun) {
+    for (const char* task : { "g.0.0.0", "g.0.0.1", "g.0.0.2" }) {
+      registry.apply(startOf(task, aRun));
+    }
+  };
+  const auto endMember = [&registry](const std::string& aTask,
+                                     std::int64_t aRun,
+                                     const std::string& aCheckpoint,
+                                     double aPercent) {
+    registry.apply(valueOf(EndRuns::create(
+      { .ends = { valueOf(RunEnding::create({ .task = aTask,
+                                              .run = aRun,
+                                              .how = RunEnd::eBroken,
+                                              .checkpoint = aCheckpoint,
+                                              .checkpointPercent = aPercent })) } })));
+  };
+  const auto allStartFrom = [&registry](const std::string& aCheckpoint) {
+    const Job* job = registry.find("g");
+    for (std::int64_t index = 0; index < 3; index++) {
+      BOOST_TEST(job->find({ "g", 0, 0, index })->checkpoint == aCheckpoint);
+    }
+  };
+  startAll(1);
+  endMember("g.0.0.0", 1, "a1", 40);
+  endMember("g.0.0.1", 1, "b1", 45);
+  endMember("g.0.0.2", 1, "c1", 42);
+  startAll(2);
+  allStartFrom("b1");
+  endMember("g.0.0.0", 2, "", 0);
+  endMember("g.0.0.2", 2, "c2", 30);
+  endMember("g.0.0.1", 2, "", 0);
+  StateSnapshot::Fields snapshot{ .appliedIndex = 1, .catalogueVersion = 0, .nextSession = 1 };
+  registry.writeTo(snapshot);
+  registry = JobRegistry::fromSnapshot(valueOf(StateSnapshot::create(std::move(snapshot))));
+  startAll(3);
+  allStartFrom("c2");
+  endMember("g.0.0.0", 3, "", 0);
+  endMember("g.0.0.1", 3, "", 0);
+  endMember("g.0.0.2", 3, "", 0);
+  startAll(4);
+  allStartFrom("c2");
+}
+
 BOOST_AUTO_TEST_CASE(a_gang_is_done_when_one_member_is_done_and_a_failed_run_counts_once)
 {
   JobRegistry registry = registryWithQueues();
