The log holds the evacuated data centres

SetEvacuation adds a data centre to a replicated set or takes it out. A field of the catalogue was ruled out: an operator's next catalogue would take the evacuation back.

--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -188,4 +188,10 @@
   return LearnedFiguresSaved{};
 }
 
+Outcome
+ControlState::applyCommand(const SetEvacuation& aCommand)
+{
+  return mSessions.apply(aCommand);
+}
+
 } // namespace magnoliadrum
--- a/src/state/ControlState.h
+++ b/src/state/ControlState.h
@@ -79,6 +79,7 @@
   Outcome applyCommand(const StartRuns& aCommand);
   Outcome applyCommand(const EndRuns& aCommand);
   Outcome applyCommand(const SaveLearnedFigures& aCommand);
+  Outcome applyCommand(const SetEvacuation& aCommand);
 
   std::int64_t mAppliedIndex = 0;
   Catalogue mCatalogue;
--- a/src/state/ControlState_test.cpp
+++ b/src/state/ControlState_test.cpp
@@ -46,6 +46,9 @@
         return nextPlacement(aState);
       case 10:
         return buildValue<SaveLearnedFigures>({ .figures = nextFigures() });
+      case 11:
+        return buildValue<SetEvacuation>(
+          { .dataCentre = pick(2) == 0 ? "Tulcea" : "Braila", .evacuated = pick(4) == 0 });
       default:
         return nextReport(aState);
     }
--- a/src/state/Outcome.h
+++ b/src/state/Outcome.h
@@ -93,6 +93,17 @@
   friend bool operator==(const LearnedFiguresSaved&, const LearnedFiguresSaved&) = default;
 };
 
+/** Outcome of SetEvacuation. */
+struct EvacuationSet
+{
+  std::string mDataCentre;
+  bool mEvacuated = false;
+  /** False if it was so before. */
+  bool mChanged = false;
+
+  friend bool operator==(const EvacuationSet&, const EvacuationSet&) = default;
+};
+
 /** Result of a command. An Error means that the command changed nothing. */
 using Outcome = std::variant<ChangeAnswer,
                              SessionAdmitted,
@@ -106,6 +117,7 @@
                              JobChanged,
                              RunsChanged,
                              LearnedFiguresSaved,
+                             EvacuationSet,
                              Error>;
 
 } // namespace magnoliadrum
--- a/src/state/SessionRegistry.cpp
+++ b/src/state/SessionRegistry.cpp
@@ -12,6 +12,7 @@
   SessionRegistry registry;
   registry.mNextSession = aSnapshot.nextSession();
   registry.mDraining.insert(aSnapshot.draining().begin(), aSnapshot.draining().end());
+  registry.mEvacuated.insert(aSnapshot.evacuated().begin(), aSnapshot.evacuated().end());
   for (const SessionRecord& record : aSnapshot.sessions()) {
     registry.insert(record);
   }
@@ -23,6 +24,7 @@
 {
   aSnapshot.nextSession = mNextSession;
   aSnapshot.draining.assign(mDraining.begin(), mDraining.end());
+  aSnapshot.evacuated.assign(mEvacuated.begin(), mEvacuated.end());
   for (const auto& [number, record] : mSessions) {
     aSnapshot.sessions.push_back(record);
   }
@@ -130,6 +132,26 @@
   return TargetDrained{ aCommand.targetId(), aCommand.draining() };
 }
 
+EvacuationSet
+SessionRegistry::apply(const SetEvacuation& aCommand)
+{
+  const bool isChanged = aCommand.evacuated() ? mEvacuated.insert(aCommand.dataCentre()).second
+                                              : mEvacuated.erase(aCommand.dataCentre()) > 0;
+  return { aCommand.dataCentre(), aCommand.evacuated(), isChanged };
+}
+
+bool
+SessionRegistry::isInEvacuated(const SessionRecord& aSession) const
+{
+  return aSession.target() && mEvacuated.contains(aSession.target()->dataCentre());
+}
+
+bool
+SessionRegistry::isClosed(const SessionRecord& aSession) const
+{
+  return aSession.draining() || isInEvacuated(aSession);
+}
+
 const SessionRecord*
 SessionRegistry::find(std::int64_t aSession) const
 {
--- a/src/state/SessionRegistry.h
+++ b/src/state/SessionRegistry.h
@@ -11,7 +11,8 @@
 
 namespace magnoliadrum {
 
-/** The open sessions and the drained targets. Session numbers are never reused. */
+/** The open sessions, the drained targets and the evacuated data centres. Session numbers are never
+ * reused. */
 class SessionRegistry
 {
 public:
@@ -33,6 +34,19 @@
    */
   Outcome drain(const DrainTarget& aCommand);
 
+  /** Evacuates a data centre or takes it back; neither depends on its sessions. */
+  EvacuationSet apply(const SetEvacuation& aCommand);
+
+  /** Data centres in which nothing starts. */
+  const std::set<std::string>& evacuated() const { return mEvacuated; }
+
+  /** Whether the target of a session is in an evacuated data centre. */
+  bool isInEvacuated(const SessionRecord& aSession) const;
+
+  /** Whether the target of a session gets no new work: it is drained or its data centre evacuated.
+   */
+  bool isClosed(const SessionRecord& aSession) const;
+
   /** Returns an open session; null when it is not open. */
   const SessionRecord* find(std::int64_t aSession) const;
 
@@ -53,6 +67,7 @@
   std::map<std::string, std::int64_t> mByProcess;
   std::map<std::string, std::int64_t> mByTarget;
   std::set<std::string> mDraining;
+  std::set<std::string> mEvacuated;
 };
 
 } // namespace magnoliadrum
--- a/src/state/TaskRegistry.cpp
+++ b/src/state/TaskRegistry.cpp
@@ -143,6 +143,12 @@
   }
   const SessionRecord* session = aSessions.find(aCommand.session());
   const CatalogueEntry* entry = aCatalogue.findEntry(task->entryName());
+  if (session != nullptr && aSessions.isClosed(*session)) {
+    return taskError(ErrorCode::eRefused,
+                     "task.place",
+                     aCommand.taskId(),
+                     "the target is draining or its data centre is evacuated");
+  }
   if (const auto fault = findPlacementFault(mIndex, aCatalogue, entry, session)) {
     return taskError(ErrorCode::eRefused, "task.place", aCommand.taskId(), *fault);
   }
