The leader evacuates data centres

Before: no operation of the leader stops starts in one data centre. Now SetEvacuation is answered once the leader has applied it. The leader assigns nothing there, neither orders nor repeats a start, closes the runs that were assigned and not ordered, and moves runs as EvacuationPlanner says. Targets of catalogue entries there count as draining.

Ruled out: stopping starts in flight at the acknowledgement. Most have begun, so that their work would be lost, and the relay drops one that waits for 1 s or is based on lists older than 2 s.

--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -20,6 +20,7 @@
   , mTasks(mContext, mSessions, aSeed)
   , mRequests(mContext, mSessions, mTasks)
   , mJobs(mContext, mSessions)
+  , mEvacuations(mContext, mJobs.evacuation())
   , mMembership(mContext)
 {
   mContext.mLog.setObserver(this);
@@ -41,6 +42,8 @@
     mJobs.onReport(aConnection, aBody);
   } else if constexpr (requires { mMembership.onRequest(aConnection, aBody); }) {
     mMembership.onRequest(aConnection, aBody);
+  } else if constexpr (requires { mEvacuations.onRequest(aConnection, aBody); }) {
+    mEvacuations.onRequest(aConnection, aBody);
   } else if constexpr (requires { mJobs.onRequest(aConnection, aBody); }) {
     mJobs.onRequest(aConnection, aBody);
   } else if constexpr (requires { mRequests.onRequest(aConnection, aBody); }) {
--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlContext.h"
+#include "control/EvacuationService.h"
 #include "control/JobService.h"
 #include "control/MembershipManager.h"
 #include "control/RequestService.h"
@@ -72,6 +73,7 @@
   TaskService mTasks;
   RequestService mRequests;
   JobService mJobs;
+  EvacuationService mEvacuations;
   MembershipManager mMembership;
   ServiceLevelCollector mServiceLevel;
   MetricsRegistry mMetrics;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -50,6 +50,7 @@
   : RequestHandler(aContext)
   , mSessions(aSessions)
   , mFleet(aContext.mSettings.workerLeaseMs())
+  , mEvacuation(mContext, mFleet, mRuns)
 {
 }
 
@@ -87,6 +88,7 @@
   mGeneration++;
   mFleet.endTerm();
   mRuns.clear();
+  mEvacuation.endTerm();
   mStartedJobs.clear();
   mAssignmentPending = false;
   mScheduleDue = false;
@@ -474,6 +476,9 @@
   } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
     logInfo("queue catalogue applied",
             { { "version", set->mVersion }, { "changed", set->mChanged } });
+  } else if (const EvacuationSet* evacuation = std::get_if<EvacuationSet>(&aOutcome)) {
+    sendOrdersToAll(mEvacuation.onApplied(*evacuation));
+    mScheduleDue = true;
   }
   if (mScheduleDue) {
     schedule();
@@ -590,9 +595,13 @@
   aOrders.ackedEnds = aIncarnation.ackedEnds;
   aOrders.basisClockMs = aIncarnation.listClockMs;
   if (aIncarnation.canReceiveOrders()) {
+    const bool isClosed = mEvacuation.isClosed(aIncarnation);
+    if (isClosed) {
+      mRuns.withdrawUnorderedRuns(aKey, mContext.mNow());
+    }
     mRuns.addDueOrders(aKey,
                        ResourceAmount::of(aIncarnation.description.capacity()),
-                       !aIncarnation.hasUnassignedRuns,
+                       !aIncarnation.hasUnassignedRuns && !isClosed,
                        mContext.mNow(),
                        aOrders);
   }
@@ -640,7 +649,7 @@
 {
   std::vector<WorkerCandidate> candidates;
   for (const auto& [key, incarnation] : mFleet.incarnations()) {
-    if (!incarnation.canAcceptRuns(mContext.mNow())) {
+    if (!incarnation.canAcceptRuns(mContext.mNow()) || mEvacuation.isClosed(incarnation)) {
       continue;
     }
     WorkerCandidate candidate;
@@ -675,6 +684,7 @@
                                         computeLostWork(run) });
       }
     }
+    mEvacuation.limitReturning(incarnation, candidate);
     candidates.push_back(std::move(candidate));
   }
   return candidates;
@@ -689,11 +699,13 @@
   mScheduleDue = false;
   std::vector<WorkerCandidate> candidates = buildWorkerCandidates();
   if (candidates.empty()) {
+    mEvacuation.moveRuns(candidates);
     return;
   }
   const SchedulePlan plan =
     JobScheduler::decide(mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs());
   evict(plan.evictions);
+  sendOrdersToAll(mEvacuation.moveRuns(candidates));
   logWaitReasons(plan.waiting);
   if (plan.assignments.empty()) {
     return;
@@ -762,6 +774,7 @@
   set("control_open_jobs", mContext.mState.jobs().openJobs().size());
   set("control_active_runs", mRuns.size());
   set("control_workers", mFleet.size());
+  mEvacuation.setGauges(aMetrics);
 }
 
 } // namespace magnoliadrum
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/EvacuationDriver.h"
 #include "control/RequestHandler.h"
 #include "control/RunTracker.h"
 #include "control/SessionService.h"
@@ -45,6 +46,8 @@
   /** Ends the runs of lost workers and schedules waiting tasks. */
   void tick();
 
+  const EvacuationDriver& evacuation() const { return mEvacuation; }
+
   /** Sets the gauges of jobs, runs and workers. */
   void setGauges(MetricsRegistry& aMetrics) const;
 
@@ -80,6 +83,7 @@
   SessionService& mSessions;
   WorkerFleet mFleet;
   RunTracker mRuns;
+  EvacuationDriver mEvacuation;
   InterferenceGuard mGuard;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
--- a/src/control/PlacementDriver.cpp
+++ b/src/control/PlacementDriver.cpp
@@ -47,7 +47,7 @@
   WorkerView view;
   view.session = aSession;
   view.target = *record->target();
-  view.draining = record->draining();
+  view.draining = aState.sessions().isClosed(*record);
   // Agents with the same IP address run on the same VM.
   const auto services = aServices.find(hostOf(*record->target()));
   if (services != aServices.end()) {
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -191,6 +191,22 @@
   return false;
 }
 
+void
+RunTracker::withdrawUnorderedRuns(const IncarnationKey& aKey, MonotonicTime aNow)
+{
+  for (const std::string& name : tasksOn(aKey)) {
+    TrackedRun& run = mRuns.at(name);
+    if (run.isConfirmed || needsStop(run) || !isDue(run.startSentAt, aNow)) {
+      continue;
+    }
+    // An order of an earlier leader may be in transit, so the run is closed before it is assigned
+    // again.
+    run.shouldStop = true;
+    logInfo("run withdrawn: its worker's data centre is evacuated",
+            { { "task", name }, { "run", run.run }, { "worker", aKey.worker } });
+  }
+}
+
 void
 RunTracker::addDueOrders(const IncarnationKey& aKey,
                          const ResourceAmount& aCapacity,
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -98,6 +98,11 @@
   /** Applies a worker's answers to orders. */
   void applyAnswers(const IncarnationKey& aKey, const std::vector<OrderAnswer>& aAnswers);
 
+  /** Stops the runs of an incarnation that have not started and whose start was not ordered, or was
+   * ordered without effect. A start that was just ordered takes effect or is dropped by its relay.
+   */
+  void withdrawUnorderedRuns(const IncarnationKey& aKey, MonotonicTime aNow);
+
   /**
    * Adds the orders that are due to aOrders and records them as sent at aNow. While the runs of the
    * incarnation exceed aCapacity, which may have shrunk since their assignment, no start is ordered
--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -221,6 +221,13 @@
       mListener.onSessionChanged(record->session());
     }
     mTargetTableChanged = true;
+  } else if (std::holds_alternative<EvacuationSet>(aOutcome)) {
+    for (const auto& [number, record] : mContext.mState.sessions().all()) {
+      if (record.target()) {
+        mListener.onSessionChanged(number);
+      }
+    }
+    mTargetTableChanged = true;
   } else if (std::holds_alternative<ChangeAnswer>(aOutcome)) {
     for (const auto& [session, live] : mLiveSessions) {
       sendCatalogueUpdates(session);
@@ -354,7 +361,9 @@
     const auto live = mLiveSessions.find(number);
     const bool leaving = live != mLiveSessions.end() && live->second.mLeaving;
     targets.push_back(buildValue<TargetStatus>(
-      { .target = *record.target(), .session = number, .leaving = leaving || record.draining() }));
+      { .target = *record.target(),
+        .session = number,
+        .leaving = leaving || mContext.mState.sessions().isClosed(record) }));
   }
   return targets;
 }
--- a/src/control/TaskDispatcher.cpp
+++ b/src/control/TaskDispatcher.cpp
@@ -145,6 +145,12 @@
     if (task == nullptr || !isDue(order, aNow)) {
       continue;
     }
+    const SessionRecord* session = aState.sessions().find(order.mSession);
+    const bool isEvacuated = session != nullptr && aState.sessions().isInEvacuated(*session);
+    if (order.mKind == OrderKind::eStart && isEvacuated) {
+      // The policy moves the task, which replaces this order by a stop.
+      continue;
+    }
     if (std::optional<Message> message = buildMessage(*task, order.mKind, aState.catalogue())) {
       due.push_back({ order.mSession, std::move(*message) });
     }
