Operators evacuate data centres over HTTP

Now POST and DELETE /-/evacuate/ZONE, GET /-/evacuate, and /v1/evacuations of the gateways reach the leader; a replica that does not lead redirects, as for catalogues. An unknown data centre gets 404 with the reason; the settings of control list those that exist.

--- a/src/gateway/OperatorInterface.cpp
+++ b/src/gateway/OperatorInterface.cpp
@@ -171,6 +171,12 @@
   return toMessage(QueueCatalogueQuery::create({ .requestId = aContext.mRequestId }));
 }
 
+ReadResult
+readEvacuationQuery(const RequestContext& aContext)
+{
+  return toMessage(EvacuationQuery::create({ .requestId = aContext.mRequestId }));
+}
+
 /** Maps a method and a path to a reader. A path that ends with '/' is a prefix before a name. */
 struct Route
 {
@@ -185,7 +191,7 @@
   }
 };
 
-constexpr std::array<Route, 16> kRoutes = { {
+constexpr std::array<Route, 18> kRoutes = { {
   { "PUT", "/v1/catalogue/", readChange },
   { "GET", "/v1/catalogue/", readCatalogueQuery },
   { "GET", "/v1/catalogue", readCatalogueQuery },
@@ -202,6 +208,8 @@
   { "POST", "/v1/jobs/cancel", readBody<JobCancel> },
   { "PUT", "/v1/queues", readBody<QueueCatalogueSubmit> },
   { "GET", "/v1/queues", readQueueCatalogueQuery },
+  { "POST", "/v1/evacuations", readBody<EvacuationRequest> },
+  { "GET", "/v1/evacuations", readEvacuationQuery },
 } };
 
 int
--- a/src/platform/OperatorServer.cpp
+++ b/src/platform/OperatorServer.cpp
@@ -4,6 +4,8 @@
 #include "platform/CatalogueCodec.h"
 #include "platform/JsonAnswers.h"
 
+#include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 namespace magnoliadrum::platform {
@@ -11,10 +13,29 @@
 namespace {
 
 const char* const kCataloguePath = "/-/config";
+const char* const kEvacuationsPath = "/-/evacuate";
+constexpr std::string_view kEvacuationPrefix = "/-/evacuate/";
 
 /** Largest accepted catalogue; its message must stay below the limit for messages. */
 constexpr std::size_t kMaxBodyBytes = 1900000;
 
+/** Encodes the evacuated data centres and what is left in each. */
+std::string
+encodeEvacuations(const EvacuationListing& aListing)
+{
+  nlohmann::json zones = nlohmann::json::array();
+  for (const EvacuationStatus& status : aListing.evacuated()) {
+    zones.push_back({ { "Zone", status.dataCentre() },
+                      { "Executors", status.workers() },
+                      { "LongRunning", status.longRunningRuns() },
+                      { "Running", status.otherRuns() },
+                      { "Moving", status.moving() },
+                      { "WaitingForBudget", status.waitingForBudget() },
+                      { "WaitingForRoom", status.waitingForRoom() } });
+  }
+  return nlohmann::json({ { "Evacuated", std::move(zones) } }).dump();
+}
+
 } // namespace
 
 OperatorServer::OperatorServer(std::string aAddress, ControlProcessCall aCall)
@@ -55,6 +76,11 @@
     replaceCatalogue(aRequest, aResponder);
   } else if (aRequest.mPath == kCataloguePath && aRequest.mMethod == "GET") {
     readCatalogue(aRequest, aResponder);
+  } else if (aRequest.mPath.starts_with(kEvacuationPrefix) &&
+             (aRequest.mMethod == "POST" || aRequest.mMethod == "DELETE")) {
+    setEvacuation(aRequest, aResponder);
+  } else if (aRequest.mPath == kEvacuationsPath && aRequest.mMethod == "GET") {
+    readEvacuations(aRequest, aResponder);
   } else {
     logInfo("operator request rejected",
             { { "method", aRequest.mMethod }, { "path", aRequest.mPath } });
@@ -102,6 +128,37 @@
   });
 }
 
+void
+OperatorServer::setEvacuation(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
+{
+  const Result<EvacuationRequest> message =
+    EvacuationRequest::create({ .requestId = nextRequestId(),
+                                .dataCentre = aRequest.mPath.substr(kEvacuationPrefix.size()),
+                                .evacuated = aRequest.mMethod == "POST" });
+  if (!isOk(message)) {
+    aResponder->answer(errorAnswer(kStatusBadRequest, errorOf(message).detail()));
+    return;
+  }
+  mCall(valueOf(message), [this, aRequest, aResponder](const Reply& aReply) {
+    const EvacuationListing* listing =
+      isOk(aReply.message) ? std::get_if<EvacuationListing>(&valueOf(aReply.message)) : nullptr;
+    aResponder->answer(listing != nullptr ? jsonAnswer(kStatusOk, encodeEvacuations(*listing))
+                                          : answerOf(aRequest, aReply));
+  });
+}
+
+void
+OperatorServer::readEvacuations(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
+{
+  const Message message = valueOf(EvacuationQuery::create({ .requestId = nextRequestId() }));
+  mCall(message, [this, aRequest, aResponder](const Reply& aReply) {
+    const EvacuationListing* listing =
+      isOk(aReply.message) ? std::get_if<EvacuationListing>(&valueOf(aReply.message)) : nullptr;
+    aResponder->answer(listing != nullptr ? jsonAnswer(kStatusOk, encodeEvacuations(*listing))
+                                          : answerOf(aRequest, aReply));
+  });
+}
+
 HttpAnswer
 OperatorServer::answerOf(const HttpRequest& aRequest, const Reply& aReply) const
 {
@@ -118,8 +175,14 @@
     return errorAnswer(kStatusServiceUnavailable, "unexpected reply from the control process");
   }
   const Error& error = errorOf(aReply.message);
-  const bool isInvalid = error.code() == ErrorCode::eInvalid;
-  return errorAnswer(isInvalid ? kStatusBadRequest : kStatusServiceUnavailable, error.detail());
+  switch (error.code()) {
+    case ErrorCode::eInvalid:
+      return errorAnswer(kStatusBadRequest, error.detail());
+    case ErrorCode::eNotFound:
+      return errorAnswer(kStatusNotFound, error.detail());
+    default:
+      return errorAnswer(kStatusServiceUnavailable, error.detail());
+  }
 }
 
 } // namespace magnoliadrum::platform
--- a/src/platform/OperatorServer.h
+++ b/src/platform/OperatorServer.h
@@ -44,6 +44,9 @@
   void onRequest(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
   void replaceCatalogue(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
   void readCatalogue(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+  /** Evacuates the data centre that the path names, or takes it back. */
+  void setEvacuation(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+  void readEvacuations(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
   HttpAnswer answerOf(const HttpRequest& aRequest, const Reply& aReply) const;
   std::string nextRequestId();
 
