--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -71,6 +71,10 @@
          "  cancel TASK                 cancel a task\n"
          "  drain TARGET                give a target no new work and move its tasks away\n"
          "  undrain TARGET              end a drain\n"
+         "  evacuate DATA-CENTRE        let nothing start in a data centre and move work out of "
+         "it\n"
+         "  take-back DATA-CENTRE       end an evacuation\n"
+         "  evacuations                 evacuated data centres and what is left there\n"
          "  status                      control group and sessions\n"
          "  members                     replicas of the control group\n"
          "  add REPLICA ADDRESS         add a replica as a non-voter\n"
@@ -124,6 +128,13 @@
     return printAnswer(
       "POST", "/v1/targets/drain", { { "targetId", aWords[1] }, { "draining", draining } });
   }
+  if (hasWords(aWords, "evacuate", 1) || hasWords(aWords, "take-back", 1)) {
+    const bool evacuated = aWords[0] == "evacuate";
+    return showEvacuations("POST", { { "dataCentre", aWords[1] }, { "evacuated", evacuated } });
+  }
+  if (hasWords(aWords, "evacuate", 0) || hasWords(aWords, "evacuations", 0)) {
+    return showEvacuations("GET", nullptr);
+  }
   if (hasWords(aWords, "status", 0) || hasWords(aWords, "members", 0)) {
     return showStatus();
   }
@@ -378,6 +389,35 @@
   return ExitStatus::eSuccess;
 }
 
+ExitStatus
+CommandLine::showEvacuations(const std::string& aMethod, const nlohmann::json& aBody)
+{
+  const Result<GatewayAnswer> answer = mClient.request(aMethod, "/v1/evacuations", aBody);
+  if (!isOk(answer)) {
+    return fail(errorOf(answer));
+  }
+  const Result<EvacuationListing> listing =
+    EvacuationListing::fromJson(valueOf(answer).mBody, "read evacuations", "gateway");
+  if (!valueOf(answer).isSuccess() || !isOk(listing)) {
+    return fail(valueOf(answer));
+  }
+  if (mOptions.mFormat == "json") {
+    mOut << valueOf(answer).mBody.dump(2) << "\n";
+    return ExitStatus::eSuccess;
+  }
+  if (valueOf(listing).evacuated().empty()) {
+    mOut << "no data centre is evacuated\n";
+  }
+  for (const EvacuationStatus& status : valueOf(listing).evacuated()) {
+    mOut << status.dataCentre() << " is evacuated: " << status.workers() << " workers, "
+         << status.longRunningRuns() << " long-running and " << status.otherRuns()
+         << " other runs, " << status.placedTasks() << " tasks of entries left; " << status.moving()
+         << " moving, " << status.waitingForBudget() << " waiting for the disruption budget, "
+         << status.waitingForRoom() << " waiting for room elsewhere\n";
+  }
+  return ExitStatus::eSuccess;
+}
+
 ExitStatus
 CommandLine::changeMember(const std::string& aOperation,
                           const std::string& aReplicaId,
--- a/src/cli/CommandLine.h
+++ b/src/cli/CommandLine.h
@@ -12,8 +12,8 @@
 enum class ExitStatus
 {
   eSuccess = 0,
-  eFailure = 1,   /**< The operation was refused or its result is not known. */
-  eUsage = 2,     /**< The words of the call are wrong. */
+  eFailure = 1,    /**< The operation was refused or its result is not known. */
+  eUsage = 2,      /**< The words of the call are wrong. */
   eNotInForce = 3 /**< The change is accepted but was not in force everywhere in time. */
 };
 
@@ -52,6 +52,7 @@
   ExitStatus waitInForce(std::int64_t aCatalogueVersion);
   ExitStatus showTasks(const std::string& aQuery);
   ExitStatus showStatus();
+  ExitStatus showEvacuations(const std::string& aMethod, const nlohmann::json& aBody);
   ExitStatus changeMember(const std::string& aOperation,
                           const std::string& aReplicaId,
                           const std::string& aAddress);
