magnoliadrumctl catalogue check

Reads queues in the project's or the platform's format, or entries and quotas, offline or against a file or the version in force. Exit status 1 for errors, 4 for warnings, 0 otherwise, 2 when it could not be checked.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -16,7 +16,7 @@
 magnoliadrum_module(control faults consensus storage state placement jobs session transport observability settings)
 magnoliadrum_module(gateway faults routing session transport observability settings)
 magnoliadrum_module(agent faults session transport observability settings)
-magnoliadrum_module(cli report transport settings)
+magnoliadrum_module(cli report state platform transport settings)
 
 magnoliadrum_program(magnoliadrum-control control control_main.cpp platform)
 magnoliadrum_program(magnoliadrum-gateway gateway gateway_main.cpp platform)
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "cli/CommandLine.h"
 
+#include "cli/CatalogueCommand.h"
 #include "generated/MessagesTypes.h"
 #include "report/report.h"
 
@@ -84,6 +85,8 @@
          "  report [ENTRY]              service-level burn report; --format=text|json|html\n"
          "  queues                      the queues and pools of jobs\n"
          "  queues apply FILE           replace all queues and pools; the highest version wins\n"
+         "  catalogue check FILE        check queues, or entries and quotas, before they are sent; "
+         "--against=VERSION|in-force|FILE, --format=text|json\n"
          "  job submit QUEUE FILE       hand a job in; the same id stays one job\n"
          "  job show QUEUE JOB          state of a job\n"
          "  job cancel QUEUE JOB        cancel a job\n"
@@ -150,6 +153,9 @@
   if (hasWords(aWords, "report", 0) || hasWords(aWords, "report", 1)) {
     return report(aWords.size() == 2 ? aWords[1] : "");
   }
+  if (hasWords(aWords, "catalogue", 2) && aWords[1] == "check") {
+    return CatalogueCommand(mClient, mOptions, mOut, mErr).check(aWords[2]);
+  }
   if (!aWords.empty() && (aWords[0] == "job" || aWords[0] == "queues")) {
     return runJobs(aWords);
   }
--- a/src/cli/CommandLine.h
+++ b/src/cli/CommandLine.h
@@ -14,7 +14,8 @@
   eSuccess = 0,
   eFailure = 1,    /**< The operation was refused or its result is not known. */
   eUsage = 2,      /**< The words of the call are wrong. */
-  eNotInForce = 3 /**< The change is accepted but was not in force everywhere in time. */
+  eNotInForce = 3, /**< The change is accepted but was not in force everywhere in time. */
+  eWarnings = 4    /**< A check found no errors, but warnings. */
 };
 
 /** Flags that several commands share. */
@@ -27,6 +28,9 @@
   /** text, json or html. */
   std::string mFormat = "text";
   std::string mPayload;
+  /** What a catalogue is compared with: a version number, in-force, or a file; empty for nothing.
+   */
+  std::string mAgainst;
 };
 
 /** One operator command against the gateways. */
--- a/src/cli/ctl_main.cpp
+++ b/src/cli/ctl_main.cpp
@@ -10,7 +10,10 @@
 DEFINE_bool(wait, false, "apply, delete: return when the change is in force everywhere");
 DEFINE_int64(wait_ms, 10000, "longest wait for --wait and for the promotion in replace");
 DEFINE_int64(expected_version, -1, "apply, delete: version that the record must have");
-DEFINE_string(format, "text", "status, tasks, report: text, json or html");
+DEFINE_string(format,
+              "text",
+              "status, tasks, report, evacuations, catalogue check: text, json or html");
+DEFINE_string(against, "", "catalogue check: version number, in-force or a file to compare with");
 DEFINE_string(payload, "", "submit: parameters of the run");
 
 namespace {
@@ -31,9 +34,8 @@
     std::cerr << magnoliadrum::errorOf(client).text() << "\n";
     return kUsageStatus;
   }
-  const magnoliadrum::CommandOptions options{
-    FLAGS_wait, FLAGS_wait_ms, FLAGS_expected_version, FLAGS_format, FLAGS_payload
-  };
+  const magnoliadrum::CommandOptions options{ FLAGS_wait,   FLAGS_wait_ms, FLAGS_expected_version,
+                                              FLAGS_format, FLAGS_payload, FLAGS_against };
   magnoliadrum::CommandLine commandLine(
     *magnoliadrum::valueOf(client), options, std::cout, std::cerr);
   const std::vector<std::string> words(aValues + 1, aValues + aCount);
