--- a/src/cli/CatalogueCommand.cpp
+++ b/src/cli/CatalogueCommand.cpp
@@ -69,7 +69,9 @@
   CatalogueRecords records;
   std::vector<CatalogueFinding> faults;
   for (std::size_t index = 0; index < items.size(); index++) {
-    const std::string path = "[" + std::to_string(index) + "]";
+    // GCC 12 warns at -O3 about "[" + std::to_string(index).
+    std::string path = "[";
+    path.append(std::to_string(index)).append("]");
     const auto addFaults = [&faults, &path](const Error& aError) {
       const std::vector<CatalogueFinding> errors = errorsOf(aError, path);
       faults.insert(faults.end(), errors.begin(), errors.end());
