--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "cli/CommandLine.h"
 
+#include "cli/CatalogueCommand.h"
 #include "generated/MessagesTypes.h"
 #include "report/report.h"
 
@@ -71,6 +72,10 @@
          "  cancel TASK                 cancel a task\n"
          "  drain TARGET                give a target no new work and move its tasks away\n"
          "  undrain TARGET              end a drain\n"
+         "  evacuate DATA-CENTRE        let nothing start in a data centre and move work out of "
+         "it\n"
+         "  take-back DATA-CENTRE       end an evacuation\n"
+         "  evacuations                 evacuated data centres and what is left there\n"
          "  status                      control group and sessions\n"
          "  members                     replicas of the control group\n"
          "  add REPLICA ADDRESS         add a replica as a non-voter\n"
@@ -80,6 +85,8 @@
          "  report [ENTRY]              service-level burn report; --format=text|json|html\n"
          "  queues                      the queues and pools of jobs\n"
          "  queues apply FILE           replace all queues and pools; the highest version wins\n"
+         "  catalogue check FILE        check queues, or entries and quotas, before they are sent; "
+         "--against=VERSION|in-force|FILE, --format=text|json\n"
          "  job submit QUEUE FILE       hand a job in; the same id stays one job\n"
          "  job show QUEUE JOB          state of a job\n"
          "  job cancel QUEUE JOB        cancel a job\n"
@@ -124,6 +131,13 @@
     return printAnswer(
       "POST", "/v1/targets/drain", { { "targetId", aWords[1] }, { "draining", draining } });
   }
+  if (hasWords(aWords, "evacuate", 1) || hasWords(aWords, "take-back", 1)) {
+    const bool evacuated = aWords[0] == "evacuate";
+    return showEvacuations("POST", { { "dataCentre", aWords[1] }, { "evacuated", evacuated } });
+  }
+  if (hasWords(aWords, "evacuate", 0) || hasWords(aWords, "evacuations", 0)) {
+    return showEvacuations("GET", nullptr);
+  }
   if (hasWords(aWords, "status", 0) || hasWords(aWords, "members", 0)) {
     return showStatus();
   }
@@ -139,6 +153,9 @@
   if (hasWords(aWords, "report", 0) || hasWords(aWords, "report", 1)) {
     return report(aWords.size() == 2 ? aWords[1] : "");
   }
+  if (hasWords(aWords, "catalogue", 2) && aWords[1] == "check") {
+    return CatalogueCommand(mClient, mOptions, mOut, mErr).check(aWords[2]);
+  }
   if (!aWords.empty() && (aWords[0] == "job" || aWords[0] == "queues")) {
     return runJobs(aWords);
   }
@@ -378,6 +395,35 @@
   return ExitStatus::eSuccess;
 }
 
+ExitStatus
+CommandLine::showEvacuations(const std::string& aMethod, const nlohmann::json& aBody)
+{
+  const Result<GatewayAnswer> answer = mClient.request(aMethod, "/v1/evacuations", aBody);
+  if (!isOk(answer)) {
+    return fail(errorOf(answer));
+  }
+  const Result<EvacuationListing> listing =
+    EvacuationListing::fromJson(valueOf(answer).mBody, "read evacuations", "gateway");
+  if (!valueOf(answer).isSuccess() || !isOk(listing)) {
+    return fail(valueOf(answer));
+  }
+  if (mOptions.mFormat == "json") {
+    mOut << valueOf(answer).mBody.dump(2) << "\n";
+    return ExitStatus::eSuccess;
+  }
+  if (valueOf(listing).evacuated().empty()) {
+    mOut << "no data centre is evacuated\n";
+  }
+  for (const EvacuationStatus& status : valueOf(listing).evacuated()) {
+    mOut << status.dataCentre() << " is evacuated: " << status.workers() << " workers, "
+         << status.longRunningRuns() << " long-running and " << status.otherRuns()
+         << " other runs, " << status.placedTasks() << " tasks of entries left; " << status.moving()
+         << " moving, " << status.waitingForBudget() << " waiting for the disruption budget, "
+         << status.waitingForRoom() << " waiting for room elsewhere\n";
+  }
+  return ExitStatus::eSuccess;
+}
+
 ExitStatus
 CommandLine::changeMember(const std::string& aOperation,
                           const std::string& aReplicaId,
