Transport: an account of bytes bounds what HTTP clients hold

Cause: evhttp bounds one request but not their sum, and a header or JSON body of many short fields takes a multiple of its text.

Values of a JSON body are counted before it is decoded.

Ruled out: requests sent ahead, which evhttp bounds.

--- a/src/agent/AgentService.cpp
+++ b/src/agent/AgentService.cpp
@@ -1,6 +1,7 @@
 #include "agent/AgentService.h"
 
 #include "observability/observability.h"
+#include "settings/settings.h"
 
 #include <algorithm>
 #include <utility>
@@ -337,6 +338,7 @@
     mMetrics.set("agent_control_bytes_sent", "", static_cast<double>(mControlLink->bytesSent()));
     mMetrics.set(
       "agent_control_bytes_received", "", static_cast<double>(mControlLink->bytesReceived()));
+    setClientMetrics(mLoop.transfers(), mMetrics);
     answer(kStatusOk, mMetrics.text());
   } else if (aRequest.mPath == "/healthz") {
     answer(mControlLink->holdsLease(mLoop.now()) ? kStatusOk : kStatusUnavailable, "");
--- a/src/agent/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -26,6 +26,7 @@
   }
   EventLoop& events = *valueOf(loop);
   events.setSourceHost(hostOfAddress(aSettings.listenAddress()));
+  const EventHandlePointer clientLimits = applyClientLimits(events, aSettings.vm());
   const Result<std::unique_ptr<AgentService>> service = AgentService::start(events, aSettings);
   if (!isOk(service)) {
     logError("agent cannot start", errorOf(service));
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "session/Incarnation.h"
 #include "session/RequestAnswers.h"
+#include "settings/settings.h"
 #include "state/BuildValue.h"
 
 #include <random>
@@ -180,7 +181,9 @@
   HttpAnswer::Fields answer{ .status = kHttpNotFound };
   if (aRequest.mPath == "/metrics") {
     answer.status = kHttpOk;
-    answer.body = mService.metricsText();
+    MetricsRegistry clients;
+    setClientMetrics(mLoop.transfers(), clients);
+    answer.body = mService.metricsText() + clients.text();
   } else if (aRequest.mPath == "/healthz") {
     const bool healthy = !mLog.leaderAddress().empty() && !mShuttingDown;
     answer.status = healthy ? kHttpOk : kHttpUnavailable;
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -178,6 +178,7 @@
   }
   const auto loop = takeValue(std::move(created));
   loop->setSourceHost(hostOfAddress(aSettings.listenAddress()));
+  const EventHandlePointer clientLimits = applyClientLimits(*loop, aSettings.vm());
   ControlLinkHandlers handlers;
   handlers.fillOpen = [](SessionOpen::Fields& /*aFields*/) { return true; };
   handlers.fillHeartbeat = [](SessionHeartbeat::Fields& /*aFields*/) {};
@@ -232,6 +233,7 @@
   }
   const auto loop = takeValue(std::move(created));
   loop->setSourceHost(hostOfAddress(aSettings.listenAddress()));
+  const EventHandlePointer clientLimits = applyClientLimits(*loop, aSettings.vm());
   const std::unique_ptr<FaultPointFile> faultPoints =
     FaultPointFile::watch(*loop, FLAGS_fault_points_file);
   ControlState state;
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -286,6 +286,7 @@
 {
   MetricsRegistry metrics;
   mRouter.writeMetrics(metrics);
+  setClientMetrics(mLoop.transfers(), metrics);
   const bool holdsLease = mControlLink->holdsLease(mLoop.now());
   metrics.set("gateway_lease_held", "", holdsLease ? 1 : 0);
   metrics.set(
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -49,6 +49,7 @@
   }
   EventLoop& events = *valueOf(loop);
   events.setSourceHost(hostOfAddress(aSettings.httpAddress()));
+  const EventHandlePointer clientLimits = applyClientLimits(events, aSettings.vm());
   const Result<std::unique_ptr<GatewayProcess>> process = GatewayProcess::start(events, aSettings);
   if (!isOk(process)) {
     logError("gateway cannot start", errorOf(process));
--- a/src/platform/CatalogueCodec.cpp
+++ b/src/platform/CatalogueCodec.cpp
@@ -58,9 +58,10 @@
 Result<QueueCatalogue>
 decodeCatalogue(const std::string& aBody, const std::string& aPeer)
 {
-  const std::optional<nlohmann::json> body = parseBody(aBody);
+  const std::optional<nlohmann::json> body = parseBody(aBody, kMaxDocumentValues);
   if (!body) {
-    return Error::create(ErrorCode::eInvalid, kStep, aPeer, "body: not valid JSON");
+    return Error::create(
+      ErrorCode::eInvalid, kStep, aPeer, "body: not valid JSON, or too many values");
   }
   std::vector<std::string> faults;
   const JsonReader reader(*body, "", faults);
--- a/src/platform/JobCodec.cpp
+++ b/src/platform/JobCodec.cpp
@@ -53,9 +53,10 @@
 Result<JobDescription>
 decodeJob(const std::string& aJobId, const std::string& aBody, const std::string& aPeer)
 {
-  const std::optional<nlohmann::json> body = parseBody(aBody);
+  const std::optional<nlohmann::json> body = parseBody(aBody, kMaxCallerValues);
   if (!body) {
-    return Error::create(ErrorCode::eInvalid, kStep, aPeer, "body: not valid JSON");
+    return Error::create(
+      ErrorCode::eInvalid, kStep, aPeer, "body: not valid JSON, or too many values");
   }
   std::vector<std::string> faults;
   const JsonReader reader(*body, "", faults);
--- a/src/platform/JsonReader.cpp
+++ b/src/platform/JsonReader.cpp
@@ -172,9 +172,36 @@
   return JsonReader(*value, (mPath.empty() ? "" : mPath + ".") + aName, mFaults);
 }
 
+namespace {
+
+/** Number of commas, colons and opening brackets outside strings, which bounds the number of values
+ * before anything is decoded. */
+std::size_t
+countValues(const std::string& aBody)
+{
+  std::size_t values = 0;
+  bool isInString = false;
+  for (std::size_t position = 0; position < aBody.size(); position++) {
+    const char character = aBody[position];
+    if (isInString) {
+      position += character == '\\' ? 1 : 0;
+      isInString = character != '"';
+      continue;
+    }
+    isInString = character == '"';
+    values += character == ',' || character == ':' || character == '[' || character == '{' ? 1 : 0;
+  }
+  return values;
+}
+
+} // namespace
+
 std::optional<json>
-parseBody(const std::string& aBody)
+parseBody(const std::string& aBody, std::size_t aMaxValues)
 {
+  if (countValues(aBody) > aMaxValues) {
+    return std::nullopt;
+  }
   json value = json::parse(aBody, nullptr, false);
   if (value.is_discarded()) {
     return std::nullopt;
--- a/src/platform/JsonReader.h
+++ b/src/platform/JsonReader.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -54,9 +55,15 @@
   std::vector<std::string>& mFaults;
 };
 
-/** Parses a body; returns std::nullopt when it is not valid JSON. */
+/** Most values in a caller's body: a decoded value takes up to a hundred times its text. */
+inline constexpr std::size_t kMaxCallerValues = 50000;
+/** The same for a catalogue and for what a worker sends. */
+inline constexpr std::size_t kMaxDocumentValues = 250000;
+
+/** Parses a body; returns std::nullopt when it is not valid JSON or may hold more than aMaxValues.
+ */
 std::optional<nlohmann::json>
-parseBody(const std::string& aBody);
+parseBody(const std::string& aBody, std::size_t aMaxValues);
 
 /** Joins faults into one string, separated by semicolons. */
 std::string
--- a/src/platform/WorkerCodec.cpp
+++ b/src/platform/WorkerCodec.cpp
@@ -113,9 +113,10 @@
 decodeRegistration(const std::string& aWorkerId, const std::string& aBody, const std::string& aPeer)
 {
   const char* const kStep = "decode registration";
-  const std::optional<json> body = parseBody(aBody);
+  const std::optional<json> body = parseBody(aBody, kMaxDocumentValues);
   if (!body) {
-    return Error::create(ErrorCode::eInvalid, kStep, aPeer, "body: not valid JSON");
+    return Error::create(
+      ErrorCode::eInvalid, kStep, aPeer, "body: not valid JSON, or too many values");
   }
   std::vector<std::string> faults;
   const JsonReader reader(*body, "", faults);
@@ -207,7 +208,7 @@
 Result<RunLists>
 decodeRunLists(const std::string& aBody, const std::string& aPeer)
 {
-  const std::optional<json> body = parseBody(aBody);
+  const std::optional<json> body = parseBody(aBody, kMaxDocumentValues);
   if (!body || !body->is_object()) {
     return Error::create(ErrorCode::eInvalid, "decode lists", aPeer, "body: not a JSON object");
   }
@@ -230,7 +231,8 @@
 {
   OrderOutcome outcome;
   std::string reason;
-  if (const std::optional<json> body = parseBody(aBody); body && body->is_object()) {
+  if (const std::optional<json> body = parseBody(aBody, kMaxDocumentValues);
+      body && body->is_object()) {
     std::vector<std::string> faults;
     const JsonReader reader(*body, "", faults);
     outcome.clockMs = reader.integer("ClockMs");
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -93,6 +93,7 @@
     constexpr std::int64_t kNotFound = 404;
     const bool isKnown = aRequest.mPath == "/metrics";
     mRelay.setMetrics(mMetrics);
+    setClientMetrics(mLoop.transfers(), mMetrics);
     mMetrics.set("relay_has_leader", "", mLink->holdsLease(mLoop.now()) ? 1 : 0);
     aResponder.answer(valueOf(HttpAnswer::create(
       { .status = isKnown ? kOk : kNotFound, .body = isKnown ? mMetrics.text() : "" })));
@@ -117,6 +118,7 @@
   }
   EventLoop& events = *valueOf(loop);
   events.setSourceHost(hostOfAddress(aSettings.platformAddress()));
+  const EventHandlePointer clientLimits = applyClientLimits(events, aSettings.vm());
   RelayProcess process(events, aSettings);
   const Result<Done> started =
     process.start(aSettings.platformAddress(), aSettings.metricsAddress());
--- a/src/transport/EventLoop.h
+++ b/src/transport/EventLoop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "transport/TransferAccount.h"
 
 #include <cstdint>
 #include <functional>
@@ -76,6 +77,10 @@
   void setSourceHost(std::string aHost) { mSourceHost = std::move(aHost); }
   const std::string& sourceHost() const { return mSourceHost; }
 
+  /** The account of all HTTP connections of the process. */
+  TransferAccount& transfers() { return mTransfers; }
+  const TransferAccount& transfers() const { return mTransfers; }
+
   event_base* base() const { return mBase; }
 
 private:
@@ -83,6 +88,7 @@
 
   event_base* mBase;
   std::string mSourceHost;
+  TransferAccount mTransfers;
 };
 
 } // namespace magnoliadrum
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -16,7 +16,11 @@
 namespace {
 
 constexpr int kStatusInternalError = 500;
-constexpr std::size_t kMaxHeaderBytes = 32768;
+constexpr int kStatusServiceUnavailable = 503;
+constexpr std::size_t kMaxHeaderBytes = 16384;
+
+/** Bytes on the wire for each byte of a body that comes in chunks of one byte, rounded up. */
+constexpr std::size_t kMaxChunkOverhead = 8;
 
 /** A caller that sends nothing for this long on an open connection is disconnected. */
 constexpr int kIdleTimeoutS = 120;
@@ -51,9 +55,12 @@
   return result;
 }
 
-HttpResponder::HttpResponder(evhttp_request* aRequest, std::shared_ptr<const bool> aStopping)
+HttpResponder::HttpResponder(evhttp_request* aRequest,
+                             std::shared_ptr<const bool> aStopping,
+                             HttpConnectionGuard::Admission aAdmission)
   : mRequest(aRequest)
   , mStopping(std::move(aStopping))
+  , mAdmission(std::move(aAdmission))
 {
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_set_closecb(
@@ -61,6 +68,7 @@
     [](evhttp_connection* /*aConnection*/, void* aSelf) {
       HttpResponder* self = static_cast<HttpResponder*>(aSelf);
       self->mRequest = nullptr;
+      self->mAdmission.reset();
       const std::function<void()> onGone = std::move(self->mOnGone);
       if (onGone) {
         onGone();
@@ -81,6 +89,7 @@
     return;
   }
   evhttp_request* request = std::exchange(mRequest, nullptr);
+  mAdmission.reset();
   evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   addHeaders(headers, aAnswer.headers());
@@ -93,15 +102,20 @@
   evbuffer_free(body);
 }
 
-HttpServer::HttpServer(EventLoop& aLoop, Handler aHandler)
+HttpServer::HttpServer(EventLoop& aLoop, std::size_t aMaxBodyBytes, Handler aHandler)
   : mHandler(std::move(aHandler))
   , mServer(evhttp_new(aLoop.base()))
 {
+  mGuard = std::make_unique<HttpConnectionGuard>(
+    aLoop, mServer.get(), kMaxHeaderBytes + aMaxBodyBytes * kMaxChunkOverhead);
 }
 
-HttpServer::~HttpServer()
+HttpServer::~HttpServer() = default;
+
+void
+HttpServer::ServerDeleter::operator()(evhttp* aServer) const
 {
-  evhttp_free(mServer);
+  evhttp_free(aServer);
 }
 
 Result<std::unique_ptr<HttpServer>>
@@ -114,18 +128,18 @@
   if (!isOk(address)) {
     return errorOf(address);
   }
-  std::unique_ptr<HttpServer> server(new HttpServer(aLoop, std::move(aHandler)));
-  evhttp_set_allowed_methods(server->mServer, kAllMethods);
-  evhttp_set_max_body_size(server->mServer, static_cast<ev_ssize_t>(aMaxBodyBytes));
-  evhttp_set_max_headers_size(server->mServer, kMaxHeaderBytes);
-  evhttp_set_timeout(server->mServer, kIdleTimeoutS);
+  std::unique_ptr<HttpServer> server(new HttpServer(aLoop, aMaxBodyBytes, std::move(aHandler)));
+  evhttp_set_allowed_methods(server->mServer.get(), kAllMethods);
+  evhttp_set_max_body_size(server->mServer.get(), static_cast<ev_ssize_t>(aMaxBodyBytes));
+  evhttp_set_max_headers_size(server->mServer.get(), kMaxHeaderBytes);
+  evhttp_set_timeout(server->mServer.get(), kIdleTimeoutS);
   const auto onRequest = [](evhttp_request* aRequest, void* aSelf) {
     static_cast<HttpServer*>(aSelf)->onRequest(aRequest);
   };
-  evhttp_set_gencb(server->mServer, onRequest, server.get());
+  evhttp_set_gencb(server->mServer.get(), onRequest, server.get());
   const SocketAddress& parsed = valueOf(address);
   server->mSocket = evhttp_bind_socket_with_handle(
-    server->mServer, parsed.host().c_str(), static_cast<ev_uint16_t>(parsed.port()));
+    server->mServer.get(), parsed.host().c_str(), static_cast<ev_uint16_t>(parsed.port()));
   if (server->mSocket == nullptr) {
     const std::string reason = std::generic_category().message(EVUTIL_SOCKET_ERROR());
     return Error::create(ErrorCode::eIo, "listen", aAddress, reason);
@@ -138,7 +152,7 @@
 {
   announceStop();
   if (mSocket != nullptr) {
-    evhttp_del_accept_socket(mServer, static_cast<evhttp_bound_socket*>(mSocket));
+    evhttp_del_accept_socket(mServer.get(), static_cast<evhttp_bound_socket*>(mSocket));
     mSocket = nullptr;
   }
 }
@@ -146,6 +160,17 @@
 void
 HttpServer::onRequest(evhttp_request* aRequest)
 {
+  evhttp_connection* connection = evhttp_request_get_connection(aRequest);
+  evbuffer* input = evhttp_request_get_input_buffer(aRequest);
+  HttpConnectionGuard::Admission admission =
+    mGuard->admit(evhttp_connection_get_bufferevent(connection), evbuffer_get_length(input));
+  if (admission == nullptr) {
+    evkeyvalq* headers = evhttp_request_get_output_headers(aRequest);
+    evhttp_add_header(headers, "Retry-After", "1");
+    evhttp_add_header(headers, "Connection", "close");
+    evhttp_send_reply(aRequest, kStatusServiceUnavailable, nullptr, nullptr);
+    return;
+  }
   HttpRequest request;
   request.mMethod = methodName(evhttp_request_get_command(aRequest));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
@@ -154,13 +179,15 @@
   request.mPath = path == nullptr ? "" : path;
   request.mQuery = query == nullptr ? "" : query;
   request.mHeaders = readHeaders(evhttp_request_get_input_headers(aRequest));
-  request.mBody = readBody(evhttp_request_get_input_buffer(aRequest));
+  request.mBody = readBody(input);
+  evbuffer_drain(input, request.mBody.size());
   char* host = nullptr;
   ev_uint16_t port = 0;
-  evhttp_connection_get_peer(evhttp_request_get_connection(aRequest), &host, &port);
+  evhttp_connection_get_peer(connection, &host, &port);
   request.mPeer =
     (host == nullptr ? std::string("unknown") : std::string(host)) + ":" + std::to_string(port);
-  mHandler(std::move(request), std::make_shared<HttpResponder>(aRequest, mStopping));
+  mHandler(std::move(request),
+           std::make_shared<HttpResponder>(aRequest, mStopping, std::move(admission)));
 }
 
 } // namespace magnoliadrum
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "generated/TasksTypes.h"
 #include "transport/EventLoop.h"
+#include "transport/HttpConnectionGuard.h"
 
 #include <functional>
 #include <memory>
@@ -39,7 +40,9 @@
 public:
   /** aStopping becomes true when the server stops; then the answer tells the caller that the
    * connection ends. */
-  HttpResponder(evhttp_request* aRequest, std::shared_ptr<const bool> aStopping);
+  HttpResponder(evhttp_request* aRequest,
+                std::shared_ptr<const bool> aStopping,
+                HttpConnectionGuard::Admission aAdmission);
   HttpResponder(const HttpResponder&) = delete;
   HttpResponder& operator=(const HttpResponder&) = delete;
   ~HttpResponder();
@@ -56,6 +59,8 @@
 private:
   evhttp_request* mRequest;
   std::shared_ptr<const bool> mStopping;
+  /** Held as long as the request takes memory. */
+  HttpConnectionGuard::Admission mAdmission;
   std::function<void()> mOnGone;
 };
 
@@ -67,7 +72,11 @@
 public:
   using Handler = std::function<void(HttpRequest, HttpResponderPointer)>;
 
-  /** Starts to listen on aAddress (IP:port). A body over aMaxBodyBytes gets status 413. */
+  /**
+   * Starts to listen on aAddress (IP:port). A body over aMaxBodyBytes gets status 413. A request
+   * for which the account of the process has no capacity gets status 503 and does not reach
+   * aHandler.
+   */
   static Result<std::unique_ptr<HttpServer>> listen(EventLoop& aLoop,
                                                     const std::string& aAddress,
                                                     std::size_t aMaxBodyBytes,
@@ -88,12 +97,20 @@
   void stopAccepting();
 
 private:
-  HttpServer(EventLoop& aLoop, Handler aHandler);
+  HttpServer(EventLoop& aLoop, std::size_t aMaxBodyBytes, Handler aHandler);
 
   void onRequest(evhttp_request* aRequest);
 
+  /** Closes its connections and frees mServer. */
+  struct ServerDeleter
+  {
+    void operator()(evhttp* aServer) const;
+  };
+
   Handler mHandler;
-  evhttp* mServer;
+  /** Declared before mServer, which must be freed first. */
+  std::unique_ptr<HttpConnectionGuard> mGuard;
+  std::unique_ptr<evhttp, ServerDeleter> mServer;
   void* mSocket = nullptr;
   std::shared_ptr<bool> mStopping = std::make_shared<bool>(false);
 };
