Order of service by learned run times; slow runs are started elsewhere

Ruled out: waiting for the first start (0.1 s in the median). Objectives, remaining paths and work also came from declared estimates that are wrong by a factor.

StragglerPlanner finds runs whose task ends sooner elsewhere, JobScheduler keeps the room for the next run in the order of service. DueJobs uses RunTimeModel, which starts a leadership from the figures in the log.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -18,6 +18,8 @@
 /** From this number of consecutive failures on, a worker is chosen last. */
 constexpr std::int64_t kSuspectFailures = 3;
 
+constexpr double kMsPerSecond = 1000;
+
 /** Shortest time between two logs of the reasons why tasks wait. */
 constexpr std::int64_t kLogWaitReasonsMs = 1000;
 
@@ -76,6 +78,7 @@
                    mContext.mLog.term(),
                    mContext.mLog.electedAt(),
                    mContext.mSettings.electionTimeoutMs());
+  mRunTimes = RunTimeModel::fromFigures(mContext.mState.learnedFigures());
   mScheduleDue = true;
   logInfo("jobs restored for a new leadership",
           { { "open", jobs.openJobs().size() }, { "runs", mRuns.runs().size() } });
@@ -294,6 +297,7 @@
   }
   std::vector<ListedRun> unassigned;
   std::vector<RunEnding> neverRan = mRuns.applyLists(aKey, aReport, mContext.mNow(), unassigned);
+  learnProgress(aKey);
   for (const ListedRun& running : aReport.running()) {
     if (const std::optional<TaskId> task = TaskId::parse(running.task())) {
       mStartedJobs.insert(task->jobId);
@@ -342,6 +346,9 @@
       aIncarnation.consecutiveFailures++;
     }
     if (run != nullptr) {
+      if (ended.how() == RunEnd::eDone) {
+        learnEnd(*run, aReport.clockMs());
+      }
       run->endProposed = true;
       mStartedJobs.insert(run->task.jobId);
     }
@@ -428,6 +435,34 @@
   }
 }
 
+void
+JobService::learnProgress(const IncarnationKey& aKey)
+{
+  for (const std::string& name : mRuns.tasksOn(aKey)) {
+    const TrackedRun& run = mRuns.run(name);
+    if (!run.step().longRunning() && run.isConfirmed && !run.job->isFinished()) {
+      mRunTimes.observe(*run.job, run.task, run.meter.workedMs(), run.meter.gainedPercent(), false);
+    }
+  }
+}
+
+void
+JobService::learnEnd(const TrackedRun& aRun, std::int64_t aClockMs)
+{
+  constexpr double kFullPercent = 100;
+  if (aRun.step().longRunning() || aRun.job->isFinished() || !aRun.meter.hasSamples()) {
+    return;
+  }
+  // The end came at some time since the latest list with the run.
+  const double sinceListMs = static_cast<double>(aClockMs - aRun.meter.clockMs()) / 2 *
+                             static_cast<double>(aRun.orderedPacePercent) / kFullPercent;
+  mRunTimes.observe(*aRun.job,
+                    aRun.task,
+                    aRun.meter.workedMs() + std::max(0.0, sinceListMs),
+                    kFullPercent - aRun.meter.firstPercent(),
+                    true);
+}
+
 void
 JobService::proposeEnds(std::vector<RunEnding> aEnds)
 {
@@ -461,6 +496,7 @@
     const JobChanged* changed = std::get_if<JobChanged>(&aOutcome);
     if (changed != nullptr && changed->mApplied) {
       logInfo("job cancelled", { { "job", cancel->jobId() } });
+      mRunTimes.forget(cancel->jobId());
       stopRunsOfFinishedJobs({ cancel->jobId() });
     }
   } else if (const SubmitJob* submit = std::get_if<SubmitJob>(&aCommand)) {
@@ -554,6 +590,7 @@
     }
     if (job != nullptr && job->isFinished() && finishedJobs.insert(task->jobId).second) {
       logInfo("job finished", { { "job", task->jobId }, { "state", toText(job->state()) } });
+      mRunTimes.forget(task->jobId);
     }
   }
   stopRunsOfFinishedJobs(finishedJobs);
@@ -665,6 +702,7 @@
           run.desiredPacePercent > 0) {
         candidate.unobservedShares[run.step().image()] += cpuShare(candidate, run.step());
       }
+      addStraggler(run, candidate);
       if (run.shouldStop || run.job->isFinished()) {
         candidate.releasing = candidate.releasing.plus(requiredResources(run.step()));
       } else if (!run.step().longRunning() && !run.step().gang()) {
@@ -691,9 +729,10 @@
   if (candidates.empty()) {
     return;
   }
-  const SchedulePlan plan =
-    JobScheduler::decide(mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs());
+  const SchedulePlan plan = JobScheduler::decide(
+    mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs(), mRunTimes);
   evict(plan.evictions);
+  restart(plan.restarts);
   logWaitReasons(plan.waiting);
   if (plan.assignments.empty()) {
     return;
@@ -753,6 +792,57 @@
   sendOrdersToAll(affected);
 }
 
+void
+JobService::addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const
+{
+  if (aRun.isRestarting) {
+    aCandidate.stragglers[aRun.task.text()] = { .run = aRun.run, .isStopping = true };
+    return;
+  }
+  const JobStep& step = aRun.step();
+  if (step.longRunning() || step.gang() || aRun.shouldStop || aRun.endProposed ||
+      aRun.job->isFinished()) {
+    return;
+  }
+  const std::optional<Straggler> straggler = StragglerPlanner::judge(
+    { .task = aRun.task,
+      .run = aRun.run,
+      .percent = aRun.progressPercent,
+      .percentPerMs = aRun.meter.percentPerMs(),
+      .observedMs = aRun.meter.observedMs(),
+      .runTime = mRunTimes.runTime(*aRun.job, aRun.task.occurrence, aRun.task.step),
+      .checkpoints = step.checkpoints() });
+  if (straggler) {
+    aCandidate.stragglers[aRun.task.text()] = { .run = aRun.run, .isStopping = false };
+  }
+}
+
+void
+JobService::restart(const std::vector<RestartDecision>& aRestarts)
+{
+  std::set<IncarnationKey> affected;
+  for (const RestartDecision& restart : aRestarts) {
+    TrackedRun* run = mRuns.find(restart.task.text(), restart.run);
+    if (run == nullptr) {
+      continue;
+    }
+    logInfo("slow run is started elsewhere",
+            { { "task", restart.task.text() },
+              { "run", restart.run },
+              { "worker", run->incarnation.worker },
+              { "roomAt", restart.to },
+              { "percent", run->progressPercent },
+              { "percentPerSecond", run->meter.percentPerMs() * kMsPerSecond },
+              { "pace", run->desiredPacePercent },
+              { "runTimeMs",
+                mRunTimes.runTime(*run->job, run->task.occurrence, run->task.step).medianMs } });
+    run->shouldStop = true;
+    run->isRestarting = true;
+    affected.insert(run->incarnation);
+  }
+  sendOrdersToAll(affected);
+}
+
 void
 JobService::setGauges(MetricsRegistry& aMetrics) const
 {
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -67,6 +67,10 @@
   std::vector<OpportunisticTask> opportunisticTasks(const IncarnationKey& aKey,
                                                     std::int64_t aCapacityMilli) const;
   void evict(const std::vector<EvictableRun>& aRuns);
+  void learnProgress(const IncarnationKey& aKey);
+  void learnEnd(const TrackedRun& aRun, std::int64_t aClockMs);
+  void addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const;
+  void restart(const std::vector<RestartDecision>& aRestarts);
   void logWaitReasons(const std::vector<WaitReason>& aReasons);
   void proposeEnds(std::vector<RunEnding> aEnds);
   void sendOrders(WorkerIncarnation& aIncarnation,
@@ -81,6 +85,7 @@
   WorkerFleet mFleet;
   RunTracker mRuns;
   InterferenceGuard mGuard;
+  RunTimeModel mRunTimes;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
   /** Assignments are proposed and not applied yet; the next scheduling round waits for them. */
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -90,6 +90,7 @@
     run->isHarmless =
       run->isHarmless || aReport.clockMs() - *run->firstListedClockMs >= kHarmlessRunMs;
     run->progressPercent = running.percent();
+    run->meter.observe(aReport.clockMs(), running.percent(), run->orderedPacePercent);
     run->latencyMsOrCpuMilli = running.figure();
     if (!running.checkpoint().empty()) {
       run->checkpoint = running.checkpoint();
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -30,6 +30,8 @@
   bool isHarmless = false;
   /** The run is to be stopped. A run that has not started is closed: its worker never starts it. */
   bool shouldStop = false;
+  /** The stop is for a sooner end on another worker. */
+  bool isRestarting = false;
   /** The end of the run is proposed to the log. */
   bool endProposed = false;
   std::optional<MonotonicTime> startSentAt;
@@ -42,6 +44,8 @@
   /** Last reported checkpoint, progress and measurement. */
   std::string checkpoint;
   double progressPercent = 0;
+  /** How fast the run makes progress. */
+  ProgressMeter meter;
   /** Tail latency in ms of a task with a latency objective, otherwise the processor time in use in
    * thousandths of a core. */
   double latencyMsOrCpuMilli = 0;
--- a/src/jobs/DueJobs.cpp
+++ b/src/jobs/DueJobs.cpp
@@ -16,16 +16,27 @@
 /** A completion is useful until the objective has passed this many times. */
 constexpr std::int64_t kUsefulObjectives = 3;
 
-/** Longest sum of estimates along the dependencies from a step to the end of its job, for each
+/** Expected run times of the steps of an occurrence. */
+std::vector<double>
+runTimesMs(const Job& aJob, std::int64_t aOccurrence, const RunTimeModel& aRunTimes)
+{
+  std::vector<double> timesMs;
+  for (std::int64_t step = 0; step < std::ssize(aJob.steps()); step++) {
+    timesMs.push_back(aRunTimes.runTime(aJob, aOccurrence, step).medianMs);
+  }
+  return timesMs;
+}
+
+/** Longest sum of run times along the dependencies from a step to the end of its job, for each
  * step. */
-std::vector<std::int64_t>
-criticalPathsMs(const Job& aJob)
+std::vector<double>
+criticalPathsMs(const Job& aJob, const std::vector<double>& aRunTimesMs)
 {
-  std::vector<std::int64_t> pathMs(aJob.steps().size(), 0);
+  std::vector<double> pathMs(aJob.steps().size(), 0);
   for (std::size_t step = aJob.steps().size(); step-- > 0;) {
-    pathMs[step] += aJob.steps()[step].estimateMs();
+    pathMs[step] += aRunTimesMs[step];
     for (const std::int64_t earlier : aJob.steps()[step].after()) {
-      std::int64_t& earlierMs = pathMs[static_cast<std::size_t>(earlier)];
+      double& earlierMs = pathMs[static_cast<std::size_t>(earlier)];
       earlierMs = std::max(earlierMs, pathMs[step]);
     }
   }
@@ -34,51 +45,46 @@
 
 /** Work of some tasks of a step that share the opportunistic capacity, in core-milliseconds. */
 double
-opportunisticWork(const JobStep& aStep, std::int64_t aTasks)
+opportunisticWork(const JobStep& aStep, std::int64_t aTasks, double aRunTimeMs)
 {
   return aStep.opportunistic()
            ? static_cast<double>(aTasks) * static_cast<double>(aStep.resources().cpuMilli()) /
-               kMilliPerCore * static_cast<double>(aStep.estimateMs())
+               kMilliPerCore * aRunTimeMs
            : 0;
 }
 
-double
-totalOpportunisticWork(const Job& aJob)
-{
-  double work = 0;
-  for (const JobStep& step : aJob.steps()) {
-    work += opportunisticWork(step, step.count());
-  }
-  return work;
-}
-
 /** Describes what an occurrence still needs; its value is set by the caller. */
-JobDemand
-demandOf(const Job& aJob, std::int64_t aOccurrence)
+DueJob
+describe(const Job& aJob, std::int64_t aOccurrence, const RunTimeModel& aRunTimes)
 {
-  const std::vector<std::int64_t> pathsMs = criticalPathsMs(aJob);
+  const std::vector<double> timesMs = runTimesMs(aJob, aOccurrence, aRunTimes);
+  const std::vector<double> pathsMs = criticalPathsMs(aJob, timesMs);
   const std::int64_t startMs = aJob.isRecurring() ? aJob.dueMs(aOccurrence) : aJob.acceptedAtMs();
+  const double longestPathMs = *std::max_element(pathsMs.begin(), pathsMs.end());
   const std::int64_t objectiveMs =
-    static_cast<std::int64_t>(aJob.queue().stretch() * static_cast<double>(*std::max_element(
-                                                         pathsMs.begin(), pathsMs.end()))) +
-    aJob.queue().objectiveMs();
-  JobDemand demand;
-  demand.objectiveEndMs = startMs + objectiveMs;
-  demand.usefulUntilMs = startMs + kUsefulObjectives * objectiveMs;
-  demand.isStarted = aJob.hasStarted();
+    static_cast<std::int64_t>(aJob.queue().stretch() * longestPathMs) + aJob.queue().objectiveMs();
+  DueJob due;
+  due.job = &aJob;
+  due.occurrence = aOccurrence;
+  due.demand.objectiveEndMs = startMs + objectiveMs;
+  due.demand.usefulUntilMs = startMs + kUsefulObjectives * objectiveMs;
+  due.demand.isStarted = aJob.hasStarted();
   for (std::size_t step = 0; step < aJob.steps().size(); step++) {
+    const JobStep& description = aJob.steps()[step];
+    due.totalWork += opportunisticWork(description, description.count(), timesMs[step]);
     const std::int64_t open = aJob.openTasks(aOccurrence, static_cast<std::int64_t>(step));
     if (open > 0) {
-      demand.remainingWork += opportunisticWork(aJob.steps()[step], open);
-      demand.remainingPathMs = std::max(demand.remainingPathMs, pathsMs[step]);
+      due.demand.remainingWork += opportunisticWork(description, open, timesMs[step]);
+      due.demand.remainingPathMs =
+        std::max(due.demand.remainingPathMs, static_cast<std::int64_t>(pathsMs[step]));
     }
   }
-  return demand;
+  return due;
 }
 
 /** The due occurrences without values and outlooks. */
 std::vector<DueJob>
-collectDueJobs(const JobRegistry& aJobs, std::int64_t aWallMs)
+collectDueJobs(const JobRegistry& aJobs, const RunTimeModel& aRunTimes, std::int64_t aWallMs)
 {
   std::vector<DueJob> due;
   for (const std::string& jobId : aJobs.openJobs()) {
@@ -90,7 +96,7 @@
       if (job->isRecurring() && job->dueMs(occurrence) > aWallMs) {
         break;
       }
-      due.push_back({ .job = job, .occurrence = occurrence, .demand = demandOf(*job, occurrence) });
+      due.push_back(describe(*job, occurrence, aRunTimes));
     }
   }
   return due;
@@ -108,13 +114,12 @@
   std::map<std::string, Sum> sums;
   for (const DueJob& due : aDue) {
     Sum& sum = sums[due.job->queue().name()];
-    sum.work += totalOpportunisticWork(*due.job);
+    sum.work += due.totalWork;
     sum.jobs += 1;
   }
   for (DueJob& due : aDue) {
     const Sum& sum = sums.at(due.job->queue().name());
-    const double relativeSize =
-      sum.work > 0 ? totalOpportunisticWork(*due.job) * sum.jobs / sum.work : 1;
+    const double relativeSize = sum.work > 0 ? due.totalWork * sum.jobs / sum.work : 1;
     due.demand.value = kFixedShareOfValue + (1 - kFixedShareOfValue) * relativeSize;
   }
 }
@@ -180,9 +185,10 @@
 std::vector<DueJob>
 findDueJobs(const JobRegistry& aJobs,
             const std::vector<WorkerCandidate>& aWorkers,
+            const RunTimeModel& aRunTimes,
             std::int64_t aWallMs)
 {
-  std::vector<DueJob> due = collectDueJobs(aJobs, aWallMs);
+  std::vector<DueJob> due = collectDueJobs(aJobs, aRunTimes, aWallMs);
   setValues(due);
   setOutlooks(due, aWorkers, aWallMs);
   return due;
--- a/src/jobs/DueJobs.h
+++ b/src/jobs/DueJobs.h
@@ -3,6 +3,7 @@
 #include "jobs/JobRegistry.h"
 #include "jobs/JobScheduler.h"
 #include "jobs/JobSelector.h"
+#include "jobs/RunTimeModel.h"
 
 #include <cstdint>
 #include <vector>
@@ -15,6 +16,8 @@
   const Job* job = nullptr;
   std::int64_t occurrence = 0;
   JobDemand demand;
+  /** Work of all its opportunistic tasks, done or not, in core-milliseconds. */
+  double totalWork = 0;
   JobOutlook outlook = JobOutlook::eOnTime;
 
   /** Order of service among occurrences with the same outlook, the smallest first: earliest
@@ -24,11 +27,13 @@
 
 /**
  * Returns the due occurrences of all jobs with their outlooks. Jobs with opportunistic steps
- * compete for what aWorkers have left; the others only have to be in time.
+ * compete for what aWorkers have left; the others only have to be in time. Run times are those of
+ * aRunTimes, since what jobs declare is wrong by a factor at times.
  */
 std::vector<DueJob>
 findDueJobs(const JobRegistry& aJobs,
             const std::vector<WorkerCandidate>& aWorkers,
+            const RunTimeModel& aRunTimes,
             std::int64_t aWallMs);
 
 } // namespace magnoliadrum
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -149,6 +149,9 @@
   {
     for (WorkerCandidate& worker : mWorkers) {
       worker.interference = mForecast.loadOf(worker.serving, worker.unobservedShares);
+      for (const auto& [task, slowRun] : worker.stragglers) {
+        mStragglers.emplace(task, std::pair(&worker, slowRun));
+      }
     }
   }
 
@@ -163,6 +166,9 @@
     const std::string name = stepName(task);
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
+      if (record->active && !record->done) {
+        keepRoomForStraggler(aReady, task, name);
+      }
       if (record->done || record->active || record->crashes > 0) {
         continue;
       }
@@ -254,19 +260,20 @@
     return hasCapacity(aWorker, step) ? TrialFit::eNow : TrialFit::eLater;
   }
 
-  bool assign(const ReadyStep& aReady,
-              const TaskId& aTask,
-              const std::string& aStepName,
-              std::vector<WorkerCandidate>& aWorkers,
-              const std::optional<std::string>& aRack)
+  /** Returns the best worker for a task, or null. aExcluded is not considered. */
+  WorkerCandidate* findBest(const ReadyStep& aReady,
+                            const std::string& aStepName,
+                            std::vector<WorkerCandidate>& aWorkers,
+                            const std::optional<std::string>& aRack,
+                            const WorkerCandidate* aExcluded = nullptr)
   {
     const JobStep& step = aReady.description();
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     double bestInterferenceCost = 0;
     for (WorkerCandidate& worker : aWorkers) {
-      if ((aRack && worker.rack != *aRack) || !isEligible(worker, aReady, aStepName) ||
-          !hasCapacity(worker, step)) {
+      if (&worker == aExcluded || (aRack && worker.rack != *aRack) ||
+          !isEligible(worker, aReady, aStepName) || !hasCapacity(worker, step)) {
         continue;
       }
       const double ratio = expectedRatio(worker, step, image);
@@ -280,6 +287,16 @@
         bestInterferenceCost = interferenceCost;
       }
     }
+    return best;
+  }
+
+  bool assign(const ReadyStep& aReady,
+              const TaskId& aTask,
+              const std::string& aStepName,
+              std::vector<WorkerCandidate>& aWorkers,
+              const std::optional<std::string>& aRack)
+  {
+    WorkerCandidate* best = findBest(aReady, aStepName, aWorkers, aRack);
     if (best == nullptr) {
       return false;
     }
@@ -287,6 +304,29 @@
     return true;
   }
 
+  /** Stops a straggler if another worker has room for its next run, and keeps that room until then.
+   */
+  void keepRoomForStraggler(const ReadyStep& aReady,
+                            const TaskId& aTask,
+                            const std::string& aStepName)
+  {
+    const auto found = mStragglers.find(aTask.text());
+    if (found == mStragglers.end() || aReady.outlook == JobOutlook::eOverdue ||
+        mRestarting >= JobScheduler::kMaxRestarts) {
+      return;
+    }
+    const auto& [worker, slowRun] = found->second;
+    WorkerCandidate* best = findBest(aReady, aStepName, mWorkers, std::nullopt, worker);
+    if (best == nullptr) {
+      return;
+    }
+    mRestarting++;
+    occupy(*best, aReady.description(), aTask);
+    if (!slowRun.isStopping) {
+      mPlan.restarts.push_back({ aTask, slowRun.run, best->worker });
+    }
+  }
+
   /** Whether the job has no active runs although its pool is mostly free. */
   bool isStarved(const ReadyStep& aReady) const
   {
@@ -328,14 +368,19 @@
     return best != nullptr;
   }
 
+  /** Takes the capacity for a run of the step. */
+  void occupy(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask)
+  {
+    addRun(aWorker, aStep, aTask);
+    if (const std::optional<std::size_t> image = opportunisticImage(aStep)) {
+      mForecast.add(aWorker.interference, *image, cpuShare(aWorker, aStep));
+    }
+  }
+
   /** Adds an assignment to the plan and takes its capacity. */
   void addAssignment(WorkerCandidate& aWorker, const ReadyStep& aReady, const TaskId& aTask)
   {
-    const JobStep& step = aReady.description();
-    addRun(aWorker, step, aTask);
-    if (const std::optional<std::size_t> image = opportunisticImage(step)) {
-      mForecast.add(aWorker.interference, *image, cpuShare(aWorker, step));
-    }
+    occupy(aWorker, aReady.description(), aTask);
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
                                                              .worker = aWorker.worker,
@@ -517,6 +562,10 @@
 
   InterferenceForecast mForecast;
   std::vector<WorkerCandidate>& mWorkers;
+  /** The stragglers and their workers, by task name. */
+  std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
+  /** Number of stragglers that are being stopped. */
+  std::size_t mRestarting = 0;
   SchedulePlan mPlan;
 };
 
@@ -526,9 +575,10 @@
 JobScheduler::decide(const JobRegistry& aJobs,
                      const InterferenceGuard& aGuard,
                      std::vector<WorkerCandidate>& aWorkers,
-                     std::int64_t aWallMs)
+                     std::int64_t aWallMs,
+                     const RunTimeModel& aRunTimes)
 {
-  const std::vector<DueJob> dueJobs = findDueJobs(aJobs, aWorkers, aWallMs);
+  const std::vector<DueJob> dueJobs = findDueJobs(aJobs, aWorkers, aRunTimes, aWallMs);
   const std::vector<ReadyStep> readySteps = findReadySteps(dueJobs);
   SchedulingRound round(aGuard, aWorkers);
   round.placeTrials(readySteps);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/JobRegistry.h"
+#include "jobs/RunTimeModel.h"
 #include "jobs/WorkerCandidate.h"
 
 #include <cstdint>
@@ -17,6 +18,17 @@
   friend bool operator==(const Assignment&, const Assignment&) = default;
 };
 
+/** A run to be stopped because its task ends sooner on another worker. */
+struct RestartDecision
+{
+  TaskId task;
+  std::int64_t run = 0;
+  /** Worker that has room for the next run. */
+  std::string to;
+
+  friend bool operator==(const RestartDecision&, const RestartDecision&) = default;
+};
+
 /** Why a task cannot start now: the number of workers that each reason excludes. */
 struct WaitReason
 {
@@ -42,6 +54,7 @@
 {
   std::vector<Assignment> assignments;
   std::vector<EvictableRun> evictions;
+  std::vector<RestartDecision> restarts;
   /** Reasons for the first tasks, in scheduling order, that could not start. Gangs are not listed.
    */
   std::vector<WaitReason> waiting;
@@ -55,11 +68,12 @@
  * JobSelector), then by the deadline that this outlook refers to. A task is only
  * assigned to a worker with enough free capacity for what it requires. For a task that fits
  * nowhere, runs of queues with a lower priority are stopped, the cheapest first, and the capacity
- * is reserved for it. Tasks that serve users are packed on few workers, preferably with tasks of
- * the same image, which leaves workers on which opportunistic tasks interfere with nobody. While
- * its pool is mostly free, a job without active runs gets one task of an opportunistic step placed
- * even where it may interfere, so that every job makes progress. Tasks that may have crashed a
- * worker go first, see TrialPlanner; gangs are not tried.
+ * is reserved for it. A straggler is stopped when another worker has room for its next run, which
+ * is then kept free; overdue jobs are not worth it. Tasks that serve users are packed on few
+ * workers, preferably with tasks of the same image, which leaves workers on which opportunistic
+ * tasks interfere with nobody. While its pool is mostly free, a job without active runs gets one
+ * task of an opportunistic step placed even where it may interfere, so that every job makes
+ * progress. Tasks that may have crashed a worker go first, see TrialPlanner; gangs are not tried.
  */
 class JobScheduler
 {
@@ -74,6 +88,9 @@
   static constexpr double kMaxRiskCost = 0.5;
   /** A pool counts as mostly free while less than this share of its processor time is taken. */
   static constexpr double kMostlyFreeUsage = 0.6;
+  /** Maximum number of stragglers that are between their runs at any time: each takes room twice.
+   */
+  static constexpr std::size_t kMaxRestarts = 24;
   /** Maximum number of runs that a round stops. */
   static constexpr std::size_t kMaxEvictions = 40;
   /** Maximum number of wait reasons in a plan. */
@@ -86,7 +103,8 @@
   static SchedulePlan decide(const JobRegistry& aJobs,
                              const InterferenceGuard& aGuard,
                              std::vector<WorkerCandidate>& aWorkers,
-                             std::int64_t aWallMs);
+                             std::int64_t aWallMs,
+                             const RunTimeModel& aRunTimes = RunTimeModel());
 };
 
 } // namespace magnoliadrum
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -26,6 +26,16 @@
   friend bool operator==(const EvictableRun&, const EvictableRun&) = default;
 };
 
+/** A run that would end sooner on another worker, see StragglerPlanner. */
+struct SlowRun
+{
+  std::int64_t run = 0;
+  /** It is being stopped, and its next run needs a place. */
+  bool isStopping = false;
+
+  friend bool operator==(const SlowRun&, const SlowRun&) = default;
+};
+
 /** A worker that may be assigned runs, with the capacity that its active runs take. */
 struct WorkerCandidate
 {
@@ -50,6 +60,8 @@
   /** Part of used that is held by runs that are being stopped. */
   ResourceAmount releasing;
   std::vector<EvictableRun> evictable;
+  /** The runs on this worker that would end sooner elsewhere, by task name. */
+  std::map<std::string, SlowRun> stragglers;
   /** The tasks on this worker that serve users. */
   std::vector<ServingTask> serving;
   /** Number of active runs that serve users, by image, including those that no report lists yet. */
