Workers that fail what they start get single runs

A worker that fails everything at once is always free, so a full pool sent it run after run: it was only chosen last, and jobs used up their attempts there. WorkerReliability keeps a decaying score per worker over ends and starts that were rejected as unhealthy; below it a worker gets one run at a time, at least a second after its last failure, until runs end well. At most a third of a pool is limited. It replaces the count of consecutive failures in the cost of a place.

Tests: worker_reliability/*.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -15,9 +15,6 @@
 /** Delay after which a caller should retry while there is no queue catalogue. */
 constexpr std::int64_t kRetryAfterMs = 1000;
 
-/** From this number of consecutive failures on, a worker is chosen last. */
-constexpr std::int64_t kSuspectFailures = 3;
-
 constexpr double kMsPerSecond = 1000;
 
 /** Shortest time between two logs of the reasons why tasks wait. */
@@ -33,6 +30,14 @@
   return text;
 }
 
+/** Returns the tenths of a worker's runs that failed, 0 if at least half of them succeeded. */
+std::int64_t
+failureRank(double aSuccessShare)
+{
+  constexpr double kTenths = 10;
+  return aSuccessShare >= 0.5 ? 0 : static_cast<std::int64_t>((1 - aSuccessShare) * kTenths);
+}
+
 /** Returns the work that is lost when the run is stopped, in core-milliseconds. */
 double
 computeLostWork(const TrackedRun& aRun)
@@ -90,6 +95,8 @@
   mGeneration++;
   mFleet.endTerm();
   mRuns.clear();
+  mReliability.clear();
+  mLimitedWorkers.clear();
   mStartedJobs.clear();
   mAssignmentPending = false;
   mScheduleDue = false;
@@ -265,6 +272,11 @@
   }
   mFleet.setCrashSuspects(aReport.crashSuspects());
   mRuns.applyAnswers(key, aReport.answers());
+  for (const OrderAnswer& answer : aReport.answers()) {
+    if (answer.kind() == OrderKind::eStart && answer.result() == OrderResult::eUnhealthy) {
+      mReliability.record(key.worker, false, now);
+    }
+  }
   if (aReport.listFence() > 0) {
     proposeReportedEnds(*incarnation, key, aReport);
   }
@@ -340,10 +352,8 @@
                               .how = ended.how(),
                               .checkpoint = ended.checkpoint(),
                               .harmless = hasWorked || (run != nullptr && run->isHarmless) }));
-    if (ended.how() == RunEnd::eDone) {
-      aIncarnation.consecutiveFailures = 0;
-    } else if (ended.how() == RunEnd::eFailed) {
-      aIncarnation.consecutiveFailures++;
+    if (ended.how() == RunEnd::eDone || ended.how() == RunEnd::eFailed) {
+      mReliability.record(aKey.worker, ended.how() == RunEnd::eDone, mContext.mNow());
     }
     if (run != nullptr) {
       if (ended.how() == RunEnd::eDone) {
@@ -689,8 +699,7 @@
     candidate.labels = incarnation.description.labels();
     candidate.capacity = ResourceAmount::of(incarnation.description.capacity());
     candidate.serving = servingTasks(key);
-    candidate.recentFailures =
-      incarnation.consecutiveFailures >= kSuspectFailures ? incarnation.consecutiveFailures : 0;
+    candidate.failureRank = failureRank(mReliability.successShare(key.worker, mContext.mNow()));
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
@@ -715,9 +724,46 @@
     }
     candidates.push_back(std::move(candidate));
   }
+  limitUnreliableWorkers(candidates);
   return candidates;
 }
 
+void
+JobService::limitUnreliableWorkers(std::vector<WorkerCandidate>& aCandidates)
+{
+  std::map<std::string, std::vector<std::size_t>> pools;
+  for (std::size_t index = 0; index < aCandidates.size(); index++) {
+    pools[aCandidates[index].poolName].push_back(index);
+  }
+  std::set<std::string> limited;
+  for (const auto& [pool, indexes] : pools) {
+    std::vector<std::string> workers;
+    for (const std::size_t index : indexes) {
+      workers.push_back(aCandidates[index].worker);
+    }
+    const std::vector<std::int64_t> limits = mReliability.runLimits(workers, mContext.mNow());
+    for (std::size_t position = 0; position < indexes.size(); position++) {
+      aCandidates[indexes[position]].maxRuns = limits[position];
+      if (limits[position] != WorkerReliability::kNoLimit) {
+        limited.insert(workers[position]);
+      }
+    }
+  }
+  for (const std::string& worker : limited) {
+    if (!mLimitedWorkers.contains(worker)) {
+      logWarning("worker fails its runs: it gets single runs until one ends well",
+                 { { "worker", worker },
+                   { "successShare", mReliability.successShare(worker, mContext.mNow()) } });
+    }
+  }
+  for (const std::string& worker : mLimitedWorkers) {
+    if (!limited.contains(worker)) {
+      logInfo("worker is no longer limited", { { "worker", worker } });
+    }
+  }
+  mLimitedWorkers = std::move(limited);
+}
+
 void
 JobService::schedule()
 {
@@ -768,7 +814,8 @@
               { "spread", reason.perWorkerLimitWorkers },
               { "noRoom", reason.fullWorkers },
               { "disturbs", reason.interferenceWorkers },
-              { "reserved", reason.reservedWorkers } });
+              { "reserved", reason.reservedWorkers },
+              { "unreliable", reason.unreliableWorkers } });
   }
 }
 
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -67,6 +67,7 @@
   std::vector<OpportunisticTask> opportunisticTasks(const IncarnationKey& aKey,
                                                     std::int64_t aCapacityMilli) const;
   void evict(const std::vector<EvictableRun>& aRuns);
+  void limitUnreliableWorkers(std::vector<WorkerCandidate>& aCandidates);
   void learnProgress(const IncarnationKey& aKey);
   void learnEnd(const TrackedRun& aRun, std::int64_t aClockMs);
   void addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const;
@@ -86,6 +87,9 @@
   RunTracker mRuns;
   InterferenceGuard mGuard;
   RunTimeModel mRunTimes;
+  WorkerReliability mReliability;
+  /** Ids of the workers that get single runs because they fail them. */
+  std::set<std::string> mLimitedWorkers;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
   /** Assignments are proposed and not applied yet; the next scheduling round waits for them. */
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -78,8 +78,6 @@
    * after that adds it again with a higher fence. */
   bool isLost = false;
   InterferenceGuard::State guardState;
-  /** Failed runs since the last successful run. */
-  std::int64_t consecutiveFailures = 0;
 
   /** A worker without a report for this long gets no new runs. Workers report four times a second.
    */
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -101,11 +101,18 @@
   return true;
 }
 
-/** isPermitted(), and the worker is not reserved for the trial of another task. */
+/** Whether a worker that fails its runs has as many as it may have. */
+bool
+isLimited(const WorkerCandidate& aWorker)
+{
+  return aWorker.maxRuns != WorkerReliability::kNoLimit && aWorker.endingRuns >= aWorker.maxRuns;
+}
+
+/** isPermitted(), and the worker is neither reserved for the trial of another task nor limited. */
 bool
 isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
 {
-  return !aWorker.isReserved && isPermitted(aWorker, aReady, aStepName);
+  return !aWorker.isReserved && !isLimited(aWorker) && isPermitted(aWorker, aReady, aStepName);
 }
 
 /** Part of cost() that depends on the load of the worker. */
@@ -133,7 +140,7 @@
   const bool isOutsidePreferredRack =
     !aStep.preferredRack().empty() && aStep.preferredRack() != aWorker.rack;
   return std::tuple<std::int64_t, bool, double, const std::string&>(
-    aWorker.recentFailures,
+    aWorker.failureRank,
     isOutsidePreferredRack,
     loadCost(aWorker, aStep, aInterferenceCost),
     aWorker.worker);
@@ -403,6 +410,8 @@
         reason.missingLabelWorkers++;
       } else if (worker.isReserved) {
         reason.reservedWorkers++;
+      } else if (isLimited(worker)) {
+        reason.unreliableWorkers++;
       } else if (!isEligible(worker, aReady, aStepName)) {
         reason.perWorkerLimitWorkers++;
       } else if (!hasCapacity(worker, step)) {
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -45,6 +45,8 @@
   std::int64_t interferenceWorkers = 0;
   /** The worker is reserved for the trial of a task that may have crashed a worker. */
   std::int64_t reservedWorkers = 0;
+  /** The worker fails what it starts and has the runs that it may have for now. */
+  std::int64_t unreliableWorkers = 0;
 
   friend bool operator==(const WaitReason&, const WaitReason&) = default;
 };
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -310,7 +310,7 @@
   JobRegistry jobs = registryWithQueues();
   jobs.apply(submitOf("urgent", jobOf("j", { stepOf(1, 100, 10) })));
   WorkerCandidate failing = workerOf("w1", 32000, 128000);
-  failing.recentFailures = 4;
+  failing.failureRank = 4;
   WorkerCandidate busy = workerOf("w2", 32000, 128000);
   busy.used = { 20000, 1000, 0 };
   BOOST_TEST(workersByTask(decide(jobs, { failing, busy })).at("j.0.0.0") == "w2");
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -42,6 +42,7 @@
   } else if (aStep.longRunning()) {
     aWorker.longRunningCpuMilli += aStep.resources().cpuMilli();
   }
+  aWorker.endingRuns += aStep.longRunning() ? 0 : 1;
   if (servesUsers(aStep)) {
     aWorker.servingRuns[aStep.image()]++;
   }
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -2,6 +2,7 @@
 
 #include "jobs/InterferenceForecast.h"
 #include "jobs/Job.h"
+#include "jobs/WorkerReliability.h"
 #include "placement/ResourceAmount.h"
 
 #include <cstdint>
@@ -71,9 +72,12 @@
   /** What is expected of added opportunistic tasks, from serving and unobservedShares; set by
    * JobScheduler::decide(). */
   InterferenceForecast::WorkerLoad interference;
-  /** Recently failed runs on this worker, 0 if their number is usual. Workers with fewer are
-   * preferred. */
-  std::int64_t recentFailures = 0;
+  /** Tenths of the recent runs on this worker that failed, 0 if less than half of them did. Workers
+   * with fewer are preferred. */
+  std::int64_t failureRank = 0;
+  /** Number of runs that end by themselves, and how many there may be; see WorkerReliability. */
+  std::int64_t endingRuns = 0;
+  std::int64_t maxRuns = WorkerReliability::kNoLimit;
   /** Number of active runs that are not yet known to be harmless to the worker. */
   std::int64_t unprovenRuns = 0;
   /** A run of a task that may have crashed a worker is on trial here, or will be. Other tasks are
--- /dev/null
+++ b/src/jobs/WorkerReliability.cpp
@@ -0,0 +1,81 @@
+#include "jobs/WorkerReliability.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+/** Successes that an unknown worker is credited with. */
+constexpr double kPriorSuccesses = 1;
+
+/** A success after failures that leaves at most this many counts as a recovery. */
+constexpr double kFailuresAfterSuccess = 0.5;
+
+} // namespace
+
+WorkerReliability::Record
+WorkerReliability::decayed(const std::string& aWorker, MonotonicTime aNow) const
+{
+  const auto found = mRecords.find(aWorker);
+  if (found == mRecords.end()) {
+    return {};
+  }
+  Record record = found->second;
+  const double factor =
+    std::exp2(-static_cast<double>(aNow.msSince(record.updatedAt)) / kHalfLifeMs);
+  record.successes *= factor;
+  record.failures *= factor;
+  record.updatedAt = aNow;
+  return record;
+}
+
+void
+WorkerReliability::record(const std::string& aWorker, bool aSucceeded, MonotonicTime aNow)
+{
+  Record record = decayed(aWorker, aNow);
+  record.updatedAt = aNow;
+  if (aSucceeded) {
+    record.successes += 1;
+    // The cause is over: a worker that failed everything does not succeed by chance.
+    if (record.failures >= kMinFailures && record.successes < record.failures) {
+      record.failures *= kFailuresAfterSuccess;
+    }
+  } else {
+    record.failures += 1;
+    record.lastFailureAt = aNow;
+  }
+  mRecords[aWorker] = record;
+}
+
+double
+WorkerReliability::successShare(const std::string& aWorker, MonotonicTime aNow) const
+{
+  const Record record = decayed(aWorker, aNow);
+  const double successes = record.successes + kPriorSuccesses;
+  return successes / (successes + record.failures);
+}
+
+std::vector<std::int64_t>
+WorkerReliability::runLimits(const std::vector<std::string>& aPool, MonotonicTime aNow) const
+{
+  std::vector<std::int64_t> limits(aPool.size(), kNoLimit);
+  std::vector<std::pair<double, std::size_t>> failing;
+  for (std::size_t index = 0; index < aPool.size(); index++) {
+    const double share = successShare(aPool[index], aNow);
+    if (share < kMinSuccessShare && decayed(aPool[index], aNow).failures >= kMinFailures) {
+      failing.emplace_back(share, index);
+    }
+  }
+  std::sort(failing.begin(), failing.end());
+  failing.resize(std::min(failing.size(), aPool.size() / kWorkersPerLimited));
+  for (const auto& [share, index] : failing) {
+    const Record record = decayed(aPool[index], aNow);
+    limits[index] = aNow.msSince(record.lastFailureAt) < kTrialIntervalMs ? 0 : 1;
+  }
+  return limits;
+}
+
+} // namespace magnoliadrum
--- a/src/jobs/WorkerReliability.h
+++ b/src/jobs/WorkerReliability.h
@@ -2,31 +2,62 @@
 
 #include "core/core.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace magnoliadrum {
 
 /**
- * How well a worker's recent runs went, by worker id: failures, unanswered or rejected orders and
- * run times against what was expected. Observations decay, and a worker that was not used for a
- * while is tried again with few tasks.
+ * How well the recent runs of each worker went, by worker id. Observations decay.
+ *
+ * A worker that fails nearly everything is free most of the time, so without a limit a loaded pool
+ * sends it more runs than any other. Such a worker gets single runs, until one of them ends well.
  */
 class WorkerReliability
 {
 public:
-  void recordEnd(const std::string& aWorker, bool aSucceeded, MonotonicTime aNow);
-  /** aRatio is the run time divided by the expected one. */
-  void recordSpeed(const std::string& aWorker, double aRatio, MonotonicTime aNow);
-  void recordOrder(const std::string& aWorker, bool aAnswered, MonotonicTime aNow);
+  /** Time after which an observation counts half. */
+  static constexpr double kHalfLifeMs = 8000;
+  /** A worker is limited from this number of recent failures on, if less than kMinSuccessShare of
+   * its recent runs succeeded. A task that fails everywhere does not fail this often on one worker.
+   */
+  static constexpr double kMinFailures = 2.5;
+  static constexpr double kMinSuccessShare = 0.35;
+  /** Shortest time from a failure on a limited worker to its next trial run. */
+  static constexpr std::int64_t kTrialIntervalMs = 1000;
+  /** The reciprocal of the largest share of a pool that is limited: failures on more workers have
+   * another cause. */
+  static constexpr std::size_t kWorkersPerLimited = 3;
+  static constexpr std::int64_t kNoLimit = -1;
 
-  /** Expected share of runs that succeed; 1 for an unknown worker. */
+  /** Records the end of a run, or a start that the worker rejected because it is unhealthy. */
+  void record(const std::string& aWorker, bool aSucceeded, MonotonicTime aNow);
+
+  /** Share of the recent runs that succeeded; near 1 for a worker with few. */
   double successShare(const std::string& aWorker, MonotonicTime aNow) const;
-  /** Expected run time relative to a sound worker; 1 for an unknown one. */
-  double slowness(const std::string& aWorker, MonotonicTime aNow) const;
-  /** Number of new runs that the worker may get before one of them has ended well; negative for no
-   * limit. At least two thirds of a pool have no limit. */
-  std::int64_t maxTrialRuns(const std::string& aWorker, MonotonicTime aNow) const;
+
+  /** Returns how many runs the workers of a pool may have that they end themselves, in the order of
+   * aPool; kNoLimit for a sound worker, otherwise 0 or 1. */
+  std::vector<std::int64_t> runLimits(const std::vector<std::string>& aPool,
+                                      MonotonicTime aNow) const;
+
+  void clear() { mRecords.clear(); }
+
+private:
+  struct Record
+  {
+    double successes = 0;
+    double failures = 0;
+    MonotonicTime updatedAt;
+    MonotonicTime lastFailureAt;
+  };
+
+  /** The counts of a worker as they are at aNow. */
+  Record decayed(const std::string& aWorker, MonotonicTime aNow) const;
+
+  std::map<std::string, Record> mRecords;
 };
 
 } // namespace magnoliadrum
--- /dev/null
+++ b/src/jobs/WorkerReliability_test.cpp
@@ -0,0 +1,88 @@
+#include "jobs/WorkerReliability.h"
+
+#include "jobs/JobsFixture.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+const MonotonicTime kStart = MonotonicTime().plusMs(1000000);
+
+void
+recordFailures(WorkerReliability& aReliability, const std::string& aWorker, int aCount)
+{
+  for (int number = 0; number < aCount; number++) {
+    aReliability.record(aWorker, false, kStart);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(worker_reliability)
+
+// Load: a worker that fails all that it starts at once, in a full pool. It is always free, and took
+// run after run until jobs had used up their attempts.
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_gets_single_runs)
+{
+  WorkerReliability reliability;
+  recordFailures(reliability, "w1", 4);
+  const std::vector<std::string> pool = { "w1", "w2", "w3" };
+  BOOST_TEST(reliability.runLimits(pool, kStart)[0] == 0);
+  const MonotonicTime later = kStart.plusMs(WorkerReliability::kTrialIntervalMs);
+  BOOST_TEST(reliability.runLimits(pool, later)[0] == 1);
+  BOOST_TEST(reliability.runLimits(pool, later)[1] == WorkerReliability::kNoLimit);
+  reliability.record("w1", true, later);
+  reliability.record("w1", true, later);
+  BOOST_TEST(reliability.runLimits(pool, later)[0] == WorkerReliability::kNoLimit);
+}
+
+// Load: jobs whose tasks fail wherever they run.
+BOOST_AUTO_TEST_CASE(failures_among_successes_do_not_limit_a_worker)
+{
+  WorkerReliability reliability;
+  for (int number = 0; number < 10; number++) {
+    reliability.record("w1", number % 2 == 0, kStart);
+  }
+  BOOST_TEST(reliability.runLimits({ "w1", "w2", "w3" }, kStart)[0] == WorkerReliability::kNoLimit);
+}
+
+BOOST_AUTO_TEST_CASE(at_most_a_third_of_a_pool_is_limited)
+{
+  WorkerReliability reliability;
+  std::vector<std::string> pool;
+  for (int number = 0; number < 7; number++) {
+    pool.push_back("w" + std::to_string(number));
+    recordFailures(reliability, pool.back(), 4 + number);
+  }
+  const std::vector<std::int64_t> limits = reliability.runLimits(pool, kStart);
+  BOOST_TEST(std::count(limits.begin(), limits.end(), WorkerReliability::kNoLimit) == 5);
+  BOOST_TEST(limits[6] == 0, "the worst ones are limited");
+}
+
+BOOST_AUTO_TEST_CASE(failures_are_forgotten_with_time)
+{
+  WorkerReliability reliability;
+  recordFailures(reliability, "w1", 4);
+  const MonotonicTime later =
+    kStart.plusMs(static_cast<std::int64_t>(WorkerReliability::kHalfLifeMs));
+  BOOST_TEST(reliability.runLimits({ "w1", "w2", "w3" }, later)[0] == WorkerReliability::kNoLimit);
+}
+
+BOOST_AUTO_TEST_CASE(the_scheduler_keeps_to_the_limit_of_a_worker)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("j", { stepOf(5, 100, 10) })));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 4000, 1000) };
+  workers[0].maxRuns = 1;
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_TEST(plan.assignments.size() == 1u);
+  BOOST_REQUIRE(plan.waiting.size() == 1u);
+  BOOST_TEST(plan.waiting.front().unreliableWorkers == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -21,3 +21,4 @@
 #include "jobs/TaskId.h"
 #include "jobs/TrialPlanner.h"
 #include "jobs/WorkerCandidate.h"
+#include "jobs/WorkerReliability.h"
