--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -16,8 +16,7 @@
 /** Delay after which a caller should retry while there is no queue catalogue. */
 constexpr std::int64_t kRetryAfterMs = 1000;
 
-/** From this number of consecutive failures on, a worker is chosen last. */
-constexpr std::int64_t kSuspectFailures = 3;
+constexpr double kMsPerSecond = 1000;
 
 /** Shortest time between two logs of the reasons why tasks wait. */
 constexpr std::int64_t kLogWaitReasonsMs = 1000;
@@ -32,6 +31,14 @@
   return text;
 }
 
+/** Returns the tenths of a worker's runs that failed, 0 if at least half of them succeeded. */
+std::int64_t
+failureRank(double aSuccessShare)
+{
+  constexpr double kTenths = 10;
+  return aSuccessShare >= 0.5 ? 0 : static_cast<std::int64_t>((1 - aSuccessShare) * kTenths);
+}
+
 /** Returns the work that is lost when the run is stopped, in core-milliseconds. */
 double
 computeLostWork(const TrackedRun& aRun)
@@ -78,6 +85,7 @@
                    mContext.mLog.term(),
                    mContext.mLog.electedAt(),
                    mContext.mSettings.electionTimeoutMs());
+  mRunTimes = RunTimeModel::fromFigures(mContext.mState.learnedFigures());
   mScheduleDue = true;
   logInfo("jobs restored for a new leadership",
           { { "open", jobs.openJobs().size() }, { "runs", mRuns.runs().size() } });
@@ -90,6 +98,8 @@
   mFleet.endTerm();
   mRuns.clear();
   mEvacuation.endTerm();
+  mReliability.clear();
+  mLimitedWorkers.clear();
   mStartedJobs.clear();
   mAssignmentPending = false;
   mScheduleDue = false;
@@ -270,6 +280,11 @@
   }
   mFleet.setCrashSuspects(aReport.crashSuspects());
   mRuns.applyAnswers(key, aReport.answers());
+  for (const OrderAnswer& answer : aReport.answers()) {
+    if (answer.kind() == OrderKind::eStart && answer.result() == OrderResult::eUnhealthy) {
+      mReliability.record(key.worker, false, now);
+    }
+  }
   if (aReport.listFence() > 0) {
     proposeReportedEnds(*incarnation, key, aReport);
   }
@@ -317,6 +332,7 @@
   }
   std::vector<ListedRun> unassigned;
   std::vector<RunEnding> neverRan = mRuns.applyLists(aKey, aReport, mContext.mNow(), unassigned);
+  learnProgress(aKey);
   for (const ListedRun& running : aReport.running()) {
     if (const std::optional<TaskId> task = TaskId::parse(running.task())) {
       mStartedJobs.insert(task->jobId);
@@ -360,12 +376,13 @@
         .checkpoint = ended.checkpoint(),
         .checkpointPercent = run != nullptr ? run->percentAt(ended.checkpoint()) : 0,
         .harmless = hasWorked || (run != nullptr && run->isHarmless) }));
-    if (ended.how() == RunEnd::eDone) {
-      aIncarnation.consecutiveFailures = 0;
-    } else if (ended.how() == RunEnd::eFailed) {
-      aIncarnation.consecutiveFailures++;
+    if (ended.how() == RunEnd::eDone || ended.how() == RunEnd::eFailed) {
+      mReliability.record(aKey.worker, ended.how() == RunEnd::eDone, mContext.mNow());
     }
     if (run != nullptr) {
+      if (ended.how() == RunEnd::eDone) {
+        learnEnd(*run, aReport.clockMs());
+      }
       run->endProposed = true;
       mStartedJobs.insert(run->task.jobId);
     }
@@ -452,6 +469,34 @@
   }
 }
 
+void
+JobService::learnProgress(const IncarnationKey& aKey)
+{
+  for (const std::string& name : mRuns.tasksOn(aKey)) {
+    const TrackedRun& run = mRuns.run(name);
+    if (!run.step().longRunning() && run.isConfirmed && !run.job->isFinished()) {
+      mRunTimes.observe(*run.job, run.task, run.meter.workedMs(), run.meter.gainedPercent(), false);
+    }
+  }
+}
+
+void
+JobService::learnEnd(const TrackedRun& aRun, std::int64_t aClockMs)
+{
+  constexpr double kFullPercent = 100;
+  if (aRun.step().longRunning() || aRun.job->isFinished() || !aRun.meter.hasSamples()) {
+    return;
+  }
+  // The end came at some time since the latest list with the run.
+  const double sinceListMs = static_cast<double>(aClockMs - aRun.meter.clockMs()) / 2 *
+                             static_cast<double>(aRun.orderedPacePercent) / kFullPercent;
+  mRunTimes.observe(*aRun.job,
+                    aRun.task,
+                    aRun.meter.workedMs() + std::max(0.0, sinceListMs),
+                    kFullPercent - aRun.meter.firstPercent(),
+                    true);
+}
+
 void
 JobService::proposeEnds(std::vector<RunEnding> aEnds)
 {
@@ -485,6 +530,7 @@
     const JobChanged* changed = std::get_if<JobChanged>(&aOutcome);
     if (changed != nullptr && changed->mApplied) {
       logInfo("job cancelled", { { "job", cancel->jobId() } });
+      mRunTimes.forget(cancel->jobId());
       stopRunsOfFinishedJobs({ cancel->jobId() });
     }
   } else if (const SubmitJob* submit = std::get_if<SubmitJob>(&aCommand)) {
@@ -581,6 +627,7 @@
     }
     if (job != nullptr && job->isFinished() && finishedJobs.insert(task->jobId).second) {
       logInfo("job finished", { { "job", task->jobId }, { "state", toText(job->state()) } });
+      mRunTimes.forget(task->jobId);
     }
   }
   stopRunsOfFinishedJobs(finishedJobs);
@@ -687,8 +734,7 @@
     candidate.labels = incarnation.description.labels();
     candidate.capacity = ResourceAmount::of(incarnation.description.capacity());
     candidate.serving = servingTasks(key);
-    candidate.recentFailures =
-      incarnation.consecutiveFailures >= kSuspectFailures ? incarnation.consecutiveFailures : 0;
+    candidate.failureRank = failureRank(mReliability.successShare(key.worker, mContext.mNow()));
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
@@ -700,6 +746,7 @@
           run.desiredPacePercent > 0) {
         candidate.unobservedShares[run.step().image()] += cpuShare(candidate, run.step());
       }
+      addStraggler(run, candidate);
       if (run.shouldStop || run.job->isFinished()) {
         candidate.releasing = candidate.releasing.plus(requiredResources(run.step()));
       } else if (!run.step().longRunning() && !run.step().gang()) {
@@ -713,9 +760,46 @@
     mEvacuation.limitReturning(incarnation, candidate);
     candidates.push_back(std::move(candidate));
   }
+  limitUnreliableWorkers(candidates);
   return candidates;
 }
 
+void
+JobService::limitUnreliableWorkers(std::vector<WorkerCandidate>& aCandidates)
+{
+  std::map<std::string, std::vector<std::size_t>> pools;
+  for (std::size_t index = 0; index < aCandidates.size(); index++) {
+    pools[aCandidates[index].poolName].push_back(index);
+  }
+  std::set<std::string> limited;
+  for (const auto& [pool, indexes] : pools) {
+    std::vector<std::string> workers;
+    for (const std::size_t index : indexes) {
+      workers.push_back(aCandidates[index].worker);
+    }
+    const std::vector<std::int64_t> limits = mReliability.runLimits(workers, mContext.mNow());
+    for (std::size_t position = 0; position < indexes.size(); position++) {
+      aCandidates[indexes[position]].maxRuns = limits[position];
+      if (limits[position] != WorkerReliability::kNoLimit) {
+        limited.insert(workers[position]);
+      }
+    }
+  }
+  for (const std::string& worker : limited) {
+    if (!mLimitedWorkers.contains(worker)) {
+      logWarning("worker fails its runs: it gets single runs until one ends well",
+                 { { "worker", worker },
+                   { "successShare", mReliability.successShare(worker, mContext.mNow()) } });
+    }
+  }
+  for (const std::string& worker : mLimitedWorkers) {
+    if (!limited.contains(worker)) {
+      logInfo("worker is no longer limited", { { "worker", worker } });
+    }
+  }
+  mLimitedWorkers = std::move(limited);
+}
+
 void
 JobService::schedule()
 {
@@ -728,10 +812,11 @@
     mEvacuation.moveRuns(candidates);
     return;
   }
-  const SchedulePlan plan =
-    JobScheduler::decide(mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs());
+  const SchedulePlan plan = JobScheduler::decide(
+    mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs(), mRunTimes);
   evict(plan.evictions);
   sendOrdersToAll(mEvacuation.moveRuns(candidates));
+  restart(plan.restarts);
   logWaitReasons(plan.waiting);
   if (plan.assignments.empty()) {
     return;
@@ -767,7 +852,8 @@
               { "spread", reason.perWorkerLimitWorkers },
               { "noRoom", reason.fullWorkers },
               { "disturbs", reason.interferenceWorkers },
-              { "reserved", reason.reservedWorkers } });
+              { "reserved", reason.reservedWorkers },
+              { "unreliable", reason.unreliableWorkers } });
   }
 }
 
@@ -791,6 +877,57 @@
   sendOrdersToAll(affected);
 }
 
+void
+JobService::addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const
+{
+  if (aRun.isRestarting) {
+    aCandidate.stragglers[aRun.task.text()] = { .run = aRun.run, .isStopping = true };
+    return;
+  }
+  const JobStep& step = aRun.step();
+  if (step.longRunning() || step.gang() || aRun.shouldStop || aRun.endProposed ||
+      aRun.job->isFinished()) {
+    return;
+  }
+  const std::optional<Straggler> straggler = StragglerPlanner::judge(
+    { .task = aRun.task,
+      .run = aRun.run,
+      .percent = aRun.progressPercent,
+      .percentPerMs = aRun.meter.percentPerMs(),
+      .observedMs = aRun.meter.observedMs(),
+      .runTime = mRunTimes.runTime(*aRun.job, aRun.task.occurrence, aRun.task.step),
+      .checkpoints = step.checkpoints() });
+  if (straggler) {
+    aCandidate.stragglers[aRun.task.text()] = { .run = aRun.run, .isStopping = false };
+  }
+}
+
+void
+JobService::restart(const std::vector<RestartDecision>& aRestarts)
+{
+  std::set<IncarnationKey> affected;
+  for (const RestartDecision& restart : aRestarts) {
+    TrackedRun* run = mRuns.find(restart.task.text(), restart.run);
+    if (run == nullptr) {
+      continue;
+    }
+    logInfo("slow run is started elsewhere",
+            { { "task", restart.task.text() },
+              { "run", restart.run },
+              { "worker", run->incarnation.worker },
+              { "roomAt", restart.to },
+              { "percent", run->progressPercent },
+              { "percentPerSecond", run->meter.percentPerMs() * kMsPerSecond },
+              { "pace", run->desiredPacePercent },
+              { "runTimeMs",
+                mRunTimes.runTime(*run->job, run->task.occurrence, run->task.step).medianMs } });
+    run->shouldStop = true;
+    run->isRestarting = true;
+    affected.insert(run->incarnation);
+  }
+  sendOrdersToAll(affected);
+}
+
 void
 JobService::setGauges(MetricsRegistry& aMetrics) const
 {
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -102,11 +102,18 @@
   return true;
 }
 
-/** isPermitted(), and the worker is not reserved for the trial of another task. */
+/** Whether a worker that fails its runs has as many as it may have. */
+bool
+isLimited(const WorkerCandidate& aWorker)
+{
+  return aWorker.maxRuns != WorkerReliability::kNoLimit && aWorker.endingRuns >= aWorker.maxRuns;
+}
+
+/** isPermitted(), and the worker is neither reserved for the trial of another task nor limited. */
 bool
 isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
 {
-  return !aWorker.isReserved && isPermitted(aWorker, aReady, aStepName);
+  return !aWorker.isReserved && !isLimited(aWorker) && isPermitted(aWorker, aReady, aStepName);
 }
 
 /** Part of cost() that depends on the load of the worker. */
@@ -134,7 +141,7 @@
   const bool isOutsidePreferredRack =
     !aStep.preferredRack().empty() && aStep.preferredRack() != aWorker.rack;
   return std::tuple<std::int64_t, bool, double, const std::string&>(
-    aWorker.recentFailures,
+    aWorker.failureRank,
     isOutsidePreferredRack,
     loadCost(aWorker, aStep, aInterferenceCost),
     aWorker.worker);
@@ -150,6 +157,9 @@
   {
     for (WorkerCandidate& worker : mWorkers) {
       worker.interference = mForecast.loadOf(worker.serving, worker.unobservedShares);
+      for (const auto& [task, slowRun] : worker.stragglers) {
+        mStragglers.emplace(task, std::pair(&worker, slowRun));
+      }
     }
   }
 
@@ -164,6 +174,9 @@
     const std::string name = stepName(task);
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
+      if (record->active && !record->done) {
+        keepRoomForStraggler(aReady, task, name);
+      }
       if (record->done || record->active || record->crashes > 0) {
         continue;
       }
@@ -276,19 +289,20 @@
     return hasCapacity(aWorker, step) ? TrialFit::eNow : TrialFit::eLater;
   }
 
-  bool assign(const ReadyStep& aReady,
-              const TaskId& aTask,
-              const std::string& aStepName,
-              std::vector<WorkerCandidate>& aWorkers,
-              const std::optional<std::string>& aRack)
+  /** Returns the best worker for a task, or null. aExcluded is not considered. */
+  WorkerCandidate* findBest(const ReadyStep& aReady,
+                            const std::string& aStepName,
+                            std::vector<WorkerCandidate>& aWorkers,
+                            const std::optional<std::string>& aRack,
+                            const WorkerCandidate* aExcluded = nullptr)
   {
     const JobStep& step = aReady.description();
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     double bestInterferenceCost = 0;
     for (WorkerCandidate& worker : aWorkers) {
-      if ((aRack && worker.rack != *aRack) || !isEligible(worker, aReady, aStepName) ||
-          !hasCapacity(worker, step)) {
+      if (&worker == aExcluded || (aRack && worker.rack != *aRack) ||
+          !isEligible(worker, aReady, aStepName) || !hasCapacity(worker, step)) {
         continue;
       }
       const double ratio = expectedRatio(worker, step, image);
@@ -302,6 +316,16 @@
         bestInterferenceCost = interferenceCost;
       }
     }
+    return best;
+  }
+
+  bool assign(const ReadyStep& aReady,
+              const TaskId& aTask,
+              const std::string& aStepName,
+              std::vector<WorkerCandidate>& aWorkers,
+              const std::optional<std::string>& aRack)
+  {
+    WorkerCandidate* best = findBest(aReady, aStepName, aWorkers, aRack);
     if (best == nullptr) {
       return false;
     }
@@ -309,6 +333,29 @@
     return true;
   }
 
+  /** Stops a straggler if another worker has room for its next run, and keeps that room until then.
+   */
+  void keepRoomForStraggler(const ReadyStep& aReady,
+                            const TaskId& aTask,
+                            const std::string& aStepName)
+  {
+    const auto found = mStragglers.find(aTask.text());
+    if (found == mStragglers.end() || aReady.outlook == JobOutlook::eOverdue ||
+        mRestarting >= JobScheduler::kMaxRestarts) {
+      return;
+    }
+    const auto& [worker, slowRun] = found->second;
+    WorkerCandidate* best = findBest(aReady, aStepName, mWorkers, std::nullopt, worker);
+    if (best == nullptr) {
+      return;
+    }
+    mRestarting++;
+    occupy(*best, aReady.description(), aTask);
+    if (!slowRun.isStopping) {
+      mPlan.restarts.push_back({ aTask, slowRun.run, best->worker });
+    }
+  }
+
   /** Whether the job has no active runs although its pool is mostly free. */
   bool isStarved(const ReadyStep& aReady) const
   {
@@ -350,15 +397,20 @@
     return best != nullptr;
   }
 
+  /** Takes the capacity for a run of the step. */
+  void occupy(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask)
+  {
+    addRun(aWorker, aStep, aTask);
+    if (const std::optional<std::size_t> image = opportunisticImage(aStep)) {
+      mForecast.add(aWorker.interference, *image, cpuShare(aWorker, aStep));
+    }
+  }
+
   /** Adds an assignment to the plan and takes its capacity. */
   void addAssignment(WorkerCandidate& aWorker, const ReadyStep& aReady, const TaskId& aTask)
   {
-    const JobStep& step = aReady.description();
-    addRun(aWorker, step, aTask);
+    occupy(aWorker, aReady.description(), aTask);
     aWorker.unprovenRuns++;
-    if (const std::optional<std::size_t> image = opportunisticImage(step)) {
-      mForecast.add(aWorker.interference, *image, cpuShare(aWorker, step));
-    }
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
                                                              .worker = aWorker.worker,
@@ -381,6 +433,8 @@
         reason.missingLabelWorkers++;
       } else if (worker.isReserved) {
         reason.reservedWorkers++;
+      } else if (isLimited(worker)) {
+        reason.unreliableWorkers++;
       } else if (!isEligible(worker, aReady, aStepName)) {
         reason.perWorkerLimitWorkers++;
       } else if (!hasCapacity(worker, step)) {
@@ -543,6 +597,10 @@
   std::optional<TrialPlanner> mTrialPlanner;
   /** Tasks that wait for a trial, with their step. */
   std::vector<std::pair<const ReadyStep*, TrialTask>> mWaitingTrials;
+  /** The stragglers and their workers, by task name. */
+  std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
+  /** Number of stragglers that are being stopped. */
+  std::size_t mRestarting = 0;
   SchedulePlan mPlan;
 };
 
@@ -552,9 +610,10 @@
 JobScheduler::decide(const JobRegistry& aJobs,
                      const InterferenceGuard& aGuard,
                      std::vector<WorkerCandidate>& aWorkers,
-                     std::int64_t aWallMs)
+                     std::int64_t aWallMs,
+                     const RunTimeModel& aRunTimes)
 {
-  const std::vector<DueJob> dueJobs = findDueJobs(aJobs, aWorkers, aWallMs);
+  const std::vector<DueJob> dueJobs = findDueJobs(aJobs, aWorkers, aRunTimes, aWallMs);
   const std::vector<ReadyStep> readySteps = findReadySteps(dueJobs);
   SchedulingRound round(aGuard, aWorkers);
   round.placeTrials(readySteps);
