Control: learned interference is kept in the log and taken over by a new leader

Cause: InterferenceGuard lived in the leader's memory, and a new leader took the latency that its first report showed for the usual one. The baseline of a task's first report is now without the interference that is known. Ruled out: followers that learn beside the leader get no reports.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -76,11 +76,49 @@
                    mContext.mLog.term(),
                    mContext.mLog.electedAt(),
                    mContext.mSettings.electionTimeoutMs());
+  restoreLearnedFigures();
   mScheduleDue = true;
   logInfo("jobs restored for a new leadership",
           { { "open", jobs.openJobs().size() }, { "runs", mRuns.runs().size() } });
 }
 
+void
+JobService::restoreLearnedFigures()
+{
+  const LearnedFigures& saved = mContext.mState.learnedFigures();
+  mLearnedFigures.startTerm(saved);
+  const LearnedFigures::Fields figures = LearnedFiguresKeeper::aged(saved, mContext.mWallClockMs());
+  mGuard.setModel(ImageInterferenceModel::fromFigures(figures, mContext.mNow()));
+  logInfo(
+    "learned figures taken over",
+    { { "pairs", figures.interference.size() },
+      { "runTimes", figures.runTimes.size() },
+      { "ageMs", saved.savedAtMs() > 0 ? mContext.mWallClockMs() - saved.savedAtMs() : -1 } });
+}
+
+void
+JobService::saveLearnedFigures()
+{
+  const MonotonicTime now = mContext.mNow();
+  if (!mLearnedFigures.isDue(now)) {
+    return;
+  }
+  LearnedFigures::Fields figures;
+  mGuard.model().writeTo(figures, now);
+  const std::optional<LearnedFigures> save =
+    mLearnedFigures.nextSave(std::move(figures), now, mContext.mWallClockMs());
+  if (!save) {
+    return;
+  }
+  mContext.mLog.propose(buildValue<SaveLearnedFigures>({ .figures = *save }),
+                        [this, generation = mGeneration](const CommandResult& aResult) {
+                          if (generation == mGeneration) {
+                            mLearnedFigures.onSaveEnded(std::get_if<CommandFailure>(&aResult) ==
+                                                        nullptr);
+                          }
+                        });
+}
+
 void
 JobService::endTerm()
 {
@@ -632,6 +670,7 @@
       mFleet.remove(key);
     }
   }
+  saveLearnedFigures();
   schedule();
 }
 
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/LearnedFiguresKeeper.h"
 #include "control/RequestHandler.h"
 #include "control/RunTracker.h"
 #include "control/SessionService.h"
@@ -76,11 +77,15 @@
   void stopRunsOfFinishedJobs(const std::set<std::string>& aJobs);
   void schedule();
   std::vector<WorkerCandidate> buildWorkerCandidates();
+  /** Takes over what earlier leaders have learned. */
+  void restoreLearnedFigures();
+  void saveLearnedFigures();
 
   SessionService& mSessions;
   WorkerFleet mFleet;
   RunTracker mRuns;
   InterferenceGuard mGuard;
+  LearnedFiguresKeeper mLearnedFigures;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
   /** Assignments are proposed and not applied yet; the next scheduling round waits for them. */
--- a/src/jobs/ImageInterferenceModel.cpp
+++ b/src/jobs/ImageInterferenceModel.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <vector>
 
 namespace magnoliadrum {
 
@@ -11,6 +13,8 @@
 /** More pairs than any deployment has; above this number the least recently observed pair is
  * removed. */
 constexpr std::size_t kMaxPairs = 4096;
+/** Bound of LearnedFigures::interference. */
+constexpr std::size_t kMaxSavedPairs = 500;
 
 } // namespace
 
@@ -69,6 +73,44 @@
   }
 }
 
+void
+ImageInterferenceModel::writeTo(LearnedFigures::Fields& aFigures, MonotonicTime aNow) const
+{
+  std::vector<LearnedInterference::Fields> pairs;
+  pairs.reserve(mFactors.size());
+  for (const auto& [images, factor] : mFactors) {
+    pairs.push_back({ .serving = images.first,
+                      .image = images.second,
+                      .mean = factor.mean,
+                      .variance = std::max(0.0, factor.variance),
+                      .recentPeak = factor.recentPeak,
+                      .ageMs = std::max<std::int64_t>(0, aNow.msSince(factor.observedAt)) });
+  }
+  std::sort(pairs.begin(), pairs.end(), [](const auto& aLeft, const auto& aRight) {
+    return std::tie(aRight.recentPeak, aLeft.ageMs, aLeft.serving, aLeft.image) <
+           std::tie(aLeft.recentPeak, aRight.ageMs, aRight.serving, aRight.image);
+  });
+  pairs.resize(std::min(pairs.size(), kMaxSavedPairs));
+  for (LearnedInterference::Fields& pair : pairs) {
+    aFigures.interference.push_back(valueOf(LearnedInterference::create(std::move(pair))));
+  }
+}
+
+ImageInterferenceModel
+ImageInterferenceModel::fromFigures(const LearnedFigures::Fields& aFigures, MonotonicTime aNow)
+{
+  ImageInterferenceModel model;
+  for (const LearnedInterference& pair : aFigures.interference) {
+    model.mFactors.insert_or_assign({ pair.serving(), pair.image() },
+                                    Factor{ .mean = pair.mean(),
+                                            .variance = pair.variance(),
+                                            .observedAt = aNow.plusMs(-pair.ageMs()),
+                                            .recentPeak = pair.recentPeak() });
+  }
+  model.mLastObservedAt = aNow;
+  return model;
+}
+
 double
 ImageInterferenceModel::growth(const std::string& aServing,
                                const std::string& aImage,
--- a/src/jobs/ImageInterferenceModel.h
+++ b/src/jobs/ImageInterferenceModel.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/core.h"
+#include "generated/JobsTypes.h"
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <utility>
@@ -57,6 +59,17 @@
    * to do so again. */
   double worstGrowth(const std::string& aServing, const std::string& aImage, double aShare) const;
 
+  /** Writes the pairs with the largest recent peaks, then those observed last, up to the bound of
+   * the schema. */
+  void writeTo(LearnedFigures::Fields& aFigures, MonotonicTime aNow) const;
+
+  /** The model that writeTo() has written, aNow being the time to which its ages refer. */
+  static ImageInterferenceModel fromFigures(const LearnedFigures::Fields& aFigures,
+                                            MonotonicTime aNow);
+
+  /** Number of pairs that were observed. */
+  std::size_t size() const { return mFactors.size(); }
+
   /** Sum of growth() over all images. */
   double growth(const std::string& aServing, const ImageShares& aNeighbours) const;
 
--- a/src/jobs/InterferenceGuard.cpp
+++ b/src/jobs/InterferenceGuard.cpp
@@ -94,7 +94,10 @@
     }
     const double logLatency = std::log(task.latencyMs);
     const auto position = aState.baselines.find(task.task);
-    const double baseline = position == aState.baselines.end() ? logLatency : position->second;
+    // The first report of a task may already include interference that is known.
+    const double baseline = position == aState.baselines.end()
+                              ? logLatency - mModel.growth(task.image, neighbourShares)
+                              : position->second;
     if (showsPastInterference(aState, task)) {
       baselines.emplace(task.task, baseline);
       continue;
--- a/src/jobs/InterferenceGuard.h
+++ b/src/jobs/InterferenceGuard.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliadrum {
@@ -140,6 +141,10 @@
   /** The same for the strongest interference of the last minutes. */
   double worstGrowthPerShare(const std::string& aServing, const std::string& aImage) const;
 
+  /** What was learned so far; replaced as a whole at the start of a leadership. */
+  const ImageInterferenceModel& model() const { return mModel; }
+  void setModel(ImageInterferenceModel aModel) { mModel = std::move(aModel); }
+
 private:
   /** Whether the latency still includes interference that has ended; nothing is learned from such a
    * latency. */
