Jobs: what a pair of images does is known after a pause

Cause: the factor of a pair decayed to 0 within 4 s and its variance grew back to the initial one, so after each pause an interfering image was let in again and a harmless one kept out. Each factor now returns to a level of its own, and an unseen pair expects what other pairs of the image, and of all images, have shown. The levels are what the log keeps.

--- a/src/jobs/ImageInterferenceModel.h
+++ b/src/jobs/ImageInterferenceModel.h
@@ -18,23 +18,32 @@
  * serving task's tail latency grows per share of the worker's processors that the opportunistic
  * image uses (the factor of the pair).
  *
- * A pair may interfere for some seconds and then not at all, on all workers at once. Each factor
- * therefore has its own Kalman filter, whose estimate decays and whose variance grows while the
- * pair is not observed. Only a small part of a rise in latency is attributed to neighbours that
- * were recently observed to be harmless.
+ * A pair's interference varies within seconds, on all workers at once, around a level that stays:
+ * most pairs never interfere, and those that do keep doing so. Each factor therefore has its own
+ * Kalman filter, whose estimate returns to the pair's level while the pair is not observed, and
+ * whose variance grows to what the level leaves open. Only a small part of a rise in latency is
+ * attributed to neighbours that were recently observed to be harmless. A pair that was never
+ * observed is expected to be as strong as other pairs of the image and other images were.
  */
 class ImageInterferenceModel
 {
 public:
-  /** Standard deviation of a factor that was never observed. */
+  /** Standard deviation of a factor as long as no pair was observed. */
   static constexpr double kInitialDeviation = 10;
-  /** Time constant with which the estimate of an unobserved factor decays. */
+  /** Time constant with which the estimate of an unobserved factor returns to its level. */
   static constexpr double kMeanDecaySeconds = 4;
   /** Time constant with which the recent peak of a factor decays. */
   static constexpr double kPeakDecaySeconds = 60;
-  /** Growth of an unobserved factor's variance per second; after 25 s it is back at the initial
-   * variance. */
+  /** Growth of an unobserved factor's variance per second. */
   static constexpr double kVariancePerSecond = 4;
+  /** Growth of the variance of a factor's level per second. */
+  static constexpr double kLevelVariancePerSecond = 0.02;
+  /** Standard deviation of a factor around its level: a part that every pair has, so that a
+   * harmless pair that starts to interfere is noticed, and a part that is relative to the level. */
+  static constexpr double kMinLevelDeviation = 1.5;
+  static constexpr double kRelativeLevelDeviation = 0.5;
+  /** Weight, in pairs, of the general expectation against what pairs of the same image showed. */
+  static constexpr double kPoolWeight = 2;
   /** Variance of the logarithm of a latency around its own baseline. */
   static constexpr double kNoiseVariance = 0.04;
   /** Standard deviations that cautiousGrowth() adds to the estimate. */
@@ -59,11 +68,12 @@
    * to do so again. */
   double worstGrowth(const std::string& aServing, const std::string& aImage, double aShare) const;
 
-  /** Writes the pairs with the largest recent peaks, then those observed last, up to the bound of
-   * the schema. */
+  /** Writes the levels of the pairs with the largest recent peaks, then of those observed last, up
+   * to the bound of the schema. */
   void writeTo(LearnedFigures::Fields& aFigures, MonotonicTime aNow) const;
 
-  /** The model that writeTo() has written, aNow being the time to which its ages refer. */
+  /** A model with the levels that writeTo() has written, aNow being the time to which its ages
+   * refer. */
   static ImageInterferenceModel fromFigures(const LearnedFigures::Fields& aFigures,
                                             MonotonicTime aNow);
 
@@ -78,9 +88,26 @@
   {
     double mean = 0;
     double variance = kInitialDeviation * kInitialDeviation;
+    /** Mean over a long time, and its variance. */
+    double level = 0;
+    double levelVariance = kInitialDeviation * kInitialDeviation;
     MonotonicTime observedAt;
     /** Largest mean of the last minutes; decays with kPeakDecaySeconds. */
     double recentPeak = 0;
+
+    /** Variance of the factor when only its level is known. */
+    double maxVariance() const;
+    /** How much of the level is known, from 0 to 1. */
+    double knownPart() const;
+  };
+
+  /** Levels of a group of pairs. */
+  struct Pool
+  {
+    double pairs = 0;
+    double sumOfSquares = 0;
+
+    void add(const Factor& aFactor, double aSign);
   };
 
   /** Returns the factor of a pair with decay and growth of variance applied up to aNow. */
@@ -88,7 +115,15 @@
                    const std::string& aImage,
                    MonotonicTime aNow) const;
 
+  /** Variance that an unobserved pair is expected to have. */
+  double priorVariance(const std::string& aImage) const;
+  static void learnLevel(Factor& aFactor, double aSeconds);
+  void store(const std::string& aServing, const std::string& aImage, const Factor& aFactor);
+
   std::map<std::pair<std::string, std::string>, Factor> mFactors;
+  /** By opportunistic image. */
+  std::map<std::string, Pool> mPools;
+  Pool mPoolOfAll;
   MonotonicTime mLastObservedAt;
 };
 
