--- a/src/jobs/ImageInterferenceModel_test.cpp
+++ b/src/jobs/ImageInterferenceModel_test.cpp
@@ -93,6 +93,47 @@
   BOOST_TEST(missedMs(successor, now) == 0);
 }
 
+// Standing tasks and batch tasks of many images meet again and again, with pauses of some seconds.
+// A model that forgets within the pause lets an interfering image in each time, and keeps harmless
+// ones out.
+BOOST_AUTO_TEST_CASE(what_a_pair_does_is_known_after_a_pause)
+{
+  ImageInterferenceModel model;
+  constexpr double kStrongGrowth = 8;
+  constexpr int kReports = 60;
+  for (int report = 0; report < kReports; report++) {
+    const MonotonicTime now = kChangeAt.plusMs(report * kReportMs);
+    model.learn("frail", kStrongGrowth * kNoisyShare, { { "noisy", kNoisyShare } }, now);
+    model.learn("frail", 0, { { "quiet", kNoisyShare } }, now);
+  }
+  // A report of another pair ends the pause.
+  constexpr std::int64_t kPauseMs = 60000;
+  model.learn("robust", 0, { { "other", kNoisyShare } }, kChangeAt.plusMs(kPauseMs));
+  BOOST_TEST(model.growth("frail", "noisy", 1) >= kStrongGrowth / 2);
+  BOOST_TEST(model.cautiousGrowth("frail", "quiet", 1) < 2);
+}
+
+// The first tasks of an image that was never beside a serving image: with nothing known, few are
+// tried; an image that was harmless beside several others gets more, one that was not stays
+// careful.
+BOOST_AUTO_TEST_CASE(an_unseen_pair_borrows_from_what_the_image_did_elsewhere)
+{
+  ImageInterferenceModel model;
+  const double unknown = model.cautiousGrowth("frail", "harmless", 1);
+  constexpr double kStrongGrowth = 8;
+  constexpr int kReports = 60;
+  for (int report = 0; report < kReports; report++) {
+    for (const std::string serving : { "a", "b", "c" }) {
+      const MonotonicTime now = kChangeAt.plusMs(report * kReportMs);
+      model.learn(serving, 0, { { "harmless", kNoisyShare } }, now);
+      model.learn(serving, kStrongGrowth * kNoisyShare, { { "strong", kNoisyShare } }, now);
+    }
+  }
+  BOOST_TEST(model.cautiousGrowth("frail", "harmless", 1) < unknown / 2);
+  BOOST_TEST(model.cautiousGrowth("frail", "strong", 1) >
+             1.5 * model.cautiousGrowth("frail", "harmless", 1));
+}
+
 BOOST_AUTO_TEST_CASE(saved_figures_are_bounded_and_keep_the_strongest_pairs)
 {
   ImageInterferenceModel model;
