--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/EvacuationDriver.h"
+#include "control/LearnedFiguresKeeper.h"
 #include "control/RequestHandler.h"
 #include "control/RunTracker.h"
 #include "control/SessionService.h"
@@ -89,6 +90,9 @@
   void stopRunsOfFinishedJobs(const std::set<std::string>& aJobs);
   void schedule();
   std::vector<WorkerCandidate> buildWorkerCandidates();
+  /** Takes over what earlier leaders have learned. */
+  void restoreLearnedFigures();
+  void saveLearnedFigures();
 
   SessionService& mSessions;
   WorkerFleet mFleet;
@@ -99,6 +103,7 @@
   WorkerReliability mReliability;
   /** Ids of the workers that get single runs because they fail them. */
   std::set<std::string> mLimitedWorkers;
+  LearnedFiguresKeeper mLearnedFigures;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
   /** Assignments are proposed and not applied yet; the next scheduling round waits for them. */
