Transport: answers, headers and standstills in the account of HTTP clients

Found by the review of the part: answers that nobody reads could fill the account for good, headers of handled requests were not counted, a standstill of the VM was charged to callers, and connections that send nothing pushed out callers that use theirs.

--- a/src/platform/JsonReader.cpp
+++ b/src/platform/JsonReader.cpp
@@ -174,8 +174,8 @@
 
 namespace {
 
-/** Number of commas, colons and opening brackets outside strings, which bounds the number of values
- * before anything is decoded. */
+/** Number of commas and opening brackets outside strings, which bounds the number of values before
+ * anything is decoded. */
 std::size_t
 countValues(const std::string& aBody)
 {
@@ -189,7 +189,7 @@
       continue;
     }
     isInString = character == '"';
-    values += character == ',' || character == ':' || character == '[' || character == '{' ? 1 : 0;
+    values += character == ',' || character == '[' || character == '{' ? 1 : 0;
   }
   return values;
 }
--- a/src/transport/HttpConnectionGuard.cpp
+++ b/src/transport/HttpConnectionGuard.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
+#include <utility>
 
 namespace magnoliadrum {
 
@@ -89,6 +90,9 @@
   evbuffer_add_cb(bufferevent_get_input(bufferEvent), onInput, connection.get());
   evbuffer_add_cb(bufferevent_get_output(bufferEvent), onOutput, connection.get());
   mConnections.emplace(bufferEvent, std::move(connection));
+  if (mLoop.transfers().isOverLimit()) {
+    postCheck();
+  }
   return bufferEvent;
 }
 
@@ -132,15 +136,21 @@
                     self.mLoop.now());
   const bool needsCheck =
     transfers.isOverLimit() || connection.header.lines() > TransferAccount::kMaxHeaderLines;
-  if (!needsCheck || self.mCheckPosted) {
+  if (needsCheck) {
+    self.postCheck();
+  }
+}
+
+void
+HttpConnectionGuard::postCheck()
+{
+  if (std::exchange(mCheckPosted, true)) {
     return;
   }
-  // A connection cannot be closed while its buffer changes.
-  self.mCheckPosted = true;
-  self.mLoop.post([&self, alive = std::weak_ptr<int>(self.mAlive)]() {
+  mLoop.post([this, alive = std::weak_ptr<int>(mAlive)]() {
     if (!alive.expired()) {
-      self.mCheckPosted = false;
-      self.check();
+      mCheckPosted = false;
+      check();
     }
   });
 }
@@ -151,7 +161,7 @@
   const Connection& connection = *static_cast<Connection*>(aConnection);
   EventLoop& loop = connection.guard->mLoop;
   loop.transfers().setUnsent(
-    connection.number, evbuffer_get_length(aBuffer), aInfo->n_deleted > 0, loop.now());
+    connection.number, evbuffer_get_length(aBuffer), aInfo->n_deleted, loop.now());
 }
 
 HttpConnectionGuard::Admission
@@ -162,16 +172,19 @@
     return nullptr;
   }
   Connection& connection = *position->second;
+  TransferAccount& transfers = mLoop.transfers();
+  const bool isAdmitted =
+    transfers.admit(connection.number, aBytes, connection.header, mLoop.now());
   evbuffer* input = bufferevent_get_input(aConnection);
   const std::size_t bytesAhead = evbuffer_get_length(input);
   connection.header = HttpHeaderScanner();
   scanHeader(connection, input, bytesAhead);
-  TransferAccount& transfers = mLoop.transfers();
-  if (!transfers.admit(connection.number, aBytes, bytesAhead, mLoop.now())) {
+  transfers.receiveAhead(connection.number, bytesAhead, connection.header, mLoop.now());
+  if (!isAdmitted) {
     return nullptr;
   }
   return { &transfers, [number = connection.number](TransferAccount* aTransfers) {
-            aTransfers->finish(number);
+            aTransfers->finish(number, MonotonicTime::now());
           } };
 }
 
--- a/src/transport/HttpConnectionGuard.h
+++ b/src/transport/HttpConnectionGuard.h
@@ -56,6 +56,8 @@
   static void onOutput(evbuffer* aBuffer, const evbuffer_cb_info* aInfo, void* aConnection);
   /** Lets the header scanner read the last aBytes of the input. */
   static void scanHeader(Connection& aConnection, evbuffer* aBuffer, std::size_t aBytes);
+  /** Posts a check, because a connection cannot be closed while its buffer changes. */
+  void postCheck();
   void check();
   void releaseFreedConnections();
   static void close(bufferevent* aConnection, TransferRefusal aReason, bool aCanAnswer);
--- a/src/transport/TransferAccount.cpp
+++ b/src/transport/TransferAccount.cpp
@@ -1,6 +1,7 @@
 #include "transport/TransferAccount.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace magnoliadrum {
@@ -13,6 +14,11 @@
 /** Descriptors that are kept for files and for connections between processes. */
 constexpr std::int64_t kReservedDescriptors = 600;
 constexpr std::size_t kMinConnections = 64;
+/** A header is held by the HTTP library and by the request. */
+constexpr std::size_t kCopiesOfHeader = 2;
+/** The reserve for requests without a body, such as probes of readiness, as a share of the account.
+ */
+constexpr std::size_t kReserveShare = 8;
 
 } // namespace
 
@@ -73,7 +79,7 @@
   connection.close = std::move(aCloser);
   connection.maxRequestBytes = aMaxRequestBytes;
   connection.receivedAt = aNow;
-  connection.readAt = aNow;
+  connection.answerBegunAt = aNow;
   mBytes += connection.cost();
   mConnections.emplace(++mLastNumber, std::move(connection));
   return mLastNumber;
@@ -107,43 +113,71 @@
 
 bool
 TransferAccount::admit(ConnectionNumber aConnection,
-                       std::size_t aBytes,
-                       std::size_t aBytesAhead,
+                       std::size_t aBodyBytes,
+                       const HttpHeaderScanner& aHeader,
                        MonotonicTime aNow)
 {
   update(aConnection, [&](Connection& aChanged) {
-    aChanged.received = aBytesAhead;
+    aChanged.received = 0;
     aChanged.headerLines = 0;
     aChanged.isHeaderComplete = false;
-    aChanged.requestBegunAt = aBytesAhead > 0 ? std::optional(aNow) : std::nullopt;
+    aChanged.requestBegunAt.reset();
+    aChanged.receivedAt = aNow;
+    aChanged.hasSentRequest = true;
   });
-  const std::size_t cost = aBytes * kCopiesOfRequest;
-  const std::size_t available =
-    aBytes <= kSmallRequestBytes ? mLimits.maxBytes : largeRequestBytes();
+  const std::size_t cost = aBodyBytes * kCopiesOfRequest + aHeader.bytes() * kCopiesOfHeader +
+                           aHeader.lines() * kHeaderLineBytes + 1;
+  std::size_t available = largeRequestBytes();
+  if (aBodyBytes == 0) {
+    available = mLimits.maxBytes + mLimits.maxBytes / kReserveShare;
+  } else if (aBodyBytes <= kSmallRequestBytes) {
+    available = mLimits.maxBytes;
+  }
   if (mBytes + cost > available) {
     mRefusals[TransferRefusal::eMemory]++;
     return false;
   }
-  update(aConnection,
-         [&](Connection& aChanged) { aChanged.handled = std::max(cost, std::size_t{ 1 }); });
+  update(aConnection, [&](Connection& aChanged) { aChanged.handled = cost; });
   return true;
 }
 
 void
-TransferAccount::finish(ConnectionNumber aConnection)
+TransferAccount::receiveAhead(ConnectionNumber aConnection,
+                              std::size_t aBytes,
+                              const HttpHeaderScanner& aHeader,
+                              MonotonicTime aNow)
+{
+  if (aBytes > 0) {
+    receive(aConnection, aBytes, aHeader.lines(), aHeader.isComplete(), aNow);
+  }
+}
+
+void
+TransferAccount::finish(ConnectionNumber aConnection, MonotonicTime aNow)
 {
-  update(aConnection, [](Connection& aChanged) { aChanged.handled = 0; });
+  update(aConnection, [&](Connection& aChanged) {
+    aChanged.handled = 0;
+    // What was sent ahead is only read from now on.
+    if (aChanged.requestBegunAt) {
+      aChanged.requestBegunAt = aNow;
+    }
+  });
 }
 
 void
 TransferAccount::setUnsent(ConnectionNumber aConnection,
                            std::size_t aBytes,
-                           bool aHasRead,
+                           std::size_t aReadBytes,
                            MonotonicTime aNow)
 {
   update(aConnection, [&](Connection& aChanged) {
-    if (aHasRead || aChanged.unsent == 0) {
-      aChanged.readAt = aNow;
+    if (aChanged.unsent == 0) {
+      aChanged.answerBegunAt = aNow;
+      aChanged.read = 0;
+    }
+    aChanged.read += aReadBytes;
+    if (aBytes == 0 && aChanged.requestBegunAt) {
+      aChanged.requestBegunAt = aNow;
     }
     aChanged.unsent = aBytes;
   });
@@ -158,8 +192,14 @@
 std::optional<TransferRefusal>
 TransferAccount::overdue(const Connection& aConnection, MonotonicTime aNow)
 {
-  if (aConnection.unsent > 0 && aNow.msSince(aConnection.readAt) >= kUnreadAnswerTimeoutMs) {
-    return TransferRefusal::eUnreadAnswer;
+  const auto expectedBytes = [](std::int64_t aAgeMs, std::int64_t aGraceMs) {
+    return std::max<std::int64_t>(0, aAgeMs - aGraceMs) * kMinBytesPerSecond / kMsPerSecond;
+  };
+  if (aConnection.unsent > 0) {
+    const std::int64_t ageMs = aNow.msSince(aConnection.answerBegunAt);
+    const bool isUnread = ageMs >= kAnswerGraceMs && expectedBytes(ageMs, kAnswerGraceMs) >=
+                                                       static_cast<std::int64_t>(aConnection.read);
+    return isUnread ? std::optional(TransferRefusal::eUnreadAnswer) : std::nullopt;
   }
   if (aConnection.received > aConnection.maxRequestBytes) {
     return TransferRefusal::eRequestSize;
@@ -174,8 +214,7 @@
   if (!aConnection.isHeaderComplete) {
     return ageMs >= kHeaderTimeoutMs ? std::optional(TransferRefusal::eSlowHeader) : std::nullopt;
   }
-  const std::int64_t expected = (ageMs - kBodyGraceMs) * kMinBytesPerSecond / kMsPerSecond;
-  return expected > static_cast<std::int64_t>(aConnection.received)
+  return expectedBytes(ageMs, kBodyGraceMs) > static_cast<std::int64_t>(aConnection.received)
            ? std::optional(TransferRefusal::eSlowBody)
            : std::nullopt;
 }
@@ -188,7 +227,7 @@
   Connection& connection = mConnections.at(aNumber);
   aRemovals.push_back({ aNumber,
                         aReason,
-                        connection.handled == 0 && connection.unsent == 0,
+                        connection.isIncomplete() && connection.unsent == 0,
                         std::move(connection.close) });
   mRefusals[aReason]++;
   close(aNumber);
@@ -200,14 +239,16 @@
   if (mConnections.size() <= mLimits.maxConnections) {
     return;
   }
-  std::vector<std::pair<MonotonicTime, ConnectionNumber>> idle;
+  // Connections that never sent a whole request go first, so that a crowd of them does not keep out
+  // callers that use theirs.
+  std::vector<std::tuple<bool, MonotonicTime, ConnectionNumber>> idle;
   for (const auto& [number, connection] : mConnections) {
-    if (connection.handled == 0) {
-      idle.emplace_back(connection.receivedAt, number);
+    if (connection.handled == 0 && connection.unsent == 0) {
+      idle.emplace_back(connection.hasSentRequest, connection.receivedAt, number);
     }
   }
   std::sort(idle.begin(), idle.end());
-  for (const auto& [receivedAt, number] : idle) {
+  for (const auto& [hasSentRequest, receivedAt, number] : idle) {
     if (mConnections.size() <= mLimits.maxConnections) {
       return;
     }
@@ -216,21 +257,26 @@
 }
 
 void
-TransferAccount::removeStalledRequests(std::vector<Removal>& aRemovals)
+TransferAccount::removeStalledTransfers(std::vector<Removal>& aRemovals)
 {
   if (mBytes <= largeRequestBytes()) {
     return;
   }
-  std::vector<std::pair<MonotonicTime, ConnectionNumber>> incomplete;
+  std::vector<std::pair<MonotonicTime, ConnectionNumber>> stalled;
   for (const auto& [number, connection] : mConnections) {
-    if (connection.isIncomplete() && connection.cost() > 2 * kConnectionBytes) {
-      incomplete.emplace_back(connection.receivedAt, number);
+    if (connection.cost() <= 2 * kConnectionBytes || connection.handled > 0) {
+      continue;
+    }
+    if (connection.unsent > 0) {
+      stalled.emplace_back(connection.answerBegunAt, number);
+    } else if (connection.isIncomplete()) {
+      stalled.emplace_back(connection.receivedAt, number);
     }
   }
-  std::sort(incomplete.begin(), incomplete.end());
+  std::sort(stalled.begin(), stalled.end());
   // Some more than necessary, so that a crowd does not cause a removal at each arrival.
   const std::size_t target = largeRequestBytes() / 8 * 7;
-  for (const auto& [receivedAt, number] : incomplete) {
+  for (const auto& [since, number] : stalled) {
     if (mBytes <= target) {
       return;
     }
@@ -238,9 +284,28 @@
   }
 }
 
+void
+TransferAccount::skipStandstill(MonotonicTime aNow)
+{
+  const std::int64_t gapMs = mCheckedAt ? aNow.msSince(*mCheckedAt) : 0;
+  mCheckedAt = aNow;
+  if (gapMs < kStandstillMs) {
+    return;
+  }
+  const auto shift = [&](MonotonicTime& aTime) { aTime = std::min(aNow, aTime.plusMs(gapMs)); };
+  for (auto& [number, connection] : mConnections) {
+    shift(connection.receivedAt);
+    shift(connection.answerBegunAt);
+    if (connection.requestBegunAt) {
+      shift(*connection.requestBegunAt);
+    }
+  }
+}
+
 std::vector<TransferAccount::Removal>
 TransferAccount::takeRemovals(MonotonicTime aNow)
 {
+  skipStandstill(aNow);
   std::vector<std::pair<ConnectionNumber, TransferRefusal>> due;
   for (const auto& [number, connection] : mConnections) {
     if (const std::optional<TransferRefusal> reason = overdue(connection, aNow)) {
@@ -252,7 +317,7 @@
     add(removals, number, reason);
   }
   removeIdleConnections(removals);
-  removeStalledRequests(removals);
+  removeStalledTransfers(removals);
   return removals;
 }
 
--- a/src/transport/TransferAccount.h
+++ b/src/transport/TransferAccount.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "transport/HttpHeaderScanner.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -46,8 +47,9 @@
  *
  * A crowd of callers that stop half-way, send slowly or do not read must neither exhaust the memory
  * of the VM nor keep others out. Large requests may fill three quarters of the account; the rest is
- * kept for small ones. When that is exceeded, the incomplete requests that have made no progress
- * for the longest time are given up.
+ * kept for small ones. When that is exceeded, the incomplete requests
+ * that have made no progress for the longest time and the answers that have waited longest are
+ * given up.
  */
 class TransferAccount
 {
@@ -59,7 +61,7 @@
   /** A header line beyond its own bytes: the library and the request each keep a name and a value.
    */
   static constexpr std::size_t kHeaderLineBytes = 256;
-  static constexpr std::size_t kMaxHeaderLines = 100;
+  static constexpr std::size_t kMaxHeaderLines = 256;
   /** A complete request is held as bytes, as a decoded message and as an encoded one. */
   static constexpr std::size_t kCopiesOfRequest = 3;
   /** Requests up to this size may use the whole account. */
@@ -68,7 +70,10 @@
   /** A body has this time before its rate counts. */
   static constexpr std::int64_t kBodyGraceMs = 5000;
   static constexpr std::int64_t kMinBytesPerSecond = 4096;
-  static constexpr std::int64_t kUnreadAnswerTimeoutMs = 10000;
+  /** The same for reading an answer, at kMinBytesPerSecond. */
+  static constexpr std::int64_t kAnswerGraceMs = 10000;
+  /** Two checks further apart mean that the process stood still; callers are not blamed for it. */
+  static constexpr std::int64_t kStandstillMs = 1000;
 
   /** Closes a connection. canAnswer: no part of a request is being handled and no answer waits, so
    * an answer may say that the request has not run. */
@@ -97,21 +102,29 @@
                MonotonicTime aNow);
 
   /**
-   * Records that a whole request with aBytes was read, and that aBytesAhead of further requests
-   * have arrived. False if the account has no capacity for it; the request must be refused then.
+   * Records that a whole request was read, of which the body has aBodyBytes and the header what
+   * aHeader has counted. False if the account has no capacity for it; the request must be refused
+   * then. A request without a body may also use a reserve of its own.
    */
   bool admit(ConnectionNumber aConnection,
-             std::size_t aBytes,
-             std::size_t aBytesAhead,
+             std::size_t aBodyBytes,
+             const HttpHeaderScanner& aHeader,
              MonotonicTime aNow);
 
+  /** Records that aBytes of further requests have arrived already when a request is handled. */
+  void receiveAhead(ConnectionNumber aConnection,
+                    std::size_t aBytes,
+                    const HttpHeaderScanner& aHeader,
+                    MonotonicTime aNow);
+
   /** Records that an admitted request is answered or given up. */
-  void finish(ConnectionNumber aConnection);
+  void finish(ConnectionNumber aConnection, MonotonicTime aNow);
 
-  /** Records the bytes of answers that wait to be read, and whether the caller has read some. */
+  /** Records the bytes of answers that wait to be read, and how many the caller has read since the
+   * last call. */
   void setUnsent(ConnectionNumber aConnection,
                  std::size_t aBytes,
-                 bool aHasRead,
+                 std::size_t aReadBytes,
                  MonotonicTime aNow);
 
   /** Returns the connections that have to be closed now and counts the reasons. They count as
@@ -140,9 +153,12 @@
     /** Cost of the request that is being handled; 0 for none. */
     std::size_t handled = 0;
     std::size_t unsent = 0;
+    /** Bytes of the waiting answers that the caller has read. */
+    std::size_t read = 0;
+    bool hasSentRequest = false;
     std::optional<MonotonicTime> requestBegunAt;
     MonotonicTime receivedAt;
-    MonotonicTime readAt;
+    MonotonicTime answerBegunAt;
 
     std::size_t cost() const
     {
@@ -155,7 +171,9 @@
   std::size_t largeRequestBytes() const { return mLimits.maxBytes / 4 * 3; }
   void add(std::vector<Removal>& aRemovals, ConnectionNumber aNumber, TransferRefusal aReason);
   void removeIdleConnections(std::vector<Removal>& aRemovals);
-  void removeStalledRequests(std::vector<Removal>& aRemovals);
+  void removeStalledTransfers(std::vector<Removal>& aRemovals);
+  /** Leaves out the time for which the process stood still. */
+  void skipStandstill(MonotonicTime aNow);
   /** Changes a connection and keeps the sum. Does nothing for an unknown one. */
   template<typename Change>
   void update(ConnectionNumber aConnection, Change aChange);
@@ -164,6 +182,7 @@
   std::map<ConnectionNumber, Connection> mConnections;
   ConnectionNumber mLastNumber = 0;
   std::size_t mBytes = 0;
+  std::optional<MonotonicTime> mCheckedAt;
   std::map<TransferRefusal, std::uint64_t> mRefusals;
 };
 
