A new leader does not log an evacuated data centre as empty

The line now waits until each worker with runs has reported or is lost. Only the log line was wrong. control_test passes (74 cases).

--- a/src/control/EvacuationDriver.cpp
+++ b/src/control/EvacuationDriver.cpp
@@ -214,6 +214,15 @@
 void
 EvacuationDriver::logEmptied(const std::map<std::string, std::int64_t>& aRuns)
 {
+  // A new leader knows from the log on which workers runs are, but not yet where those are.
+  const bool isPlaceUnknown =
+    std::any_of(mRuns.runs().begin(), mRuns.runs().end(), [this](const auto& aItem) {
+      const WorkerIncarnation* incarnation = mFleet.find(aItem.second.incarnation);
+      return incarnation != nullptr && incarnation->fence == 0;
+    });
+  if (isPlaceUnknown) {
+    return;
+  }
   for (const std::string& dataCentre : evacuated()) {
     if (countIn(aRuns, dataCentre) > 0) {
       mEmptied.erase(dataCentre);
