--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -97,6 +97,7 @@
   mRuns.clear();
   mReliability.clear();
   mLimitedWorkers.clear();
+  mRestartCount = 0;
   mStartedJobs.clear();
   mAssignmentPending = false;
   mScheduleDue = false;
@@ -885,6 +886,7 @@
                 mRunTimes.runTime(*run->job, run->task.occurrence, run->task.step).medianMs } });
     run->shouldStop = true;
     run->isRestarting = true;
+    mRestartCount++;
     affected.insert(run->incarnation);
   }
   sendOrdersToAll(affected);
@@ -899,6 +901,8 @@
   set("control_open_jobs", mContext.mState.jobs().openJobs().size());
   set("control_active_runs", mRuns.size());
   set("control_workers", mFleet.size());
+  set("control_slow_runs_restarted", mRestartCount);
+  set("control_limited_workers", mLimitedWorkers.size());
 }
 
 } // namespace magnoliadrum
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -88,6 +88,8 @@
   InterferenceGuard mGuard;
   RunTimeModel mRunTimes;
   WorkerReliability mReliability;
+  /** Number of slow runs stopped in this leadership so that their tasks run elsewhere. */
+  std::size_t mRestartCount = 0;
   /** Ids of the workers that get single runs because they fail them. */
   std::set<std::string> mLimitedWorkers;
   /** Ids of the jobs of which a worker has started a task. */
