--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -139,6 +139,7 @@
   mEvacuation.endTerm();
   mReliability.clear();
   mLimitedWorkers.clear();
+  mRestartCount = 0;
   mStartedJobs.clear();
   mAssignmentPending = false;
   mScheduleDue = false;
@@ -963,6 +964,7 @@
                 mRunTimes.runTime(*run->job, run->task.occurrence, run->task.step).medianMs } });
     run->shouldStop = true;
     run->isRestarting = true;
+    mRestartCount++;
     affected.insert(run->incarnation);
   }
   sendOrdersToAll(affected);
@@ -979,6 +981,8 @@
   set("control_workers", mFleet.size());
   set("control_unknown_pool_reports", mUnknownPoolReports);
   mEvacuation.setGauges(aMetrics);
+  set("control_slow_runs_restarted", mRestartCount);
+  set("control_limited_workers", mLimitedWorkers.size());
 }
 
 } // namespace magnoliadrum
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -101,6 +101,8 @@
   InterferenceGuard mGuard;
   RunTimeModel mRunTimes;
   WorkerReliability mReliability;
+  /** Number of slow runs stopped in this leadership so that their tasks run elsewhere. */
+  std::size_t mRestartCount = 0;
   /** Ids of the workers that get single runs because they fail them. */
   std::set<std::string> mLimitedWorkers;
   LearnedFiguresKeeper mLearnedFigures;
