The test of divided orders makes all starts due at once

As first written it also passed with a limit of 64 MiB, because a scheduling round orders fewer starts than a message holds.

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -192,8 +192,11 @@
   JobDescription::Fields job = jobOf("j", { stepOf(kTasks, 1, 1) }).fields();
   job.payload = std::string(kPayloadBytes, 'x');
   submit("s1", buildValue<JobDescription>(std::move(job)));
+  // The relay stands still, and all starts are due again with its next report.
+  waitWithHeartbeats(RunTracker::kResendMs);
   std::size_t starts = 0;
-  for (const WorkerOrders& orders : takeMessages<WorkerOrders>(kRelay)) {
+  for (const WorkerOrders& orders :
+       report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 10 })) {
     BOOST_TEST(encodeMessage(orders).size() <= kMaxOrderMessageBytes);
     starts += orders.starts().size();
   }
