Jobs: a crash blames each run by the time for which it had worked

Cause: a run that had been listed for a second was harmless for good and cleared the count of its task; and a run in the last lists counted as surely there for 600 ms.

One model divides the blame (jobs/CrashAttribution): by the time that a run had worked, the shares of earlier crashes, harmless runs elsewhere and the other runs on the worker. The relay names all runs, with their progress; a run that may have ended since the last lists is no witness. Only a refused connection or a new life is evidence; a lapse without a word counts against suspects only. Job::mCrashSuspects was taken down twice for a gang of which another member had ended the task; fixed.

Ruled out: refuting earlier crashes by the relay's estimate of the time, which is too long after a standstill; the lists give a lower bound.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -336,7 +336,8 @@
         .how = ended.how(),
         .checkpoint = ended.checkpoint(),
         .checkpointPercent = run != nullptr ? run->percentAt(ended.checkpoint()) : 0,
-        .harmless = hasWorked || (run != nullptr && run->isHarmless) }));
+        .ranMs = run != nullptr ? run->listedMs : 0,
+        .harmless = hasWorked || (run != nullptr && run->isProvenHarmless()) }));
     if (ended.how() == RunEnd::eDone) {
       aIncarnation.consecutiveFailures = 0;
     } else if (ended.how() == RunEnd::eFailed) {
@@ -550,6 +551,8 @@
                    { "run", end.run() },
                    { "worker", worker },
                    { "suspects", end.crashSuspects() },
+                   { "share", end.crashShare() },
+                   { "ranMs", end.ranMs() },
                    { "crashes", record != nullptr ? record->crashes : 0 },
                    { "givenUp", record == nullptr || job->isFinished() } });
     }
@@ -658,9 +661,10 @@
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
-      if (!run.isHarmless) {
+      if (!run.isProvenHarmless()) {
         candidate.unprovenRuns++;
-        candidate.isReserved = candidate.isReserved || run.job->find(run.task)->crashes > 0;
+        candidate.isReserved =
+          candidate.isReserved || CrashAttribution::needsTrial(*run.job->find(run.task));
       }
       if (run.step().opportunistic() && run.latencyMsOrCpuMilli <= 0 &&
           run.desiredPacePercent > 0) {
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -3,6 +3,7 @@
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -87,8 +88,7 @@
     run->isConfirmed = true;
     run->missingSince.reset();
     run->firstListedClockMs = run->firstListedClockMs.value_or(aReport.clockMs());
-    run->isHarmless =
-      run->isHarmless || aReport.clockMs() - *run->firstListedClockMs >= kHarmlessRunMs;
+    run->listedMs = std::max(run->listedMs, aReport.clockMs() - *run->firstListedClockMs);
     run->progressPercent = running.percent();
     run->latencyMsOrCpuMilli = running.figure();
     if (!running.checkpoint().empty() && running.checkpoint() != run->checkpoint) {
@@ -249,17 +249,19 @@
   if (aIncarnation.crashSuspects || aIncarnation.isLeaving()) {
     return aIncarnation.crashSuspects.value_or(std::map<std::string, CrashSuspect>());
   }
-  if (!aIncarnation.leftAt) {
-    // The lease has lapsed without a word of the relay. The network between them and this leader
-    // may be cut, so this is no evidence of a crash.
-    return {};
-  }
   std::map<std::string, CrashSuspect> suspects;
   for (const std::string& name : tasksOn(aKey)) {
     const TrackedRun& run = mRuns.at(name);
-    if (!run.isHarmless) {
-      suspects[name] = { run.run, false };
+    // A lease that has lapsed without a word of the relay is no evidence of a crash: the network in
+    // between may be cut. It adds to the evidence against a task that already has enough.
+    const JobTaskRecord::Fields* record = run.job->find(run.task);
+    if (!aIncarnation.leftAt && record->crashes < kCrashesToDoubtLapse) {
+      continue;
     }
+    // A run that this leader has not seen at work is not taken for one that has just begun.
+    suspects[name] = { .run = run.run,
+                       .hasBegun = run.isConfirmed,
+                       .ranMs = run.isConfirmed ? run.listedMs : kHarmlessRunMs };
   }
   return suspects;
 }
@@ -268,24 +270,55 @@
 RunTracker::takeLapsedEnds(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation)
 {
   const std::map<std::string, CrashSuspect> suspects = crashSuspects(aKey, aIncarnation);
-  std::vector<RunEnding> ends;
+  std::vector<RunAtCrash> atCrash;
+  std::vector<RunEnding::Fields> ends;
+  std::map<std::size_t, std::size_t> positions;
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
     if (std::exchange(run.endProposed, true)) {
       continue;
     }
+    ends.push_back({ .task = name,
+                     .run = run.run,
+                     .how = RunEnd::eLapsed,
+                     .checkpoint = run.checkpoint,
+                     .checkpointPercent = run.checkpointPercent,
+                     .ranMs = run.listedMs,
+                     .harmless = run.isProvenHarmless() });
     const auto suspect = suspects.find(name);
-    const bool isSuspect = suspect != suspects.end() && suspect->second.run == run.run;
-    ends.push_back(buildValue<RunEnding>({ .task = name,
-                                           .run = run.run,
-                                           .how = RunEnd::eLapsed,
-                                           .checkpoint = run.checkpoint,
-                                           .checkpointPercent = run.checkpointPercent,
-                                           .crashSuspects = isSuspect ? std::ssize(suspects) : 0,
-                                           .crashCertain = isSuspect && suspect->second.isCertain,
-                                           .harmless = run.isHarmless && !isSuspect }));
+    // A finished job has dropped its steps and tasks.
+    if (suspect == suspects.end() || suspect->second.run != run.run || run.job->isFinished()) {
+      continue;
+    }
+    const CrashSuspect& evidence = suspect->second;
+    const std::int64_t ranMs = std::max(evidence.ranMs, run.listedMs);
+    // A run that has worked for long enough refutes the earlier crashes and may still have caused
+    // this one.
+    ends.back().ranMs = ranMs;
+    if (ranMs > CrashAttribution::kLongestCrashDelayMs) {
+      continue;
+    }
+    const bool mayHaveEnded =
+      CrashAttribution::mayHaveEnded(run.step(), ranMs, evidence.percent, evidence.listAgeMs);
+    const JobTaskRecord::Fields& record = *run.job->find(run.task);
+    ends.back().crashCertain = evidence.isWitnessed && evidence.hasBegun && !mayHaveEnded;
+    positions.emplace(atCrash.size(), ends.size() - 1);
+    atCrash.push_back({ .ranMs = ranMs,
+                        .hasBegun = evidence.hasBegun,
+                        .mayHaveEnded = mayHaveEnded,
+                        .harmlessMs = record.harmlessMs,
+                        .suspicion = record.suspicion });
+  }
+  const std::vector<std::int64_t> shares = CrashAttribution::shares(atCrash);
+  for (const auto& [suspect, position] : positions) {
+    ends[position].crashSuspects = std::ssize(atCrash);
+    ends[position].crashShare = shares[suspect];
+  }
+  std::vector<RunEnding> endings;
+  for (RunEnding::Fields& end : ends) {
+    endings.push_back(buildValue<RunEnding>(std::move(end)));
   }
-  return ends;
+  return endings;
 }
 
 } // namespace magnoliadrum
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -26,8 +26,8 @@
   bool isConfirmed = false;
   /** Worker's clock at the first list with the run. */
   std::optional<std::int64_t> firstListedClockMs;
-  /** The worker has listed the run for kHarmlessRunMs. */
-  bool isHarmless = false;
+  /** Time from the first to the latest list with the run, in ms of the worker's clock. */
+  std::int64_t listedMs = 0;
   /** The run is to be stopped. A run that has not started is closed: its worker never starts it. */
   bool shouldStop = false;
   /** The end of the run is proposed to the log. */
@@ -59,6 +59,12 @@
     return aCheckpoint == checkpoint ? checkpointPercent : progressPercent;
   }
 
+  /** The run has worked for long enough to show that its task does not crash its worker. */
+  bool isProvenHarmless() const
+  {
+    return listedMs >= CrashAttribution::provingMs(*job->find(task));
+  }
+
   const JobStep& step() const { return job->steps()[static_cast<std::size_t>(task.step)]; }
 };
 
@@ -79,6 +85,10 @@
   /** A pace below 100 is resent at this interval, because an older order may take effect late. */
   static constexpr std::int64_t kPaceResendMs = 3000;
 
+  /** A run that lapses without evidence of a crash counts as one from this number of crashes of its
+   * task on. A worker may crash while its relay is out of touch. */
+  static constexpr std::int64_t kCrashesToDoubtLapse = 1;
+
   void clear();
   void add(const TaskId& aTask, std::int64_t aRun, const IncarnationKey& aKey, const Job* aJob);
   void remove(const std::string& aTask, std::int64_t aRun);
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -127,7 +127,12 @@
     }
     std::map<std::string, CrashSuspect>& runs = incarnation->crashSuspects.emplace();
     for (const SuspectedRun& run : suspects.runs()) {
-      runs[run.task()] = { run.run(), suspects.certain() && run.begun() };
+      runs[run.task()] = { .run = run.run(),
+                           .hasBegun = run.begun(),
+                           .ranMs = run.ranMs(),
+                           .percent = run.percent(),
+                           .listAgeMs = suspects.listAgeMs(),
+                           .isWitnessed = suspects.certain() };
     }
   }
 }
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -30,8 +30,15 @@
 struct CrashSuspect
 {
   std::int64_t run = 0;
-  /** The relay is sure that the run was there and that no run but the suspects is the cause. */
-  bool isCertain = false;
+  /** The worker has accepted or listed the run. */
+  bool hasBegun = false;
+  /** Time from its start to the crash in ms. */
+  std::int64_t ranMs = 0;
+  /** Progress in the worker's last lists, and their age at the crash in ms. */
+  double percent = 0;
+  std::int64_t listAgeMs = 0;
+  /** The relay saw the crash shortly after the lists, so no run but the suspects is the cause. */
+  bool isWitnessed = false;
 
   friend bool operator==(const CrashSuspect&, const CrashSuspect&) = default;
 };
--- a/src/fleetmodel/CrashingTasks_test.cpp
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -27,6 +27,33 @@
   BOOST_TEST((fleet.stateOf("deadly") == JobState::eFailed));
 }
 
+// Guards against BUDGET: a task that takes longer than a second to crash its worker was never
+// suspected and was started without end.
+BOOST_AUTO_TEST_CASE(task_that_crashes_its_workers_late_is_given_up)
+{
+  for (const std::int64_t delayMs : { 1500, 2000, 5000, 12000 }) {
+    FleetModel fleet(4, kWorkerCapacity);
+    fleet.run(1000);
+    JobStep::Fields longStep = stepOf(1, 1000, 10);
+    longStep.estimateMs = 30000;
+    JobStep::Fields harmlessStep = stepOf(6, 1000, 10);
+    harmlessStep.estimateMs = 12000;
+    fleet.submit(jobOf("harmless", { harmlessStep }));
+    fleet.run(500);
+    fleet.submit(jobOf("deadly", { longStep }));
+    fleet.makeDeadly("deadly.0.0.0", delayMs);
+    fleet.run(40000);
+    fleet.changeLeader();
+    fleet.run(120000);
+    BOOST_TEST_CONTEXT("crash after " << delayMs << " ms")
+    {
+      BOOST_TEST(fleet.violations() == "");
+      BOOST_TEST((fleet.stateOf("deadly") == JobState::eFailed));
+      BOOST_TEST((fleet.stateOf("harmless") == JobState::eCompleted));
+    }
+  }
+}
+
 // Guards against a count of crashes that a change of leader resets.
 BOOST_AUTO_TEST_CASE(crashes_are_counted_across_changes_of_leader)
 {
--- a/src/fleetmodel/ModelWorker.cpp
+++ b/src/fleetmodel/ModelWorker.cpp
@@ -183,7 +183,13 @@
   lists.clockMs = clockMs();
   lists.ended = mEnds;
   for (const auto& [task, run] : mRuns) {
-    lists.running.push_back(buildValue<ListedRun>({ .task = task, .run = run.run }));
+    const std::int64_t runTimeMs = mContext.runTimeMs(task);
+    constexpr double kFullPercent = 100;
+    const double workedMs = static_cast<double>(mContext.now().msSince(run.startedAt));
+    lists.running.push_back(buildValue<ListedRun>(
+      { .task = task,
+        .run = run.run,
+        .percent = runTimeMs > 0 ? kFullPercent * workedMs / static_cast<double>(runTimeMs) : 0 }));
   }
   return lists;
 }
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -1,6 +1,7 @@
 #include "jobs/Job.h"
 
 #include "core/core.h"
+#include "jobs/CrashAttribution.h"
 
 #include <algorithm>
 #include <cassert>
@@ -227,11 +228,11 @@
     record.checkpointRun = aEnd.run();
     record.checkpointPercent = aEnd.checkpointPercent();
   }
-  if (aEnd.harmless() && record.crashes > 0) {
-    record.crashes = 0;
-    record.certainCrashes = 0;
-    record.crashPlace = "";
-    mCrashSuspects--;
+  if (aEnd.crashSuspects() == 0 && aEnd.how() != RunEnd::eLapsed) {
+    record.harmlessMs = std::max(record.harmlessMs, aEnd.ranMs());
+  }
+  if (aEnd.harmless()) {
+    clearCrashes(record);
   }
   if (!isFinished() && aEnd.how() == RunEnd::eDone) {
     finishTask(aTask, record);
@@ -318,19 +319,42 @@
 void
 Job::countCrash(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd)
 {
+  if (aRecord.done) {
+    // Another member of its gang has ended the task, which is no longer counted as a suspect.
+    return;
+  }
   mCrashSuspects += aRecord.crashes == 0 ? 1 : 0;
   aRecord.crashes++;
+  aRecord.crashAfterMs = std::max(aRecord.crashAfterMs, aEnd.ranMs());
+  aRecord.suspicion += aEnd.crashShare();
   aRecord.certainCrashes += aEnd.crashCertain() ? 1 : 0;
   // Two crashes in a row at the same place may be the worker's own fault.
   const bool isElsewhere = aRecord.place != aRecord.crashPlace;
   aRecord.crashPlace = aRecord.place;
-  const bool isOnlyCause = aEnd.crashCertain() && aEnd.crashSuspects() == 1 &&
-                           aRecord.certainCrashes >= kMaxCrashesAlone + (isElsewhere ? 0 : 1);
-  if (isOnlyCause || aRecord.crashes >= kMaxCrashes) {
+  // Later into a run, a worker is likelier to have crashed by itself.
+  const bool isLate = aRecord.crashAfterMs >= kHarmlessRunMs;
+  const std::int64_t needed = kMaxCrashesAlone + (isElsewhere ? 0 : 1) + (isLate ? 1 : 0);
+  const bool isCause = aEnd.crashCertain() &&
+                       aEnd.crashShare() >= CrashAttribution::kCausingShare &&
+                       aRecord.certainCrashes >= needed;
+  if (isCause || aRecord.crashes >= kMaxCrashes) {
     setOutcome(JobState::eFailed);
   }
 }
 
+void
+Job::clearCrashes(JobTaskRecord::Fields& aRecord)
+{
+  if (aRecord.crashes > 0 && !aRecord.done) {
+    mCrashSuspects--;
+  }
+  aRecord.crashes = 0;
+  aRecord.certainCrashes = 0;
+  aRecord.crashPlace = "";
+  aRecord.crashAfterMs = 0;
+  aRecord.suspicion = 0;
+}
+
 bool
 Job::cancel()
 {
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -55,8 +55,8 @@
   /** Number of workers that may be crashed by a task before its job is given up, if each time other
    * runs may have been the cause. */
   static constexpr std::int64_t kMaxCrashes = 5;
-  /** The same if a run of the task was surely there at each crash and was the only possible cause
-   * of the last one. */
+  /** The same if a run of the task was surely there at so many crashes and almost certainly caused
+   * the last one; one more if one of these runs had worked for longer than kHarmlessRunMs. */
   static constexpr std::int64_t kMaxCrashesAlone = 2;
 
   /** Whether a task that is not done may have crashed a worker. */
@@ -95,6 +95,7 @@
   void finishTask(const TaskId& aTask, JobTaskRecord::Fields& aRecord);
   void countFailure(const TaskId& aTask, std::int64_t aRun);
   void countCrash(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd);
+  void clearCrashes(JobTaskRecord::Fields& aRecord);
   void setOutcome(JobState aOutcome);
   /** Frees the payload, steps and tasks once the job is finished and has no active runs. */
   void dropContentIfUnused();
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -1,6 +1,7 @@
 #include "jobs/JobScheduler.h"
 
 #include "core/core.h"
+#include "jobs/CrashAttribution.h"
 #include "jobs/DueJobs.h"
 #include "jobs/TrialPlanner.h"
 
@@ -164,7 +165,7 @@
     const std::string name = stepName(task);
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
-      if (record->done || record->active || record->crashes > 0) {
+      if (record->done || record->active || CrashAttribution::needsTrial(*record)) {
         continue;
       }
       if (isFull()) {
@@ -250,7 +251,7 @@
     TaskId task = firstTask(aReady);
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
-      if (!record->done && !record->active && record->crashes > 0) {
+      if (!record->done && !record->active && CrashAttribution::needsTrial(*record)) {
         tasks.push_back(
           { task, aReady.job->queue().poolName(), record->crashes, record->crashPlace });
       }
--- a/src/jobs/TrialPlanner_test.cpp
+++ b/src/jobs/TrialPlanner_test.cpp
@@ -49,6 +49,7 @@
                                                               .run = run,
                                                               .how = RunEnd::eLapsed,
                                                               .crashSuspects = aSuspects,
+                                                              .crashShare = 950 / aSuspects,
                                                               .crashCertain = true })) } })));
   }
   return jobs;
@@ -81,9 +82,12 @@
   for (std::int64_t run = 1; run <= Job::kMaxCrashes; run++) {
     BOOST_TEST((jobs.find("j")->state() != JobState::eFailed));
     jobs.apply(startOf("j.0.0.0", run));
-    jobs.apply(valueOf(EndRuns::create(
-      { .ends = { valueOf(RunEnding::create(
-          { .task = "j.0.0.0", .run = run, .how = RunEnd::eLapsed, .crashSuspects = 1 })) } })));
+    jobs.apply(
+      valueOf(EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = "j.0.0.0",
+                                                                      .run = run,
+                                                                      .how = RunEnd::eLapsed,
+                                                                      .crashSuspects = 1,
+                                                                      .crashShare = 950 })) } })));
   }
   BOOST_TEST((jobs.find("j")->state() == JobState::eFailed));
 }
@@ -100,6 +104,7 @@
                                                               .run = run,
                                                               .how = RunEnd::eLapsed,
                                                               .crashSuspects = 1,
+                                                              .crashShare = 950,
                                                               .crashCertain = true })) } })));
   }
   BOOST_TEST((jobs.find("j")->state() == JobState::eRunning));
--- a/src/relay/RecentStarts.cpp
+++ b/src/relay/StartedRuns.cpp
@@ -1,28 +1,30 @@
-#include "relay/RecentStarts.h"
+#include "relay/StartedRuns.h"
 
+#include <algorithm>
 #include <set>
 
 namespace magnoliadrum {
 
-RecentStarts::StartedRun&
-RecentStarts::entryOf(const std::string& aTask, std::int64_t aRun)
+StartedRuns::StartedRun&
+StartedRuns::entryOf(const std::string& aTask, std::int64_t aRun, MonotonicTime aNow)
 {
   StartedRun& started = mRuns[aTask];
   if (started.run < aRun) {
     started = StartedRun();
     started.run = aRun;
+    started.startedAt = aNow;
   }
   return started;
 }
 
 void
-RecentStarts::onStartSent(const std::string& aTask, std::int64_t aRun)
+StartedRuns::onStartSent(const std::string& aTask, std::int64_t aRun, MonotonicTime aNow)
 {
-  entryOf(aTask, aRun).orders++;
+  entryOf(aTask, aRun, aNow).orders++;
 }
 
 void
-RecentStarts::onStartAnswered(const std::string& aTask, std::int64_t aRun, OrderResult aResult)
+StartedRuns::onStartAnswered(const std::string& aTask, std::int64_t aRun, OrderResult aResult)
 {
   const auto position = mRuns.find(aTask);
   if (position == mRuns.end() || position->second.run != aRun) {
@@ -40,19 +42,18 @@
 }
 
 void
-RecentStarts::onRunLists(const RunLists& aLists)
+StartedRuns::onRunLists(const RunLists& aLists, MonotonicTime aNow)
 {
   std::set<std::string> listed;
   for (const ListedRun& running : aLists.running) {
     listed.insert(running.task());
-    StartedRun& started = entryOf(running.task(), running.run());
+    StartedRun& started = entryOf(running.task(), running.run(), aNow);
     if (started.run != running.run()) {
       continue;
     }
     started.hasBegun = true;
-    started.firstListedClockMs = started.firstListedClockMs.value_or(aLists.clockMs);
-    started.isHarmless =
-      started.isHarmless || aLists.clockMs - *started.firstListedClockMs >= kHarmlessRunMs;
+    started.isListed = true;
+    started.percent = running.percent();
   }
   for (const ListedEnd& ended : aLists.ended) {
     const auto position = mRuns.find(ended.task());
@@ -61,19 +62,21 @@
     }
   }
   std::erase_if(mRuns, [&listed](const auto& aItem) {
-    return aItem.second.firstListedClockMs && !listed.contains(aItem.first);
+    return aItem.second.isListed && !listed.contains(aItem.first);
   });
 }
 
 std::vector<SuspectedRun>
-RecentStarts::suspects() const
+StartedRuns::suspects(MonotonicTime aNow) const
 {
   std::vector<SuspectedRun> runs;
   for (const auto& [task, started] : mRuns) {
-    if (!started.isHarmless) {
-      runs.push_back(valueOf(
-        SuspectedRun::create({ .task = task, .run = started.run, .begun = started.hasBegun })));
-    }
+    runs.push_back(valueOf(
+      SuspectedRun::create({ .task = task,
+                             .run = started.run,
+                             .begun = started.hasBegun,
+                             .ranMs = std::max<std::int64_t>(0, aNow.msSince(started.startedAt)),
+                             .percent = started.percent })));
   }
   return runs;
 }
--- a/src/relay/RecentStarts.h
+++ b/src/relay/StartedRuns.h
@@ -1,40 +1,41 @@
 #pragma once
 
+#include "core/core.h"
 #include "generated/generated.h"
 #include "relay/WorkerClient.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace magnoliadrum {
 
 /**
- * Tracks which runs of one worker incarnation were started so recently that they may be the cause
- * if the worker crashes now.
+ * Tracks the runs of one worker incarnation that are the possible causes if the worker crashes now,
+ * and for how long each has run.
  *
- * A run leaves this set when the worker has listed it for kHarmlessRunMs, when it has ended, and
- * when the worker has rejected its start order. A start order without an answer may still take
- * effect, so its run stays.
+ * A run leaves this set when it has ended and when the worker has rejected its start order. A start
+ * order without an answer may still take effect, so its run stays.
  */
-class RecentStarts
+class StartedRuns
 {
 public:
   void clear() { mRuns.clear(); }
 
   /** Adds a run whose start order is sent now. */
-  void onStartSent(const std::string& aTask, std::int64_t aRun);
+  void onStartSent(const std::string& aTask, std::int64_t aRun, MonotonicTime aNow);
 
   /** Applies the worker's answer to a start order. */
   void onStartAnswered(const std::string& aTask, std::int64_t aRun, OrderResult aResult);
 
   /** Applies run lists of the incarnation. A listed run that is not known counts as started now. */
-  void onRunLists(const RunLists& aLists);
+  void onRunLists(const RunLists& aLists, MonotonicTime aNow);
 
-  /** Returns the runs that may have caused a crash at this moment. */
-  std::vector<SuspectedRun> suspects() const;
+  /** Returns the runs that may have caused a crash at aNow. */
+  std::vector<SuspectedRun> suspects(MonotonicTime aNow) const;
+
+  std::size_t size() const { return mRuns.size(); }
 
 private:
   struct StartedRun
@@ -44,13 +45,15 @@
     int orders = 0;
     /** The worker has accepted or listed the run. */
     bool hasBegun = false;
-    /** Worker's clock at the first list with the run. */
-    std::optional<std::int64_t> firstListedClockMs;
-    bool isHarmless = false;
+    bool isListed = false;
+    /** When the first order was sent; when the run was first listed if this process sent none. */
+    MonotonicTime startedAt;
+    /** Progress in the last lists. */
+    double percent = 0;
   };
 
   /** Returns the entry of a run, which replaces one of an earlier run of the task. */
-  StartedRun& entryOf(const std::string& aTask, std::int64_t aRun);
+  StartedRun& entryOf(const std::string& aTask, std::int64_t aRun, MonotonicTime aNow);
 
   /** Started runs by task name. */
   std::map<std::string, StartedRun> mRuns;
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -79,19 +79,24 @@
   mOrderQueue.clear();
   mOrdersInProgress = 0;
   mStartsInProgress.clear();
-  mRecentStarts.clear();
+  mStartedRuns.clear();
   mWorkerClock.reset();
   mIsUnreachable = false;
+  mIsRefused = false;
+  mListsRequestedAt = mContext.now();
   mAnswers.clear();
 }
 
 CrashSuspects
 WorkerRelay::currentSuspects() const
 {
-  return valueOf(CrashSuspects::create({ .worker = mWorker->workerId(),
-                                         .bornMs = mWorker->bornMs(),
-                                         .runs = mRecentStarts.suspects(),
-                                         .certain = mIsUnreachable && mSawCrash }));
+  const MonotonicTime at = mIsUnreachable ? mUnreachableSince : mContext.now();
+  return valueOf(CrashSuspects::create(
+    { .worker = mWorker->workerId(),
+      .bornMs = mWorker->bornMs(),
+      .runs = mStartedRuns.suspects(at),
+      .certain = mIsUnreachable && mSawCrash,
+      .listAgeMs = std::max<std::int64_t>(0, at.msSince(mListsRequestedAt)) }));
 }
 
 void
@@ -105,7 +110,7 @@
   logWarning("worker incarnation ended without an announcement",
              { { "worker", suspects.worker() },
                { "born", suspects.bornMs() },
-               { "startedRecently", suspects.runs().size() },
+               { "runs", suspects.runs().size() },
                { "first", suspects.runs().empty() ? "" : suspects.runs().front().task() } });
   mEndedIncarnations.push_back({ suspects, mContext.now().plusMs(kReportSuspectsMs) });
 }
@@ -117,12 +122,14 @@
     return;
   }
   mIsUnreachable = !aIsReachable;
+  mIsRefused = false;
+  mUnreachableSince = mContext.now();
   mSawCrash = mIsUnreachable && mWorkerClock &&
               mContext.now().msSince(mWorkerClock->receivedAt) <= kFreshListsMs;
   logInfo(aIsReachable ? "worker accepts connections again" : "worker accepts no connections",
           { { "worker", mWorker->workerId() },
             { "born", mWorker->bornMs() },
-            { "startedRecently", mRecentStarts.suspects().size() },
+            { "runs", mStartedRuns.size() },
             { "certain", mSawCrash } });
   if (mIsUnreachable) {
     sendReport(nullptr, 0);
@@ -249,7 +256,7 @@
     return;
   }
   mStartsInProgress.insert(runName(order.task(), order.run()));
-  mRecentStarts.onStartSent(order.task(), order.run());
+  mStartedRuns.onStartSent(order.task(), order.run(), mContext.now());
   mOrdersInProgress++;
   mClient->start(
     order,
@@ -257,7 +264,7 @@
     aStart.leaseUntilMs,
     [this, task = order.task(), run = order.run()](OrderResult aResult, std::int64_t aClockMs) {
       mStartsInProgress.erase(runName(task, run));
-      mRecentStarts.onStartAnswered(task, run, aResult);
+      mStartedRuns.onStartAnswered(task, run, aResult);
       onOrderAnswered(OrderKind::eStart, task, run, aResult, aClockMs);
     });
 }
@@ -333,25 +340,36 @@
   mListRequestsInProgress++;
   mClient->listRuns(
     { .fence = mFence, .ackedEnds = mAckedEnds, .leaseUntilMs = mLeaseUntilMs, .waitMs = aWaitMs },
-    [this, fence = mFence](const Result<RunLists>& aResult) {
+    [this, fence = mFence, requestedAt = mContext.now()](const Result<RunLists>& aResult) {
       mListRequestsInProgress--;
       mLastListAt = mContext.now();
-      onRunLists(fence, aResult);
+      onRunLists(fence, requestedAt, aResult);
     });
 }
 
 void
-WorkerRelay::onRunLists(std::int64_t aFence, const Result<RunLists>& aResult)
+WorkerRelay::onListRequestFailed(const Error& aError)
+{
+  logInfo("run lists request failed",
+          { { "worker", mWorker->workerId() },
+            { "code", errorCodeName(aError.code()) },
+            { "detail", aError.detail() } });
+  const bool isRefused = aError.code() == ErrorCode::eRefused;
+  if (isRefused || aError.code() == ErrorCode::eUnavailable) {
+    setReachable(false);
+  }
+  if (isRefused && !std::exchange(mIsRefused, true)) {
+    sendReport(nullptr, 0);
+  }
+}
+
+void
+WorkerRelay::onRunLists(std::int64_t aFence,
+                        MonotonicTime aRequestedAt,
+                        const Result<RunLists>& aResult)
 {
   if (!isOk(aResult)) {
-    logInfo("run lists request failed",
-            { { "worker", mWorker->workerId() },
-              { "code", errorCodeName(errorOf(aResult).code()) },
-              { "detail", errorOf(aResult).detail() } });
-    const ErrorCode code = errorOf(aResult).code();
-    if (code == ErrorCode::eUnavailable || code == ErrorCode::eRefused) {
-      setReachable(false);
-    }
+    onListRequestFailed(errorOf(aResult));
     return;
   }
   const RunLists& lists = valueOf(aResult);
@@ -364,7 +382,8 @@
   }
   setReachable(true);
   mWorkerClock = ClockReading{ lists.clockMs, mContext.now() };
-  mRecentStarts.onRunLists(lists);
+  mListsRequestedAt = std::max(mListsRequestedAt, aRequestedAt);
+  mStartedRuns.onRunLists(lists, mContext.now());
   if (!lists.ended.empty()) {
     mLastReceivedEnd = std::max(mLastReceivedEnd, lists.ended.back().number());
   }
@@ -377,7 +396,7 @@
   WorkerReport::Fields fields{ .worker = *mWorker,
                                .answers = mAnswers,
                                .unreachable = mIsUnreachable };
-  if (mIsUnreachable) {
+  if (mIsRefused) {
     fields.crashSuspects.push_back(currentSuspects());
   }
   std::erase_if(mEndedIncarnations, [now = mContext.now()](const EndedIncarnation& aEnded) {
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -2,7 +2,7 @@
 
 #include "observability/observability.h"
 #include "relay/OrderQueue.h"
-#include "relay/RecentStarts.h"
+#include "relay/StartedRuns.h"
 #include "relay/WorkerClient.h"
 
 #include <functional>
@@ -106,6 +106,8 @@
   void keepCrashSuspects();
   /** Records whether the worker's process accepts connections; reports a loss immediately. */
   void setReachable(bool aIsReachable);
+  void onListRequestFailed(const Error& aError);
+  /** Returns the runs that may have crashed the worker, at the time when it became unreachable. */
   CrashSuspects currentSuspects() const;
   void queueOrders(const WorkerOrders& aOrders);
   void queueStart(const StartOrder& aOrder, std::int64_t aLeaseUntilMs, Deadline aSendBefore);
@@ -128,7 +130,7 @@
                     OrderResult aResult,
                     std::int64_t aClockMs);
   void requestRunLists(std::int64_t aWaitMs);
-  void onRunLists(std::int64_t aFence, const Result<RunLists>& aResult);
+  void onRunLists(std::int64_t aFence, MonotonicTime aRequestedAt, const Result<RunLists>& aResult);
   void sendReport(const RunLists* aLists, std::int64_t aFence);
   bool shouldRequestRunLists(MonotonicTime aNow) const;
 
@@ -151,17 +153,24 @@
     MonotonicTime receivedAt;
   };
   std::optional<ClockReading> mWorkerClock;
+  /** When the list request that was answered last was sent: a run that it lists may have ended at
+   * any time after that. */
+  MonotonicTime mListsRequestedAt;
   /** When the last list request was answered or failed. */
   MonotonicTime mLastListAt;
   OrderQueue mOrderQueue;
   std::size_t mOrdersInProgress = 0;
   /** Start calls in progress, as TASK/RUN, so that a repeated order causes no second call. */
   std::set<std::string> mStartsInProgress;
-  RecentStarts mRecentStarts;
+  StartedRuns mStartedRuns;
   /** The latest list request or order found that the worker's process accepts no connection. */
   bool mIsUnreachable = false;
   /** The lists were fresh when the worker became unreachable. */
   bool mSawCrash = false;
+  /** The worker has refused a connection since then. A connection that breaks is no evidence of a
+   * crash. */
+  bool mIsRefused = false;
+  MonotonicTime mUnreachableSince;
   /** Crash suspects of an earlier incarnation, and until when reports name them. */
   struct EndedIncarnation
   {
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -264,6 +264,10 @@
   mRecord.orderCallbacks.back()(OrderResult::eNoAnswer, 0);
   failListRequest(ErrorCode::eUnavailable);
   BOOST_TEST(mReports.back().unreachable());
+  BOOST_TEST(mReports.back().crashSuspects().empty(), "a connection that breaks is no evidence");
+  mNow = mNow.plusMs(WorkerRelay::kListRefreshMs);
+  mRelay.tick();
+  failListRequest(ErrorCode::eRefused);
   BOOST_REQUIRE(mReports.back().crashSuspects().size() == 1u);
   BOOST_TEST(mReports.back().crashSuspects().front().runs().front().task() == "c.0.0.0");
   mRelay.onRegistration(workerDescription("v", 6), "127.0.0.1:1", 1);
@@ -324,6 +328,9 @@
     mRelay.tick();
     mNow = mNow.plusMs(gapMs);
     failListRequest(ErrorCode::eUnavailable);
+    mNow = mNow.plusMs(WorkerRelay::kListRefreshMs);
+    mRelay.tick();
+    failListRequest(ErrorCode::eRefused);
     BOOST_REQUIRE(!mReports.back().crashSuspects().empty());
     BOOST_TEST(mReports.back().crashSuspects().front().certain() ==
                (gapMs == WorkerRelay::kFreshListsMs));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -7,6 +7,6 @@
  */
 
 #include "relay/OrderQueue.h"
-#include "relay/RecentStarts.h"
+#include "relay/StartedRuns.h"
 #include "relay/WorkerClient.h"
 #include "relay/WorkerRelay.h"
