Crashes: trials leave a third of a pool, and a suspect does not refute its crashes

Found by the review: a run that is the likely cause of a crash cleared the earlier crashes of its task when it had worked for long enough before; runs of tasks that are not on trial kept a worker unproven for up to two minutes, so that trials waited beside it; trials on idle workers could reserve a whole pool. No new test; crash_trials and crashing_tasks hold the earlier cases.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -782,7 +782,9 @@
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
-      if (!run.isProvenHarmless()) {
+      const bool isOnTrial =
+        !run.job->isFinished() && CrashAttribution::needsTrial(*run.job->find(run.task));
+      if (!run.isHarmless || (isOnTrial && !run.isProvenHarmless())) {
         candidate.unprovenRuns++;
         candidate.isReserved =
           candidate.isReserved || CrashAttribution::needsTrial(*run.job->find(run.task));
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -353,6 +353,9 @@
   for (const auto& [suspect, position] : positions) {
     ends[position].crashSuspects = std::ssize(atCrash);
     ends[position].crashShare = shares[suspect];
+    // The run has refuted the earlier crashes only if it is not the likely cause of this one.
+    ends[position].harmless =
+      ends[position].harmless && shares[suspect] < CrashAttribution::kTrialSuspicion;
   }
   std::vector<RunEnding> endings;
   for (RunEnding::Fields& end : ends) {
--- a/src/jobs/TrialPlanner.cpp
+++ b/src/jobs/TrialPlanner.cpp
@@ -89,6 +89,19 @@
   const auto order = [&aTask](const WorkerCandidate& aWorker) {
     return std::tuple(aWorker.relay == aTask.crashPlace, aWorker.used.cpuMilli, aWorker.worker);
   };
+  const auto isOfPool = [&aTask](const WorkerCandidate& aWorker) {
+    return aWorker.poolName == aTask.poolName;
+  };
+  const std::ptrdiff_t workers = std::count_if(mWorkers.begin(), mWorkers.end(), isOfPool);
+  const std::ptrdiff_t unreserved =
+    std::count_if(mWorkers.begin(), mWorkers.end(), [&](const WorkerCandidate& aWorker) {
+      return isOfPool(aWorker) && !aWorker.isReserved;
+    });
+  // Tasks that arrive during a trial need places, too.
+  if (unreserved <=
+      std::max<std::ptrdiff_t>(1, workers / static_cast<std::ptrdiff_t>(kWorkersPerTrial))) {
+    return nullptr;
+  }
   WorkerCandidate* best = nullptr;
   for (WorkerCandidate& worker : mWorkers) {
     const bool isIdle = !worker.isReserved && worker.unprovenRuns == 0;
