--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -31,6 +31,8 @@
   return text;
 }
 
+constexpr std::int64_t kFullPacePercent = 100;
+
 /** Returns the work that is lost when the run is stopped, in core-milliseconds. */
 double
 computeLostWork(const TrackedRun& aRun)
@@ -801,6 +803,16 @@
   set("control_open_jobs", mContext.mState.jobs().openJobs().size());
   set("control_active_runs", mRuns.size());
   set("control_workers", mFleet.size());
+  set("control_learned_image_pairs", mGuard.model().size());
+  std::size_t overObjective = 0;
+  std::size_t paced = 0;
+  for (const auto& [name, run] : mRuns.runs()) {
+    const auto objectiveMs = static_cast<double>(run.step().latencyObjectiveMs());
+    overObjective += servesUsers(run.step()) && run.latencyMsOrCpuMilli >= objectiveMs ? 1 : 0;
+    paced += run.desiredPacePercent < kFullPacePercent ? 1 : 0;
+  }
+  set("control_serving_tasks_over_objective", overObjective);
+  set("control_paced_tasks", paced);
 }
 
 } // namespace magnoliadrum
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -77,6 +77,7 @@
 
   TrackedRun* find(const std::string& aTask, std::int64_t aRun);
   std::map<std::string, TrackedRun>& runs() { return mRuns; }
+  const std::map<std::string, TrackedRun>& runs() const { return mRuns; }
 
   std::size_t size() const { return mRuns.size(); }
 
