--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -2,7 +2,6 @@
 
 #include "core/core.h"
 #include "jobs/DueJobs.h"
-#include "jobs/StandingPlacement.h"
 #include "jobs/TrialPlanner.h"
 
 #include <algorithm>
@@ -111,16 +110,17 @@
 
 /** Part of cost() that depends on the load of the worker. */
 double
-loadCost(const WorkerCandidate& aWorker,
-         const JobStep& aStep,
-         double aInterferenceCost,
-         bool aKeepsImagesApart)
+loadCost(const WorkerCandidate& aWorker, const JobStep& aStep, double aInterferenceCost)
 {
   const double capacity = std::max<double>(1, static_cast<double>(aWorker.capacity.cpuMilli));
   const double usedShare = static_cast<double>(aWorker.used.cpuMilli) / capacity;
   if (servesUsers(aStep)) {
-    // The fullest first among workers of the same preference.
-    return StandingPlacement::imageCost(aWorker, aStep.image(), aKeepsImagesApart) - usedShare;
+    // Workers with the image come first, then those with other images, then those without serving
+    // tasks; the fullest first in each group.
+    constexpr double kOtherImageCost = 1;
+    constexpr double kNoServingTasksCost = 2;
+    const double affinityCost = aWorker.servingRuns.empty() ? kNoServingTasksCost : kOtherImageCost;
+    return (aWorker.servingRuns.contains(aStep.image()) ? 0 : affinityCost) - usedShare;
   }
   return (aStep.longRunning() ? usedShare : 1 - unusedCpuMilli(aWorker) / capacity) +
          aInterferenceCost;
@@ -128,17 +128,14 @@
 
 /** Cost of placing a task of the step on the worker; the worker with the lowest cost is chosen. */
 auto
-cost(const WorkerCandidate& aWorker,
-     const JobStep& aStep,
-     double aInterferenceCost,
-     bool aKeepsImagesApart)
+cost(const WorkerCandidate& aWorker, const JobStep& aStep, double aInterferenceCost)
 {
   const bool isOutsidePreferredRack =
     !aStep.preferredRack().empty() && aStep.preferredRack() != aWorker.rack;
   return std::tuple<std::int64_t, bool, double, const std::string&>(
     aWorker.recentFailures,
     isOutsidePreferredRack,
-    loadCost(aWorker, aStep, aInterferenceCost, aKeepsImagesApart),
+    loadCost(aWorker, aStep, aInterferenceCost),
     aWorker.worker);
 }
 
@@ -265,9 +262,6 @@
   {
     const JobStep& step = aReady.description();
     const std::optional<std::size_t> image = opportunisticImage(step);
-    const bool keepsImagesApart =
-      servesUsers(step) &&
-      StandingPlacement::keepsImagesApart(aWorkers, aReady.job->queue().poolName(), step.image());
     WorkerCandidate* best = nullptr;
     double bestInterferenceCost = 0;
     for (WorkerCandidate& worker : aWorkers) {
@@ -280,8 +274,8 @@
         continue;
       }
       const double interferenceCost = ratio + riskCost(worker, step, image);
-      if (best == nullptr || cost(worker, step, interferenceCost, keepsImagesApart) <
-                               cost(*best, step, bestInterferenceCost, keepsImagesApart)) {
+      if (best == nullptr ||
+          cost(worker, step, interferenceCost) < cost(*best, step, bestInterferenceCost)) {
         best = &worker;
         bestInterferenceCost = interferenceCost;
       }
