--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -38,6 +38,7 @@
   constexpr double kTenths = 10;
   return aSuccessShare >= 0.5 ? 0 : static_cast<std::int64_t>((1 - aSuccessShare) * kTenths);
 }
+constexpr std::int64_t kFullPacePercent = 100;
 
 /** Returns the work that is lost when the run is stopped, in core-milliseconds. */
 double
@@ -989,6 +990,16 @@
   mEvacuation.setGauges(aMetrics);
   set("control_slow_runs_restarted", mRestartCount);
   set("control_limited_workers", mLimitedWorkers.size());
+  set("control_learned_image_pairs", mGuard.model().size());
+  std::size_t overObjective = 0;
+  std::size_t paced = 0;
+  for (const auto& [name, run] : mRuns.runs()) {
+    const auto objectiveMs = static_cast<double>(run.step().latencyObjectiveMs());
+    overObjective += servesUsers(run.step()) && run.latencyMsOrCpuMilli >= objectiveMs ? 1 : 0;
+    paced += run.desiredPacePercent < kFullPacePercent ? 1 : 0;
+  }
+  set("control_serving_tasks_over_objective", overObjective);
+  set("control_paced_tasks", paced);
 }
 
 } // namespace magnoliadrum
