--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -785,7 +785,7 @@
       addRun(candidate, run.step(), run.task);
       const bool isOnTrial =
         !run.job->isFinished() && CrashAttribution::needsTrial(*run.job->find(run.task));
-      if (!run.isHarmless || (isOnTrial && !run.isProvenHarmless())) {
+      if (run.listedMs < kHarmlessRunMs || (isOnTrial && !run.isProvenHarmless())) {
         candidate.unprovenRuns++;
         candidate.isReserved =
           candidate.isReserved || CrashAttribution::needsTrial(*run.job->find(run.task));
