Settings: client limits build without a false warning of GCC 12

-Wrestrict of GCC 12 at -O3 takes a sum of strings for an overlap, so the deployment's build failed. Found by building it; the build of the tests does not optimize as far.

--- a/src/settings/ClientLimits.cpp
+++ b/src/settings/ClientLimits.cpp
@@ -25,8 +25,10 @@
                           for (const auto& [reason, count] : transfers.refusals()) {
                             const std::uint64_t added = count - logged[reason];
                             if (added > 0) {
-                              reasons += (reasons.empty() ? "" : " ") +
-                                         std::string(toText(reason)) + "=" + std::to_string(added);
+                              reasons.append(reasons.empty() ? "" : " ")
+                                .append(toText(reason))
+                                .append("=")
+                                .append(std::to_string(added));
                             }
                           }
                           logged = transfers.refusals();
@@ -44,7 +46,7 @@
   aMetrics.set("http_held_bytes", "", static_cast<double>(aTransfers.bytes()));
   for (const auto& [reason, count] : aTransfers.refusals()) {
     aMetrics.set("http_refusals",
-                 std::string("reason=\"") + toText(reason) + "\"",
+                 std::string("reason=\"").append(toText(reason)).append("\""),
                  static_cast<double>(count));
   }
 }
