One rule for what a worker may run, and other pieces that stood twice

Found on reading the whole change again; behaviour stays as it is.

- EvacuationPlanner repeated the pool, label and per-worker rules of JobScheduler. isPermitted(), hasLabel() and fits() are in WorkerCandidate now and serve both; what differs, the unused processor time that each asks for, stays with each.
- readSettingsAgain() reads and logs for SIGHUP, for the addresses of a process that found no leader, and for the seeds of a replica.
- Both evacuation calls of operators answer through sendForEvacuations().
- JobService asks once for each run whether it is on trial, and computes the learned run time only for runs that were observed for long enough to be judged, rather than for every run in every round.

Ruled out: merging evict() and restart(), which share a loop but neither log nor state.

--- a/src/cli/CatalogueCommand.cpp
+++ b/src/cli/CatalogueCommand.cpp
@@ -62,7 +62,7 @@
   return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
 }
 
-std::variant<CatalogueContent, std::vector<CatalogueFinding>>
+CatalogueReading
 readRecords(const nlohmann::json& aContent)
 {
   const nlohmann::json items = aContent.is_array() ? aContent : nlohmann::json::array({ aContent });
@@ -159,7 +159,7 @@
   return report;
 }
 
-std::variant<CatalogueContent, std::vector<CatalogueFinding>>
+CatalogueReading
 readCatalogue(const std::string& aText)
 {
   constexpr bool kThrow = false;
@@ -200,8 +200,9 @@
     return ExitStatus::eUsage;
   }
   CatalogueReport report;
-  const auto read = readCatalogue(*text);
-  if (const auto* faults = std::get_if<std::vector<CatalogueFinding>>(&read)) {
+  const CatalogueReading read = readCatalogue(*text);
+  if (const std::vector<CatalogueFinding>* faults =
+        std::get_if<std::vector<CatalogueFinding>>(&read)) {
     report.findings = *faults;
   } else {
     const CatalogueContent& content = std::get<CatalogueContent>(read);
@@ -219,7 +220,8 @@
       report.findings = CatalogueCheck::check(*queues);
       if (base) {
         const QueueCatalogue& before = std::get<QueueCatalogue>(base->content);
-        const auto findings = CatalogueCheck::checkVersion(before, *queues);
+        const std::vector<CatalogueFinding> findings =
+          CatalogueCheck::checkVersion(before, *queues);
         report.findings.insert(report.findings.end(), findings.begin(), findings.end());
         report.differences = CatalogueCheck::compare(before, *queues);
       }
@@ -251,7 +253,7 @@
   if (!text) {
     return Error::create(ErrorCode::eInvalid, kStep, against, "cannot be opened");
   }
-  const auto read = readCatalogue(*text);
+  const CatalogueReading read = readCatalogue(*text);
   const CatalogueContent* content = std::get_if<CatalogueContent>(&read);
   if (content == nullptr || std::holds_alternative<QueueCatalogue>(*content) != aIsQueues) {
     return Error::create(
--- a/src/cli/CatalogueCommand.h
+++ b/src/cli/CatalogueCommand.h
@@ -26,11 +26,14 @@
 /** The contents of a catalogue file: queues and pools, or entries and quotas. */
 using CatalogueContent = std::variant<QueueCatalogue, CatalogueRecords>;
 
+/** The content of a catalogue file, or the errors by path when it cannot be read. */
+using CatalogueReading = std::variant<CatalogueContent, std::vector<CatalogueFinding>>;
+
 /**
  * Reads the text of a catalogue file: queues and pools in the project's format or the platform's,
- * or entries and quotas. Returns the errors by path when it cannot be read.
+ * or entries and quotas.
  */
-std::variant<CatalogueContent, std::vector<CatalogueFinding>>
+CatalogueReading
 readCatalogue(const std::string& aText);
 
 /** The command 'catalogue check'. Works offline unless it compares with the version in force. */
--- a/src/control/EvacuationService.cpp
+++ b/src/control/EvacuationService.cpp
@@ -3,6 +3,8 @@
 #include "state/BuildValue.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -26,12 +28,12 @@
       state.sessions().evacuated().contains(aDataCentre)) {
     return true;
   }
-  const auto& sessions = state.sessions().all();
+  const std::map<std::int64_t, SessionRecord>& sessions = state.sessions().all();
   const bool hasTarget =
     std::any_of(sessions.begin(), sessions.end(), [&aDataCentre](const auto& aItem) {
       return aItem.second.target() && aItem.second.target()->dataCentre() == aDataCentre;
     });
-  const auto& records = state.catalogue().records();
+  const std::map<std::string, CatalogueRecord>& records = state.catalogue().records();
   return hasTarget || std::any_of(records.begin(), records.end(), [&contains](const auto& aItem) {
            return aItem.second.entry() && contains(aItem.second.entry()->dataCentres());
          });
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -783,12 +783,11 @@
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
-      const bool isOnTrial =
-        !run.job->isFinished() && CrashAttribution::needsTrial(*run.job->find(run.task));
+      const bool needsTrial = CrashAttribution::needsTrial(*run.job->find(run.task));
+      const bool isOnTrial = needsTrial && !run.job->isFinished();
       if (run.listedMs < kHarmlessRunMs || (isOnTrial && !run.isProvenHarmless())) {
         candidate.unprovenRuns++;
-        candidate.isReserved =
-          candidate.isReserved || CrashAttribution::needsTrial(*run.job->find(run.task));
+        candidate.isReserved = candidate.isReserved || needsTrial;
       }
       if (run.step().opportunistic() && run.latencyMsOrCpuMilli <= 0 &&
           run.desiredPacePercent > 0) {
@@ -934,7 +933,7 @@
   }
   const JobStep& step = aRun.step();
   if (step.longRunning() || step.gang() || aRun.shouldStop || aRun.endProposed ||
-      aRun.job->isFinished()) {
+      aRun.job->isFinished() || aRun.meter.observedMs() < StragglerPlanner::kMinObservedMs) {
     return;
   }
   const std::optional<Straggler> straggler = StragglerPlanner::judge(
@@ -994,7 +993,7 @@
   std::size_t overObjective = 0;
   std::size_t paced = 0;
   for (const auto& [name, run] : mRuns.runs()) {
-    const auto objectiveMs = static_cast<double>(run.step().latencyObjectiveMs());
+    const double objectiveMs = static_cast<double>(run.step().latencyObjectiveMs());
     overObjective += servesUsers(run.step()) && run.latencyMsOrCpuMilli >= objectiveMs ? 1 : 0;
     paced += run.desiredPacePercent < kFullPacePercent ? 1 : 0;
   }
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -50,12 +50,8 @@
 std::vector<std::string>
 readSeedAddresses()
 {
-  const Result<ControlSettings> settings = readSettings<ControlSettings>(FLAGS_settings);
-  if (!isOk(settings)) {
-    logWarning("settings are not reloaded", errorOf(settings));
-    return {};
-  }
-  return seedAddresses(valueOf(settings));
+  const Result<ControlSettings> settings = readSettingsAgain<ControlSettings>(FLAGS_settings);
+  return isOk(settings) ? seedAddresses(valueOf(settings)) : std::vector<std::string>();
 }
 
 Hello
--- a/src/jobs/EvacuationPlanner.cpp
+++ b/src/jobs/EvacuationPlanner.cpp
@@ -14,26 +14,14 @@
 hasRoom(const WorkerCandidate& aWorker, const EvacuatedRun& aRun)
 {
   const JobStep& step = *aRun.step;
-  if (aWorker.isReserved || aWorker.poolName != aRun.poolName) {
-    return false;
-  }
-  const bool hasLabel =
-    step.requiredLabel().empty() ||
-    std::find(aWorker.labels.begin(), aWorker.labels.end(), step.requiredLabel()) !=
-      aWorker.labels.end();
-  if (!hasLabel) {
-    return false;
-  }
-  const auto runs = aWorker.runsOfStep.find(stepName(aRun.task));
-  if (step.maxPerWorker() > 0 && runs != aWorker.runsOfStep.end() &&
-      runs->second >= step.maxPerWorker()) {
+  if (aWorker.isReserved || !isPermitted(aWorker, aRun.poolName, step, stepName(aRun.task))) {
     return false;
   }
   if (step.opportunistic() &&
       unusedCpuMilli(aWorker) < static_cast<double>(step.resources().cpuMilli())) {
     return false;
   }
-  return requiredResources(step).fitsIn(aWorker.capacity.minus(aWorker.used));
+  return fits(aWorker, step);
 }
 
 /** Takes room for the run on a worker; false if there is none. */
@@ -55,8 +43,8 @@
 std::int64_t
 budgetOf(const JobStep& aStep)
 {
-  const auto share = static_cast<std::int64_t>(static_cast<double>(aStep.count()) *
-                                               EvacuationPlanner::kShareWithoutBudget);
+  const std::int64_t share = static_cast<std::int64_t>(static_cast<double>(aStep.count()) *
+                                                       EvacuationPlanner::kShareWithoutBudget);
   return aStep.maxUnavailable().value_or(std::max<std::int64_t>(1, share));
 }
 
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -56,20 +56,6 @@
   return ready;
 }
 
-bool
-hasLabel(const WorkerCandidate& aWorker, const std::string& aLabel)
-{
-  return aLabel.empty() ||
-         std::find(aWorker.labels.begin(), aWorker.labels.end(), aLabel) != aWorker.labels.end();
-}
-
-/** Whether the declared size fits in the free capacity. */
-bool
-fits(const WorkerCandidate& aWorker, const JobStep& aStep)
-{
-  return requiredResources(aStep).fitsIn(aWorker.capacity.minus(aWorker.used));
-}
-
 /** fits(), and for an opportunistic step also enough processor time that is unused. */
 bool
 hasCapacity(const WorkerCandidate& aWorker, const JobStep& aStep)
@@ -85,22 +71,11 @@
   return true;
 }
 
-/** Whether the worker may run a task of the step, free capacity and reservations aside. */
+/** isPermitted() for a task of the step. */
 bool
 isPermitted(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
 {
-  const JobStep& step = aReady.description();
-  if (aWorker.poolName != aReady.job->queue().poolName() ||
-      !hasLabel(aWorker, step.requiredLabel())) {
-    return false;
-  }
-  if (step.maxPerWorker() > 0) {
-    const auto runs = aWorker.runsOfStep.find(aStepName);
-    if (runs != aWorker.runsOfStep.end() && runs->second >= step.maxPerWorker()) {
-      return false;
-    }
-  }
-  return true;
+  return isPermitted(aWorker, aReady.job->queue().poolName(), aReady.description(), aStepName);
 }
 
 /** Whether a worker that fails its runs has as many as it may have. */
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -60,4 +60,31 @@
          kLongRunningCpuUsage * static_cast<double>(aWorker.longRunningCpuMilli);
 }
 
+bool
+hasLabel(const WorkerCandidate& aWorker, const std::string& aLabel)
+{
+  return aLabel.empty() ||
+         std::find(aWorker.labels.begin(), aWorker.labels.end(), aLabel) != aWorker.labels.end();
+}
+
+bool
+isPermitted(const WorkerCandidate& aWorker,
+            const std::string& aPoolName,
+            const JobStep& aStep,
+            const std::string& aStepName)
+{
+  if (aWorker.poolName != aPoolName || !hasLabel(aWorker, aStep.requiredLabel())) {
+    return false;
+  }
+  const auto runs = aWorker.runsOfStep.find(aStepName);
+  return aStep.maxPerWorker() == 0 || runs == aWorker.runsOfStep.end() ||
+         runs->second < aStep.maxPerWorker();
+}
+
+bool
+fits(const WorkerCandidate& aWorker, const JobStep& aStep)
+{
+  return requiredResources(aStep).fitsIn(aWorker.capacity.minus(aWorker.used));
+}
+
 } // namespace magnoliadrum
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -112,6 +112,22 @@
 double
 unusedCpuMilli(const WorkerCandidate& aWorker);
 
+/** Whether the worker has the label; true for an empty label. */
+bool
+hasLabel(const WorkerCandidate& aWorker, const std::string& aLabel);
+
+/** Whether a worker may run a task of a step of a queue with the pool aPoolName, free capacity and
+ * reservations aside. aStepName is the name of the step, see stepName(). */
+bool
+isPermitted(const WorkerCandidate& aWorker,
+            const std::string& aPoolName,
+            const JobStep& aStep,
+            const std::string& aStepName);
+
+/** Whether the declared size of a task of the step fits in the free capacity. */
+bool
+fits(const WorkerCandidate& aWorker, const JobStep& aStep);
+
 /** Adds a run of a step to the used capacity and the run counts of a worker. */
 void
 addRun(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask);
--- a/src/platform/OperatorServer.cpp
+++ b/src/platform/OperatorServer.cpp
@@ -139,19 +139,22 @@
     aResponder->answer(errorAnswer(kStatusBadRequest, errorOf(message).detail()));
     return;
   }
-  mCall(valueOf(message), [this, aRequest, aResponder](const Reply& aReply) {
-    const EvacuationListing* listing =
-      isOk(aReply.message) ? std::get_if<EvacuationListing>(&valueOf(aReply.message)) : nullptr;
-    aResponder->answer(listing != nullptr ? jsonAnswer(kStatusOk, encodeEvacuations(*listing))
-                                          : answerOf(aRequest, aReply));
-  });
+  sendForEvacuations(valueOf(message), aRequest, aResponder);
 }
 
 void
 OperatorServer::readEvacuations(const HttpRequest& aRequest, const HttpResponderPointer& aResponder)
 {
   const Message message = valueOf(EvacuationQuery::create({ .requestId = nextRequestId() }));
-  mCall(message, [this, aRequest, aResponder](const Reply& aReply) {
+  sendForEvacuations(message, aRequest, aResponder);
+}
+
+void
+OperatorServer::sendForEvacuations(const Message& aMessage,
+                                   const HttpRequest& aRequest,
+                                   const HttpResponderPointer& aResponder)
+{
+  mCall(aMessage, [this, aRequest, aResponder](const Reply& aReply) {
     const EvacuationListing* listing =
       isOk(aReply.message) ? std::get_if<EvacuationListing>(&valueOf(aReply.message)) : nullptr;
     aResponder->answer(listing != nullptr ? jsonAnswer(kStatusOk, encodeEvacuations(*listing))
--- a/src/platform/OperatorServer.h
+++ b/src/platform/OperatorServer.h
@@ -47,6 +47,10 @@
   /** Evacuates the data centre that the path names, or takes it back. */
   void setEvacuation(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
   void readEvacuations(const HttpRequest& aRequest, const HttpResponderPointer& aResponder);
+  /** Answers with the evacuated data centres that the leader lists in reply to aMessage. */
+  void sendForEvacuations(const Message& aMessage,
+                          const HttpRequest& aRequest,
+                          const HttpResponderPointer& aResponder);
   HttpAnswer answerOf(const HttpRequest& aRequest, const Reply& aReply) const;
   std::string nextRequestId();
 
--- a/src/platform/PlatformWorkerClient.cpp
+++ b/src/platform/PlatformWorkerClient.cpp
@@ -46,7 +46,7 @@
   if (!isOk(listClient)) {
     return errorOf(listClient);
   }
-  auto proofClient = HttpClient::create(aLoop, aAddress, 1);
+  Result<std::unique_ptr<HttpClient>> proofClient = HttpClient::create(aLoop, aAddress, 1);
   if (!isOk(proofClient)) {
     return errorOf(proofClient);
   }
--- a/src/settings/SettingsReload.h
+++ b/src/settings/SettingsReload.h
@@ -11,6 +11,18 @@
 
 namespace magnoliadrum {
 
+/** Reads a settings file that may have changed. Logs the error if it is invalid. */
+template<typename Settings>
+Result<Settings>
+readSettingsAgain(const std::string& aFileName)
+{
+  Result<Settings> settings = readSettings<Settings>(aFileName);
+  if (!isOk(settings)) {
+    logWarning("settings are not reloaded", errorOf(settings));
+  }
+  return settings;
+}
+
 /**
  * Reads the settings file again at each SIGHUP and hands valid settings to aApply. Invalid ones are
  * logged and change nothing. Runs until the handle is dropped.
@@ -22,13 +34,11 @@
                std::function<void(const Settings&)> aApply)
 {
   return aLoop.onSignal(SIGHUP, [aFileName, apply = std::move(aApply)]() {
-    const Result<Settings> settings = readSettings<Settings>(aFileName);
-    if (!isOk(settings)) {
-      logWarning("settings are not reloaded", errorOf(settings));
-      return;
+    const Result<Settings> settings = readSettingsAgain<Settings>(aFileName);
+    if (isOk(settings)) {
+      logInfo("settings reloaded", { { "file", aFileName } });
+      apply(valueOf(settings));
     }
-    logInfo("settings reloaded", { { "file", aFileName } });
-    apply(valueOf(settings));
   });
 }
 
@@ -39,12 +49,8 @@
 controlAddressReader(const std::string& aFileName)
 {
   return [aFileName]() {
-    const Result<Settings> settings = readSettings<Settings>(aFileName);
-    if (!isOk(settings)) {
-      logWarning("settings are not reloaded", errorOf(settings));
-      return std::vector<std::string>();
-    }
-    return controlAddresses(valueOf(settings));
+    const Result<Settings> settings = readSettingsAgain<Settings>(aFileName);
+    return isOk(settings) ? controlAddresses(valueOf(settings)) : std::vector<std::string>();
   };
 }
 
--- a/src/state/CatalogueCheck.cpp
+++ b/src/state/CatalogueCheck.cpp
@@ -339,8 +339,10 @@
                       const std::vector<TargetDescription>& aTargets)
 {
   Findings findings;
-  const auto entries = merged(aInForce.entries, aRecords.entries, kEntryName);
-  const auto quotas = merged(aInForce.quotas, aRecords.quotas, kOwnerName);
+  const std::map<std::string, CatalogueEntry> entries =
+    merged(aInForce.entries, aRecords.entries, kEntryName);
+  const std::map<std::string, OwnerQuota> quotas =
+    merged(aInForce.quotas, aRecords.quotas, kOwnerName);
   std::map<std::string, OwnerSum> sums;
   for (const auto& [name, entry] : entries) {
     OwnerSum& sum = sums[entry.owner()];
