Logs tell what takes the room of a pool and how large a waiting task is

'task is waiting' gets the size, kind and outlook of the task; 'pool load' is a new line, at most once a second while tasks wait. No decision changes.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -783,6 +783,9 @@
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
+      if (!run.isConfirmed || run.missingSince) {
+        candidate.unlistedCpuMilli += requiredResources(run.step()).cpuMilli;
+      }
       const bool needsTrial = CrashAttribution::needsTrial(*run.job->find(run.task));
       const bool isOnTrial = needsTrial && !run.job->isFinished();
       if (run.listedMs < kHarmlessRunMs || (isOnTrial && !run.isProvenHarmless())) {
@@ -859,12 +862,18 @@
     mEvacuation.moveRuns(candidates);
     return;
   }
+  const bool isWaitLogDue = mContext.mNow().msSince(mWaitReasonsLoggedAt) >= kLogWaitReasonsMs;
+  // decide() reduces the capacity of the candidates by what it plans.
+  const std::vector<WorkerCandidate> before =
+    isWaitLogDue ? candidates : std::vector<WorkerCandidate>();
   const SchedulePlan plan = JobScheduler::decide(
     mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs(), mRunTimes);
   evict(plan.evictions);
   sendOrdersToAll(mEvacuation.moveRuns(candidates));
   restart(plan.restarts);
-  logWaitReasons(plan.waiting);
+  if (isWaitLogDue && !plan.waiting.empty()) {
+    logWaitReasons(plan.waiting, before);
+  }
   if (plan.assignments.empty()) {
     return;
   }
@@ -884,16 +893,17 @@
 }
 
 void
-JobService::logWaitReasons(const std::vector<WaitReason>& aReasons)
+JobService::logWaitReasons(const std::vector<WaitReason>& aReasons,
+                           const std::vector<WorkerCandidate>& aWorkers)
 {
-  const MonotonicTime now = mContext.mNow();
-  if (aReasons.empty() || now.msSince(mWaitReasonsLoggedAt) < kLogWaitReasonsMs) {
-    return;
-  }
-  mWaitReasonsLoggedAt = now;
+  mWaitReasonsLoggedAt = mContext.mNow();
   for (const WaitReason& reason : aReasons) {
     logInfo("task is waiting",
             { { "task", reason.task.text() },
+              { "longRunning", reason.isLongRunning },
+              { "outlook", toText(reason.outlook) },
+              { "cpuMilli", reason.size.cpuMilli },
+              { "memoryMb", reason.size.memoryMb },
               { "otherPool", reason.otherPoolWorkers },
               { "noLabel", reason.missingLabelWorkers },
               { "spread", reason.perWorkerLimitWorkers },
@@ -902,6 +912,22 @@
               { "reserved", reason.reservedWorkers },
               { "unreliable", reason.unreliableWorkers } });
   }
+  for (const PoolLoad& load :
+       summarizePools(aWorkers, mContext.mState.jobs(), mContext.mWallClockMs())) {
+    logInfo("pool load",
+            { { "pool", load.poolName },
+              { "workers", load.workers },
+              { "cpuMilli", load.capacityCpuMilli },
+              { "longRunning", load.longRunningCpuMilli },
+              { "shortRunning", load.shortRunningCpuMilli },
+              { "unlisted", load.unlistedCpuMilli },
+              { "releasing", load.releasingCpuMilli },
+              { "free", load.freeCpuMilli },
+              { "largestFree", load.largestFreeCpuMilli },
+              { "freeMemoryMb", load.freeMemoryMb },
+              { "waitingLongRunning", load.waitingLongRunning },
+              { "waitingOther", load.waitingOther } });
+  }
 }
 
 void
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -81,7 +81,9 @@
   void learnEnd(const TrackedRun& aRun, std::int64_t aClockMs);
   void addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const;
   void restart(const std::vector<RestartDecision>& aRestarts);
-  void logWaitReasons(const std::vector<WaitReason>& aReasons);
+  /** Logs why tasks wait and what takes the capacity of the pools. */
+  void logWaitReasons(const std::vector<WaitReason>& aReasons,
+                      const std::vector<WorkerCandidate>& aWorkers);
   void proposeEnds(std::vector<RunEnding> aEnds);
   void sendOrders(WorkerIncarnation& aIncarnation,
                   const IncarnationKey& aKey,
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -401,7 +401,10 @@
       return;
     }
     const JobStep& step = aReady.description();
-    WaitReason reason{ .task = aTask };
+    WaitReason reason{ .task = aTask,
+                       .isLongRunning = step.longRunning(),
+                       .outlook = aReady.outlook,
+                       .size = requiredResources(step) };
     for (const WorkerCandidate& worker : mWorkers) {
       if (worker.poolName != aReady.job->queue().poolName()) {
         reason.otherPoolWorkers++;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/JobRegistry.h"
+#include "jobs/JobSelector.h"
 #include "jobs/RunTimeModel.h"
 #include "jobs/WorkerCandidate.h"
 
@@ -33,6 +34,10 @@
 struct WaitReason
 {
   TaskId task;
+  bool isLongRunning = false;
+  JobOutlook outlook = JobOutlook::eOnTime;
+  /** Capacity that the task takes. */
+  ResourceAmount size;
   /** The worker belongs to another pool. */
   std::int64_t otherPoolWorkers = 0;
   /** The worker lacks the required label. */
--- a/src/jobs/JobSelector.cpp
+++ b/src/jobs/JobSelector.cpp
@@ -77,6 +77,20 @@
 
 } // namespace
 
+const char*
+toText(JobOutlook aOutlook)
+{
+  switch (aOutlook) {
+    case JobOutlook::eOnTime:
+      return "on-time";
+    case JobOutlook::eLate:
+      return "late";
+    case JobOutlook::eOverdue:
+      return "overdue";
+  }
+  return "unknown";
+}
+
 std::vector<JobOutlook>
 JobSelector::select(const std::vector<JobDemand>& aDemands,
                     double aCapacityCores,
--- a/src/jobs/JobSelector.h
+++ b/src/jobs/JobSelector.h
@@ -32,6 +32,10 @@
   eOverdue /**< Neither. */
 };
 
+/** Returns the name of the outlook in logs. */
+const char*
+toText(JobOutlook aOutlook);
+
 /**
  * Decides which jobs get the shared capacity when there is not enough for all of them.
  *
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -58,6 +58,8 @@
   std::int64_t longRunningCpuMilli = 0;
   /** Declared processor time of the opportunistic runs, which they use if nothing limits them. */
   std::int64_t opportunisticCpuMilli = 0;
+  /** Part of used.cpuMilli that belongs to runs that no list of the worker shows. */
+  std::int64_t unlistedCpuMilli = 0;
   /** Part of used that is held by runs that are being stopped. */
   ResourceAmount releasing;
   std::vector<EvictableRun> evictable;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -16,6 +16,7 @@
 #include "jobs/JobRules.h"
 #include "jobs/JobScheduler.h"
 #include "jobs/JobSelector.h"
+#include "jobs/PoolLoad.h"
 #include "jobs/ProgressMeter.h"
 #include "jobs/RunTimeModel.h"
 #include "jobs/StragglerPlanner.h"
