--- /dev/null
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -0,0 +1,184 @@
+#include "jobs/JobsFixture.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+
+using namespace magnoliadrum;
+using namespace magnoliadrum::fixture;
+
+namespace {
+
+/** A pool in steps of virtual time, in which standing tasks fail while short jobs keep arriving. */
+class BusyPool
+{
+public:
+  static constexpr std::int64_t kStepMs = 100;
+  static constexpr std::int64_t kShortRunMs = 700;
+
+  BusyPool(std::int64_t aWorkers, std::int64_t aCpuMilli)
+    : mJobs(registryWithQueues())
+  {
+    for (std::int64_t index = 0; index < aWorkers; index++) {
+      mWorkers.push_back(workerOf("w" + std::to_string(index), aCpuMilli, 250000));
+    }
+  }
+
+  void submitStanding(const std::string& aJobId, std::int64_t aCount, std::int64_t aCpuMilli)
+  {
+    JobStep::Fields step = stepOf(aCount, aCpuMilli, 1000);
+    step.longRunning = true;
+    step.latencyObjectiveMs = 150;
+    step.image = aJobId;
+    mJobs.apply(submitOf("urgent", jobOf(aJobId, { step }), mNowMs));
+  }
+
+  void submitShort(std::int64_t aCount, std::int64_t aCpuMilli, const std::string& aQueue)
+  {
+    JobStep::Fields step = stepOf(aCount, aCpuMilli, 100);
+    step.estimateMs = kShortRunMs;
+    mShortJobs++;
+    mJobs.apply(submitOf(aQueue, jobOf("z" + std::to_string(mShortJobs), { step }), mNowMs));
+  }
+
+  void fail(const std::string& aTask)
+  {
+    const std::int64_t run = mJobs.find(TaskId::parse(aTask)->jobId)->find(*TaskId::parse(aTask))->run;
+    mJobs.apply(endOf(aTask, run, RunEnd::eFailed));
+    mEndsAt.erase(aTask);
+  }
+
+  bool isRunning(const std::string& aTask) const
+  {
+    return mJobs.find(TaskId::parse(aTask)->jobId)->find(*TaskId::parse(aTask))->active;
+  }
+
+  /** Ends the short runs that are over and schedules one round. */
+  void step()
+  {
+    mNowMs += kStepMs;
+    endShortRuns();
+    std::vector<WorkerCandidate> candidates = occupiedWorkers();
+    const InterferenceGuard guard;
+    const SchedulePlan plan = JobScheduler::decide(mJobs, guard, candidates, mNowMs);
+    StartRuns::Fields starts;
+    for (const Assignment& assignment : plan.assignments) {
+      starts.runs.push_back(assignment.start);
+      if (!stepOfTask(assignment.task).longRunning()) {
+        mEndsAt[assignment.task.text()] = mNowMs + kShortRunMs;
+      }
+    }
+    mJobs.apply(valueOf(StartRuns::create(std::move(starts))));
+    for (const EvictableRun& evicted : plan.evictions) {
+      mEndsAt[evicted.task.text()] = mNowMs;
+    }
+  }
+
+  std::int64_t nowMs() const { return mNowMs; }
+  std::size_t shortRunsDone() const { return mShortRunsDone; }
+
+private:
+  const JobStep& stepOfTask(const TaskId& aTask) const
+  {
+    return mJobs.find(aTask.jobId)->steps()[static_cast<std::size_t>(aTask.step)];
+  }
+
+  void endShortRuns()
+  {
+    for (auto position = mEndsAt.begin(); position != mEndsAt.end();) {
+      if (position->second > mNowMs) {
+        ++position;
+        continue;
+      }
+      const TaskId task = *TaskId::parse(position->first);
+      const std::int64_t run = mJobs.find(task.jobId)->find(task)->run;
+      mJobs.apply(endOf(position->first, run, RunEnd::eDone));
+      mShortRunsDone++;
+      position = mEndsAt.erase(position);
+    }
+  }
+
+  std::vector<WorkerCandidate> occupiedWorkers() const
+  {
+    std::vector<WorkerCandidate> workers = mWorkers;
+    for (const std::string& jobId : mJobs.openJobs()) {
+      const Job* job = mJobs.find(jobId);
+      job->forEachTask([&](const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
+        if (!aRecord.active) {
+          return;
+        }
+        const auto worker =
+          std::find_if(workers.begin(), workers.end(), [&](const WorkerCandidate& aWorker) {
+            return aWorker.worker == aRecord.worker;
+          });
+        const JobStep& step = stepOfTask(aTask);
+        addRun(*worker, step, aTask);
+        if (!step.longRunning()) {
+          worker->evictable.push_back(
+            { aTask, aRecord.run, job->queue().priority(), requiredResources(step), 0 });
+        }
+      });
+    }
+    return workers;
+  }
+
+  JobRegistry mJobs;
+  std::vector<WorkerCandidate> mWorkers;
+  /** Ends of the short runs, by task. */
+  std::map<std::string, std::int64_t> mEndsAt;
+  std::int64_t mNowMs = 1000000;
+  std::int64_t mShortJobs = 0;
+  std::size_t mShortRunsDone = 0;
+};
+
+/** Time within which a standing task runs again, in ms. */
+constexpr std::int64_t kRestartedWithinMs = 3000;
+
+/** Plays the pool under short jobs of aQueue until the task runs; returns how long it took. */
+std::int64_t
+msUntilRunning(BusyPool& aPool, const std::string& aTask, const std::string& aQueue)
+{
+  const std::int64_t failedAtMs = aPool.nowMs();
+  while (!aPool.isRunning(aTask) && aPool.nowMs() - failedAtMs < 4 * kRestartedWithinMs) {
+    aPool.submitShort(12, 1500, aQueue);
+    aPool.step();
+  }
+  return aPool.nowMs() - failedAtMs;
+}
+
+/** Three workers of 64 cores with four standing tasks each, under short jobs of aQueue. */
+BusyPool
+busyPool(const std::string& aQueue)
+{
+  BusyPool pool(3, 64000);
+  pool.submitStanding("s", 12, 13000);
+  pool.step();
+  for (std::int64_t step = 0; step < 100; step++) {
+    pool.submitShort(12, 1500, aQueue);
+    pool.step();
+  }
+  return pool;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(standing_task_recovery)
+
+// Guards against a standing task that waits for ever because short tasks of its priority take the
+// room that its last run left, piece by piece.
+BOOST_AUTO_TEST_CASE(standing_task_runs_again_while_short_jobs_of_its_priority_fill_the_pool)
+{
+  BusyPool pool = busyPool("urgent");
+  pool.fail("s.0.0.5");
+  BOOST_TEST(msUntilRunning(pool, "s.0.0.5", "urgent") <= kRestartedWithinMs);
+}
+
+BOOST_AUTO_TEST_CASE(standing_task_runs_again_while_short_jobs_of_a_lower_priority_fill_the_pool)
+{
+  BusyPool pool = busyPool("tally");
+  pool.fail("s.0.0.5");
+  BOOST_TEST(msUntilRunning(pool, "s.0.0.5", "tally") <= kRestartedWithinMs);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
