Short jobs compete for what long-running tasks leave, and overdue ones go last

Jobs without opportunistic steps were either on time or late, and late ones were served by the time until which their completion counts: those past it came first of all, and in a backlog everything became late in turn. The fault is work that no longer counts served before work that does; opportunistic jobs already had JobSelector against it. It now decides for the other jobs too, by pool and priority, in the capacity that long-running tasks leave. Test late_job_that_still_counts_goes_before_an_overdue_one failed before and passes.

--- a/src/jobs/DueJobs.cpp
+++ b/src/jobs/DueJobs.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace magnoliadrum {
 
@@ -43,14 +44,27 @@
   return pathMs;
 }
 
-/** Work of some tasks of a step that share the opportunistic capacity, in core-milliseconds. */
+/** Work of some tasks of a step in core-milliseconds; long-running tasks have none. */
 double
-opportunisticWork(const JobStep& aStep, std::int64_t aTasks, double aRunTimeMs)
+workOf(const JobStep& aStep, std::int64_t aTasks, double aRunTimeMs)
 {
-  return aStep.opportunistic()
-           ? static_cast<double>(aTasks) * static_cast<double>(aStep.resources().cpuMilli()) /
-               kMilliPerCore * aRunTimeMs
-           : 0;
+  return aStep.longRunning()
+           ? 0
+           : static_cast<double>(aTasks) * static_cast<double>(aStep.resources().cpuMilli()) /
+               kMilliPerCore * aRunTimeMs;
+}
+
+/** Whether a job has open opportunistic steps, which share what other tasks leave unused. */
+bool
+sharesUnusedCapacity(const Job& aJob, std::int64_t aOccurrence)
+{
+  for (std::int64_t step = 0; step < std::ssize(aJob.steps()); step++) {
+    if (aJob.steps()[static_cast<std::size_t>(step)].opportunistic() &&
+        aJob.openTasks(aOccurrence, step) > 0) {
+      return true;
+    }
+  }
+  return false;
 }
 
 /** Describes what an occurrence still needs; its value is set by the caller. */
@@ -69,12 +83,16 @@
   due.demand.objectiveEndMs = startMs + objectiveMs;
   due.demand.usefulUntilMs = startMs + kUsefulObjectives * objectiveMs;
   due.demand.isStarted = aJob.hasStarted();
+  due.isOpportunistic = sharesUnusedCapacity(aJob, aOccurrence);
   for (std::size_t step = 0; step < aJob.steps().size(); step++) {
     const JobStep& description = aJob.steps()[step];
-    due.totalWork += opportunisticWork(description, description.count(), timesMs[step]);
+    due.totalWork += workOf(description, description.count(), timesMs[step]);
     const std::int64_t open = aJob.openTasks(aOccurrence, static_cast<std::int64_t>(step));
     if (open > 0) {
-      due.demand.remainingWork += opportunisticWork(description, open, timesMs[step]);
+      // What the other steps of an opportunistic job take does not come from the shared capacity.
+      due.demand.remainingWork += description.opportunistic() == due.isOpportunistic
+                                    ? workOf(description, open, timesMs[step])
+                                    : 0;
       due.demand.remainingPathMs =
         std::max(due.demand.remainingPathMs, static_cast<std::int64_t>(pathsMs[step]));
     }
@@ -138,28 +156,47 @@
   return cpuMilli / kMilliPerCore;
 }
 
-/** Sets the outlooks of the jobs. Jobs without opportunistic steps only have to be in time. */
+/** Processor time of a pool that short tasks reserve or may reserve, in cores. */
+double
+reservableCores(const std::vector<WorkerCandidate>& aWorkers, const std::string& aPool)
+{
+  std::int64_t cpuMilli = 0;
+  for (const WorkerCandidate& worker : aWorkers) {
+    if (worker.poolName == aPool) {
+      cpuMilli += std::max<std::int64_t>(0, worker.capacity.cpuMilli - worker.longRunningCpuMilli);
+    }
+  }
+  return static_cast<double>(cpuMilli) / kMilliPerCore;
+}
+
+/** Sets the outlooks of the jobs. */
 void
 setOutlooks(std::vector<DueJob>& aDue,
             const std::vector<WorkerCandidate>& aWorkers,
             std::int64_t aWallMs)
 {
-  std::map<std::string, std::vector<std::size_t>> sharing;
+  // Jobs of a pool compete for unused or for reserved capacity, the latter by priority.
+  std::map<std::tuple<std::string, bool, std::int64_t>, std::vector<std::size_t>> competing;
   for (std::size_t index = 0; index < aDue.size(); index++) {
-    DueJob& due = aDue[index];
+    const DueJob& due = aDue[index];
     if (due.demand.remainingWork > 0) {
-      sharing[due.job->queue().poolName()].push_back(index);
-    } else if (aWallMs + due.demand.remainingPathMs > due.demand.objectiveEndMs) {
-      due.outlook = JobOutlook::eLate;
+      const JobQueue& queue = due.job->queue();
+      competing[{ queue.poolName(),
+                  due.isOpportunistic,
+                  due.isOpportunistic ? 0 : queue.priority() }]
+        .push_back(index);
     }
   }
-  for (const auto& [pool, indexes] : sharing) {
+  for (const auto& [key, indexes] : competing) {
+    const auto& [pool, isOpportunistic, priority] = key;
     std::vector<JobDemand> demands;
     for (const std::size_t index : indexes) {
       demands.push_back(aDue[index].demand);
     }
-    const std::vector<JobOutlook> outlooks =
-      JobSelector::select(demands, opportunisticCores(aWorkers, pool), aWallMs);
+    const std::vector<JobOutlook> outlooks = JobSelector::select(
+      demands,
+      isOpportunistic ? opportunisticCores(aWorkers, pool) : reservableCores(aWorkers, pool),
+      aWallMs);
     for (std::size_t position = 0; position < indexes.size(); position++) {
       aDue[indexes[position]].outlook = outlooks[position];
     }
--- a/src/jobs/DueJobs.h
+++ b/src/jobs/DueJobs.h
@@ -16,7 +16,9 @@
   const Job* job = nullptr;
   std::int64_t occurrence = 0;
   JobDemand demand;
-  /** Work of all its opportunistic tasks, done or not, in core-milliseconds. */
+  /** It has open opportunistic steps. */
+  bool isOpportunistic = false;
+  /** Work of all its tasks that end, done or not, in core-milliseconds. */
   double totalWork = 0;
   JobOutlook outlook = JobOutlook::eOnTime;
 
@@ -27,8 +29,9 @@
 
 /**
  * Returns the due occurrences of all jobs with their outlooks. Jobs with opportunistic steps
- * compete for what aWorkers have left; the others only have to be in time. Run times are those of
- * aRunTimes, since what jobs declare is wrong by a factor at times.
+ * compete for what other tasks on aWorkers leave unused, the other jobs of each priority for what
+ * long-running tasks leave. Run times are those of aRunTimes, since what jobs declare is wrong by a
+ * factor at times.
  */
 std::vector<DueJob>
 findDueJobs(const JobRegistry& aJobs,
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -101,6 +101,19 @@
     workersByTask(decide(jobs, { workerOf("w1", 1000, 1000) }, 1500)).contains("late.0.0.0"));
 }
 
+// Guards against a backlog in which jobs that nobody waits for any more make all others late as
+// well.
+BOOST_AUTO_TEST_CASE(late_job_that_still_counts_goes_before_an_overdue_one)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("a-overdue", { stepOf(1, 1000, 10) }), 0));
+  jobs.apply(submitOf("urgent", jobOf("b-late", { stepOf(1, 1000, 10) }), 7000));
+  const std::vector<WorkerCandidate> workers = { workerOf("w1", 1000, 1000) };
+  BOOST_TEST(workersByTask(decide(jobs, workers, 10500)).contains("b-late.0.0.0"));
+  jobs.apply(startOf("b-late.0.0.0", 1));
+  BOOST_TEST(workersByTask(decide(jobs, workers, 10500)).contains("a-overdue.0.0.0"));
+}
+
 BOOST_AUTO_TEST_CASE(required_labels_task_limits_per_worker_and_preferred_racks_are_respected)
 {
   JobRegistry jobs = registryWithQueues();
