Standing tasks go before late work and get back the room that they lost

Callers saw accepted standing tasks that did not run, with room for them (LOST). A standing task was ordered by a deadline that it does not have, so some seconds after its job was accepted it went behind each short step of its priority that could be on time; those took the room of its last run piece by piece, and runs of the same priority are not stopped for it. The class is starvation of large work by small work: nothing ever held room together. Now long-running steps have no outlook. They go first; a restarted one takes any room that is large enough; where the pool has room for all that runs and waits, room is reserved on one worker while short runs there end.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -27,26 +27,52 @@
   JobOutlook outlook = JobOutlook::eOnTime;
   /** Order among steps with the same outlook. */
   double order = 0;
+  /** The objective of its job has not passed. */
+  bool isWithinObjective = true;
 
   const JobStep& description() const { return job->steps()[static_cast<std::size_t>(step)]; }
 
-  auto sortKey() const { return std::tuple(priority, outlook, order, job->jobId(), step); }
+  bool isLateShortStep() const
+  {
+    return !description().longRunning() && outlook != JobOutlook::eOnTime;
+  }
+
+  /** Number of tasks that are neither done nor active. */
+  std::int64_t waitingTasks() const
+  {
+    std::int64_t waiting = 0;
+    TaskId task{ job->jobId(), occurrence, step, 0 };
+    for (task.index = 0; task.index < description().count(); task.index++) {
+      const JobTaskRecord::Fields* record = job->find(task);
+      waiting += record->done || record->active ? 0 : 1;
+    }
+    return waiting;
+  }
+
+  auto sortKey() const
+  {
+    // A long-running task has no deadline that it could miss: it serves from its start on.
+    return std::tuple(priority, !description().longRunning(), outlook, order, job->jobId(), step);
+  }
 };
 
 std::vector<ReadyStep>
-findReadySteps(const std::vector<DueJob>& aDueJobs)
+findReadySteps(const std::vector<DueJob>& aDueJobs, std::int64_t aWallMs)
 {
   std::vector<ReadyStep> ready;
   for (const DueJob& due : aDueJobs) {
     for (std::int64_t step = 0; step < std::ssize(due.job->steps()); step++) {
       if (due.job->openTasks(due.occurrence, step) > 0 &&
           due.job->isStepReady(due.occurrence, step)) {
-        ready.push_back({ .job = due.job,
-                          .occurrence = due.occurrence,
-                          .step = step,
-                          .priority = due.job->queue().priority(),
-                          .outlook = due.outlook,
-                          .order = due.order() });
+        const bool isLongRunning = due.job->steps()[static_cast<std::size_t>(step)].longRunning();
+        ready.push_back(
+          { .job = due.job,
+            .occurrence = due.occurrence,
+            .step = step,
+            .priority = due.job->queue().priority(),
+            .outlook = isLongRunning ? JobOutlook::eOnTime : due.outlook,
+            .order = isLongRunning ? static_cast<double>(due.job->acceptedAtMs()) : due.order(),
+            .isWithinObjective = aWallMs <= due.demand.objectiveEndMs });
       }
     }
   }
@@ -127,10 +153,21 @@
 class SchedulingRound
 {
 public:
-  SchedulingRound(const InterferenceGuard& aGuard, std::vector<WorkerCandidate>& aWorkers)
+  SchedulingRound(const InterferenceGuard& aGuard,
+                  std::vector<WorkerCandidate>& aWorkers,
+                  const std::vector<ReadyStep>& aReadySteps)
     : mForecast(aGuard)
     , mWorkers(aWorkers)
   {
+    for (const ReadyStep& ready : aReadySteps) {
+      if (ready.description().longRunning() || ready.isWithinObjective) {
+        mUncommittedCpuMilli[ready.job->queue().poolName()] -=
+          ready.waitingTasks() * requiredResources(ready.description()).cpuMilli;
+      }
+    }
+    for (const WorkerCandidate& worker : mWorkers) {
+      mUncommittedCpuMilli[worker.poolName] += worker.capacity.cpuMilli - worker.used.cpuMilli;
+    }
     for (WorkerCandidate& worker : mWorkers) {
       worker.interference = mForecast.loadOf(worker.serving, worker.unobservedShares);
       for (const auto& [task, slowRun] : worker.stragglers) {
@@ -159,9 +196,18 @@
       if (isFull()) {
         return;
       }
+      const bool isPutOff = step.longRunning() && !mIsPlacingDeferred && isOvercommitted(aReady);
+      if (isPutOff && record->run == 0) {
+        mDeferred.push_back(&aReady);
+        return;
+      }
       if (assign(aReady, task, name, mWorkers, {})) {
         continue;
       }
+      if (isPutOff) {
+        mDeferred.push_back(&aReady);
+        return;
+      }
       if (step.opportunistic() && isStarved(aReady) &&
           assignDespiteInterference(aReady, task, name)) {
         return;
@@ -173,6 +219,24 @@
     }
   }
 
+  /** Assigns the long-running tasks that place() has put off because their pool has too little
+   * capacity for them and the short tasks. */
+  void placeDeferred()
+  {
+    mIsPlacingDeferred = true;
+    for (const ReadyStep* ready : std::exchange(mDeferred, {})) {
+      place(*ready);
+    }
+    mIsPlacingDeferred = false;
+  }
+
+  /** Whether long-running tasks are put off that go before aNext. */
+  bool hasDeferredBefore(const ReadyStep& aNext) const
+  {
+    return !mDeferred.empty() &&
+           (mDeferred.front()->priority < aNext.priority || aNext.isLateShortStep());
+  }
+
   /** Assigns the tasks that may have crashed a worker, each where another crash would show it. */
   void placeTrials(const std::vector<ReadyStep>& aReadySteps)
   {
@@ -373,6 +437,13 @@
     return best != nullptr;
   }
 
+  /** Whether the pool of a step has less capacity than its tasks take and wait for. Short tasks
+   * that wait count until the objective of their job has passed. */
+  bool isOvercommitted(const ReadyStep& aReady) const
+  {
+    return mUncommittedCpuMilli.at(aReady.job->queue().poolName()) < 0;
+  }
+
   /** Takes the capacity for a run of the step. */
   void occupy(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask)
   {
@@ -455,9 +526,9 @@
   }
 
   /**
-   * Reserves capacity for a task that fits nowhere: capacity that stopping runs will free, and if
-   * it is not enough that of evicted runs of queues with a lower priority. The task starts in a
-   * later round.
+   * Reserves capacity for a task that fits nowhere: capacity that stopping runs will free, if it is
+   * not enough that of evicted runs of queues with a lower priority, and for a long-running task
+   * also that of runs that end by themselves, which are awaited. The task starts in a later round.
    */
   bool reserveCapacity(const ReadyStep& aReady, const TaskId& aTask, const std::string& aStepName)
   {
@@ -467,40 +538,79 @@
     }
     const ResourceAmount size = requiredResources(step);
     WorkerCandidate* best = nullptr;
-    Victims victims;
+    std::optional<RoomPlan> bestPlan;
     for (WorkerCandidate& worker : mWorkers) {
       if (!isEligible(worker, aReady, aStepName) || !size.fitsIn(worker.capacity)) {
         continue;
       }
-      std::optional<Victims> found = findVictims(worker, size, aReady.priority);
-      if (found && (best == nullptr || found->lostWork < victims.lostWork)) {
+      std::optional<RoomPlan> plan = planRoom(worker, step, aReady.priority);
+      if (plan && (!bestPlan || plan->rank() < bestPlan->rank())) {
         best = &worker;
-        victims = std::move(*found);
+        bestPlan = std::move(plan);
       }
     }
-    if (best == nullptr) {
+    if (!bestPlan) {
       return false;
     }
-    evict(*best, victims);
-    addRun(*best, step, aTask);
+    evict(*best, bestPlan->victims);
+    occupy(*best, step, aTask);
     return true;
   }
 
-  /** Runs of a worker that have to be stopped to make a task fit. */
-  struct Victims
+  /** How a worker gets room for a task. */
+  struct RoomPlan
   {
-    std::vector<EvictableRun> runs;
+    /** Runs that have to be stopped. */
+    std::vector<EvictableRun> victims;
     double lostWork = 0;
+    /** Processor time that is missing until runs have ended by themselves, in thousandths of a
+     * core; 0 if none are awaited. */
+    std::int64_t awaitedCpuMilli = 0;
+
+    /** The plan with the lowest rank is chosen. The worker that misses least stays the choice of
+     * the next rounds, because nothing else is assigned to its reserved room. */
+    std::tuple<std::int64_t, double> rank() const { return { awaitedCpuMilli, lostWork }; }
   };
 
-  /** Selects the cheapest runs; empty if they cannot free enough or if the plan would exceed
-   * kMaxEvictions. */
-  std::optional<Victims> findVictims(const WorkerCandidate& aWorker,
-                                     const ResourceAmount& aSize,
-                                     std::int64_t aPriority) const
+  /** Plans room for a task on a worker; empty if the worker cannot get enough. */
+  std::optional<RoomPlan> planRoom(const WorkerCandidate& aWorker,
+                                   const JobStep& aStep,
+                                   std::int64_t aPriority) const
   {
-    Victims victims;
-    ResourceAmount free = aWorker.capacity.minus(aWorker.used).plus(aWorker.releasing);
+    const ResourceAmount size = requiredResources(aStep);
+    const ResourceAmount free = aWorker.capacity.minus(aWorker.used).plus(aWorker.releasing);
+    std::optional<RoomPlan> plan = findVictims(aWorker, size, free, aPriority);
+    if (plan || !aStep.longRunning()) {
+      return plan;
+    }
+    if (mIsPlacingDeferred) {
+      return std::nullopt;
+    }
+    // Short runs would otherwise take the room of a long-running task piece by piece, again and
+    // again.
+    ResourceAmount ending;
+    for (const EvictableRun& run : aWorker.evictable) {
+      if (run.priority <= aPriority) {
+        ending = ending.plus(run.size);
+      }
+    }
+    plan = findVictims(aWorker, size, free.plus(ending), aPriority);
+    if (plan) {
+      plan->awaitedCpuMilli = std::max<std::int64_t>(1, size.cpuMilli - free.cpuMilli);
+      // They are stopped once the awaited runs have ended.
+      plan->victims.clear();
+    }
+    return plan;
+  }
+
+  /** Selects the cheapest runs to stop beyond what is free; empty if they cannot free enough or if
+   * the plan would exceed kMaxEvictions. */
+  std::optional<RoomPlan> findVictims(const WorkerCandidate& aWorker,
+                                      const ResourceAmount& aSize,
+                                      ResourceAmount aFree,
+                                      std::int64_t aPriority) const
+  {
+    RoomPlan plan;
     std::vector<EvictableRun> candidates = aWorker.evictable;
     std::sort(candidates.begin(),
               candidates.end(),
@@ -509,24 +619,24 @@
                        std::tie(aRight.lostWork, aRight.task);
               });
     for (const EvictableRun& candidate : candidates) {
-      if (aSize.fitsIn(free)) {
+      if (aSize.fitsIn(aFree)) {
         break;
       }
       if (candidate.priority <= aPriority) {
         continue;
       }
-      free = free.plus(candidate.size);
-      victims.lostWork += candidate.lostWork;
-      victims.runs.push_back(candidate);
+      aFree = aFree.plus(candidate.size);
+      plan.lostWork += candidate.lostWork;
+      plan.victims.push_back(candidate);
     }
     const bool isAllowed =
-      mPlan.evictions.size() + victims.runs.size() <= JobScheduler::kMaxEvictions;
-    return aSize.fitsIn(free) && isAllowed ? std::optional<Victims>(victims) : std::nullopt;
+      mPlan.evictions.size() + plan.victims.size() <= JobScheduler::kMaxEvictions;
+    return aSize.fitsIn(aFree) && isAllowed ? std::optional<RoomPlan>(plan) : std::nullopt;
   }
 
-  void evict(WorkerCandidate& aWorker, const Victims& aVictims)
+  void evict(WorkerCandidate& aWorker, const std::vector<EvictableRun>& aVictims)
   {
-    for (const EvictableRun& victim : aVictims.runs) {
+    for (const EvictableRun& victim : aVictims) {
       aWorker.releasing = aWorker.releasing.plus(victim.size);
       std::erase(aWorker.evictable, victim);
       mPlan.evictions.push_back(victim);
@@ -578,6 +688,12 @@
   std::vector<std::pair<const ReadyStep*, TrialTask>> mWaitingTrials;
   /** The stragglers and their workers, by task name. */
   std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
+  /** Processor time that no task takes or waits for, by pool, in thousandths of a core. */
+  std::map<std::string, std::int64_t> mUncommittedCpuMilli;
+  /** Long-running steps with tasks that are put off until the short tasks that can be on time are
+   * placed. */
+  std::vector<const ReadyStep*> mDeferred;
+  bool mIsPlacingDeferred = false;
   /** Number of stragglers that are being stopped. */
   std::size_t mRestarting = 0;
   SchedulePlan mPlan;
@@ -593,15 +709,19 @@
                      const RunTimeModel& aRunTimes)
 {
   const std::vector<DueJob> dueJobs = findDueJobs(aJobs, aWorkers, aRunTimes, aWallMs);
-  const std::vector<ReadyStep> readySteps = findReadySteps(dueJobs);
-  SchedulingRound round(aGuard, aWorkers);
+  const std::vector<ReadyStep> readySteps = findReadySteps(dueJobs, aWallMs);
+  SchedulingRound round(aGuard, aWorkers, readySteps);
   round.placeTrials(readySteps);
   for (const ReadyStep& ready : readySteps) {
     if (round.isFull()) {
       break;
     }
+    if (round.hasDeferredBefore(ready)) {
+      round.placeDeferred();
+    }
     round.place(ready);
   }
+  round.placeDeferred();
   round.placeTrialsOnIdleWorkers();
   return round.takePlan();
 }
--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -44,11 +44,42 @@
 
   void fail(const std::string& aTask)
   {
-    const std::int64_t run = mJobs.find(TaskId::parse(aTask)->jobId)->find(*TaskId::parse(aTask))->run;
+    const std::int64_t run =
+      mJobs.find(TaskId::parse(aTask)->jobId)->find(*TaskId::parse(aTask))->run;
     mJobs.apply(endOf(aTask, run, RunEnd::eFailed));
     mEndsAt.erase(aTask);
   }
 
+  /** Ends all runs of the last worker, which does not come back. */
+  void loseWorker()
+  {
+    const std::string worker = mWorkers.back().worker;
+    mWorkers.pop_back();
+    EndRuns::Fields ends;
+    for (const std::string& jobId : mJobs.openJobs()) {
+      mJobs.find(jobId)->forEachTask(
+        [&](const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
+          if (aRecord.active && aRecord.worker == worker) {
+            ends.ends.push_back(valueOf(RunEnding::create(
+              { .task = aTask.text(), .run = aRecord.run, .how = RunEnd::eLapsed })));
+            mEndsAt.erase(aTask.text());
+          }
+        });
+    }
+    mJobs.apply(valueOf(EndRuns::create(std::move(ends))));
+  }
+
+  /** Number of tasks of the step of a standing job that run. */
+  std::int64_t runningTasks(const std::string& aJobId) const
+  {
+    std::int64_t running = 0;
+    mJobs.find(aJobId)->forEachTask(
+      [&running](const TaskId&, const JobTaskRecord::Fields& aRecord) {
+        running += aRecord.active ? 1 : 0;
+      });
+    return running;
+  }
+
   bool isRunning(const std::string& aTask) const
   {
     return mJobs.find(TaskId::parse(aTask)->jobId)->find(*TaskId::parse(aTask))->active;
@@ -66,7 +97,10 @@
     for (const Assignment& assignment : plan.assignments) {
       starts.runs.push_back(assignment.start);
       if (!stepOfTask(assignment.task).longRunning()) {
-        mEndsAt[assignment.task.text()] = mNowMs + kShortRunMs;
+        // Spread, so that a worker's runs don't end at the same time.
+        mShortRuns++;
+        mEndsAt[assignment.task.text()] =
+          mNowMs + kShortRunMs / 2 + mShortRuns * kStepMs % kShortRunMs;
       }
     }
     mJobs.apply(valueOf(StartRuns::create(std::move(starts))));
@@ -129,6 +163,7 @@
   std::map<std::string, std::int64_t> mEndsAt;
   std::int64_t mNowMs = 1000000;
   std::int64_t mShortJobs = 0;
+  std::int64_t mShortRuns = 0;
   std::size_t mShortRunsDone = 0;
 };
 
@@ -181,4 +216,44 @@
   BOOST_TEST(msUntilRunning(pool, "s.0.0.5", "tally") <= kRestartedWithinMs);
 }
 
+// Guards against free room that stays in pieces: each worker has some, none has enough for a task.
+BOOST_AUTO_TEST_CASE(standing_tasks_of_a_lost_worker_run_again_where_room_is_left_in_pieces)
+{
+  BusyPool pool(4, 64000);
+  pool.submitStanding("s", 12, 13000);
+  const auto play = [&pool](std::int64_t aSteps) {
+    for (std::int64_t step = 0; step < aSteps; step++) {
+      pool.submitShort(2, 1500, "urgent");
+      pool.step();
+    }
+  };
+  play(50);
+  BOOST_TEST(pool.runningTasks("s") == 12);
+  pool.loseWorker();
+  play(kRestartedWithinMs / BusyPool::kStepMs);
+  BOOST_TEST(pool.runningTasks("s") == 12);
+}
+
+// Guards against standing tasks that take the room of short jobs in a pool that has too little for
+// both.
+BOOST_AUTO_TEST_CASE(short_jobs_keep_their_room_when_standing_tasks_exceed_the_pool)
+{
+  BusyPool pool(3, 64000);
+  pool.submitStanding("s", 9, 13000);
+  const auto shortRunsIn = [&pool](std::int64_t aSteps) {
+    const std::size_t before = pool.shortRunsDone();
+    for (std::int64_t step = 0; step < aSteps; step++) {
+      pool.submitShort(11, 1500, "urgent");
+      pool.step();
+    }
+    return pool.shortRunsDone() - before;
+  };
+  shortRunsIn(50);
+  const std::size_t alone = shortRunsIn(100);
+  pool.submitStanding("t", 9, 13000);
+  const std::size_t beside = shortRunsIn(100);
+  BOOST_TEST(beside * 10 >= alone * 9,
+             "short runs beside waiting standing tasks: " << beside << ", without: " << alone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
