A task that was never started no longer puts off the restarts of its step

In a pool with too little room the first task of a step that never ran put the whole step off until after the short tasks, with the tasks that had lost their runs. The task alone is put off now. restarted_task_goes_before_short_ones_though_a_task_of_its_step_was_never_started failed before and passes.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -198,14 +198,14 @@
       }
       const bool isPutOff = step.longRunning() && !mIsPlacingDeferred && isOvercommitted(aReady);
       if (isPutOff && record->run == 0) {
-        mDeferred.push_back(&aReady);
-        return;
+        putOff(aReady);
+        continue;
       }
       if (assign(aReady, task, name, mWorkers, {})) {
         continue;
       }
       if (isPutOff) {
-        mDeferred.push_back(&aReady);
+        putOff(aReady);
         return;
       }
       if (step.opportunistic() && isStarved(aReady) &&
@@ -219,6 +219,14 @@
     }
   }
 
+  /** Puts a step off until placeDeferred(). */
+  void putOff(const ReadyStep& aReady)
+  {
+    if (mDeferred.empty() || mDeferred.back() != &aReady) {
+      mDeferred.push_back(&aReady);
+    }
+  }
+
   /** Assigns the long-running tasks that place() has put off because their pool has too little
    * capacity for them and the short tasks. */
   void placeDeferred()
--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -256,4 +256,23 @@
              "short runs beside waiting standing tasks: " << beside << ", without: " << alone);
 }
 
+// Guards against a task that was never started and puts off those of its step that have lost their
+// runs.
+BOOST_AUTO_TEST_CASE(
+  restarted_task_goes_before_short_ones_though_a_task_of_its_step_was_never_started)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields standing = stepOf(2, 2000, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(startOf("s.0.0.1", 1));
+  jobs.apply(endOf("s.0.0.1", 1, RunEnd::eFailed));
+  jobs.apply(submitOf("urgent", jobOf("short", { stepOf(8, 500, 10) })));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 2000, 1000) };
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(plan.assignments.size() == 1u);
+  BOOST_TEST(plan.assignments.front().start.task() == "s.0.0.1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
