--- a/src/control/Replicator_test.cpp
+++ b/src/control/Replicator_test.cpp
@@ -6,11 +6,14 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <filesystem>
 #include <functional>
 #include <map>
 #include <numeric>
+#include <thread>
 #include <unistd.h>
+#include <utility>
 
 using namespace magnoliadrum;
 
@@ -63,6 +66,8 @@
   std::unique_ptr<Replicator> replicator;
   std::vector<std::string> applied;
   std::vector<bool> leadership;
+  /** The number of commands that were applied at the last change of the leadership. */
+  std::size_t appliedAtLeadershipChange = 0;
   std::optional<Error> failure;
   std::shared_ptr<CountingFileOperations::Counters> fileCounters =
     std::make_shared<CountingFileOperations::Counters>();
@@ -106,7 +111,7 @@
                                  .initialReplicas = {},
                                  .electionTimeoutMs = kElectionTimeoutMs,
                                  .heartbeatMs = 50,
-                                 .snapshotEveryEntries = 30 };
+                                 .snapshotEveryEntries = mSnapshotEveryEntries };
     for (int number = 0; number < aInitialReplicas; number++) {
       settings.initialReplicas.push_back(address(number));
     }
@@ -140,6 +145,25 @@
 
   void stop(int aNumber) { mReplicas.erase(aNumber); }
 
+  void setSnapshotEveryEntries(std::int64_t aEntries) { mSnapshotEveryEntries = aEntries; }
+
+  /** Makes every apply of a command on any replica block the loop for this time. */
+  void setApplyTime(std::chrono::microseconds aTime) { mApplyTime = aTime; }
+
+  /**
+   * Runs the loop until a condition holds. Returns how many commands were applied at most in one
+   * turn of the loop, in which no message is read.
+   */
+  int mostAppliedInOneTurn(const std::string& aWhat, const std::function<bool()>& aCondition)
+  {
+    int most = 0;
+    mAppliedInTurn = 0;
+    const auto timer =
+      mLoop->runEvery(1, [&] { most = std::max(most, std::exchange(mAppliedInTurn, 0)); });
+    waitFor(aWhat, aCondition);
+    return std::max(most, mAppliedInTurn);
+  }
+
   TestReplica& at(int aNumber) { return mReplicas.at(aNumber); }
 
   /** Runs the loop until a condition holds; fails the test with aWhat after kWaitMs. */
@@ -207,10 +231,14 @@
   }
 
 private:
-  static ReplicatorCallbacks makeCallbacks(TestReplica& aReplica)
+  ReplicatorCallbacks makeCallbacks(TestReplica& aReplica)
   {
     ReplicatorCallbacks callbacks;
-    callbacks.apply = [&aReplica](std::int64_t /*aIndex*/, std::string_view aCommand) {
+    callbacks.apply = [this, &aReplica](std::int64_t /*aIndex*/, std::string_view aCommand) {
+      mAppliedInTurn++;
+      if (mApplyTime.count() > 0) {
+        std::this_thread::sleep_for(mApplyTime);
+      }
       aReplica.applied.emplace_back(aCommand);
     };
     callbacks.encodeSnapshot = [&aReplica] {
@@ -231,6 +259,7 @@
     };
     callbacks.leadershipChanged = [&aReplica](bool aIsLeader) {
       aReplica.leadership.push_back(aIsLeader);
+      aReplica.appliedAtLeadershipChange = aReplica.applied.size();
     };
     callbacks.failed = [&aReplica](const Error& aError) { aReplica.failure = aError; };
     return callbacks;
@@ -240,6 +269,9 @@
   std::filesystem::path mRoot;
   std::map<int, TestReplica> mReplicas;
   int mCommands = 0;
+  std::int64_t mSnapshotEveryEntries = 30;
+  std::chrono::microseconds mApplyTime{ 0 };
+  int mAppliedInTurn = 0;
 };
 
 std::string
@@ -274,6 +306,36 @@
   group.waitForEqualStates(105);
 }
 
+// Guards against a group without a leader after all replicas restarted: each new leader applied its
+// whole log at once, sent no heartbeat meanwhile, and the others elected the next one.
+BOOST_AUTO_TEST_CASE(new_leader_sends_heartbeats_while_it_applies_a_long_log)
+{
+  constexpr int kCommands = 500;
+  constexpr std::chrono::microseconds kApplyTime{ 3000 };
+  ReplicaGroup group;
+  group.setSnapshotEveryEntries(std::int64_t{ 10 } * kCommands);
+  group.startAll();
+  group.proposeAndWait(group.waitForLeader(), kCommands);
+  group.waitForEqualStates(kCommands);
+  for (int number = 0; number < 3; number++) {
+    group.stop(number);
+  }
+  for (int number = 0; number < 3; number++) {
+    BOOST_REQUIRE(isOk(group.start(number, ReplicaStart::eExisting)));
+  }
+  group.setApplyTime(kApplyTime);
+  const int most =
+    group.mostAppliedInOneTurn("no leader", [&] { return group.leader() != nullptr; });
+  BOOST_TEST(most <= kCommands / 5, "the replicas applied " << most << " commands in one turn");
+  BOOST_TEST(group.leader()->appliedAtLeadershipChange == std::size_t{ kCommands },
+             "the leader has not applied all commands of earlier leaders");
+  const std::int64_t term = group.leader()->replicator->term();
+  group.setApplyTime(std::chrono::microseconds{ 0 });
+  group.proposeAndWait(*group.leader(), 5);
+  group.waitForEqualStates(kCommands + 5);
+  BOOST_TEST(group.leader()->replicator->term() == term, "the group changed its leader");
+}
+
 // Guards against a planned shutdown in which the proposals in flight are lost or fail.
 BOOST_AUTO_TEST_CASE(step_down_transfers_leadership_and_proposals_in_flight_succeed)
 {
