--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -575,8 +575,8 @@
      * core; 0 if none are awaited. */
     std::int64_t awaitedCpuMilli = 0;
 
-    /** The plan with the lowest rank is chosen. The worker that misses least stays the choice of
-     * the next rounds, because nothing else is assigned to its reserved room. */
+    /** The plan with the lowest rank is chosen. The worker that misses least mostly stays the
+     * choice of the next rounds, because nothing else is assigned to its reserved room. */
     std::tuple<std::int64_t, double> rank() const { return { awaitedCpuMilli, lostWork }; }
   };
 
