--- a/src/jobs/DueJobs.cpp
+++ b/src/jobs/DueJobs.cpp
@@ -142,31 +142,39 @@
   }
 }
 
-/** Processor time of a pool that opportunistic tasks use or may use, in cores. */
+/** Sum of a part of the processor time of each worker of a pool, in cores; aCpuMilliOf returns the
+ * part of a worker in thousandths of a core, which counts as 0 if it is negative. */
+template<typename CpuMilliOf>
 double
-opportunisticCores(const std::vector<WorkerCandidate>& aWorkers, const std::string& aPool)
+poolCores(const std::vector<WorkerCandidate>& aWorkers,
+          const std::string& aPool,
+          const CpuMilliOf& aCpuMilliOf)
 {
   double cpuMilli = 0;
   for (const WorkerCandidate& worker : aWorkers) {
     if (worker.poolName == aPool) {
-      cpuMilli +=
-        std::max(0.0, unusedCpuMilli(worker) + static_cast<double>(worker.opportunisticCpuMilli));
+      cpuMilli += std::max(0.0, static_cast<double>(aCpuMilliOf(worker)));
     }
   }
   return cpuMilli / kMilliPerCore;
 }
 
+/** Processor time of a pool that opportunistic tasks use or may use, in cores. */
+double
+opportunisticCores(const std::vector<WorkerCandidate>& aWorkers, const std::string& aPool)
+{
+  return poolCores(aWorkers, aPool, [](const WorkerCandidate& aWorker) {
+    return unusedCpuMilli(aWorker) + static_cast<double>(aWorker.opportunisticCpuMilli);
+  });
+}
+
 /** Processor time of a pool that short tasks reserve or may reserve, in cores. */
 double
 reservableCores(const std::vector<WorkerCandidate>& aWorkers, const std::string& aPool)
 {
-  std::int64_t cpuMilli = 0;
-  for (const WorkerCandidate& worker : aWorkers) {
-    if (worker.poolName == aPool) {
-      cpuMilli += std::max<std::int64_t>(0, worker.capacity.cpuMilli - worker.longRunningCpuMilli);
-    }
-  }
-  return static_cast<double>(cpuMilli) / kMilliPerCore;
+  return poolCores(aWorkers, aPool, [](const WorkerCandidate& aWorker) {
+    return aWorker.capacity.cpuMilli - aWorker.longRunningCpuMilli;
+  });
 }
 
 /** Sets the outlooks of the jobs. */
