--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -588,12 +588,9 @@
     const ResourceAmount size = requiredResources(aStep);
     const ResourceAmount free = aWorker.capacity.minus(aWorker.used).plus(aWorker.releasing);
     std::optional<RoomPlan> plan = findVictims(aWorker, size, free, aPriority);
-    if (plan || !aStep.longRunning()) {
+    if (plan || !aStep.longRunning() || mIsPlacingDeferred) {
       return plan;
     }
-    if (mIsPlacingDeferred) {
-      return std::nullopt;
-    }
     // Short runs would otherwise take the room of a long-running task piece by piece, again and
     // again.
     ResourceAmount ending;
