Waits of standing tasks are measured by cause and by reading of free room

`task is waiting` names five tasks a second and one obstacle each, so the logs do not tell how long standing tasks wait, for which reason, and whether there was room for them as seen from outside. StandingWaitMeter adds the time beyond 6 s without a run by cause and by four readings of "room for it twice over"; the leader shows it in logs and metrics. No decision changes. Tests: standing_wait_meter (3 cases) pass.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -140,6 +140,7 @@
   mEvacuation.endTerm();
   mReliability.clear();
   mLimitedWorkers.clear();
+  mStandingWaits.clear();
   mRestartCount = 0;
   mStartedJobs.clear();
   mAssignmentPending = false;
@@ -864,10 +865,14 @@
   }
   const bool isWaitLogDue = mContext.mNow().msSince(mWaitReasonsLoggedAt) >= kLogWaitReasonsMs;
   // decide() reduces the capacity of the candidates by what it plans.
-  const std::vector<WorkerCandidate> before =
-    isWaitLogDue ? candidates : std::vector<WorkerCandidate>();
+  const std::vector<WorkerCandidate> before = isWaitLogDue || mStandingWaits.isDue(mContext.mNow())
+                                                ? candidates
+                                                : std::vector<WorkerCandidate>();
   const SchedulePlan plan = JobScheduler::decide(
     mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs(), mRunTimes);
+  if (mStandingWaits.isDue(mContext.mNow())) {
+    observeStandingWaits(before, plan);
+  }
   evict(plan.evictions);
   sendOrdersToAll(mEvacuation.moveRuns(candidates));
   restart(plan.restarts);
@@ -892,6 +897,53 @@
                         });
 }
 
+std::set<std::string>
+JobService::unlistedStandingTasks() const
+{
+  std::set<std::string> tasks;
+  for (const auto& [name, run] : mRuns.runs()) {
+    if (run.step().longRunning() && (!run.isConfirmed || run.missingSince)) {
+      tasks.insert(name);
+    }
+  }
+  return tasks;
+}
+
+void
+JobService::observeStandingWaits(const std::vector<WorkerCandidate>& aBefore,
+                                 const SchedulePlan& aPlan)
+{
+  logStandingWaits(mStandingWaits.observe(
+    mContext.mState.jobs(), aBefore, aPlan, unlistedStandingTasks(), mContext.mNow()));
+}
+
+void
+JobService::logStandingWaits(const StandingWaitMeter::Changes& aChanges)
+{
+  const auto readMs = [](const StandingWait& aWait, RoomReading aReading) {
+    return aWait.readMs[static_cast<std::size_t>(aReading)];
+  };
+  for (const StandingWait& wait : aChanges.begun) {
+    logWarning("long-running task waits too long",
+               { { "task", wait.task.text() },
+                 { "waitedMs", wait.waitedMs },
+                 { "cpuMilli", wait.cpuMilli },
+                 { "cause", toText(wait.cause) },
+                 { "tasks", mStandingWaits.overdueTasks() } });
+  }
+  for (const StandingWait& wait : aChanges.ended) {
+    logInfo("long-running task no longer waits",
+            { { "task", wait.task.text() },
+              { "waitedMs", wait.waitedMs },
+              { "cpuMilli", wait.cpuMilli },
+              { "cause", toText(wait.cause) },
+              { "twoWorkersMs", readMs(wait, RoomReading::eTwoWorkers) },
+              { "oneWorkerMs", readMs(wait, RoomReading::eOneWorker) },
+              { "poolMs", readMs(wait, RoomReading::ePool) },
+              { "twoWorkersWithShortMs", readMs(wait, RoomReading::eTwoWorkersWithShort) } });
+  }
+}
+
 void
 JobService::logWaitReasons(const std::vector<WaitReason>& aReasons,
                            const std::vector<WorkerCandidate>& aWorkers)
@@ -912,6 +964,25 @@
               { "reserved", reason.reservedWorkers },
               { "unreliable", reason.unreliableWorkers } });
   }
+  if (mStandingWaits.overdueTasks() > 0) {
+    const auto overdue = [this](StandingWaitCause aCause) {
+      return mStandingWaits.overdueTasks(aCause);
+    };
+    logInfo(
+      "long-running tasks wait too long",
+      { { "tasks", mStandingWaits.overdueTasks() },
+        { "unlisted", overdue(StandingWaitCause::eUnlisted) },
+        { "suspected", overdue(StandingWaitCause::eSuspected) },
+        { "planFull", overdue(StandingWaitCause::ePlanFull) },
+        { "outranked", overdue(StandingWaitCause::eOutranked) },
+        { "reserved", overdue(StandingWaitCause::eReserved) },
+        { "limited", overdue(StandingWaitCause::eLimited) },
+        { "noRoom", overdue(StandingWaitCause::eNoRoom) },
+        { "twoWorkersMs", mStandingWaits.sumMs(RoomReading::eTwoWorkers) },
+        { "oneWorkerMs", mStandingWaits.sumMs(RoomReading::eOneWorker) },
+        { "poolMs", mStandingWaits.sumMs(RoomReading::ePool) },
+        { "twoWorkersWithShortMs", mStandingWaits.sumMs(RoomReading::eTwoWorkersWithShort) } });
+  }
   for (const PoolLoad& load :
        summarizePools(aWorkers, mContext.mState.jobs(), mContext.mWallClockMs())) {
     logInfo("pool load",
@@ -1015,6 +1086,17 @@
   mEvacuation.setGauges(aMetrics);
   set("control_slow_runs_restarted", mRestartCount);
   set("control_limited_workers", mLimitedWorkers.size());
+  set("control_standing_tasks_overdue", mStandingWaits.overdueTasks());
+  for (std::size_t reading = 0; reading < kRoomReadings; reading++) {
+    for (std::size_t cause = 0; cause < kStandingWaitCauses; cause++) {
+      const std::int64_t waitedMs = mStandingWaits.sumMs(static_cast<RoomReading>(reading),
+                                                         static_cast<StandingWaitCause>(cause));
+      aMetrics.set("control_standing_wait_seconds",
+                   std::string("room=\"") + toText(static_cast<RoomReading>(reading)) +
+                     "\",cause=\"" + toText(static_cast<StandingWaitCause>(cause)) + "\"",
+                   static_cast<double>(waitedMs) / kMsPerSecond);
+    }
+  }
   set("control_learned_image_pairs", mGuard.model().size());
   std::size_t overObjective = 0;
   std::size_t paced = 0;
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -81,6 +81,12 @@
   void learnEnd(const TrackedRun& aRun, std::int64_t aClockMs);
   void addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const;
   void restart(const std::vector<RestartDecision>& aRestarts);
+  /** Measures and logs the waits of long-running tasks after a round. aBefore is the state of the
+   * workers before it. */
+  void observeStandingWaits(const std::vector<WorkerCandidate>& aBefore, const SchedulePlan& aPlan);
+  /** Tasks with an active long-running run that no list of its worker shows. */
+  std::set<std::string> unlistedStandingTasks() const;
+  void logStandingWaits(const StandingWaitMeter::Changes& aChanges);
   /** Logs why tasks wait and what takes the capacity of the pools. */
   void logWaitReasons(const std::vector<WaitReason>& aReasons,
                       const std::vector<WorkerCandidate>& aWorkers);
@@ -107,6 +113,7 @@
   std::size_t mRestartCount = 0;
   /** Ids of the workers that get single runs because they fail them. */
   std::set<std::string> mLimitedWorkers;
+  StandingWaitMeter mStandingWaits;
   LearnedFiguresKeeper mLearnedFigures;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -104,13 +104,6 @@
   return isPermitted(aWorker, aReady.job->queue().poolName(), aReady.description(), aStepName);
 }
 
-/** Whether a worker that fails its runs has as many as it may have. */
-bool
-isLimited(const WorkerCandidate& aWorker)
-{
-  return aWorker.maxRuns != WorkerReliability::kNoLimit && aWorker.endingRuns >= aWorker.maxRuns;
-}
-
 /** isPermitted(), and the worker is neither reserved for the trial of another task nor limited. */
 bool
 isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -81,6 +81,12 @@
          runs->second < aStep.maxPerWorker();
 }
 
+bool
+isLimited(const WorkerCandidate& aWorker)
+{
+  return aWorker.maxRuns != WorkerReliability::kNoLimit && aWorker.endingRuns >= aWorker.maxRuns;
+}
+
 bool
 fits(const WorkerCandidate& aWorker, const JobStep& aStep)
 {
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -126,6 +126,10 @@
             const JobStep& aStep,
             const std::string& aStepName);
 
+/** Whether a worker that fails its runs has as many as it may have. */
+bool
+isLimited(const WorkerCandidate& aWorker);
+
 /** Whether the declared size of a task of the step fits in the free capacity. */
 bool
 fits(const WorkerCandidate& aWorker, const JobStep& aStep);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -19,6 +19,7 @@
 #include "jobs/PoolLoad.h"
 #include "jobs/ProgressMeter.h"
 #include "jobs/RunTimeModel.h"
+#include "jobs/StandingWaitMeter.h"
 #include "jobs/StragglerPlanner.h"
 #include "jobs/TaskId.h"
 #include "jobs/TrialPlanner.h"
