Failing tests: standing tasks wait in a pool that has too little room for all

On the current code a standing task that never ran is passed over for short tasks although a worker has room for it, and none of three standing tasks that fit gets a run within 6 s while short tasks keep arriving.

--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -275,4 +275,43 @@
   BOOST_TEST(plan.assignments.front().start.task() == "s.0.0.1");
 }
 
+// Guards against a standing task that never ran and waits beside free room, because short tasks wait
+// for more than the pool has.
+BOOST_AUTO_TEST_CASE(standing_task_that_never_ran_takes_free_room_before_short_tasks)
+{
+  JobRegistry jobs = registryWithQueues();
+  for (int job = 0; job < 8; job++) {
+    jobs.apply(submitOf("urgent", jobOf("short" + std::to_string(job), { stepOf(2, 500, 10) })));
+  }
+  JobStep::Fields standing = stepOf(1, 2000, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("standing", { standing })));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 2000, 1000), workerOf("w2", 2000, 1000) };
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(!plan.assignments.empty());
+  BOOST_TEST(plan.assignments.front().start.task() == "standing.0.0.0");
+}
+
+// Guards against standing tasks that wait as long as a crowd of short tasks lasts, because no room
+// is kept together in a pool that has too little for all.
+BOOST_AUTO_TEST_CASE(standing_tasks_get_room_one_after_the_other_in_a_pool_with_too_little)
+{
+  BusyPool pool(3, 64000);
+  pool.submitStanding("s", 9, 13000);
+  const auto play = [&pool](std::int64_t aMs) {
+    for (std::int64_t ms = 0; ms < aMs; ms += BusyPool::kStepMs) {
+      pool.submitShort(11, 1500, "urgent");
+      pool.step();
+    }
+  };
+  play(5000);
+  // Three of them fit beside the others.
+  pool.submitStanding("t", 9, 13000);
+  play(2 * kRestartedWithinMs);
+  BOOST_TEST(pool.runningTasks("t") == 3);
+  pool.fail("s.0.0.5");
+  BOOST_TEST(msUntilRunning(pool, "s.0.0.5", "urgent") <= kRestartedWithinMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
