Standing tasks take free room first and get awaited room one piece at a time

Callers saw standing tasks that did not run for tens of seconds while short tasks kept starting (LOST). In a pool with less room than its tasks take and wait for, which is every pool in a crowd, a standing task that never ran was placed after all short tasks, and no room was kept together for one that had run.

Standing tasks now go first in their priority in every pool, restarted ones before those that never ran. In such a pool the room of running short tasks is awaited on one worker in 24 at a time, so a bounded part of the room is idle.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -17,6 +17,14 @@
 
 namespace {
 
+/** The tasks of a step that are placed together. */
+enum class TaskSelection
+{
+  eRestarts,  /**< Those that have had a run. */
+  eFirstRuns, /**< Those that have not. */
+  eAll
+};
+
 /** A step that may start now and has open tasks. */
 struct ReadyStep
 {
@@ -29,30 +37,35 @@
   double order = 0;
   /** The objective of its job has not passed. */
   bool isWithinObjective = true;
+  TaskSelection selection = TaskSelection::eAll;
 
   const JobStep& description() const { return job->steps()[static_cast<std::size_t>(step)]; }
 
-  bool isLateShortStep() const
+  /** Whether a task of the step is selected and neither done nor active. */
+  bool isWaiting(const JobTaskRecord::Fields& aRecord) const
   {
-    return !description().longRunning() && outlook != JobOutlook::eOnTime;
+    const bool isSelected = selection == TaskSelection::eAll ||
+                            (selection == TaskSelection::eFirstRuns) == (aRecord.run == 0);
+    return isSelected && !aRecord.done && !aRecord.active;
   }
 
-  /** Number of tasks that are neither done nor active. */
+  /** Number of tasks for which isWaiting() holds. */
   std::int64_t waitingTasks() const
   {
     std::int64_t waiting = 0;
     TaskId task{ job->jobId(), occurrence, step, 0 };
     for (task.index = 0; task.index < description().count(); task.index++) {
-      const JobTaskRecord::Fields* record = job->find(task);
-      waiting += record->done || record->active ? 0 : 1;
+      waiting += isWaiting(*job->find(task)) ? 1 : 0;
     }
     return waiting;
   }
 
   auto sortKey() const
   {
-    // A long-running task has no deadline that it could miss: it serves from its start on.
-    return std::tuple(priority, !description().longRunning(), outlook, order, job->jobId(), step);
+    // A long-running task has no deadline that it could miss: it serves from its start on. One that
+    // has served before is missed by its users.
+    return std::tuple(
+      priority, !description().longRunning(), selection, outlook, order, job->jobId(), step);
   }
 };
 
@@ -64,15 +77,22 @@
     for (std::int64_t step = 0; step < std::ssize(due.job->steps()); step++) {
       if (due.job->openTasks(due.occurrence, step) > 0 &&
           due.job->isStepReady(due.occurrence, step)) {
-        const bool isLongRunning = due.job->steps()[static_cast<std::size_t>(step)].longRunning();
-        ready.push_back(
-          { .job = due.job,
-            .occurrence = due.occurrence,
-            .step = step,
-            .priority = due.job->queue().priority(),
-            .outlook = isLongRunning ? JobOutlook::eOnTime : due.outlook,
-            .order = isLongRunning ? static_cast<double>(due.job->acceptedAtMs()) : due.order(),
-            .isWithinObjective = aWallMs <= due.demand.objectiveEndMs });
+        const JobStep& description = due.job->steps()[static_cast<std::size_t>(step)];
+        const bool isLongRunning = description.longRunning();
+        ReadyStep entry{ .job = due.job,
+                         .occurrence = due.occurrence,
+                         .step = step,
+                         .priority = due.job->queue().priority(),
+                         .outlook = isLongRunning ? JobOutlook::eOnTime : due.outlook,
+                         .order = isLongRunning ? static_cast<double>(due.job->acceptedAtMs())
+                                                : due.order(),
+                         .isWithinObjective = aWallMs <= due.demand.objectiveEndMs };
+        if (isLongRunning && !description.gang()) {
+          entry.selection = TaskSelection::eRestarts;
+          ready.push_back(entry);
+          entry.selection = TaskSelection::eFirstRuns;
+        }
+        ready.push_back(entry);
       }
     }
   }
@@ -160,6 +180,7 @@
     }
     for (const WorkerCandidate& worker : mWorkers) {
       mUncommittedCpuMilli[worker.poolName] += worker.capacity.cpuMilli - worker.used.cpuMilli;
+      mPoolWorkers[worker.poolName]++;
     }
     for (WorkerCandidate& worker : mWorkers) {
       worker.interference = mForecast.loadOf(worker.serving, worker.unobservedShares);
@@ -183,24 +204,15 @@
       if (record->active && !record->done) {
         keepRoomForStraggler(aReady, task, name);
       }
-      if (record->done || record->active || CrashAttribution::needsTrial(*record)) {
+      if (!aReady.isWaiting(*record) || CrashAttribution::needsTrial(*record)) {
         continue;
       }
       if (isFull()) {
         return;
       }
-      const bool isPutOff = step.longRunning() && !mIsPlacingDeferred && isOvercommitted(aReady);
-      if (isPutOff && record->run == 0) {
-        putOff(aReady);
-        continue;
-      }
       if (assign(aReady, task, name, mWorkers, {})) {
         continue;
       }
-      if (isPutOff) {
-        putOff(aReady);
-        return;
-      }
       if (step.opportunistic() && isStarved(aReady) &&
           assignDespiteInterference(aReady, task, name)) {
         return;
@@ -212,32 +224,6 @@
     }
   }
 
-  /** Puts a step off until placeDeferred(). */
-  void putOff(const ReadyStep& aReady)
-  {
-    if (mDeferred.empty() || mDeferred.back() != &aReady) {
-      mDeferred.push_back(&aReady);
-    }
-  }
-
-  /** Assigns the long-running tasks that place() has put off because their pool has too little
-   * capacity for them and the short tasks. */
-  void placeDeferred()
-  {
-    mIsPlacingDeferred = true;
-    for (const ReadyStep* ready : std::exchange(mDeferred, {})) {
-      place(*ready);
-    }
-    mIsPlacingDeferred = false;
-  }
-
-  /** Whether long-running tasks are put off that go before aNext. */
-  bool hasDeferredBefore(const ReadyStep& aNext) const
-  {
-    return !mDeferred.empty() &&
-           (mDeferred.front()->priority < aNext.priority || aNext.isLateShortStep());
-  }
-
   /** Assigns the tasks that may have crashed a worker, each where another crash would show it. */
   void placeTrials(const std::vector<ReadyStep>& aReadySteps)
   {
@@ -304,7 +290,7 @@
     TaskId task = firstTask(aReady);
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
-      if (!record->done && !record->active && CrashAttribution::needsTrial(*record)) {
+      if (aReady.isWaiting(*record) && CrashAttribution::needsTrial(*record)) {
         tasks.push_back(
           { task, aReady.job->queue().poolName(), record->crashes, record->crashPlace });
       }
@@ -445,6 +431,22 @@
     return mUncommittedCpuMilli.at(aReady.job->queue().poolName()) < 0;
   }
 
+  /** Whether capacity of running tasks may be awaited for a task of the step. */
+  bool mayAwaitCapacity(const ReadyStep& aReady) const
+  {
+    if (!aReady.description().longRunning()) {
+      return false;
+    }
+    const std::string& pool = aReady.job->queue().poolName();
+    const auto awaited = mAwaitedPieces.find(pool);
+    const auto workers = mPoolWorkers.find(pool);
+    const std::size_t limit =
+      workers == mPoolWorkers.end()
+        ? 0
+        : std::max<std::size_t>(1, workers->second / JobScheduler::kWorkersPerAwaitedPiece);
+    return !isOvercommitted(aReady) || awaited == mAwaitedPieces.end() || awaited->second < limit;
+  }
+
   /** Takes the capacity for a run of the step. */
   void occupy(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask)
   {
@@ -544,7 +546,8 @@
       if (!isEligible(worker, aReady, aStepName) || !size.fitsIn(worker.capacity)) {
         continue;
       }
-      std::optional<RoomPlan> plan = planRoom(worker, step, aReady.priority);
+      std::optional<RoomPlan> plan =
+        planRoom(worker, step, aReady.priority, mayAwaitCapacity(aReady));
       if (plan && (!bestPlan || plan->rank() < bestPlan->rank())) {
         best = &worker;
         bestPlan = std::move(plan);
@@ -553,6 +556,9 @@
     if (!bestPlan) {
       return false;
     }
+    if (bestPlan->awaitedCpuMilli > 0) {
+      mAwaitedPieces[aReady.job->queue().poolName()]++;
+    }
     evict(*best, bestPlan->victims);
     occupy(*best, step, aTask);
     return true;
@@ -573,15 +579,17 @@
     std::tuple<std::int64_t, double> rank() const { return { awaitedCpuMilli, lostWork }; }
   };
 
-  /** Plans room for a task on a worker; empty if the worker cannot get enough. */
+  /** Plans room for a task on a worker; empty if the worker cannot get enough. With aMayAwait also
+   * room of runs that end by themselves. */
   std::optional<RoomPlan> planRoom(const WorkerCandidate& aWorker,
                                    const JobStep& aStep,
-                                   std::int64_t aPriority) const
+                                   std::int64_t aPriority,
+                                   bool aMayAwait) const
   {
     const ResourceAmount size = requiredResources(aStep);
     const ResourceAmount free = aWorker.capacity.minus(aWorker.used).plus(aWorker.releasing);
     std::optional<RoomPlan> plan = findVictims(aWorker, size, free, aPriority);
-    if (plan || !aStep.longRunning() || mIsPlacingDeferred) {
+    if (plan || !aMayAwait) {
       return plan;
     }
     // Short runs would otherwise take the room of a long-running task piece by piece, again and
@@ -688,10 +696,9 @@
   std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
   /** Processor time that no task takes or waits for, by pool, in thousandths of a core. */
   std::map<std::string, std::int64_t> mUncommittedCpuMilli;
-  /** Long-running steps with tasks that are put off until the short tasks that can be on time are
-   * placed. */
-  std::vector<const ReadyStep*> mDeferred;
-  bool mIsPlacingDeferred = false;
+  /** Number of workers, and of pieces of capacity that are awaited, by pool. */
+  std::map<std::string, std::size_t> mPoolWorkers;
+  std::map<std::string, std::size_t> mAwaitedPieces;
   /** Number of stragglers that are being stopped. */
   std::size_t mRestarting = 0;
   SchedulePlan mPlan;
@@ -714,12 +721,8 @@
     if (round.isFull()) {
       break;
     }
-    if (round.hasDeferredBefore(ready)) {
-      round.placeDeferred();
-    }
     round.place(ready);
   }
-  round.placeDeferred();
   round.placeTrialsOnIdleWorkers();
   return round.takePlan();
 }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -71,20 +71,19 @@
  * Decides which waiting tasks start now and on which workers. Uses no clock and no sockets; the
  * same input gives the same assignments.
  *
- * Steps are scheduled by the priority of their queue. Within a priority long-running steps go
- * first, in the order of their acceptance; the others follow by the outlook of their job (see
- * JobSelector), then by the deadline that this outlook refers to. In a pool with less capacity than
- * its tasks take and wait for, long-running tasks that fit nowhere or never ran come after the
- * short tasks that can be on time. A task is only assigned to a worker with enough free capacity
- * for what it requires. For a task that fits nowhere, runs of queues with a lower priority are
- * stopped, the cheapest first, and the capacity is reserved for it; for a long-running task also
- * the capacity of short runs that end by themselves. A straggler is stopped when another worker has
- * room for its next run, which is then kept free; overdue jobs are not worth it. Tasks that serve
- * users are packed on few workers, preferably with tasks of the same image, which leaves workers on
- * which opportunistic tasks interfere with nobody. While its pool is mostly free, a job without
- * active runs gets one task of an opportunistic step placed even where it may interfere, so that
- * every job makes progress. Tasks that may have crashed a worker go first, see TrialPlanner; gangs
- * are not tried.
+ * Steps are scheduled by the priority of their queue. Within a priority long-running tasks go
+ * first, those that have had a run before the others, in the order of their acceptance; the others
+ * follow by the outlook of their job (see JobSelector), then by the deadline that this outlook
+ * refers to. A task is only assigned to a worker with enough free capacity for what it requires.
+ * For a task that fits nowhere, runs of queues with a lower priority are stopped, the cheapest
+ * first, and the capacity is reserved for it; for a long-running task also the capacity of short
+ * runs that end by themselves, in a pool with less capacity than its tasks take and wait for only
+ * on a few workers at a time. A straggler is stopped when another worker has room for its next run,
+ * which is then kept free; overdue jobs are not worth it. Tasks that serve users are packed on few
+ * workers, preferably with tasks of the same image, which leaves workers on which opportunistic
+ * tasks interfere with nobody. While its pool is mostly free, a job without active runs gets one
+ * task of an opportunistic step placed even where it may interfere, so that every job makes
+ * progress. Tasks that may have crashed a worker go first, see TrialPlanner; gangs are not tried.
  */
 class JobScheduler
 {
@@ -104,6 +103,10 @@
   static constexpr std::size_t kMaxRestarts = 24;
   /** Maximum number of runs that a round stops. */
   static constexpr std::size_t kMaxEvictions = 40;
+  /** The reciprocal of the share of a pool's workers on which capacity is awaited at the same time,
+   * if the pool has too little for all. Awaited capacity is idle until the last run that has to
+   * end. */
+  static constexpr std::size_t kWorkersPerAwaitedPiece = 24;
   /** Maximum number of wait reasons in a plan. */
   static constexpr std::size_t kMaxWaitReasons = 5;
   /** Maximum number of assignments of a round; the remaining tasks follow in the next round. */
