Tests of awaited room: few workers at a time, a lost worker that has runs; the wait of a refused start goes on

No test guarded the bound on awaited room. StandingWaitMeter ended a wait with the assignment, so a task that its worker refuses again and again was never counted; the wait now ends when a list shows the run. jobs_test passes.

--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -25,11 +25,15 @@
     }
   }
 
-  void submitStanding(const std::string& aJobId, std::int64_t aCount, std::int64_t aCpuMilli)
+  /** Tasks with a latency objective are packed on few workers, others are spread. */
+  void submitStanding(const std::string& aJobId,
+                      std::int64_t aCount,
+                      std::int64_t aCpuMilli,
+                      std::int64_t aLatencyObjectiveMs = 150)
   {
     JobStep::Fields step = stepOf(aCount, aCpuMilli, 1000);
     step.longRunning = true;
-    step.latencyObjectiveMs = 150;
+    step.latencyObjectiveMs = aLatencyObjectiveMs;
     step.image = aJobId;
     mJobs.apply(submitOf("urgent", jobOf(aJobId, { step }), mNowMs));
   }
@@ -223,7 +227,7 @@
 BOOST_AUTO_TEST_CASE(standing_tasks_of_a_lost_worker_run_again_where_room_is_left_in_pieces)
 {
   BusyPool pool(4, 64000);
-  pool.submitStanding("s", 12, 13000);
+  pool.submitStanding("s", 12, 13000, 0);
   const auto play = [&pool](std::int64_t aSteps) {
     for (std::int64_t step = 0; step < aSteps; step++) {
       pool.submitShort(2, 1500, "urgent");
@@ -233,6 +237,7 @@
   play(50);
   BOOST_TEST(pool.runningTasks("s") == 12);
   pool.loseWorker();
+  BOOST_TEST(pool.runningTasks("s") == 9);
   play(kRestartedWithinMs / BusyPool::kStepMs);
   BOOST_TEST(pool.runningTasks("s") == 12);
 }
@@ -324,4 +329,27 @@
   BOOST_TEST(msUntilRunning(pool, "s.0.0.5", "urgent") <= kRestartedWithinMs);
 }
 
+// Guards against waiting standing tasks that keep short tasks from the whole pool at once.
+BOOST_AUTO_TEST_CASE(room_is_awaited_on_a_few_workers_at_a_time)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", jobOf("running", { stepOf(48, 62500, 10) })));
+  jobs.apply(submitOf("urgent", jobOf("short", { stepOf(48, 1500, 10) })));
+  JobStep::Fields standing = stepOf(10, 13000, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("standing", { standing })));
+  std::vector<WorkerCandidate> workers;
+  for (std::int64_t index = 0; index < 48; index++) {
+    const TaskId task{ "running", 0, 0, index };
+    const std::string worker = "w" + std::to_string(index);
+    jobs.apply(startOf(task.text(), 1, worker));
+    workers.push_back(workerOf(worker, 64000, 250000));
+    addRun(workers.back(), jobs.find("running")->steps()[0], task);
+    workers.back().evictable.push_back({ task, 1, 0, { 62500, 10, 0 }, 0 });
+  }
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_TEST(plan.assignments.size() == 46u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/StandingWaitMeter.cpp
+++ b/src/jobs/StandingWaitMeter.cpp
@@ -160,14 +160,15 @@
         return;
       }
       const std::string name = aTask.text();
-      if (assigned.contains(name) || (aRecord.active && !aUnlisted.contains(name))) {
+      if (aRecord.active && !aUnlisted.contains(name)) {
         return;
       }
       const auto known = mWaits.find(name);
       Wait wait = known != mWaits.end() ? known->second : Wait{ .since = aNow, .state = { aTask } };
       const bool wasOverdue = wait.state.waitedMs > kToleratedMs;
       wait.state.waitedMs = aNow.msSince(wait.since);
-      if (wait.state.waitedMs > kToleratedMs) {
+      // The wait of an assigned task goes on until a list shows the run: its worker may refuse it.
+      if (wait.state.waitedMs > kToleratedMs && !assigned.contains(name)) {
         const std::string& pool = aJob.queue().poolName();
         const std::string nameOfStep = stepName(aTask);
         wait.state.cpuMilli = requiredResources(step).cpuMilli;
@@ -180,9 +181,9 @@
             mSumsMs[reading][static_cast<std::size_t>(wait.state.cause)] += elapsedMs;
           }
         }
-        if (!wasOverdue) {
-          changes.begun.push_back(wait.state);
-        }
+      }
+      if (wait.state.waitedMs > kToleratedMs && !wasOverdue) {
+        changes.begun.push_back(wait.state);
       }
       waits.emplace(name, std::move(wait));
     };
--- a/src/jobs/StandingWaitMeter_test.cpp
+++ b/src/jobs/StandingWaitMeter_test.cpp
@@ -53,7 +53,7 @@
 // cause.
 BOOST_AUTO_TEST_CASE(time_beyond_an_ordinary_restart_is_counted_by_cause)
 {
-  const JobRegistry jobs = registryWithStandingTask();
+  JobRegistry jobs = registryWithStandingTask();
   WorkerCandidate limited = workerOf("w1", 4000, 1000);
   limited.maxRuns = 0;
   StandingWaitMeter meter;
@@ -71,11 +71,14 @@
   plan.assignments.push_back(
     { valueOf(RunStart::create({ .task = "s.0.0.0", .run = 1, .worker = "w1", .bornMs = 1 })),
       { "s", 0, 0, 0 } });
-  const StandingWaitMeter::Changes changes =
-    meter.observe(jobs, { limited }, plan, {}, MonotonicTime::fromMs(8000));
+  BOOST_TEST(meter.observe(jobs, { limited }, plan, {}, MonotonicTime::fromMs(8000)).ended.empty());
+  BOOST_TEST(meter.overdueTasks() == 1u);
+  jobs.apply(startOf("s.0.0.0", 1));
+  const StandingWaitMeter::Changes changes = observe(8100);
   BOOST_REQUIRE(changes.ended.size() == 1u);
-  BOOST_TEST(changes.ended.front().waitedMs == 6500);
+  BOOST_TEST(changes.ended.front().waitedMs == 7000);
   BOOST_TEST(meter.overdueTasks() == 0u);
+  BOOST_TEST(meter.sumMs(RoomReading::eOneWorker) == 500);
 }
 
 // Guards against a run that only the leader believes in and that hides the wait of its task.
