--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -180,7 +180,6 @@
     }
     for (const WorkerCandidate& worker : mWorkers) {
       mUncommittedCpuMilli[worker.poolName] += worker.capacity.cpuMilli - worker.used.cpuMilli;
-      mPoolWorkers[worker.poolName]++;
     }
     for (WorkerCandidate& worker : mWorkers) {
       worker.interference = mForecast.loadOf(worker.serving, worker.unobservedShares);
@@ -437,14 +436,9 @@
     if (!aReady.description().longRunning()) {
       return false;
     }
-    const std::string& pool = aReady.job->queue().poolName();
-    const auto awaited = mAwaitedPieces.find(pool);
-    const auto workers = mPoolWorkers.find(pool);
-    const std::size_t limit =
-      workers == mPoolWorkers.end()
-        ? 0
-        : std::max<std::size_t>(1, workers->second / JobScheduler::kWorkersPerAwaitedPiece);
-    return !isOvercommitted(aReady) || awaited == mAwaitedPieces.end() || awaited->second < limit;
+    const auto awaited = mAwaitedPieces.find(aReady.job->queue().poolName());
+    return !isOvercommitted(aReady) || awaited == mAwaitedPieces.end() ||
+           awaited->second < JobScheduler::kMaxAwaitedPieces;
   }
 
   /** Takes the capacity for a run of the step. */
@@ -696,8 +690,7 @@
   std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
   /** Processor time that no task takes or waits for, by pool, in thousandths of a core. */
   std::map<std::string, std::int64_t> mUncommittedCpuMilli;
-  /** Number of workers, and of pieces of capacity that are awaited, by pool. */
-  std::map<std::string, std::size_t> mPoolWorkers;
+  /** Number of tasks for which capacity is awaited, by pool. */
   std::map<std::string, std::size_t> mAwaitedPieces;
   /** Number of stragglers that are being stopped. */
   std::size_t mRestarting = 0;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -78,7 +78,7 @@
  * For a task that fits nowhere, runs of queues with a lower priority are stopped, the cheapest
  * first, and the capacity is reserved for it; for a long-running task also the capacity of short
  * runs that end by themselves, in a pool with less capacity than its tasks take and wait for only
- * on a few workers at a time. A straggler is stopped when another worker has room for its next run,
+ * for one task at a time. A straggler is stopped when another worker has room for its next run,
  * which is then kept free; overdue jobs are not worth it. Tasks that serve users are packed on few
  * workers, preferably with tasks of the same image, which leaves workers on which opportunistic
  * tasks interfere with nobody. While its pool is mostly free, a job without active runs gets one
@@ -103,10 +103,10 @@
   static constexpr std::size_t kMaxRestarts = 24;
   /** Maximum number of runs that a round stops. */
   static constexpr std::size_t kMaxEvictions = 40;
-  /** The reciprocal of the share of a pool's workers on which capacity is awaited at the same time,
-   * if the pool has too little for all. Awaited capacity is idle until the last run that has to
-   * end. */
-  static constexpr std::size_t kWorkersPerAwaitedPiece = 24;
+  /** Maximum number of tasks of a pool for which the capacity of running tasks is awaited at the
+   * same time, if the pool has too little for all. Awaited capacity is idle until enough has ended.
+   */
+  static constexpr std::size_t kMaxAwaitedPieces = 1;
   /** Maximum number of wait reasons in a plan. */
   static constexpr std::size_t kMaxWaitReasons = 5;
   /** Maximum number of assignments of a round; the remaining tasks follow in the next round. */
