A run with a reported end gets no start order

Cause: after a change of leader, the first lists of a worker name runs as ended that the new leader has not seen at work. It proposed their ends and ordered their start with the same message. The worker's memory of ended runs alone kept such a start, which may wait in the relay until the end is committed and acknowledged, from a second run that the leader does not count (TWICE and LIMIT).

Change: RunTracker orders no start for a run whose end is proposed. The model can play workers that forget a run once its end is acknowledged; the platform states that workers do not, but no order should depend on it.

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -459,6 +459,29 @@
   BOOST_TEST(starts.front().run() == 1);
 }
 
+// Guards against a start that reaches the worker after the acknowledgement of the run's end: only
+// the worker's memory of the run then keeps it from a second start.
+BOOST_FIXTURE_TEST_CASE(new_leader_orders_no_start_of_a_run_that_is_listed_as_ended,
+                        JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  submit("s1", jobOf("j", { stepOf(2, 1000, 10) }));
+  mLog.setLeader(false, mNow);
+  mLog.setLeader(true, mNow);
+  open(kRelay, admitRelay("relay-1"));
+  const auto orders = report(kRelay, worker("w1"));
+  const auto next = report(kRelay,
+                           worker("w1"),
+                           { .listFence = orders.back().fence(),
+                             .clockMs = kWorkerClockMs + 500,
+                             .running = { running("j.0.0.1", 1) },
+                             .ended = { ended(1, "j.0.0.0", 1, RunEnd::eDone) } });
+  for (const WorkerOrders& order : next) {
+    BOOST_TEST(order.starts().empty());
+  }
+  BOOST_TEST(next.back().ackedEnds() == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(unknown_jobs_and_queues_are_reported, JobServiceFixture)
 {
   deliver(kCaller,
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -233,7 +233,10 @@
       }
       continue;
     }
-    if (canStart && !run.isConfirmed && !run.closedAtClockMs && isDue(run.startSentAt, aNow)) {
+    // A run with a proposed end has ended or never starts. Its start could reach the worker after
+    // the acknowledgement of the end.
+    const bool mayStart = !run.isConfirmed && !run.closedAtClockMs && !run.endProposed;
+    if (canStart && mayStart && isDue(run.startSentAt, aNow)) {
       run.startSentAt = aNow;
       const JobTaskRecord::Fields* record = run.job->find(run.task);
       aOrders.starts.push_back(buildValue<StartOrder>({ .task = name,
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -74,8 +74,9 @@
 
 } // namespace
 
-FleetModel::FleetModel(std::size_t aWorkers, const ResourceAmount& aCapacity)
+FleetModel::FleetModel(std::size_t aWorkers, const ResourceAmount& aCapacity, bool aWorkersForget)
   : mCapacity(aCapacity)
+  , mWorkersForget(aWorkersForget)
 {
   deliver(kCaller,
           buildValue<QueueCatalogueSubmit>(
@@ -145,6 +146,7 @@
     const auto deadly = mDeadlyTasks.find(aTask);
     return deadly == mDeadlyTasks.end() ? -1 : deadly->second;
   };
+  context.forgetsAcknowledgedEnds = mWorkersForget;
   mIncarnations++;
   slot.worker = std::make_shared<ModelWorker>(
     std::move(context), "w" + std::to_string(mIncarnations), mCapacity);
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -28,7 +28,8 @@
   static constexpr std::int64_t kRestartMs = 3000;
   static constexpr std::int64_t kStepMs = 10;
 
-  FleetModel(std::size_t aWorkers, const ResourceAmount& aCapacity);
+  /** With aWorkersForget, ModelWorkerContext::forgetsAcknowledgedEnds holds for all workers. */
+  FleetModel(std::size_t aWorkers, const ResourceAmount& aCapacity, bool aWorkersForget = false);
   ~FleetModel();
 
   FleetModel(const FleetModel&) = delete;
@@ -94,6 +95,7 @@
   void runLater(std::int64_t aMs, std::function<void()> aFunction);
 
   ResourceAmount mCapacity;
+  bool mWorkersForget;
   std::vector<Slot> mSlots;
   std::int64_t mIncarnations = 0;
   std::multimap<std::int64_t, std::function<void()>> mTimers;
--- a/src/fleetmodel/ModelWorker.cpp
+++ b/src/fleetmodel/ModelWorker.cpp
@@ -208,8 +208,13 @@
   if (aRequest.fence >= mFence) {
     mFence = aRequest.fence;
     mLeaseUntilMs = std::max(mLeaseUntilMs, aRequest.leaseUntilMs);
-    std::erase_if(
-      mEnds, [&aRequest](const ListedEnd& aEnd) { return aEnd.number() <= aRequest.ackedEnds; });
+    std::erase_if(mEnds, [this, &aRequest](const ListedEnd& aEnd) {
+      const bool isAcknowledged = aEnd.number() <= aRequest.ackedEnds;
+      if (isAcknowledged && mContext.forgetsAcknowledgedEnds) {
+        mClosedRuns.erase(aEnd.task());
+      }
+      return isAcknowledged;
+    });
   }
   const std::int64_t call = mCallCount++;
   mPendingCalls[call] = [fail]() { fail(ErrorCode::eUnavailable); };
--- a/src/fleetmodel/ModelWorker.h
+++ b/src/fleetmodel/ModelWorker.h
@@ -29,6 +29,9 @@
   /** Whether the worker crashes after it has begun a run of the task, and after which time in ms.
    * Negative for no crash. */
   std::function<std::int64_t(const std::string& aTask)> crashDelayMs;
+  /** Whether the worker takes a run again whose end was acknowledged. The platform states that it
+   * does not; orders should not depend on it. */
+  bool forgetsAcknowledgedEnds = false;
 };
 
 /**
