A standing run that works proves its worker, and a limited worker takes one

A limited worker was closed to standing tasks while it had a short run, took any number of them while it had none, and could not be proven by one, because a standing run never ends well.

A standing run that this leader has started after the last failure and that the lists have shown for 3 s counts as a success, once. Until then it is the single run of a limited worker; the short runs there no longer keep a standing task out.

Before the change: a_worker_that_fails_its_runs_gets_one_standing_task failed with 5 assignments in place of 1, a_limited_worker_with_a_short_run_takes_a_standing_task with 0 in place of 1, and a_standing_run_that_works_ends_the_limit_of_its_worker with 1 run in place of 3.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -375,6 +375,7 @@
   std::vector<ListedRun> unassigned;
   std::vector<RunEnding> neverRan = mRuns.applyLists(aKey, aReport, mContext.mNow(), unassigned);
   learnProgress(aKey);
+  recordStandingRuns(aKey);
   for (const ListedRun& running : aReport.running()) {
     if (const std::optional<TaskId> task = TaskId::parse(running.task())) {
       mStartedJobs.insert(task->jobId);
@@ -523,6 +524,21 @@
   }
 }
 
+void
+JobService::recordStandingRuns(const IncarnationKey& aKey)
+{
+  const MonotonicTime now = mContext.mNow();
+  for (const std::string& name : mRuns.tasksOn(aKey)) {
+    TrackedRun& run = mRuns.runs().at(name);
+    // What an earlier leader has started says nothing of the runs that the worker starts now.
+    if (run.startSentAt && !run.job->isFinished() && run.step().longRunning() &&
+        run.listedMs >= WorkerReliability::kStandingSuccessMs &&
+        !std::exchange(run.isCountedAsSuccess, true)) {
+      mReliability.recordStandingRun(aKey.worker, now.plusMs(-run.listedMs), now);
+    }
+  }
+}
+
 void
 JobService::learnEnd(const TrackedRun& aRun, std::int64_t aClockMs)
 {
@@ -784,6 +800,9 @@
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
+      if (run.step().longRunning() && run.listedMs >= WorkerReliability::kStandingSuccessMs) {
+        candidate.youngStandingRuns--;
+      }
       if (!run.isConfirmed || run.missingSince) {
         candidate.unlistedCpuMilli += requiredResources(run.step()).cpuMilli;
       }
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -78,6 +78,8 @@
   void evict(const std::vector<EvictableRun>& aRuns);
   void limitUnreliableWorkers(std::vector<WorkerCandidate>& aCandidates);
   void learnProgress(const IncarnationKey& aKey);
+  /** Counts the standing runs of a worker that have worked for long enough as successes. */
+  void recordStandingRuns(const IncarnationKey& aKey);
   void learnEnd(const TrackedRun& aRun, std::int64_t aClockMs);
   void addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const;
   void restart(const std::vector<RestartDecision>& aRestarts);
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -3,6 +3,9 @@
 #include "jobs/JobsFixture.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+#include <utility>
 
 using namespace magnoliadrum;
 using namespace magnoliadrum::fixture;
@@ -120,6 +123,89 @@
   std::int64_t mFence = 0;
 };
 
+/** A pool of three workers of which only w1 has room for a task. It starts what it is told to start
+ * and either fails or keeps its runs. */
+struct PoolFixture : JobServiceFixture
+{
+  static constexpr std::int64_t kStepMs = 100;
+
+  PoolFixture()
+  {
+    for (const WorkerDescription& description : workers()) {
+      registerWorker(kRelay, description);
+      mFences[description.workerId()] = mFence;
+    }
+  }
+
+  static std::vector<WorkerDescription> workers()
+  {
+    std::vector<WorkerDescription> workers = { worker("w1") };
+    for (const char* name : { "w2", "w3" }) {
+      WorkerDescription::Fields fields = worker(name).fields();
+      fields.capacity = buildValue<Resources>({ .cpuMilli = 10, .memoryMb = 10000 });
+      workers.push_back(buildValue<WorkerDescription>(std::move(fields)));
+    }
+    return workers;
+  }
+
+  void play(std::int64_t aMs)
+  {
+    for (std::int64_t elapsedMs = 0; elapsedMs < aMs; elapsedMs += kStepMs) {
+      waitWithHeartbeats(kStepMs);
+      mClockMs += kStepMs;
+      takeStartedRuns(takeMessages<WorkerOrders>(kRelay));
+      for (const WorkerDescription& description : workers()) {
+        WorkerReport::Fields lists{ .listFence = mFences[description.workerId()],
+                                    .clockMs = mClockMs };
+        if (description.workerId() == "w1") {
+          lists.ended = mEnds;
+          for (const auto& [task, run] : mRuns) {
+            lists.running.push_back(running(task, run));
+          }
+        }
+        takeStartedRuns(report(kRelay, description, std::move(lists)));
+      }
+    }
+  }
+
+  void takeStartedRuns(const std::vector<WorkerOrders>& aOrders)
+  {
+    for (const WorkerOrders& orders : aOrders) {
+      for (const StartOrder& start : orders.starts()) {
+        const bool isNew = mStarted.emplace(start.task(), start.run()).second;
+        if (isNew && mFailsRuns) {
+          mEnds.push_back(ended(std::ssize(mEnds) + 1, start.task(), start.run(), RunEnd::eFailed));
+        } else if (isNew) {
+          mRuns[start.task()] = start.run();
+        }
+      }
+    }
+  }
+
+  std::int64_t activeRuns(const std::string& aJobId) const
+  {
+    std::int64_t active = 0;
+    jobs().find(aJobId)->forEachTask([&](const TaskId&, const JobTaskRecord::Fields& aRecord) {
+      active += aRecord.active ? 1 : 0;
+    });
+    return active;
+  }
+
+  static JobDescription standingJob(const std::string& aJobId)
+  {
+    JobStep::Fields step = stepOf(1, 1000, 10);
+    step.longRunning = true;
+    return jobOf(aJobId, { step });
+  }
+
+  bool mFailsRuns = false;
+  std::int64_t mClockMs = kWorkerClockMs;
+  std::map<std::string, std::int64_t> mFences;
+  std::map<std::string, std::int64_t> mRuns;
+  std::set<std::pair<std::string, std::int64_t>> mStarted;
+  std::vector<ListedEnd> mEnds;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(job_service)
@@ -548,4 +634,23 @@
   BOOST_TEST(starts == 0u);
 }
 
+// Guards against a worker that stays limited because it runs nothing but standing tasks, which
+// never end well.
+BOOST_FIXTURE_TEST_CASE(a_standing_run_that_works_ends_the_limit_of_its_worker, PoolFixture)
+{
+  mFailsRuns = true;
+  submit("s1", jobOf("a", { stepOf(4, 1000, 10) }));
+  play(2000);
+  BOOST_REQUIRE((stateOf("a") == JobState::eFailed));
+  mFailsRuns = false;
+  submit("s2", standingJob("s"));
+  play(1500);
+  BOOST_REQUIRE(activeRuns("s") == 1);
+  submit("s3", jobOf("b", { stepOf(3, 1000, 10) }));
+  play(500);
+  BOOST_TEST(activeRuns("b") <= 1, "the worker is limited");
+  play(2500);
+  BOOST_TEST(activeRuns("b") == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -28,6 +28,8 @@
   std::optional<std::int64_t> firstListedClockMs;
   /** Time from the first to the latest list with the run, in ms of the worker's clock. */
   std::int64_t listedMs = 0;
+  /** The reliability of the worker includes this standing run. */
+  bool isCountedAsSuccess = false;
   /** The run is to be stopped. A run that has not started is closed: its worker never starts it. */
   bool shouldStop = false;
   /** The stop is for a sooner end on another worker. */
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -128,7 +128,8 @@
 bool
 isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
 {
-  return !aWorker.isReserved && !isLimited(aWorker) && isPermitted(aWorker, aReady, aStepName);
+  return !aWorker.isReserved && !isLimited(aWorker, aReady.description()) &&
+         isPermitted(aWorker, aReady, aStepName);
 }
 
 /** Part of cost() that depends on the load of the worker. */
@@ -486,7 +487,7 @@
         reason.missingLabelWorkers++;
       } else if (worker.isReserved) {
         reason.reservedWorkers++;
-      } else if (isLimited(worker)) {
+      } else if (isLimited(worker, step)) {
         reason.unreliableWorkers++;
       } else if (!isEligible(worker, aReady, aStepName)) {
         reason.perWorkerLimitWorkers++;
--- a/src/jobs/StandingWaitMeter.cpp
+++ b/src/jobs/StandingWaitMeter.cpp
@@ -31,7 +31,7 @@
     }
     if (worker.isReserved) {
       found.reserved++;
-    } else if (isLimited(worker)) {
+    } else if (isLimited(worker, aStep)) {
       found.limited++;
     } else {
       found.open++;
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -42,7 +42,11 @@
   } else if (aStep.longRunning()) {
     aWorker.longRunningCpuMilli += aStep.resources().cpuMilli();
   }
-  aWorker.endingRuns += aStep.longRunning() ? 0 : 1;
+  if (aStep.longRunning()) {
+    aWorker.youngStandingRuns++;
+  } else {
+    aWorker.endingRuns++;
+  }
   if (servesUsers(aStep)) {
     aWorker.servingRuns[aStep.image()]++;
   }
@@ -82,9 +86,11 @@
 }
 
 bool
-isLimited(const WorkerCandidate& aWorker)
+isLimited(const WorkerCandidate& aWorker, const JobStep& aStep)
 {
-  return aWorker.maxRuns != WorkerReliability::kNoLimit && aWorker.endingRuns >= aWorker.maxRuns;
+  const std::int64_t runs =
+    aWorker.youngStandingRuns + (aStep.longRunning() ? 0 : aWorker.endingRuns);
+  return aWorker.maxRuns != WorkerReliability::kNoLimit && runs >= aWorker.maxRuns;
 }
 
 bool
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -80,6 +80,8 @@
   /** Number of runs that end by themselves, and how many there may be; see WorkerReliability. */
   std::int64_t endingRuns = 0;
   std::int64_t maxRuns = WorkerReliability::kNoLimit;
+  /** Number of standing runs that have not worked for WorkerReliability::kStandingSuccessMs. */
+  std::int64_t youngStandingRuns = 0;
   /** Number of active runs that are not yet known to be harmless to the worker. */
   std::int64_t unprovenRuns = 0;
   /** A run of a task that may have crashed a worker is on trial here, or will be. Other tasks are
@@ -126,9 +128,10 @@
             const JobStep& aStep,
             const std::string& aStepName);
 
-/** Whether a worker that fails its runs has as many as it may have. */
+/** Whether a worker that fails its runs has as many as it may have. For a standing task only young
+ * standing runs count: a short run that takes long would close free room to it. */
 bool
-isLimited(const WorkerCandidate& aWorker);
+isLimited(const WorkerCandidate& aWorker, const JobStep& aStep);
 
 /** Whether the declared size of a task of the step fits in the free capacity. */
 bool
--- a/src/jobs/WorkerReliability.cpp
+++ b/src/jobs/WorkerReliability.cpp
@@ -50,6 +50,16 @@
   mRecords[aWorker] = record;
 }
 
+void
+WorkerReliability::recordStandingRun(const std::string& aWorker,
+                                     MonotonicTime aStartedAt,
+                                     MonotonicTime aNow)
+{
+  if (aStartedAt > decayed(aWorker, aNow).lastFailureAt) {
+    record(aWorker, true, aNow);
+  }
+}
+
 double
 WorkerReliability::successShare(const std::string& aWorker, MonotonicTime aNow) const
 {
--- a/src/jobs/WorkerReliability.h
+++ b/src/jobs/WorkerReliability.h
@@ -27,6 +27,8 @@
   static constexpr double kMinSuccessShare = 0.35;
   /** Shortest time from a failure on a limited worker to its next trial run. */
   static constexpr std::int64_t kTrialIntervalMs = 1000;
+  /** A standing run, which never ends well, counts as a success after this time at work. */
+  static constexpr std::int64_t kStandingSuccessMs = 3000;
   /** The reciprocal of the largest share of a pool that is limited: failures on more workers have
    * another cause. */
   static constexpr std::size_t kWorkersPerLimited = 3;
@@ -35,6 +37,10 @@
   /** Records the end of a run, or a start that the worker rejected because it is unhealthy. */
   void record(const std::string& aWorker, bool aSucceeded, MonotonicTime aNow);
 
+  /** Records a standing run that has worked for kStandingSuccessMs since aStartedAt. One that began
+   * before the last failure says nothing of the runs that the worker starts now. */
+  void recordStandingRun(const std::string& aWorker, MonotonicTime aStartedAt, MonotonicTime aNow);
+
   /** Share of the recent runs that succeeded; near 1 for a worker with few. */
   double successShare(const std::string& aWorker, MonotonicTime aNow) const;
 
--- a/src/jobs/WorkerReliability_test.cpp
+++ b/src/jobs/WorkerReliability_test.cpp
@@ -85,4 +85,32 @@
   BOOST_TEST(plan.waiting.front().unreliableWorkers == 1);
 }
 
+// Guards against standing tasks that start together on a worker that fails everything, because only
+// short runs counted.
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_its_runs_gets_one_standing_task)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields standing = stepOf(5, 100, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 4000, 1000) };
+  workers[0].maxRuns = 1;
+  const InterferenceGuard guard;
+  BOOST_TEST(JobScheduler::decide(jobs, guard, workers, 0).assignments.size() == 1u);
+}
+
+// Guards against a standing task that waits beside free room until a long short run has ended.
+BOOST_AUTO_TEST_CASE(a_limited_worker_with_a_short_run_takes_a_standing_task)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields standing = stepOf(1, 100, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 4000, 1000) };
+  workers[0].maxRuns = 1;
+  workers[0].endingRuns = 1;
+  const InterferenceGuard guard;
+  BOOST_TEST(JobScheduler::decide(jobs, guard, workers, 0).assignments.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
