The restart of a standing task avoids workers that fail runs and pauses

A standing task was started again at once on the worker that had just failed it: workers count as failing only from the second failure on, and are limited from the third.

A restart prefers another worker than that of the last run, then one with a smaller share of failed runs. After a failed standing run a worker gets no standing task for a second, so a task that fails everywhere is tried once a second on each worker and does not wait beside free room for longer.

Before the change: restarted_task_avoids_the_worker_of_its_last_run failed (the same worker again), and a_standing_task_that_fails_is_started_again_after_a_pause with 8 runs in 6 s in place of at most 6.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -31,12 +31,19 @@
   return text;
 }
 
-/** Returns the tenths of a worker's runs that failed, 0 if at least half of them succeeded. */
+/** Returns the tenths of a worker's runs that failed. */
 std::int64_t
-failureRank(double aSuccessShare)
+failureTenths(double aSuccessShare)
 {
   constexpr double kTenths = 10;
-  return aSuccessShare >= 0.5 ? 0 : static_cast<std::int64_t>((1 - aSuccessShare) * kTenths);
+  return static_cast<std::int64_t>((1 - aSuccessShare) * kTenths);
+}
+
+/** Returns failureTenths(), 0 if at least half of the runs succeeded. */
+std::int64_t
+failureRank(double aSuccessShare)
+{
+  return aSuccessShare >= 0.5 ? 0 : failureTenths(aSuccessShare);
 }
 constexpr std::int64_t kFullPacePercent = 100;
 
@@ -325,6 +332,7 @@
   for (const OrderAnswer& answer : aReport.answers()) {
     if (answer.kind() == OrderKind::eStart && answer.result() == OrderResult::eUnhealthy) {
       mReliability.record(key.worker, false, now);
+      recordStandingFailure(key, answer.task(), answer.run());
     }
   }
   if (aReport.listFence() > 0) {
@@ -422,6 +430,9 @@
         .harmless = hasWorked || (run != nullptr && run->isProvenHarmless()) }));
     if (ended.how() == RunEnd::eDone || ended.how() == RunEnd::eFailed) {
       mReliability.record(aKey.worker, ended.how() == RunEnd::eDone, mContext.mNow());
+      if (ended.how() == RunEnd::eFailed) {
+        recordStandingFailure(aKey, ended.task(), ended.run());
+      }
     }
     if (run != nullptr) {
       if (ended.how() == RunEnd::eDone) {
@@ -539,6 +550,17 @@
   }
 }
 
+void
+JobService::recordStandingFailure(const IncarnationKey& aKey,
+                                  const std::string& aTask,
+                                  std::int64_t aRun)
+{
+  const TrackedRun* run = mRuns.find(aTask, aRun);
+  if (run != nullptr && !run->job->isFinished() && run->step().longRunning()) {
+    mReliability.recordStandingFailure(aKey.worker, mContext.mNow());
+  }
+}
+
 void
 JobService::learnEnd(const TrackedRun& aRun, std::int64_t aClockMs)
 {
@@ -796,7 +818,11 @@
     candidate.labels = incarnation.description.labels();
     candidate.capacity = ResourceAmount::of(incarnation.description.capacity());
     candidate.serving = servingTasks(key);
-    candidate.failureRank = failureRank(mReliability.successShare(key.worker, mContext.mNow()));
+    const double successShare = mReliability.successShare(key.worker, mContext.mNow());
+    candidate.failureTenths = failureTenths(successShare);
+    candidate.failureRank = failureRank(successShare);
+    candidate.hasJustFailedStandingRun =
+      mReliability.hasJustFailedStandingRun(key.worker, mContext.mNow());
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -653,4 +653,15 @@
   BOOST_TEST(activeRuns("b") == 3);
 }
 
+// Guards against a standing task that is started again and again on a worker that fails it, and
+// against a pause that keeps it from free room for seconds.
+BOOST_FIXTURE_TEST_CASE(a_standing_task_that_fails_is_started_again_after_a_pause, PoolFixture)
+{
+  mFailsRuns = true;
+  submit("s1", standingJob("s"));
+  play(6000);
+  BOOST_TEST(std::ssize(mStarted) <= 6);
+  BOOST_TEST(std::ssize(mStarted) >= 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -150,17 +151,25 @@
          aInterferenceCost;
 }
 
-/** Cost of placing a task of the step on the worker; the worker with the lowest cost is chosen. */
+/** Cost of placing a task of the step on the worker; the worker with the lowest cost is chosen.
+ * The next run of a standing task avoids the worker of the last one and those with failures. */
 auto
-cost(const WorkerCandidate& aWorker, const JobStep& aStep, double aInterferenceCost)
+cost(const WorkerCandidate& aWorker,
+     const JobStep& aStep,
+     const JobTaskRecord::Fields& aRecord,
+     double aInterferenceCost)
 {
+  const bool isRestart = aStep.longRunning() && aRecord.run > 0;
+  const bool isLastWorker =
+    isRestart && aRecord.worker == aWorker.worker && aRecord.bornMs == aWorker.startedAtMs;
   const bool isOutsidePreferredRack =
     !aStep.preferredRack().empty() && aStep.preferredRack() != aWorker.rack;
-  return std::tuple<std::int64_t, bool, double, const std::string&>(
-    aWorker.failureRank,
-    isOutsidePreferredRack,
-    loadCost(aWorker, aStep, aInterferenceCost),
-    aWorker.worker);
+  return std::tuple(aWorker.failureRank,
+                    isLastWorker,
+                    isRestart ? aWorker.failureTenths : 0,
+                    isOutsidePreferredRack,
+                    loadCost(aWorker, aStep, aInterferenceCost),
+                    std::string_view(aWorker.worker));
 }
 
 /** Assigns the ready steps one after the other to the workers of a round. */
@@ -319,12 +328,14 @@
 
   /** Returns the best worker for a task, or null. aExcluded is not considered. */
   WorkerCandidate* findBest(const ReadyStep& aReady,
+                            const TaskId& aTask,
                             const std::string& aStepName,
                             std::vector<WorkerCandidate>& aWorkers,
                             const std::optional<std::string>& aRack,
                             const WorkerCandidate* aExcluded = nullptr)
   {
     const JobStep& step = aReady.description();
+    const JobTaskRecord::Fields& record = *aReady.job->find(aTask);
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     double bestInterferenceCost = 0;
@@ -338,8 +349,8 @@
         continue;
       }
       const double interferenceCost = ratio + riskCost(worker, step, image);
-      if (best == nullptr ||
-          cost(worker, step, interferenceCost) < cost(*best, step, bestInterferenceCost)) {
+      if (best == nullptr || cost(worker, step, record, interferenceCost) <
+                               cost(*best, step, record, bestInterferenceCost)) {
         best = &worker;
         bestInterferenceCost = interferenceCost;
       }
@@ -353,7 +364,7 @@
               std::vector<WorkerCandidate>& aWorkers,
               const std::optional<std::string>& aRack)
   {
-    WorkerCandidate* best = findBest(aReady, aStepName, aWorkers, aRack);
+    WorkerCandidate* best = findBest(aReady, aTask, aStepName, aWorkers, aRack);
     if (best == nullptr) {
       return false;
     }
@@ -373,7 +384,7 @@
       return;
     }
     const auto& [worker, slowRun] = found->second;
-    WorkerCandidate* best = findBest(aReady, aStepName, mWorkers, std::nullopt, worker);
+    WorkerCandidate* best = findBest(aReady, aTask, aStepName, mWorkers, std::nullopt, worker);
     if (best == nullptr) {
       return;
     }
--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -324,4 +324,24 @@
   BOOST_TEST(msUntilRunning(pool, "s.0.0.5", "urgent") <= kRestartedWithinMs);
 }
 
+// Guards against a restart on the worker that has just failed the task, though another has room.
+BOOST_AUTO_TEST_CASE(restarted_task_avoids_the_worker_of_its_last_run)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields standing = stepOf(1, 2000, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(startOf("s.0.0.0", 1, "w1"));
+  jobs.apply(endOf("s.0.0.0", 1, RunEnd::eFailed));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 8000, 1000), workerOf("w2", 8000, 1000) };
+  workers[1].used.cpuMilli = 4000;
+  const InterferenceGuard guard;
+  std::vector<WorkerCandidate> onlyFailing = { workers[0] };
+  SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(plan.assignments.size() == 1u);
+  BOOST_TEST(plan.assignments.front().start.worker() == "w2");
+  plan = JobScheduler::decide(jobs, guard, onlyFailing, 0);
+  BOOST_TEST(plan.assignments.size() == 1u, "it does not wait beside free room");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -88,6 +88,9 @@
 bool
 isLimited(const WorkerCandidate& aWorker, const JobStep& aStep)
 {
+  if (aStep.longRunning() && aWorker.hasJustFailedStandingRun) {
+    return true;
+  }
   const std::int64_t runs =
     aWorker.youngStandingRuns + (aStep.longRunning() ? 0 : aWorker.endingRuns);
   return aWorker.maxRuns != WorkerReliability::kNoLimit && runs >= aWorker.maxRuns;
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -77,11 +77,15 @@
   /** Tenths of the recent runs on this worker that failed, 0 if less than half of them did. Workers
    * with fewer are preferred. */
   std::int64_t failureRank = 0;
+  /** Tenths of the recent runs on this worker that failed. */
+  std::int64_t failureTenths = 0;
   /** Number of runs that end by themselves, and how many there may be; see WorkerReliability. */
   std::int64_t endingRuns = 0;
   std::int64_t maxRuns = WorkerReliability::kNoLimit;
   /** Number of standing runs that have not worked for WorkerReliability::kStandingSuccessMs. */
   std::int64_t youngStandingRuns = 0;
+  /** A standing run has just failed. The next one waits, else it may be started without pause. */
+  bool hasJustFailedStandingRun = false;
   /** Number of active runs that are not yet known to be harmless to the worker. */
   std::int64_t unprovenRuns = 0;
   /** A run of a task that may have crashed a worker is on trial here, or will be. Other tasks are
@@ -128,8 +132,9 @@
             const JobStep& aStep,
             const std::string& aStepName);
 
-/** Whether a worker that fails its runs has as many as it may have. For a standing task only young
- * standing runs count: a short run that takes long would close free room to it. */
+/** Whether a worker that fails its runs has as many as it may have, or pauses after a failure. For
+ * a standing task only young standing runs count: a short run that takes long would close free room
+ * to it. */
 bool
 isLimited(const WorkerCandidate& aWorker, const JobStep& aStep);
 
--- a/src/jobs/WorkerReliability.cpp
+++ b/src/jobs/WorkerReliability.cpp
@@ -60,6 +60,20 @@
   }
 }
 
+void
+WorkerReliability::recordStandingFailure(const std::string& aWorker, MonotonicTime aNow)
+{
+  mRecords[aWorker].lastStandingFailureAt = aNow;
+}
+
+bool
+WorkerReliability::hasJustFailedStandingRun(const std::string& aWorker, MonotonicTime aNow) const
+{
+  const auto found = mRecords.find(aWorker);
+  return found != mRecords.end() &&
+         aNow.msSince(found->second.lastStandingFailureAt) < kTrialIntervalMs;
+}
+
 double
 WorkerReliability::successShare(const std::string& aWorker, MonotonicTime aNow) const
 {
--- a/src/jobs/WorkerReliability.h
+++ b/src/jobs/WorkerReliability.h
@@ -41,6 +41,12 @@
    * before the last failure says nothing of the runs that the worker starts now. */
   void recordStandingRun(const std::string& aWorker, MonotonicTime aStartedAt, MonotonicTime aNow);
 
+  /** Records that a standing run has failed, in addition to record(). */
+  void recordStandingFailure(const std::string& aWorker, MonotonicTime aNow);
+
+  /** Whether a standing run has failed within kTrialIntervalMs. */
+  bool hasJustFailedStandingRun(const std::string& aWorker, MonotonicTime aNow) const;
+
   /** Share of the recent runs that succeeded; near 1 for a worker with few. */
   double successShare(const std::string& aWorker, MonotonicTime aNow) const;
 
@@ -58,6 +64,7 @@
     double failures = 0;
     MonotonicTime updatedAt;
     MonotonicTime lastFailureAt;
+    MonotonicTime lastStandingFailureAt;
   };
 
   /** The counts of a worker as they are at aNow. */
