Standing tasks with shared blame for one crash do not wait for a trial

A crash makes all young runs of the worker suspects. Each waited for a proven worker with room, and nothing was evicted for it, so in a full pool harmless standing tasks waited for more than 7 s.

A standing task with a single crash whose blame was shared, and which no worker can try apart at once, is placed at its turn like other tasks, on a worker without another suspect. Its worker is reserved while that leaves two thirds of the pool. All others keep the strict trial.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -832,11 +832,14 @@
       if (!run.isConfirmed || run.missingSince) {
         candidate.unlistedCpuMilli += requiredResources(run.step()).cpuMilli;
       }
-      const bool needsTrial = CrashAttribution::needsTrial(*run.job->find(run.task));
+      const JobTaskRecord::Fields& record = *run.job->find(run.task);
+      const bool needsTrial = CrashAttribution::needsTrial(record);
       const bool isOnTrial = needsTrial && !run.job->isFinished();
       if (run.listedMs < kHarmlessRunMs || (isOnTrial && !run.isProvenHarmless())) {
         candidate.unprovenRuns++;
-        candidate.isReserved = candidate.isReserved || needsTrial;
+        candidate.suspects += needsTrial ? 1 : 0;
+        candidate.isReserved = candidate.isReserved ||
+                               (needsTrial && CrashAttribution::needsOwnWorker(run.step(), record));
       }
       if (run.step().opportunistic() && run.latencyMsOrCpuMilli <= 0 &&
           run.desiredPacePercent > 0) {
--- a/src/fleetmodel/CrashingTasks_test.cpp
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -1,8 +1,11 @@
 #include "fleetmodel/fleetmodel.h"
 #include "jobs/JobsFixture.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <random>
+#include <string>
 
 using namespace magnoliadrum;
 using namespace magnoliadrum::fixture;
@@ -11,6 +14,15 @@
 
 constexpr ResourceAmount kWorkerCapacity{ 4000, 100000, 0 };
 
+/** A job of standing tasks. */
+JobDescription
+standingJob(const std::string& aJobId, std::int64_t aCount, std::int64_t aCpuMilli)
+{
+  JobStep::Fields step = stepOf(aCount, aCpuMilli, 10);
+  step.longRunning = true;
+  return jobOf(aJobId, { step });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(crashing_tasks)
@@ -181,4 +193,87 @@
   }
 }
 
+// Guards against standing tasks that wait for trials in a full pool because they shared a worker
+// with a crashing task, and against BUDGET on that way.
+BOOST_AUTO_TEST_CASE(standing_tasks_beside_a_crashing_one_run_again_in_a_full_pool)
+{
+  constexpr std::int64_t kLongestWaitMs = 7000;
+  for (unsigned seed = 1; seed <= 20; seed++) {
+    std::mt19937 random(seed);
+    FleetModel fleet(6, kWorkerCapacity);
+    fleet.run(1000);
+    constexpr std::int64_t kStandingTasks = 24;
+    fleet.submit(standingJob("s", kStandingTasks, 600));
+    fleet.submit(standingJob("deadly", 1, 600));
+    fleet.makeDeadly("deadly.0.0.0", 10 + static_cast<std::int64_t>(random() % 700));
+    std::int64_t longestWaitMs = 0;
+    std::map<std::string, std::int64_t> waitsMs;
+    for (int round = 0; round < 200; round++) {
+      JobStep::Fields step = stepOf(2, 200 + 200 * static_cast<std::int64_t>(random() % 3), 10);
+      step.estimateMs = 500 + static_cast<std::int64_t>(random() % 1000);
+      fleet.submit(jobOf("j" + std::to_string(round), { step }));
+      fleet.run(200);
+      for (std::int64_t index = 0; index < kStandingTasks; index++) {
+        const std::string task = "s.0.0." + std::to_string(index);
+        std::int64_t& waitMs = waitsMs[task];
+        waitMs = fleet.isRunning(task) ? 0 : waitMs + 200;
+        longestWaitMs = std::max(longestWaitMs, waitMs);
+      }
+    }
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      BOOST_TEST(fleet.violations() == "");
+      BOOST_TEST((fleet.stateOf("deadly") == JobState::eFailed));
+      BOOST_TEST(longestWaitMs <= kLongestWaitMs);
+    }
+  }
+}
+
+// Guards against BUDGET where several standing tasks crash their workers and share the blame with
+// harmless ones, beside workers that crash by themselves and changes of leader.
+BOOST_AUTO_TEST_CASE(crashing_standing_tasks_are_given_up_under_random_faults)
+{
+  constexpr int kEvents = 50;
+  for (unsigned seed = 1; seed <= 20; seed++) {
+    std::mt19937 random(seed);
+    const auto below = [&random](std::int64_t aLimit) {
+      return static_cast<std::int64_t>(random() % static_cast<unsigned>(aLimit));
+    };
+    FleetModel fleet(6, kWorkerCapacity);
+    fleet.run(1000);
+    std::vector<std::string> deadly;
+    for (int event = 0; event < kEvents; event++) {
+      const std::string id = "j" + std::to_string(event);
+      if (below(4) == 0) {
+        fleet.submit(standingJob(id, 2, 400));
+        if (below(2) == 0) {
+          fleet.makeDeadly(id + ".0.0." + std::to_string(below(2)), 10 + below(1500));
+          deadly.push_back(id);
+        }
+      } else {
+        fleet.submit(jobOf(id, { stepOf(1 + below(5), 200 + 200 * below(4), 10) }));
+      }
+      switch (below(8)) {
+        case 0:
+          fleet.crashWorker(static_cast<std::size_t>(below(6)));
+          break;
+        case 1:
+          fleet.changeLeader();
+          break;
+        default:
+          break;
+      }
+      fleet.run(50 + below(800));
+    }
+    fleet.run(60000);
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      BOOST_TEST(fleet.violations() == "");
+      for (const std::string& id : deadly) {
+        BOOST_TEST((fleet.stateOf(id) == JobState::eFailed), id);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -326,6 +326,14 @@
   return position == mStarts.end() ? 0 : position->second;
 }
 
+bool
+FleetModel::isRunning(const std::string& aTask) const
+{
+  return std::any_of(mSlots.begin(), mSlots.end(), [&aTask](const Slot& aSlot) {
+    return aSlot.worker->isUp() && aSlot.worker->runs(aTask);
+  });
+}
+
 bool
 FleetModel::mayBeGivenUp(const std::string& aJobId) const
 {
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -56,6 +56,8 @@
 
   JobState stateOf(const std::string& aJobId) const { return mState.jobs().find(aJobId)->state(); }
   std::int64_t startsOf(const std::string& aTask) const;
+  /** Whether a worker that is up runs the task. */
+  bool isRunning(const std::string& aTask) const;
   /** Whether two workers have crashed under a task of the job, so that it may be given up. */
   bool mayBeGivenUp(const std::string& aJobId) const;
   /** The violated rules, one a line. */
--- a/src/jobs/CrashAttribution.cpp
+++ b/src/jobs/CrashAttribution.cpp
@@ -23,6 +23,10 @@
 /** Factor for a run of a task that has worked for twice as long without harm. */
 constexpr double kProvenHarmless = 0.05;
 
+/** A share of the blame below this part of that of a run with which a worker crashes alone had
+ * other suspects; two equal ones have 0.55 to 0.75 of it. */
+constexpr double kSharedBlame = 0.8;
+
 /** A run is expected to work for at least this part of what its caller has estimated. */
 constexpr double kShortestRunTime = 0.25;
 
@@ -91,4 +95,15 @@
          (aTask.crashAfterMs < kHarmlessRunMs || aTask.suspicion >= kTrialSuspicion);
 }
 
+bool
+CrashAttribution::needsOwnWorker(const JobStep& aStep, const JobTaskRecord::Fields& aTask)
+{
+  if (!aStep.longRunning() || aStep.opportunistic() || aStep.gang() || aTask.crashes > 1) {
+    return true;
+  }
+  const std::int64_t shareAlone =
+    shares({ { .ranMs = aTask.crashAfterMs, .hasBegun = true } }).front();
+  return static_cast<double>(aTask.suspicion) >= kSharedBlame * static_cast<double>(shareAlone);
+}
+
 } // namespace magnoliadrum
--- a/src/jobs/CrashAttribution.h
+++ b/src/jobs/CrashAttribution.h
@@ -65,6 +65,11 @@
 
   /** Whether the next run of the task is tried apart from others. */
   static bool needsTrial(const JobTaskRecord::Fields& aTask);
+
+  /** Whether a task with needsTrial() waits until it can be tried on a worker of its own. A
+   * standing task whose only crash had other suspects does not: it is most likely innocent, and its
+   * users miss it. It only keeps away from other suspects. */
+  static bool needsOwnWorker(const JobStep& aStep, const JobTaskRecord::Fields& aTask);
 };
 
 } // namespace magnoliadrum
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -125,11 +125,20 @@
   return isPermitted(aWorker, aReady.job->queue().poolName(), aReady.description(), aStepName);
 }
 
-/** isPermitted(), and the worker is neither reserved for the trial of another task nor limited. */
+/** isPermitted(), and the worker is neither reserved for the trial of another task nor limited. A
+ * task that may have crashed a worker keeps away from others: a second crash then tells more. */
 bool
-isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
+isEligible(const WorkerCandidate& aWorker,
+           const ReadyStep& aReady,
+           const TaskId& aTask,
+           const std::string& aStepName)
 {
-  return !aWorker.isReserved && !isLimited(aWorker, aReady.description()) &&
+  const JobStep& step = aReady.description();
+  if (aWorker.suspects > 0 && step.longRunning() && !step.gang() &&
+      CrashAttribution::needsTrial(*aReady.job->find(aTask))) {
+    return false;
+  }
+  return !aWorker.isReserved && !isLimited(aWorker, step) &&
          isPermitted(aWorker, aReady, aStepName);
 }
 
@@ -162,11 +171,14 @@
   const bool isRestart = aStep.longRunning() && aRecord.run > 0;
   const bool isLastWorker =
     isRestart && aRecord.worker == aWorker.worker && aRecord.bornMs == aWorker.startedAtMs;
+  const bool isCrashPlace = isRestart && aRecord.crashes > 0 && aRecord.crashPlace == aWorker.relay;
+  const bool isSuspect = isRestart && CrashAttribution::needsTrial(aRecord);
   const bool isOutsidePreferredRack =
     !aStep.preferredRack().empty() && aStep.preferredRack() != aWorker.rack;
   return std::tuple(aWorker.failureRank,
-                    isLastWorker,
+                    isLastWorker || isCrashPlace,
                     isRestart ? aWorker.failureTenths : 0,
+                    isSuspect ? aWorker.unprovenRuns : 0,
                     isOutsidePreferredRack,
                     loadCost(aWorker, aStep, aInterferenceCost),
                     std::string_view(aWorker.worker));
@@ -214,7 +226,11 @@
       if (record->active && !record->done) {
         keepRoomForStraggler(aReady, task, name);
       }
-      if (!aReady.isWaiting(*record) || CrashAttribution::needsTrial(*record)) {
+      if (!aReady.isWaiting(*record)) {
+        continue;
+      }
+      if (CrashAttribution::needsTrial(*record) &&
+          (CrashAttribution::needsOwnWorker(step, *record) || !takeWaitingTrial(task))) {
         continue;
       }
       if (isFull()) {
@@ -290,6 +306,13 @@
     });
   }
 
+  /** Takes a task from those that wait for a trial; false if it is not among them. */
+  bool takeWaitingTrial(const TaskId& aTask)
+  {
+    return std::erase_if(mWaitingTrials,
+                         [&aTask](const auto& aItem) { return aItem.second.task == aTask; }) > 0;
+  }
+
   static std::vector<TrialTask> findTrialTasks(const ReadyStep& aReady)
   {
     std::vector<TrialTask> tasks;
@@ -301,8 +324,11 @@
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
       if (aReady.isWaiting(*record) && CrashAttribution::needsTrial(*record)) {
-        tasks.push_back(
-          { task, aReady.job->queue().poolName(), record->crashes, record->crashPlace });
+        tasks.push_back({ .task = task,
+                          .poolName = aReady.job->queue().poolName(),
+                          .crashes = record->crashes,
+                          .crashPlace = record->crashPlace,
+                          .needsOwnWorker = CrashAttribution::needsOwnWorker(step, *record) });
       }
     }
     return tasks;
@@ -341,7 +367,7 @@
     double bestInterferenceCost = 0;
     for (WorkerCandidate& worker : aWorkers) {
       if (&worker == aExcluded || (aRack && worker.rack != *aRack) ||
-          !isEligible(worker, aReady, aStepName) || !hasCapacity(worker, step)) {
+          !isEligible(worker, aReady, aTask, aStepName) || !hasCapacity(worker, step)) {
         continue;
       }
       const double ratio = expectedRatio(worker, step, image);
@@ -422,7 +448,7 @@
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     for (WorkerCandidate& worker : mWorkers) {
-      if (!isEligible(worker, aReady, aStepName) || !fits(worker, step)) {
+      if (!isEligible(worker, aReady, aTask, aStepName) || !fits(worker, step)) {
         continue;
       }
       if (best == nullptr ||
@@ -473,6 +499,7 @@
   {
     occupy(aWorker, aReady.description(), aTask);
     aWorker.unprovenRuns++;
+    aWorker.suspects += CrashAttribution::needsTrial(*aReady.job->find(aTask)) ? 1 : 0;
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
                                                              .worker = aWorker.worker,
@@ -500,7 +527,7 @@
         reason.reservedWorkers++;
       } else if (isLimited(worker, step)) {
         reason.unreliableWorkers++;
-      } else if (!isEligible(worker, aReady, aStepName)) {
+      } else if (!isEligible(worker, aReady, aTask, aStepName)) {
         reason.perWorkerLimitWorkers++;
       } else if (!hasCapacity(worker, step)) {
         reason.fullWorkers++;
@@ -555,7 +582,7 @@
     WorkerCandidate* best = nullptr;
     std::optional<RoomPlan> bestPlan;
     for (WorkerCandidate& worker : mWorkers) {
-      if (!isEligible(worker, aReady, aStepName) || !size.fitsIn(worker.capacity)) {
+      if (!isEligible(worker, aReady, aTask, aStepName) || !size.fitsIn(worker.capacity)) {
         continue;
       }
       std::optional<RoomPlan> plan =
--- a/src/jobs/TrialPlanner.cpp
+++ b/src/jobs/TrialPlanner.cpp
@@ -26,6 +26,13 @@
     pool.workers++;
     pool.reserved += worker.isReserved ? 1 : 0;
   }
+  for (WorkerCandidate& worker : aWorkers) {
+    Pool& pool = mPools[worker.poolName];
+    if (worker.suspects > 0 && !worker.isReserved && pool.reserved < pool.maxReserved()) {
+      worker.isReserved = true;
+      pool.reserved++;
+    }
+  }
   for (const TrialTask& task : aWaiting) {
     mPools[task.poolName].firstTrials += task.crashes == 1 ? 1 : 0;
   }
@@ -71,9 +78,13 @@
   }
   const bool isShared = best->isReserved;
   if (!isShared) {
+    const bool isReady = bestFit == TrialFit::eNow && best->unprovenRuns == 0;
+    if (!isReady && !aTask.needsOwnWorker) {
+      return nullptr;
+    }
     best->isReserved = true;
     pool.reserved++;
-    if (bestFit != TrialFit::eNow || best->unprovenRuns > 0) {
+    if (!isReady) {
       return nullptr;
     }
   }
--- a/src/jobs/TrialPlanner.h
+++ b/src/jobs/TrialPlanner.h
@@ -19,6 +19,8 @@
   std::int64_t crashes = 0;
   /** Relay of the worker that crashed last. */
   std::string crashPlace;
+  /** See CrashAttribution::needsOwnWorker(). */
+  bool needsOwnWorker = true;
 
   friend bool operator==(const TrialTask&, const TrialTask&) = default;
 };
@@ -39,6 +41,8 @@
  * reserved and its recent runs are awaited. At most a third of a pool is reserved, and beyond that
  * the workers that are left idle. Tasks with a single crash share workers when there are more of
  * them than workers for trials; a later crash leaves fewer suspects, which are then tried alone.
+ * For a task that does not need a worker of its own none is awaited: the scheduler places it like
+ * others, and its worker is reserved as long as that leaves two thirds of the pool.
  */
 class TrialPlanner
 {
--- a/src/jobs/TrialPlanner_test.cpp
+++ b/src/jobs/TrialPlanner_test.cpp
@@ -1,5 +1,6 @@
 #include "jobs/JobsFixture.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 
@@ -55,6 +56,28 @@
   return jobs;
 }
 
+/** A registry with three standing tasks that ran on a worker when it crashed, each with a share of
+ * the blame of aShare thousandths. */
+JobRegistry
+registryWithStandingSuspects(std::int64_t aShare)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields standing = stepOf(3, 1000, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  for (const char* task : { "s.0.0.0", "s.0.0.1", "s.0.0.2" }) {
+    jobs.apply(startOf(task, 1, "w0"));
+    jobs.apply(valueOf(
+      EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = task,
+                                                              .run = 1,
+                                                              .how = RunEnd::eLapsed,
+                                                              .crashSuspects = 3,
+                                                              .crashShare = aShare,
+                                                              .crashCertain = true })) } })));
+  }
+  return jobs;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(crash_trials)
@@ -232,4 +255,30 @@
   BOOST_TEST(plan.assignments[0].start.worker() == "w1", "although a worker crashed there before");
 }
 
+// Guards against standing tasks that wait beside room for a trial, though others were there when
+// their worker crashed: in a busy pool each worker has runs that have just begun.
+BOOST_AUTO_TEST_CASE(standing_tasks_with_shared_blame_do_not_wait_for_a_worker_of_their_own)
+{
+  const InterferenceGuard guard;
+  std::vector<WorkerCandidate> workers = poolOf(4);
+  for (WorkerCandidate& worker : workers) {
+    worker.unprovenRuns = 3;
+  }
+  std::vector<WorkerCandidate> again = workers;
+  const SchedulePlan shared =
+    JobScheduler::decide(registryWithStandingSuspects(300), guard, workers, 0);
+  std::set<std::string> used;
+  for (const Assignment& assignment : shared.assignments) {
+    used.insert(assignment.start.worker());
+  }
+  BOOST_TEST(shared.assignments.size() == 3u);
+  BOOST_TEST(used.size() == 3u, "none beside another");
+  BOOST_TEST(std::none_of(workers.begin(), workers.end(), [](const WorkerCandidate& aWorker) {
+    return aWorker.isReserved;
+  }));
+  const SchedulePlan single =
+    JobScheduler::decide(registryWithStandingSuspects(950), guard, again, 0);
+  BOOST_TEST(single.assignments.empty(), "a task that is likely to be the cause is tried apart");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -88,6 +88,8 @@
   bool hasJustFailedStandingRun = false;
   /** Number of active runs that are not yet known to be harmless to the worker. */
   std::int64_t unprovenRuns = 0;
+  /** Number of them whose task may have crashed a worker. */
+  std::int64_t suspects = 0;
   /** A run of a task that may have crashed a worker is on trial here, or will be. Other tasks are
    * not assigned. */
   bool isReserved = false;
