--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -124,11 +125,21 @@
   return isPermitted(aWorker, aReady.job->queue().poolName(), aReady.description(), aStepName);
 }
 
-/** isPermitted(), and the worker is neither reserved for the trial of another task nor limited. */
+/** isPermitted(), and the worker is neither reserved for the trial of another task nor limited. A
+ * task that may have crashed a worker keeps away from others: a second crash then tells more. */
 bool
-isEligible(const WorkerCandidate& aWorker, const ReadyStep& aReady, const std::string& aStepName)
+isEligible(const WorkerCandidate& aWorker,
+           const ReadyStep& aReady,
+           const TaskId& aTask,
+           const std::string& aStepName)
 {
-  return !aWorker.isReserved && !isLimited(aWorker) && isPermitted(aWorker, aReady, aStepName);
+  const JobStep& step = aReady.description();
+  if (aWorker.suspects > 0 && step.longRunning() && !step.gang() &&
+      CrashAttribution::needsTrial(*aReady.job->find(aTask))) {
+    return false;
+  }
+  return !aWorker.isReserved && !isLimited(aWorker, step) &&
+         isPermitted(aWorker, aReady, aStepName);
 }
 
 /** Part of cost() that depends on the load of the worker. */
@@ -149,17 +160,28 @@
          aInterferenceCost;
 }
 
-/** Cost of placing a task of the step on the worker; the worker with the lowest cost is chosen. */
+/** Cost of placing a task of the step on the worker; the worker with the lowest cost is chosen.
+ * The next run of a standing task avoids the worker of the last one and those with failures. */
 auto
-cost(const WorkerCandidate& aWorker, const JobStep& aStep, double aInterferenceCost)
+cost(const WorkerCandidate& aWorker,
+     const JobStep& aStep,
+     const JobTaskRecord::Fields& aRecord,
+     double aInterferenceCost)
 {
+  const bool isRestart = aStep.longRunning() && aRecord.run > 0;
+  const bool isLastWorker =
+    isRestart && aRecord.worker == aWorker.worker && aRecord.bornMs == aWorker.startedAtMs;
+  const bool isCrashPlace = isRestart && aRecord.crashes > 0 && aRecord.crashPlace == aWorker.relay;
+  const bool isSuspect = isRestart && CrashAttribution::needsTrial(aRecord);
   const bool isOutsidePreferredRack =
     !aStep.preferredRack().empty() && aStep.preferredRack() != aWorker.rack;
-  return std::tuple<std::int64_t, bool, double, const std::string&>(
-    aWorker.failureRank,
-    isOutsidePreferredRack,
-    loadCost(aWorker, aStep, aInterferenceCost),
-    aWorker.worker);
+  return std::tuple(aWorker.failureRank,
+                    isLastWorker || isCrashPlace,
+                    isRestart ? aWorker.failureTenths : 0,
+                    isSuspect ? aWorker.unprovenRuns : 0,
+                    isOutsidePreferredRack,
+                    loadCost(aWorker, aStep, aInterferenceCost),
+                    std::string_view(aWorker.worker));
 }
 
 /** Assigns the ready steps one after the other to the workers of a round. */
@@ -203,7 +225,11 @@
       if (record->active && !record->done) {
         keepRoomForStraggler(aReady, task, name);
       }
-      if (!aReady.isWaiting(*record) || CrashAttribution::needsTrial(*record)) {
+      if (!aReady.isWaiting(*record)) {
+        continue;
+      }
+      if (CrashAttribution::needsTrial(*record) &&
+          (CrashAttribution::needsOwnWorker(step, *record) || !takeWaitingTrial(task))) {
         continue;
       }
       if (isFull()) {
@@ -279,6 +305,13 @@
     });
   }
 
+  /** Takes a task from those that wait for a trial; false if it is not among them. */
+  bool takeWaitingTrial(const TaskId& aTask)
+  {
+    return std::erase_if(mWaitingTrials,
+                         [&aTask](const auto& aItem) { return aItem.second.task == aTask; }) > 0;
+  }
+
   static std::vector<TrialTask> findTrialTasks(const ReadyStep& aReady)
   {
     std::vector<TrialTask> tasks;
@@ -290,8 +323,11 @@
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
       if (aReady.isWaiting(*record) && CrashAttribution::needsTrial(*record)) {
-        tasks.push_back(
-          { task, aReady.job->queue().poolName(), record->crashes, record->crashPlace });
+        tasks.push_back({ .task = task,
+                          .poolName = aReady.job->queue().poolName(),
+                          .crashes = record->crashes,
+                          .crashPlace = record->crashPlace,
+                          .needsOwnWorker = CrashAttribution::needsOwnWorker(step, *record) });
       }
     }
     return tasks;
@@ -317,18 +353,20 @@
 
   /** Returns the best worker for a task, or null. aExcluded is not considered. */
   WorkerCandidate* findBest(const ReadyStep& aReady,
+                            const TaskId& aTask,
                             const std::string& aStepName,
                             std::vector<WorkerCandidate>& aWorkers,
                             const std::optional<std::string>& aRack,
                             const WorkerCandidate* aExcluded = nullptr)
   {
     const JobStep& step = aReady.description();
+    const JobTaskRecord::Fields& record = *aReady.job->find(aTask);
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     double bestInterferenceCost = 0;
     for (WorkerCandidate& worker : aWorkers) {
       if (&worker == aExcluded || (aRack && worker.rack != *aRack) ||
-          !isEligible(worker, aReady, aStepName) || !hasCapacity(worker, step)) {
+          !isEligible(worker, aReady, aTask, aStepName) || !hasCapacity(worker, step)) {
         continue;
       }
       const double ratio = expectedRatio(worker, step, image);
@@ -336,8 +374,8 @@
         continue;
       }
       const double interferenceCost = ratio + riskCost(worker, step, image);
-      if (best == nullptr ||
-          cost(worker, step, interferenceCost) < cost(*best, step, bestInterferenceCost)) {
+      if (best == nullptr || cost(worker, step, record, interferenceCost) <
+                               cost(*best, step, record, bestInterferenceCost)) {
         best = &worker;
         bestInterferenceCost = interferenceCost;
       }
@@ -351,7 +389,7 @@
               std::vector<WorkerCandidate>& aWorkers,
               const std::optional<std::string>& aRack)
   {
-    WorkerCandidate* best = findBest(aReady, aStepName, aWorkers, aRack);
+    WorkerCandidate* best = findBest(aReady, aTask, aStepName, aWorkers, aRack);
     if (best == nullptr) {
       return false;
     }
@@ -371,7 +409,7 @@
       return;
     }
     const auto& [worker, slowRun] = found->second;
-    WorkerCandidate* best = findBest(aReady, aStepName, mWorkers, std::nullopt, worker);
+    WorkerCandidate* best = findBest(aReady, aTask, aStepName, mWorkers, std::nullopt, worker);
     if (best == nullptr) {
       return;
     }
@@ -409,7 +447,7 @@
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     for (WorkerCandidate& worker : mWorkers) {
-      if (!isEligible(worker, aReady, aStepName) || !fits(worker, step)) {
+      if (!isEligible(worker, aReady, aTask, aStepName) || !fits(worker, step)) {
         continue;
       }
       if (best == nullptr ||
@@ -455,6 +493,7 @@
   {
     occupy(aWorker, aReady.description(), aTask);
     aWorker.unprovenRuns++;
+    aWorker.suspects += CrashAttribution::needsTrial(*aReady.job->find(aTask)) ? 1 : 0;
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
                                                              .worker = aWorker.worker,
@@ -480,9 +519,9 @@
         reason.missingLabelWorkers++;
       } else if (worker.isReserved) {
         reason.reservedWorkers++;
-      } else if (isLimited(worker)) {
+      } else if (isLimited(worker, step)) {
         reason.unreliableWorkers++;
-      } else if (!isEligible(worker, aReady, aStepName)) {
+      } else if (!isEligible(worker, aReady, aTask, aStepName)) {
         reason.perWorkerLimitWorkers++;
       } else if (!hasCapacity(worker, step)) {
         reason.fullWorkers++;
@@ -537,7 +576,7 @@
     WorkerCandidate* best = nullptr;
     std::optional<RoomPlan> bestPlan;
     for (WorkerCandidate& worker : mWorkers) {
-      if (!isEligible(worker, aReady, aStepName) || !size.fitsIn(worker.capacity)) {
+      if (!isEligible(worker, aReady, aTask, aStepName) || !size.fitsIn(worker.capacity)) {
         continue;
       }
       std::optional<RoomPlan> plan =
--- a/src/jobs/WorkerReliability.cpp
+++ b/src/jobs/WorkerReliability.cpp
@@ -50,6 +50,30 @@
   mRecords[aWorker] = record;
 }
 
+void
+WorkerReliability::recordStandingRun(const std::string& aWorker,
+                                     MonotonicTime aStartedAt,
+                                     MonotonicTime aNow)
+{
+  if (aStartedAt > decayed(aWorker, aNow).lastFailureAt) {
+    record(aWorker, true, aNow);
+  }
+}
+
+void
+WorkerReliability::recordStandingFailure(const std::string& aWorker, MonotonicTime aNow)
+{
+  mRecords[aWorker].lastStandingFailureAt = aNow;
+}
+
+bool
+WorkerReliability::hasJustFailedStandingRun(const std::string& aWorker, MonotonicTime aNow) const
+{
+  const auto found = mRecords.find(aWorker);
+  return found != mRecords.end() &&
+         aNow.msSince(found->second.lastStandingFailureAt) < kTrialIntervalMs;
+}
+
 double
 WorkerReliability::successShare(const std::string& aWorker, MonotonicTime aNow) const
 {
