Trials of suspected tasks avoid workers that are limited for failing their runs

A trial preferred the emptiest worker, and a worker that fails its runs and may have none for now is empty. The run failed there, which refutes nothing, so the task stayed suspected and its worker closed for other tasks.

SchedulingRound::trialFit takes a limited worker for one that cannot run the task. The new test trial_of_a_suspected_task_avoids_limited_workers failed before (w1, the limited worker, was chosen).

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -309,8 +309,8 @@
     attainable.cpuMilli -= aWorker.longRunningCpuMilli;
     const bool interferes =
       expectedRatio(aWorker, step, opportunisticImage(step)) > JobScheduler::kMaxExpectedRatio;
-    if (!isPermitted(aWorker, aReady, aStepName) || !requiredResources(step).fitsIn(attainable) ||
-        (interferes && !isStarved(aReady))) {
+    if (isLimited(aWorker) || !isPermitted(aWorker, aReady, aStepName) ||
+        !requiredResources(step).fitsIn(attainable) || (interferes && !isStarved(aReady))) {
       return TrialFit::eNever;
     }
     return hasCapacity(aWorker, step) ? TrialFit::eNow : TrialFit::eLater;
--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -285,6 +285,31 @@
   BOOST_TEST(plan.assignments.front().start.task() == "s.0.0.1");
 }
 
+// Guards against a suspected task whose trial goes to a worker that fails its runs, because that
+// worker is emptier than the others: the failed run refutes nothing and the task waits on.
+BOOST_AUTO_TEST_CASE(trial_of_a_suspected_task_avoids_limited_workers)
+{
+  JobRegistry jobs = registryWithQueues();
+  JobStep::Fields standing = stepOf(1, 2000, 10);
+  standing.longRunning = true;
+  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(startOf("s.0.0.0", 1, "w3"));
+  jobs.apply(
+    valueOf(EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = "s.0.0.0",
+                                                                    .run = 1,
+                                                                    .how = RunEnd::eLapsed,
+                                                                    .ranMs = 200,
+                                                                    .crashSuspects = 2,
+                                                                    .crashShare = 400 })) } })));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 8000, 1000), workerOf("w2", 8000, 1000) };
+  workers.front().maxRuns = 0;
+  workers.back().used = { 2000, 10, 0 };
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(plan.assignments.size() == 1u);
+  BOOST_TEST(plan.assignments.front().start.worker() == "w2");
+}
+
 // Guards against a standing task that never ran and waits beside free room, because short tasks
 // wait for more than the pool has.
 BOOST_AUTO_TEST_CASE(standing_task_that_never_ran_takes_free_room_before_short_tasks)
