--- a/src/jobs/WorkerReliability.cpp
+++ b/src/jobs/WorkerReliability.cpp
@@ -71,7 +71,8 @@
 {
   const auto found = mRecords.find(aWorker);
   return found != mRecords.end() &&
-         aNow.msSince(found->second.lastStandingFailureAt) < kTrialIntervalMs;
+         aNow.msSince(found->second.lastStandingFailureAt) < kTrialIntervalMs &&
+         successShare(aWorker, aNow) < kMinSoundShare;
 }
 
 double
--- a/src/jobs/WorkerReliability.h
+++ b/src/jobs/WorkerReliability.h
@@ -25,6 +25,8 @@
    */
   static constexpr double kMinFailures = 2.5;
   static constexpr double kMinSuccessShare = 0.35;
+  /** A worker with a smaller share of successes pauses between standing runs that fail. */
+  static constexpr double kMinSoundShare = 0.5;
   /** Shortest time from a failure on a limited worker to its next trial run. */
   static constexpr std::int64_t kTrialIntervalMs = 1000;
   /** A standing run, which never ends well, counts as a success after this time at work. */
@@ -44,7 +46,9 @@
   /** Records that a standing run has failed, in addition to record(). */
   void recordStandingFailure(const std::string& aWorker, MonotonicTime aNow);
 
-  /** Whether a standing run has failed within kTrialIntervalMs. */
+  /** Whether a standing run has failed within kTrialIntervalMs, on a worker on which less than
+   * kMinSoundShare of the recent runs succeeded. On others the task is the more likely cause, and
+   * the pause would leave the room of the run to others. */
   bool hasJustFailedStandingRun(const std::string& aWorker, MonotonicTime aNow) const;
 
   /** Share of the recent runs that succeeded; near 1 for a worker with few. */
