Replicas apply committed entries in portions, and a new leader serves once it has applied its predecessors' entries

Cause: a replica applied all committed entries in one turn of its event loop.

Change: ReplicaDriver applies committed entries for at most a quarter of the heartbeat period in one turn and goes on after the loop has read messages again, on leaders, followers and after a restart. isLeader() and leadershipChanged(true) now wait until the first entry of the own term is applied, which follows all entries of earlier leaders.

Measured: new_leader_sends_heartbeats_while_it_applies_a_long_log, unchanged, failed before (500 commands in one turn of the loop that three replicas share, and another leader) and passes (16). The new test snapshot_replaces_committed_entries_that_are_not_applied_yet fails before (all commands in one turn), and stops at an assertion when the entries are kept on trial. Both passed five times in a row, and control_test passed (84 cases).

--- a/src/control/ReplicaDriver.cpp
+++ b/src/control/ReplicaDriver.cpp
@@ -19,6 +19,12 @@
  */
 constexpr std::int64_t kAbandonAfterElectionTimeouts = 2;
 
+/**
+ * Applying committed entries blocks the loop for at most this part of the heartbeat period, so that
+ * a replica that has a long log to apply still sends and answers messages in time.
+ */
+constexpr std::int64_t kApplyPortionsPerHeartbeat = 4;
+
 const char* const kProposeStep = "log.propose";
 
 ConsensusSettings
@@ -251,6 +257,9 @@
   }
   while (!mFailed && flushOnce()) {
   }
+  if (!mFailed && !mApplyTimer) {
+    applyCommitted();
+  }
   if (mFailed) {
     return;
   }
@@ -277,9 +286,7 @@
   if (output.snapshot && failOnError(installSnapshot(*output.snapshot))) {
     return false;
   }
-  for (const LogEntry& entry : output.committed) {
-    applyEntry(entry);
-  }
+  mUnapplied.insert(mUnapplied.end(), output.committed.begin(), output.committed.end());
   if (!output.entries.empty()) {
     mNode->onStored(output.entries.back().index(), output.entries.back().term());
   }
@@ -310,17 +317,40 @@
 Result<Done>
 ReplicaDriver::installSnapshot(const ConsensusSnapshot& aSnapshot)
 {
+  mUnapplied.clear();
   mAppliedIndex = aSnapshot.lastIndex;
+  mAppliedTerm = aSnapshot.lastTerm;
   Result<Done> restored = mCallbacks.restoreSnapshot(aSnapshot.data);
   invokeCallbacks(mPendingProposals.onSnapshotInstalled(aSnapshot.lastIndex));
   return restored;
 }
 
+void
+ReplicaDriver::applyCommitted()
+{
+  const std::int64_t portionMs = mSettings.heartbeatMs / kApplyPortionsPerHeartbeat;
+  const Deadline end = mLoop.now().plusMs(std::max<std::int64_t>(1, portionMs));
+  while (!mFailed && !mUnapplied.empty() && mLoop.now() < end) {
+    const LogEntry entry = std::move(mUnapplied.front());
+    mUnapplied.pop_front();
+    applyEntry(entry);
+  }
+  if (mFailed || mUnapplied.empty()) {
+    return;
+  }
+  // A posted function would run before the loop reads messages again, a timer runs after it.
+  mApplyTimer = mLoop.runAt(mLoop.now(), [this] {
+    mApplyTimer.reset();
+    flush();
+  });
+}
+
 void
 ReplicaDriver::applyEntry(const LogEntry& aEntry)
 {
   assert(aEntry.index() == mAppliedIndex + 1);
   mAppliedIndex = aEntry.index();
+  mAppliedTerm = aEntry.term();
   if (aEntry.kind() == LogEntryKind::eCommand) {
     mBytesSinceSnapshot += std::ssize(aEntry.data());
     mCallbacks.apply(aEntry.index(), aEntry.data());
@@ -357,7 +387,8 @@
 ReplicaDriver::updateLeadership()
 {
   std::optional<std::int64_t> leading;
-  if (mNode->leadsCurrentTerm()) {
+  // The first entry of the own term follows all entries of earlier leaders.
+  if (mNode->leadsCurrentTerm() && mAppliedTerm == mNode->term()) {
     leading = mNode->term();
   }
   const Deadline deadline =
@@ -494,6 +525,7 @@
 {
   mFailed = true;
   mTickTimer.reset();
+  mApplyTimer.reset();
   logError("replica failed", aError);
   mCallbacks.failed(aError);
 }
--- a/src/control/ReplicaDriver.h
+++ b/src/control/ReplicaDriver.h
@@ -6,6 +6,7 @@
 #include "control/Replicator.h"
 #include "transport/EventLoop.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -68,6 +69,8 @@
   void trackProposal(const Result<std::int64_t>& aIndex, ProposalCallback aCallback);
   static void invokeCallbacks(const std::vector<PendingProposals::CompletedProposal>& aCompleted);
   Result<Done> installSnapshot(const ConsensusSnapshot& aSnapshot);
+  /** Applies committed entries for at most one portion, and the rest in later turns of the loop. */
+  void applyCommitted();
   void applyEntry(const LogEntry& aEntry);
   void takeSnapshotIfDue();
   void updateLeadership();
@@ -97,7 +100,12 @@
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   bool mFlushScheduled = false;
   bool mFailed = false;
+  /** Committed entries that are not applied yet. */
+  std::deque<LogEntry> mUnapplied;
+  /** Applies the next portion; null when nothing is left to apply. */
+  EventHandlePointer mApplyTimer;
   std::int64_t mAppliedIndex = 0;
+  std::int64_t mAppliedTerm = 0;
   /** Bytes of the commands applied since the last snapshot was taken. */
   std::int64_t mBytesSinceSnapshot = 0;
   /** Term in which this replica leads, once that was reported to the callbacks; else empty. */
--- a/src/control/Replicator_test.cpp
+++ b/src/control/Replicator_test.cpp
@@ -1,3 +1,4 @@
+#include "consensus/consensus.h"
 #include "control/ConnectionReplicaTransport.h"
 #include "control/PendingProposals.h"
 #include "control/Replicator.h"
@@ -336,6 +337,50 @@
   BOOST_TEST(group.leader()->replicator->term() == term, "the group changed its leader");
 }
 
+// Guards against a follower that applies entries of its log on top of a snapshot that holds them.
+BOOST_AUTO_TEST_CASE(snapshot_replaces_committed_entries_that_are_not_applied_yet)
+{
+  ReplicaGroup group;
+  BOOST_REQUIRE(isOk(group.start(0, ReplicaStart::eJoin)));
+  group.setApplyTime(std::chrono::microseconds{ 10000 });
+  TestReplica& follower = group.at(0);
+  const GroupConfiguration configuration = makeChecked<GroupConfiguration>(
+    { .replicas = {
+        makeChecked<Replica>({ .replicaId = "leader", .address = group.address(1) }) } });
+  AppendRequest::Fields append{ .term = 1, .leaderId = "leader", .commitIndex = 20, .round = 1 };
+  append.entries.push_back(makeChecked<LogEntry>({ .index = 1,
+                                                   .term = 0,
+                                                   .kind = LogEntryKind::eConfiguration,
+                                                   .data = encodeConfiguration(configuration) }));
+  for (std::int64_t index = 2; index <= 20; index++) {
+    append.entries.push_back(
+      makeChecked<LogEntry>({ .index = index, .term = 1, .data = std::to_string(index) }));
+  }
+  follower.replicator->receive(makeChecked<AppendRequest>(append), {});
+  group.waitFor("no command was applied", [&] { return !follower.applied.empty(); });
+  BOOST_TEST(follower.applied.size() < 19u, "all commands were applied in one turn");
+  const std::string data = "2 to 30\n";
+  follower.replicator->receive(makeChecked<SnapshotChunk>({ .term = 1,
+                                                            .leaderId = "leader",
+                                                            .lastIndex = 30,
+                                                            .lastTerm = 1,
+                                                            .totalBytes = std::ssize(data),
+                                                            .round = 2,
+                                                            .configuration = configuration,
+                                                            .data = data }),
+                               {});
+  append.previousIndex = 30;
+  append.previousTerm = 1;
+  append.commitIndex = 31;
+  append.entries = { makeChecked<LogEntry>({ .index = 31, .term = 1, .data = "31" }) };
+  follower.replicator->receive(makeChecked<AppendRequest>(append), {});
+  const std::vector<std::string> expected{ "2 to 30", "31" };
+  group.waitFor("the follower has not applied the snapshot and the entry after it",
+                [&] { return follower.applied == expected; });
+  BOOST_TEST(follower.replicator->appliedIndex() == 31);
+  BOOST_TEST(!follower.failure.has_value());
+}
+
 // Guards against a planned shutdown in which the proposals in flight are lost or fail.
 BOOST_AUTO_TEST_CASE(step_down_transfers_leadership_and_proposals_in_flight_succeed)
 {
