Leases of earlier leaders count from the time at which a new leader starts to serve, if that is later

Cause: a new leader counted every session and worker lease as renewed one election timeout after its election. It serves only once it has applied its log, and nobody can renew a lease before. When that takes longer than a lease, it ended all sessions and counted all workers as lost as soon as it served.

Change: the leases count as renewed at that time or at the start of the leadership, whichever is later, for sessions and for workers. LeaseTable::startTerm() and WorkerFleet::startTerm() take the one resulting time; in LeaseTable_test the same value is passed as a sum.

Measured: sessions_outlive_the_time_in_which_a_new_leader_applies_its_log fails before and passes; control_test passes (85 cases). The workers' side has no test of its own.

--- a/src/control/ControlContext.h
+++ b/src/control/ControlContext.h
@@ -5,6 +5,7 @@
 #include "generated/generated.h"
 #include "state/state.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -43,6 +44,16 @@
 
   /** Whether this replica may serve requests: it is the leader and holds the leader lease. */
   bool isLeaderWithLease() const { return mLog.isLeader() && mLog.hasLeaderLease(); }
+
+  /**
+   * When the leases that earlier leaders granted count as renewed at the start of a leadership. An
+   * earlier leader may have renewed them until one election timeout after this replica's election,
+   * and nobody could renew them while this replica applied its log.
+   */
+  MonotonicTime inheritedLeasesRenewedAt() const
+  {
+    return std::max(mLog.electedAt().plusMs(mSettings.electionTimeoutMs()), mNow());
+  }
 };
 
 } // namespace magnoliadrum
--- a/src/control/ControlService_test.cpp
+++ b/src/control/ControlService_test.cpp
@@ -47,6 +47,20 @@
   BOOST_TEST((task().state() == TaskState::ePublished));
 }
 
+// Guards against a leader that ends all sessions when it starts to serve, because it applied its
+// log for longer than a lease and no process could renew its session meanwhile.
+BOOST_FIXTURE_TEST_CASE(sessions_outlive_the_time_in_which_a_new_leader_applies_its_log,
+                        ControlServiceFixture)
+{
+  const std::int64_t session = open(kAgent, admitWorker("vm-1", "i1"));
+  mLog.setLeader(false, mNow);
+  mLog.setLeader(true, mNow.plusMs(-3000));
+  advance(kExpiryMs - 200);
+  BOOST_TEST((mState.sessions().find(session) != nullptr));
+  advance(400);
+  BOOST_TEST((mState.sessions().find(session) == nullptr));
+}
+
 // Guards against a process that loses the group when all replicas that it knew are replaced while
 // its session stays open.
 BOOST_FIXTURE_TEST_CASE(session_learns_replica_addresses_once_after_each_change,
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -82,10 +82,7 @@
       }
     });
   }
-  mFleet.startTerm(relays,
-                   mContext.mLog.term(),
-                   mContext.mLog.electedAt(),
-                   mContext.mSettings.electionTimeoutMs());
+  mFleet.startTerm(relays, mContext.mLog.term(), mContext.inheritedLeasesRenewedAt());
   restoreLearnedFigures();
   mScheduleDue = true;
   logInfo("jobs restored for a new leadership",
--- a/src/control/LeaseTable.cpp
+++ b/src/control/LeaseTable.cpp
@@ -12,13 +12,11 @@
 }
 
 void
-LeaseTable::startTerm(const std::vector<std::int64_t>& aSessions,
-                      MonotonicTime aElectedAt,
-                      std::int64_t aElectionTimeoutMs)
+LeaseTable::startTerm(const std::vector<std::int64_t>& aSessions, MonotonicTime aRenewedAt)
 {
   mLeases.clear();
   for (const std::int64_t session : aSessions) {
-    mLeases[session].mLastReplyAt = aElectedAt.plusMs(aElectionTimeoutMs);
+    mLeases[session].mLastReplyAt = aRenewedAt;
   }
 }
 
--- a/src/control/LeaseTable.h
+++ b/src/control/LeaseTable.h
@@ -22,13 +22,8 @@
 
   explicit LeaseTable(std::int64_t aLeaseMs);
 
-  /**
-   * Starts a leadership term. The predecessor may have renewed sessions until its own leadership
-   * ended, which is at most one election timeout after this leader's election.
-   */
-  void startTerm(const std::vector<std::int64_t>& aSessions,
-                 MonotonicTime aElectedAt,
-                 std::int64_t aElectionTimeoutMs);
+  /** Starts a leadership term. All sessions count as renewed at aRenewedAt. */
+  void startTerm(const std::vector<std::int64_t>& aSessions, MonotonicTime aRenewedAt);
 
   /** Removes all sessions. */
   void endTerm() { mLeases.clear(); }
--- a/src/control/LeaseTable_test.cpp
+++ b/src/control/LeaseTable_test.cpp
@@ -36,7 +36,7 @@
   constexpr std::int64_t electionTimeoutMs = 1000;
   LeaseTable leases(kLeaseMs);
   leases.renew(7, at(0));
-  leases.startTerm({ 1, 2 }, at(5000), electionTimeoutMs);
+  leases.startTerm({ 1, 2 }, at(5000 + electionTimeoutMs));
   leases.renew(2, at(5200));
   BOOST_TEST(leases.expired(at(6000 + kWaitMs)).empty());
   BOOST_TEST((leases.expired(at(6001 + kWaitMs)) == std::vector<std::int64_t>{ 1, 2 }));
--- a/src/control/SessionService.cpp
+++ b/src/control/SessionService.cpp
@@ -27,7 +27,7 @@
     sessions.push_back(number);
     mLiveSessions[number] = LiveSession();
   }
-  mLeases.startTerm(sessions, mContext.mLog.electedAt(), mContext.mSettings.electionTimeoutMs());
+  mLeases.startTerm(sessions, mContext.inheritedLeasesRenewedAt());
   mCatalogueVersions.startTerm(mContext.mState.sessions().all());
   mTargetTable.startTerm();
   mTargetTable.update(executorTargets());
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -24,8 +24,7 @@
 void
 WorkerFleet::startTerm(const std::map<IncarnationKey, std::string>& aRelays,
                        std::int64_t aTerm,
-                       MonotonicTime aElectedAt,
-                       std::int64_t aElectionTimeoutMs)
+                       MonotonicTime aRenewedAt)
 {
   mIncarnations.clear();
   mTerm = aTerm;
@@ -35,8 +34,7 @@
     incarnation.relay = relay;
     incarnation.description = buildValue<WorkerDescription>(
       { .workerId = key.worker, .bornMs = key.startedAtMs, .poolName = "unknown" });
-    incarnation.leaseExpiresAt =
-      aElectedAt.plusMs(aElectionTimeoutMs + withClockTolerance(mLeaseMs));
+    incarnation.leaseExpiresAt = aRenewedAt.plusMs(withClockTolerance(mLeaseMs));
     mIncarnations.emplace(key, std::move(incarnation));
   }
 }
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -128,14 +128,12 @@
   }
 
   /**
-   * Starts a leadership with the incarnations that hold runs, each with the id of its relay. They
-   * may have leases of the previous leader, which may have renewed them until one election timeout
-   * after aElectedAt.
+   * Starts a leadership with the incarnations that hold runs, each with the id of its relay. The
+   * leases that they may have of the previous leader count as renewed at aRenewedAt.
    */
   void startTerm(const std::map<IncarnationKey, std::string>& aRelays,
                  std::int64_t aTerm,
-                 MonotonicTime aElectedAt,
-                 std::int64_t aElectionTimeoutMs);
+                 MonotonicTime aRenewedAt);
   void endTerm() { mIncarnations.clear(); }
 
   /**
