--- a/src/jobs/WorkerReliability.h
+++ b/src/jobs/WorkerReliability.h
@@ -26,7 +26,7 @@
   static constexpr double kMinFailures = 2.5;
   static constexpr double kMinSuccessShare = 0.35;
   /** A worker with a smaller share of successes pauses between standing runs that fail. */
-  static constexpr double kMinSoundShare = 0.5;
+  static constexpr double kMinSoundShare = 0.6;
   /** Shortest time from a failure on a limited worker to its next trial run. */
   static constexpr std::int64_t kTrialIntervalMs = 1000;
   /** A standing run, which never ends well, counts as a success after this time at work. */
