A gateway that shuts down waits for requests that come on open connections

The callers' server reports that it is idle 2.5 s after the signal, once; the process then ends after 250 ms without looking at the requests that the server takes meanwhile.

The shutdown now also waits until that server is idle, up to the limit of the shutdown. Each answer closes its connection and no connection is accepted any more, so there is at most one such request for each connection. shutdown_waits_for_late_requests_of_other_servers failed before (the process ended 160 ms after the request began, 600 ms before its answer) and passes.

--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -356,7 +356,7 @@
 void
 GatewayProcess::continueShutdown(MonotonicTime aNow)
 {
-  const bool isIdle = mRouter.isIdle() && mPendingOperatorRequests == 0;
+  const bool isIdle = mRouter.isIdle() && mPendingOperatorRequests == 0 && mAreOthersIdle();
   if (!isIdle && !mShutdownTimedOut) {
     mIdleSince.reset();
   } else if (!mIdleSince) {
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -29,6 +29,13 @@
    */
   void beginShutdown();
 
+  /** Sets whether the other servers of the process have no request in progress; a shutdown waits
+   * for them, too. */
+  void setOthersIdle(std::function<bool()> aAreOthersIdle)
+  {
+    mAreOthersIdle = std::move(aAreOthersIdle);
+  }
+
   /** Sends a request to the control leader, see ControlLink::call(). */
   void call(const Message& aMessage, Deadline aDeadline, ControlLink::CallCallback aCallback);
 
@@ -90,6 +97,7 @@
   std::uint64_t mHeartbeatCount = 0;
   bool mStopping = false;
   bool mShutdownTimedOut = false;
+  std::function<bool()> mAreOthersIdle = []() { return true; };
   Deadline mShutdownDeadline;
   /** Time since which no request has been in progress during a shutdown. */
   std::optional<MonotonicTime> mIdleSince;
--- a/src/gateway/GatewayProcess_test.cpp
+++ b/src/gateway/GatewayProcess_test.cpp
@@ -344,6 +344,25 @@
   BOOST_TEST(header(answer, "X-Reason") == "no-lease");
 }
 
+// Guards against a request that comes on an open connection once the other server has reported that
+// it is done, and that is cut off without an answer when the process ends.
+BOOST_FIXTURE_TEST_CASE(shutdown_waits_for_late_requests_of_other_servers, ProcessFixture)
+{
+  runFor(300);
+  bool isIdle = true;
+  mGateway->setOthersIdle([&isIdle]() { return isIdle; });
+  mGateway->beginShutdown();
+  runFor(100);
+  isIdle = false;
+  const MonotonicTime requestedAt = mLoop->now();
+  const EventHandlePointer answered =
+    mLoop->runAt(requestedAt.plusMs(600), [&isIdle]() { isIdle = true; });
+  mLoop->run();
+  BOOST_REQUIRE(!mTimedOut);
+  BOOST_TEST(isIdle);
+  BOOST_TEST(mLoop->now().msSince(requestedAt) >= 600);
+}
+
 // Guards against a planned shutdown that aborts a request in progress.
 BOOST_FIXTURE_TEST_CASE(shutdown_finishes_requests_in_flight, ProcessFixture)
 {
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -62,6 +62,9 @@
     logError("gateway cannot start", errorOf(callers));
     return EXIT_FAILURE;
   }
+  if (valueOf(callers) != nullptr) {
+    valueOf(process)->setOthersIdle([&callers]() { return valueOf(callers)->isIdle(); });
+  }
   const auto onTerminate = [&]() {
     if (valueOf(callers) == nullptr) {
       valueOf(process)->beginShutdown();
--- a/src/platform/CallerServer.h
+++ b/src/platform/CallerServer.h
@@ -46,6 +46,10 @@
    */
   void beginShutdown(std::function<void()> aDone);
 
+  /** Whether no request is in progress. After aDone was called, callers may still send one on each
+   * connection that is open. */
+  bool isIdle() const { return mRequestsInProgress == 0; }
+
 private:
   CallerServer(EventLoop& aLoop, Options aOptions);
 
