--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -344,8 +344,9 @@
     attainable.cpuMilli -= aWorker.longRunningCpuMilli;
     const bool interferes =
       expectedRatio(aWorker, step, opportunisticImage(step)) > JobScheduler::kMaxExpectedRatio;
-    if (isLimited(aWorker, step) || !isPermitted(aWorker, aReady, aStepName) ||
-        !requiredResources(step).fitsIn(attainable) || (interferes && !isStarved(aReady))) {
+    if (aWorker.maxRuns != WorkerReliability::kNoLimit ||
+        !isPermitted(aWorker, aReady, aStepName) || !requiredResources(step).fitsIn(attainable) ||
+        (interferes && !isStarved(aReady))) {
       return TrialFit::eNever;
     }
     return hasCapacity(aWorker, step) ? TrialFit::eNow : TrialFit::eLater;
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -91,9 +91,11 @@
   if (aStep.longRunning() && aWorker.hasJustFailedStandingRun) {
     return true;
   }
-  const std::int64_t runs =
-    aWorker.youngStandingRuns + (aStep.longRunning() ? 0 : aWorker.endingRuns);
-  return aWorker.maxRuns != WorkerReliability::kNoLimit && runs >= aWorker.maxRuns;
+  if (aWorker.maxRuns == WorkerReliability::kNoLimit) {
+    return false;
+  }
+  return aStep.longRunning() ? aWorker.youngStandingRuns >= 1
+                             : aWorker.youngStandingRuns + aWorker.endingRuns >= aWorker.maxRuns;
 }
 
 bool
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -135,8 +135,8 @@
             const std::string& aStepName);
 
 /** Whether a worker that fails its runs has as many as it may have, or pauses after a failure. For
- * a standing task only young standing runs count: a short run that takes long would close free room
- * to it. */
+ * a standing task neither the number nor the failures of short runs count: they would close free
+ * room to it for longer than its users tolerate. */
 bool
 isLimited(const WorkerCandidate& aWorker, const JobStep& aStep);
 
