Whether a measurement of waits is due is asked once a round

The leader asked the clock before and after the decisions of a round. If the measurement became due in between, it got an empty list of workers, which shows as noRoom and as no room by any reading. Found by reading; no play shows it. The unit tests of control, fleetmodel and jobs pass.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -908,14 +908,15 @@
     mEvacuation.moveRuns(candidates);
     return;
   }
-  const bool isWaitLogDue = mContext.mNow().msSince(mWaitReasonsLoggedAt) >= kLogWaitReasonsMs;
+  const MonotonicTime now = mContext.mNow();
+  const bool isWaitLogDue = now.msSince(mWaitReasonsLoggedAt) >= kLogWaitReasonsMs;
+  const bool isMeasurementDue = mStandingWaits.isDue(now);
   // decide() reduces the capacity of the candidates by what it plans.
-  const std::vector<WorkerCandidate> before = isWaitLogDue || mStandingWaits.isDue(mContext.mNow())
-                                                ? candidates
-                                                : std::vector<WorkerCandidate>();
+  const std::vector<WorkerCandidate> before =
+    isWaitLogDue || isMeasurementDue ? candidates : std::vector<WorkerCandidate>();
   const SchedulePlan plan = JobScheduler::decide(
     mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs(), mRunTimes);
-  if (mStandingWaits.isDue(mContext.mNow())) {
+  if (isMeasurementDue) {
     observeStandingWaits(before, plan);
   }
   evict(plan.evictions);
