Tests: one builder of a job of long-running tasks

Eleven tests and two fixtures built the same job step by step. standingJobOf() in JobsFixture.h serves them; no assertion changes. Explicit types in the new test of JobService.

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -191,13 +191,6 @@
     return active;
   }
 
-  static JobDescription standingJob(const std::string& aJobId)
-  {
-    JobStep::Fields step = stepOf(1, 1000, 10);
-    step.longRunning = true;
-    return jobOf(aJobId, { step });
-  }
-
   bool mFailsRuns = false;
   std::int64_t mClockMs = kWorkerClockMs;
   std::map<std::string, std::int64_t> mFences;
@@ -555,13 +548,14 @@
   mLog.setLeader(false, mNow);
   mLog.setLeader(true, mNow);
   open(kRelay, admitRelay("relay-1"));
-  const auto orders = report(kRelay, worker("w1"));
-  const auto next = report(kRelay,
-                           worker("w1"),
-                           { .listFence = orders.back().fence(),
-                             .clockMs = kWorkerClockMs + 500,
-                             .running = { running("j.0.0.1", 1) },
-                             .ended = { ended(1, "j.0.0.0", 1, RunEnd::eDone) } });
+  const std::vector<WorkerOrders> orders = report(kRelay, worker("w1"));
+  const std::vector<WorkerOrders> next =
+    report(kRelay,
+           worker("w1"),
+           { .listFence = orders.back().fence(),
+             .clockMs = kWorkerClockMs + 500,
+             .running = { running("j.0.0.1", 1) },
+             .ended = { ended(1, "j.0.0.0", 1, RunEnd::eDone) } });
   for (const WorkerOrders& order : next) {
     BOOST_TEST(order.starts().empty());
   }
@@ -666,7 +660,7 @@
   play(2000);
   BOOST_REQUIRE((stateOf("a") == JobState::eFailed));
   mFailsRuns = false;
-  submit("s2", standingJob("s"));
+  submit("s2", standingJobOf("s", 1, 1000));
   play(1500);
   BOOST_REQUIRE(activeRuns("s") == 1);
   submit("s3", jobOf("b", { stepOf(3, 1000, 10) }));
@@ -681,7 +675,7 @@
 BOOST_FIXTURE_TEST_CASE(a_standing_task_that_fails_is_started_again_after_a_pause, PoolFixture)
 {
   mFailsRuns = true;
-  submit("s1", standingJob("s"));
+  submit("s1", standingJobOf("s", 1, 1000));
   play(6000);
   BOOST_TEST(std::ssize(mStarted) <= 6);
   BOOST_TEST(std::ssize(mStarted) >= 4);
--- a/src/jobs/JobRegistry_test.cpp
+++ b/src/jobs/JobRegistry_test.cpp
@@ -123,9 +123,7 @@
 BOOST_AUTO_TEST_CASE(long_running_tasks_have_no_attempt_limit_and_never_end_their_job)
 {
   JobRegistry registry = registryWithQueues();
-  JobStep::Fields step = stepOf(1, 100, 10);
-  step.longRunning = true;
-  registry.apply(submitOf("urgent", jobOf("s", { step })));
+  registry.apply(submitOf("urgent", standingJobOf("s", 1, 100)));
   for (std::int64_t run = 1; run <= 5; run++) {
     BOOST_TEST(appliedCount(registry.apply(startOf("s.0.0.0", run))) == 1u);
     registry.apply(endOf("s.0.0.0", run, run % 2 == 0 ? RunEnd::eDone : RunEnd::eFailed));
--- a/src/jobs/JobsFixture.h
+++ b/src/jobs/JobsFixture.h
@@ -52,6 +52,15 @@
   return valueOf(JobDescription::create(std::move(fields)));
 }
 
+/** A job of one step of long-running tasks of 10 MB each. */
+inline JobDescription
+standingJobOf(const std::string& aJobId, std::int64_t aCount, std::int64_t aCpuMilli)
+{
+  JobStep::Fields step = stepOf(aCount, aCpuMilli, 10);
+  step.longRunning = true;
+  return jobOf(aJobId, { step });
+}
+
 inline SubmitJob
 submitOf(const std::string& aQueue, const JobDescription& aJob, std::int64_t aAcceptedAtMs = 0)
 {
--- a/src/jobs/PoolLoad_test.cpp
+++ b/src/jobs/PoolLoad_test.cpp
@@ -11,9 +11,7 @@
 BOOST_AUTO_TEST_CASE(free_processor_time_of_a_pool_is_told_apart_from_that_of_one_worker)
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(3, 2000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 3, 2000)));
   jobs.apply(submitOf("urgent", jobOf("j", { stepOf(2, 1000, 10) })));
   jobs.apply(startOf("s.0.0.0", 1));
   WorkerCandidate first = workerOf("w1", 3000, 1000);
--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -277,9 +277,7 @@
   restarted_task_goes_before_short_ones_though_a_task_of_its_step_was_never_started)
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(2, 2000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 2, 2000)));
   jobs.apply(startOf("s.0.0.1", 1));
   jobs.apply(endOf("s.0.0.1", 1, RunEnd::eFailed));
   jobs.apply(submitOf("urgent", jobOf("short", { stepOf(8, 500, 10) })));
@@ -298,9 +296,7 @@
   for (int job = 0; job < 8; job++) {
     jobs.apply(submitOf("urgent", jobOf("short" + std::to_string(job), { stepOf(2, 500, 10) })));
   }
-  JobStep::Fields standing = stepOf(1, 2000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("standing", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("standing", 1, 2000)));
   std::vector<WorkerCandidate> workers = { workerOf("w1", 2000, 1000), workerOf("w2", 2000, 1000) };
   const InterferenceGuard guard;
   const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
@@ -335,9 +331,7 @@
   JobRegistry jobs = registryWithQueues();
   jobs.apply(submitOf("urgent", jobOf("running", { stepOf(48, 62500, 10) })));
   jobs.apply(submitOf("urgent", jobOf("short", { stepOf(48, 1500, 10) })));
-  JobStep::Fields standing = stepOf(10, 13000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("standing", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("standing", 10, 13000)));
   std::vector<WorkerCandidate> workers;
   for (std::int64_t index = 0; index < 48; index++) {
     const TaskId task{ "running", 0, 0, index };
@@ -356,9 +350,7 @@
 BOOST_AUTO_TEST_CASE(restarted_task_avoids_the_worker_of_its_last_run)
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(1, 2000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 1, 2000)));
   jobs.apply(startOf("s.0.0.0", 1, "w1"));
   jobs.apply(endOf("s.0.0.0", 1, RunEnd::eFailed));
   std::vector<WorkerCandidate> workers = { workerOf("w1", 8000, 1000), workerOf("w2", 8000, 1000) };
@@ -377,9 +369,7 @@
 BOOST_AUTO_TEST_CASE(trial_of_a_suspected_task_avoids_limited_workers)
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(1, 2000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 1, 2000)));
   jobs.apply(startOf("s.0.0.0", 1, "w3"));
   jobs.apply(
     valueOf(EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = "s.0.0.0",
--- a/src/jobs/StandingWaitMeter_test.cpp
+++ b/src/jobs/StandingWaitMeter_test.cpp
@@ -12,9 +12,7 @@
 registryWithStandingTask()
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(1, 2000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 1, 2000)));
   return jobs;
 }
 
--- a/src/jobs/TrialPlanner_test.cpp
+++ b/src/jobs/TrialPlanner_test.cpp
@@ -62,9 +62,7 @@
 registryWithStandingSuspects(std::int64_t aShare)
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(3, 1000, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 3, 1000)));
   for (const char* task : { "s.0.0.0", "s.0.0.1", "s.0.0.2" }) {
     jobs.apply(startOf(task, 1, "w0"));
     jobs.apply(valueOf(
--- a/src/jobs/WorkerReliability_test.cpp
+++ b/src/jobs/WorkerReliability_test.cpp
@@ -90,9 +90,7 @@
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_its_runs_gets_one_standing_task)
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(5, 100, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 5, 100)));
   std::vector<WorkerCandidate> workers = { workerOf("w1", 4000, 1000) };
   workers[0].maxRuns = 1;
   const InterferenceGuard guard;
@@ -103,9 +101,7 @@
 BOOST_AUTO_TEST_CASE(a_limited_worker_with_a_short_run_takes_a_standing_task)
 {
   JobRegistry jobs = registryWithQueues();
-  JobStep::Fields standing = stepOf(1, 100, 10);
-  standing.longRunning = true;
-  jobs.apply(submitOf("urgent", jobOf("s", { standing })));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 1, 100)));
   std::vector<WorkerCandidate> workers = { workerOf("w1", 4000, 1000) };
   workers[0].maxRuns = 1;
   workers[0].endingRuns = 1;
