--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "jobs/CrashAttribution.h"
 #include "jobs/DueJobs.h"
+#include "jobs/RoomPlanner.h"
 #include "jobs/TrialPlanner.h"
 
 #include <algorithm>
@@ -184,6 +185,25 @@
                     std::string_view(aWorker.worker));
 }
 
+/** Processor time that no task takes or waits for, by pool, in thousandths of a core. Short tasks
+ * that wait count until the objective of their job has passed. */
+std::map<std::string, std::int64_t>
+uncommittedCpuMilli(const std::vector<WorkerCandidate>& aWorkers,
+                    const std::vector<ReadyStep>& aReadySteps)
+{
+  std::map<std::string, std::int64_t> uncommitted;
+  for (const ReadyStep& ready : aReadySteps) {
+    if (ready.description().longRunning() || ready.isWithinObjective) {
+      uncommitted[ready.job->queue().poolName()] -=
+        ready.waitingTasks() * requiredResources(ready.description()).cpuMilli;
+    }
+  }
+  for (const WorkerCandidate& worker : aWorkers) {
+    uncommitted[worker.poolName] += worker.capacity.cpuMilli - worker.used.cpuMilli;
+  }
+  return uncommitted;
+}
+
 /** Assigns the ready steps one after the other to the workers of a round. */
 class SchedulingRound
 {
@@ -193,16 +213,8 @@
                   const std::vector<ReadyStep>& aReadySteps)
     : mForecast(aGuard)
     , mWorkers(aWorkers)
+    , mRoomPlanner(uncommittedCpuMilli(aWorkers, aReadySteps))
   {
-    for (const ReadyStep& ready : aReadySteps) {
-      if (ready.description().longRunning() || ready.isWithinObjective) {
-        mUncommittedCpuMilli[ready.job->queue().poolName()] -=
-          ready.waitingTasks() * requiredResources(ready.description()).cpuMilli;
-      }
-    }
-    for (const WorkerCandidate& worker : mWorkers) {
-      mUncommittedCpuMilli[worker.poolName] += worker.capacity.cpuMilli - worker.used.cpuMilli;
-    }
     for (WorkerCandidate& worker : mWorkers) {
       worker.interference = mForecast.loadOf(worker.serving, worker.unobservedShares);
       for (const auto& [task, slowRun] : worker.stragglers) {
@@ -278,7 +290,12 @@
   }
 
   bool isFull() const { return mPlan.assignments.size() >= JobScheduler::kMaxAssignments; }
-  SchedulePlan takePlan() { return std::move(mPlan); }
+
+  SchedulePlan takePlan()
+  {
+    mPlan.evictions = mRoomPlanner.evictions();
+    return std::move(mPlan);
+  }
 
 private:
   static TaskId firstTask(const ReadyStep& aReady)
@@ -462,24 +479,6 @@
     return best != nullptr;
   }
 
-  /** Whether the pool of a step has less capacity than its tasks take and wait for. Short tasks
-   * that wait count until the objective of their job has passed. */
-  bool isOvercommitted(const ReadyStep& aReady) const
-  {
-    return mUncommittedCpuMilli.at(aReady.job->queue().poolName()) < 0;
-  }
-
-  /** Whether capacity of running tasks may be awaited for a task of the step. */
-  bool mayAwaitCapacity(const ReadyStep& aReady) const
-  {
-    if (!aReady.description().longRunning()) {
-      return false;
-    }
-    const auto awaited = mAwaitedPieces.find(aReady.job->queue().poolName());
-    return !isOvercommitted(aReady) || awaited == mAwaitedPieces.end() ||
-           awaited->second < JobScheduler::kMaxAwaitedPieces;
-  }
-
   /** Takes the capacity for a run of the step. */
   void occupy(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask)
   {
@@ -562,11 +561,8 @@
     return std::min(JobScheduler::kMaxRiskCost, growth);
   }
 
-  /**
-   * Reserves capacity for a task that fits nowhere: capacity that stopping runs will free, if it is
-   * not enough that of evicted runs of queues with a lower priority, and for a long-running task
-   * also that of runs that end by themselves, which are awaited. The task starts in a later round.
-   */
+  /** Reserves capacity for a task that fits nowhere, see RoomPlanner. The task starts in a later
+   * round. */
   bool reserveCapacity(const ReadyStep& aReady, const TaskId& aTask, const std::string& aStepName)
   {
     const JobStep& step = aReady.description();
@@ -580,8 +576,7 @@
       if (!isEligible(worker, aReady, aTask, aStepName) || !size.fitsIn(worker.capacity)) {
         continue;
       }
-      std::optional<RoomPlan> plan =
-        planRoom(worker, step, aReady.priority, mayAwaitCapacity(aReady));
+      std::optional<RoomPlan> plan = mRoomPlanner.plan(worker, step, aReady.priority);
       if (plan && (!bestPlan || plan->rank() < bestPlan->rank())) {
         best = &worker;
         bestPlan = std::move(plan);
@@ -590,99 +585,11 @@
     if (!bestPlan) {
       return false;
     }
-    if (bestPlan->awaitedCpuMilli > 0) {
-      mAwaitedPieces[aReady.job->queue().poolName()]++;
-    }
-    evict(*best, bestPlan->victims);
+    mRoomPlanner.carryOut(*best, *bestPlan);
     occupy(*best, step, aTask);
     return true;
   }
 
-  /** How a worker gets room for a task. */
-  struct RoomPlan
-  {
-    /** Runs that have to be stopped. */
-    std::vector<EvictableRun> victims;
-    double lostWork = 0;
-    /** Processor time that is missing until runs have ended by themselves, in thousandths of a
-     * core; 0 if none are awaited. */
-    std::int64_t awaitedCpuMilli = 0;
-
-    /** The plan with the lowest rank is chosen. The worker that misses least mostly stays the
-     * choice of the next rounds, because nothing else is assigned to its reserved room. */
-    std::tuple<std::int64_t, double> rank() const { return { awaitedCpuMilli, lostWork }; }
-  };
-
-  /** Plans room for a task on a worker; empty if the worker cannot get enough. With aMayAwait also
-   * room of runs that end by themselves. */
-  std::optional<RoomPlan> planRoom(const WorkerCandidate& aWorker,
-                                   const JobStep& aStep,
-                                   std::int64_t aPriority,
-                                   bool aMayAwait) const
-  {
-    const ResourceAmount size = requiredResources(aStep);
-    const ResourceAmount free = aWorker.capacity.minus(aWorker.used).plus(aWorker.releasing);
-    std::optional<RoomPlan> plan = findVictims(aWorker, size, free, aPriority);
-    if (plan || !aMayAwait) {
-      return plan;
-    }
-    // Short runs would otherwise take the room of a long-running task piece by piece, again and
-    // again.
-    ResourceAmount ending;
-    for (const EvictableRun& run : aWorker.evictable) {
-      if (run.priority <= aPriority) {
-        ending = ending.plus(run.size);
-      }
-    }
-    plan = findVictims(aWorker, size, free.plus(ending), aPriority);
-    if (plan) {
-      plan->awaitedCpuMilli = std::max<std::int64_t>(1, size.cpuMilli - free.cpuMilli);
-      // They are stopped once the awaited runs have ended.
-      plan->victims.clear();
-    }
-    return plan;
-  }
-
-  /** Selects the cheapest runs to stop beyond what is free; empty if they cannot free enough or if
-   * the plan would exceed kMaxEvictions. */
-  std::optional<RoomPlan> findVictims(const WorkerCandidate& aWorker,
-                                      const ResourceAmount& aSize,
-                                      ResourceAmount aFree,
-                                      std::int64_t aPriority) const
-  {
-    RoomPlan plan;
-    std::vector<EvictableRun> candidates = aWorker.evictable;
-    std::sort(candidates.begin(),
-              candidates.end(),
-              [](const EvictableRun& aLeft, const EvictableRun& aRight) {
-                return std::tie(aLeft.lostWork, aLeft.task) <
-                       std::tie(aRight.lostWork, aRight.task);
-              });
-    for (const EvictableRun& candidate : candidates) {
-      if (aSize.fitsIn(aFree)) {
-        break;
-      }
-      if (candidate.priority <= aPriority) {
-        continue;
-      }
-      aFree = aFree.plus(candidate.size);
-      plan.lostWork += candidate.lostWork;
-      plan.victims.push_back(candidate);
-    }
-    const bool isAllowed =
-      mPlan.evictions.size() + plan.victims.size() <= JobScheduler::kMaxEvictions;
-    return aSize.fitsIn(aFree) && isAllowed ? std::optional<RoomPlan>(plan) : std::nullopt;
-  }
-
-  void evict(WorkerCandidate& aWorker, const std::vector<EvictableRun>& aVictims)
-  {
-    for (const EvictableRun& victim : aVictims) {
-      aWorker.releasing = aWorker.releasing.plus(victim.size);
-      std::erase(aWorker.evictable, victim);
-      mPlan.evictions.push_back(victim);
-    }
-  }
-
   /** Assigns all tasks of a gang or none; in one rack if the step asks for it and a rack has the
    * capacity. */
   void placeGang(const ReadyStep& aReady)
@@ -728,10 +635,7 @@
   std::vector<std::pair<const ReadyStep*, TrialTask>> mWaitingTrials;
   /** The stragglers and their workers, by task name. */
   std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
-  /** Processor time that no task takes or waits for, by pool, in thousandths of a core. */
-  std::map<std::string, std::int64_t> mUncommittedCpuMilli;
-  /** Number of tasks for which capacity is awaited, by pool. */
-  std::map<std::string, std::size_t> mAwaitedPieces;
+  RoomPlanner mRoomPlanner;
   /** Number of stragglers that are being stopped. */
   std::size_t mRestarting = 0;
   SchedulePlan mPlan;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -75,15 +75,13 @@
  * first, those that have had a run before the others, in the order of their acceptance; the others
  * follow by the outlook of their job (see JobSelector), then by the deadline that this outlook
  * refers to. A task is only assigned to a worker with enough free capacity for what it requires.
- * For a task that fits nowhere, runs of queues with a lower priority are stopped, the cheapest
- * first, and the capacity is reserved for it; for a long-running task also the capacity of short
- * runs that end by themselves, in a pool with less capacity than its tasks take and wait for only
- * for one task at a time. A straggler is stopped when another worker has room for its next run,
- * which is then kept free; overdue jobs are not worth it. Tasks that serve users are packed on few
- * workers, preferably with tasks of the same image, which leaves workers on which opportunistic
- * tasks interfere with nobody. While its pool is mostly free, a job without active runs gets one
- * task of an opportunistic step placed even where it may interfere, so that every job makes
- * progress. Tasks that may have crashed a worker go first, see TrialPlanner; gangs are not tried.
+ * For a task that fits nowhere, capacity is reserved, see RoomPlanner. A straggler is stopped when
+ * another worker has room for its next run, which is then kept free; overdue jobs are not worth it.
+ * Tasks that serve users are packed on few workers, preferably with tasks of the same image, which
+ * leaves workers on which opportunistic tasks interfere with nobody. While its pool is mostly free,
+ * a job without active runs gets one task of an opportunistic step placed even where it may
+ * interfere, so that every job makes progress. Tasks that may have crashed a worker go first, see
+ * TrialPlanner; gangs are not tried.
  */
 class JobScheduler
 {
@@ -101,12 +99,6 @@
   /** Maximum number of stragglers that are between their runs at any time: each takes room twice.
    */
   static constexpr std::size_t kMaxRestarts = 24;
-  /** Maximum number of runs that a round stops. */
-  static constexpr std::size_t kMaxEvictions = 40;
-  /** Maximum number of tasks of a pool for which the capacity of running tasks is awaited at the
-   * same time, if the pool has too little for all. Awaited capacity is idle until enough has ended.
-   */
-  static constexpr std::size_t kMaxAwaitedPieces = 1;
   /** Maximum number of wait reasons in a plan. */
   static constexpr std::size_t kMaxWaitReasons = 5;
   /** Maximum number of assignments of a round; the remaining tasks follow in the next round. */
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -18,6 +18,7 @@
 #include "jobs/JobSelector.h"
 #include "jobs/PoolLoad.h"
 #include "jobs/ProgressMeter.h"
+#include "jobs/RoomPlanner.h"
 #include "jobs/RunTimeModel.h"
 #include "jobs/StandingWaitMeter.h"
 #include "jobs/StragglerPlanner.h"
