--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -111,7 +111,7 @@
   RelayContext context;
   context.now = [this]() { return mNow; };
   context.send = [this, aSlot, connection = slot.connection](const Message& aMessage) {
-    if (mSlots.at(aSlot).isCut) {
+    if (mSlots.at(aSlot).isCut || mSlots.at(aSlot).isRelayStopped) {
       return false;
     }
     runLater(kMessageMs, [this, connection, aMessage]() { deliver(connection, aMessage); });
@@ -211,7 +211,7 @@
 {
   Slot& slot = mSlots.at(aSlot);
   slot.worker->tick();
-  if (!slot.worker->isUp()) {
+  if (!slot.worker->isUp() && !slot.hasLeft) {
     if (slot.restartAt == MonotonicTime()) {
       slot.restartAt = mNow.plusMs(kRestartMs);
     } else if (mNow >= slot.restartAt) {
@@ -222,12 +222,10 @@
   const bool isRegistrationDue =
     slot.registrations == 0 || mNow.msSince(slot.registeredAt) >= kRegistrationMs;
   if (slot.worker->isUp() && isRegistrationDue) {
-    slot.registeredAt = mNow;
-    slot.registrations++;
-    toRelay(slot,
-            [this, aSlot, worker = slot.worker->description(), number = slot.registrations]() {
-              mSlots.at(aSlot).relay->onRegistration(worker, "model", number);
-            });
+    registerWorker(aSlot);
+  }
+  if (slot.isRelayStopped) {
+    return;
   }
   if (slot.isCut && mNow >= slot.cutUntil) {
     slot.isCut = false;
@@ -249,12 +247,24 @@
   }
   if (mNow.ms() % WorkerRelay::kTickMs == 0) {
     slot.relay->tick();
+    slot.isRelayStopped = slot.relay->mayExit();
   }
   if (mNow.ms() % kHeartbeatMs == 0 && !slot.isCut) {
     heartbeat(slot.connection, slot.session, slot.processId);
   }
 }
 
+void
+FleetModel::registerWorker(std::size_t aSlot)
+{
+  Slot& slot = mSlots.at(aSlot);
+  slot.registeredAt = mNow;
+  slot.registrations++;
+  toRelay(slot, [this, aSlot, worker = slot.worker->description(), number = slot.registrations]() {
+    mSlots.at(aSlot).relay->onRegistration(worker, "model", number);
+  });
+}
+
 void
 FleetModel::toRelay(Slot& aSlot, std::function<void()> aFunction)
 {
@@ -269,11 +279,23 @@
 
 void
 FleetModel::changeLeader()
+{
+  loseLeader();
+  electLeader();
+}
+
+void
+FleetModel::loseLeader()
 {
   mLog.setLeader(false, mNow);
+}
+
+void
+FleetModel::electLeader()
+{
   mLog.setLeader(true, mNow);
   for (Slot& slot : mSlots) {
-    if (slot.isCut) {
+    if (slot.isCut || slot.isRelayStopped) {
       continue;
     }
     mSent[slot.connection].clear();
@@ -291,6 +313,30 @@
   openSession(slot);
 }
 
+void
+FleetModel::announceEnd(std::size_t aSlot)
+{
+  worker(aSlot).announceEnd();
+  registerWorker(aSlot);
+}
+
+void
+FleetModel::endWorker(std::size_t aSlot)
+{
+  Slot& slot = mSlots.at(aSlot);
+  slot.hasLeft = true;
+  slot.worker->leave();
+  toRelay(slot, [this, aSlot, id = slot.worker->workerId()]() {
+    mSlots.at(aSlot).relay->onDeregistration(id);
+  });
+}
+
+void
+FleetModel::stopRelay(std::size_t aSlot)
+{
+  toRelay(mSlots.at(aSlot), [this, aSlot]() { mSlots.at(aSlot).relay->stop(); });
+}
+
 void
 FleetModel::crashWorker(std::size_t aSlot)
 {
@@ -336,6 +382,16 @@
   });
 }
 
+std::size_t
+FleetModel::slotOf(const std::string& aTask) const
+{
+  std::size_t slot = 0;
+  while (slot < mSlots.size() && !mSlots[slot].worker->runs(aTask)) {
+    slot++;
+  }
+  return slot;
+}
+
 bool
 FleetModel::mayBeGivenUp(const std::string& aJobId) const
 {
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -44,7 +44,15 @@
   void run(std::int64_t aMs);
 
   void changeLeader();
+  /** The leader loses its leadership; nobody leads until electLeader(). */
+  void loseLeader();
+  void electLeader();
   void restartRelay(std::size_t aSlot);
+  /** The worker announces its end; after endWorker() no other one comes. */
+  void announceEnd(std::size_t aSlot);
+  void endWorker(std::size_t aSlot);
+  /** The relay gets SIGTERM, and its machine is not used again. */
+  void stopRelay(std::size_t aSlot);
   void crashWorker(std::size_t aSlot);
   void setCapacity(std::size_t aSlot, const ResourceAmount& aCapacity);
   /** The relay's machine stands still for a time: it handles nothing, and messages and
@@ -59,6 +67,8 @@
   std::int64_t startsOf(const std::string& aTask) const;
   /** Whether a worker that is up runs the task. */
   bool isRunning(const std::string& aTask) const;
+  /** The slot whose worker runs the task; slots() if none does. */
+  std::size_t slotOf(const std::string& aTask) const;
   /** Whether two workers have crashed under a task of the job, so that it may be given up. */
   bool mayBeGivenUp(const std::string& aJobId) const;
   /** The violated rules, one a line. */
@@ -78,6 +88,9 @@
     MonotonicTime frozenUntil;
     MonotonicTime cutUntil;
     bool isCut = false;
+    /** The worker has left for good. */
+    bool hasLeft = false;
+    bool isRelayStopped = false;
     /** What the relay gets when it is no longer frozen, in order. */
     std::vector<std::function<void()>> waiting;
     /** Earlier capacities of the incarnation and when each ended. */
@@ -90,6 +103,7 @@
   void createRelay(std::size_t aSlot);
   void createWorker(std::size_t aSlot);
   void toRelay(Slot& aSlot, std::function<void()> aFunction);
+  void registerWorker(std::size_t aSlot);
   void step();
   void stepSlot(std::size_t aSlot);
   void addViolation(const std::string& aRule, const std::string& aWhat);
--- a/src/fleetmodel/ModelWorker.cpp
+++ b/src/fleetmodel/ModelWorker.cpp
@@ -26,8 +26,9 @@
       .poolName = "desk",
       .rack = "r1",
       .labels = { "a", "r1" },
-      .capacity = buildValue<Resources>(
-        { .cpuMilli = mCapacity.cpuMilli, .memoryMb = mCapacity.memoryMb }) });
+      .capacity =
+        buildValue<Resources>({ .cpuMilli = mCapacity.cpuMilli, .memoryMb = mCapacity.memoryMb }),
+      .draining = mIsDraining });
 }
 
 ResourceAmount
@@ -43,10 +44,16 @@
 void
 ModelWorker::crash()
 {
-  mIsUp = false;
   for (const auto& [task, run] : mRuns) {
     mContext.onCrashed(task);
   }
+  leave();
+}
+
+void
+ModelWorker::leave()
+{
+  mIsUp = false;
   mRuns.clear();
   for (const auto& [number, fail] : std::exchange(mPendingCalls, {})) {
     fail();
--- a/src/fleetmodel/ModelWorker.h
+++ b/src/fleetmodel/ModelWorker.h
@@ -66,6 +66,12 @@
   /** Ends the incarnation: its runs are gone and its connections break. */
   void crash();
 
+  /** Announces the planned end of the incarnation. */
+  void announceEnd() { mIsDraining = true; }
+
+  /** Ends the incarnation as announced. */
+  void leave();
+
   /** Ends the runs that are over and, after the lease, all others. */
   void tick();
 
@@ -97,6 +103,7 @@
   ResourceAmount mCapacity;
   MonotonicTime mBornAt;
   bool mIsUp = true;
+  bool mIsDraining = false;
   std::int64_t mFence = 0;
   std::int64_t mLeaseUntilMs = 0;
   std::map<std::string, ModelRun> mRuns;
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -202,6 +202,18 @@
   sendReport(nullptr, 0);
 }
 
+void
+WorkerRelay::stop()
+{
+  mIsStopping = true;
+}
+
+bool
+WorkerRelay::mayExit() const
+{
+  return mIsStopping;
+}
+
 void
 WorkerRelay::onSession()
 {
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -109,6 +109,12 @@
   /** Requests run lists and reports batched answers when they are due. */
   void tick();
 
+  /** Handles the signal to stop. The relay goes on until mayExit(). */
+  void stop();
+
+  /** Whether the process may exit: stop() was called and nothing is left to do. */
+  bool mayExit() const;
+
   bool hasWorker() const { return mWorker.has_value(); }
 
   /** Exports the gauges and counters of the relay. */
@@ -220,6 +226,7 @@
   std::map<std::pair<OrderKind, OrderResult>, std::int64_t> mOrderCounts;
   /** Start of the current batching interval of mAnswers. */
   MonotonicTime mAnswersSince;
+  bool mIsStopping = false;
 };
 
 } // namespace magnoliadrum
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -78,16 +78,33 @@
       mMetricsServer = takeValue(std::move(metrics));
     }
     mLink->start();
-    mTickTimer = mLoop.runEvery(WorkerRelay::kTickMs, [this]() { mRelay.tick(); });
+    mTickTimer = mLoop.runEvery(WorkerRelay::kTickMs, [this]() {
+      mRelay.tick();
+      exitIfDone();
+    });
     return Done{};
   }
 
+  /** Ends the loop as soon as the relay may exit. */
+  void stop()
+  {
+    mRelay.stop();
+    exitIfDone();
+  }
+
   void setControlAddresses(std::vector<std::string> aAddresses)
   {
     mLink->setControlAddresses(std::move(aAddresses));
   }
 
 private:
+  void exitIfDone()
+  {
+    if (mRelay.mayExit()) {
+      mLoop.stop();
+    }
+  }
+
   void answerMetrics(const HttpRequest& aRequest, HttpResponder& aResponder)
   {
     constexpr std::int64_t kOk = 200;
@@ -129,9 +146,9 @@
   }
   // No cleanup is needed: the worker's runs continue under their lease while another relay takes
   // over.
-  const auto stopRelay = [&events]() {
+  const auto stopRelay = [&process]() {
     logInfo("relay stopping");
-    events.stop();
+    process.stop();
   };
   const EventHandlePointer terminate = events.onSignal(SIGTERM, stopRelay);
   const EventHandlePointer interrupt = events.onSignal(SIGINT, stopRelay);
