A relay reports the end of its worker until a leader has committed it

Callers saw LOST: standing tasks whose worker had left as announced did not run for 12 s (24 s in the users' record) beside free room. The end of a worker was known to the leader of the term and to the relay only. The leader changed before it had committed the ends of the runs, the relay ended at SIGTERM 1 s after its worker, and the next leader counted a whole lease of 10 s from the start of its own term. Each further change of the leader started it anew.

The leader now confirms that the log holds no run of a worker that has left (WorkerOrders.released). Until then its relay repeats the report each 500 ms, and does not exit at SIGTERM for up to 5 s, also while the worker drains. A relay whose worker stays exits at once, as before.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -322,6 +322,9 @@
   if (incarnation == nullptr) {
     logInfo("report ignored: worker incarnation is superseded or lost",
             { { "worker", key.worker }, { "born", key.startedAtMs } });
+    if (aReport.worker().gone() && mFleet.find(key) == nullptr) {
+      releaseRelay(key, session->session());
+    }
     return;
   }
   mFleet.setCrashSuspects(aReport.crashSuspects());
@@ -761,6 +764,16 @@
   }
 }
 
+void
+JobService::releaseRelay(const IncarnationKey& aKey, std::int64_t aSession)
+{
+  // A relay that does not get this reports the worker again, and is released again.
+  mSessions.sendTo(
+    aSession,
+    buildValue<WorkerOrders>(
+      { .worker = aKey.worker, .bornMs = aKey.startedAtMs, .fence = 1, .released = true }));
+}
+
 void
 JobService::sendOrdersToAll(const std::set<IncarnationKey>& aKeys)
 {
@@ -791,6 +804,9 @@
       proposeEnds(std::move(ends));
     } else if (mRuns.tasksOn(key).empty()) {
       logInfo("lost worker removed", { { "worker", key.worker }, { "born", key.startedAtMs } });
+      if (mFleet.find(key)->description.gone()) {
+        releaseRelay(key, mFleet.find(key)->relaySession);
+      }
       mFleet.remove(key);
     }
   }
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -101,6 +101,8 @@
                   const IncarnationKey& aKey,
                   WorkerOrders::Fields aOrders = {});
   void sendOrdersToAll(const std::set<IncarnationKey>& aKeys);
+  /** Tells the relay of a worker that has left that the log holds no run of it. */
+  void releaseRelay(const IncarnationKey& aKey, std::int64_t aSession);
   void stopRunsOfFinishedJobs(const std::set<std::string>& aJobs);
   void schedule();
   std::vector<WorkerCandidate> buildWorkerCandidates();
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -134,6 +134,7 @@
   mWorkerClock.reset();
   mIsUnreachable = false;
   mIsRefused = false;
+  mIsReleased = false;
   mListsRequestedAt = mContext.now();
   mAnswers.clear();
 }
@@ -205,13 +206,17 @@
 void
 WorkerRelay::stop()
 {
-  mIsStopping = true;
+  mExitAt = mContext.now().plusMs(kLongestStopMs);
 }
 
 bool
 WorkerRelay::mayExit() const
 {
-  return mIsStopping;
+  if (!mExitAt) {
+    return false;
+  }
+  const bool isDeparting = mWorker && mWorker->draining() && !mIsReleased;
+  return !isDeparting || mContext.now() >= *mExitAt;
 }
 
 void
@@ -228,6 +233,10 @@
   const bool isForCurrentIncarnation = mWorker && mClient &&
                                        aOrders.worker() == mWorker->workerId() &&
                                        aOrders.bornMs() == mWorker->bornMs();
+  if (isForCurrentIncarnation && aOrders.released()) {
+    mIsReleased = true;
+    return;
+  }
   if (!isForCurrentIncarnation || aOrders.fence() < mFence) {
     logInfo("orders for another worker incarnation or with a stale fence ignored",
             { { "worker", aOrders.worker() },
@@ -482,11 +491,24 @@
     logError("cannot create worker report", errorOf(message));
     return;
   }
+  if (mWorker->gone()) {
+    mDepartureReportedAt = mContext.now();
+  }
   if (mContext.send(valueOf(message))) {
     mAnswers.erase(mAnswers.begin(), answersEnd);
   }
 }
 
+void
+WorkerRelay::repeatDeparture()
+{
+  const bool isDue =
+    mContext.now().msSince(mDepartureReportedAt) >= kRepeatDepartureMs && !mIsReleased;
+  if (mWorker && mWorker->gone() && isDue) {
+    sendReport(nullptr, 0);
+  }
+}
+
 void
 WorkerRelay::setMetrics(MetricsRegistry& aMetrics) const
 {
@@ -516,6 +538,7 @@
 {
   const MonotonicTime now = mContext.now();
   handlePostponedRegistration();
+  repeatDeparture();
   if (mListRequestsInProgress == 0 && shouldRequestRunLists(now)) {
     requestRunLists(kMaxListWaitMs);
   }
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -72,6 +72,12 @@
   /** An incarnation for which no leader has sent orders for this long (ms) gives way to any other
    * one. The system may know nothing of its pool, and its birth may lie in the future. */
   static constexpr std::int64_t kNoOrdersMs = 3000;
+  /** Time in ms between two reports of a worker that has left, until a leader has committed the
+   * ends of its runs. As long as a leader waits after the first one. */
+  static constexpr std::int64_t kRepeatDepartureMs = 500;
+  /** Longest time in ms from stop() until the process may exit. The platform kills a process 6 s
+   * after its signal. */
+  static constexpr std::int64_t kLongestStopMs = 5000;
   /** Period of tick() in ms. */
   static constexpr std::int64_t kTickMs = 20;
 
@@ -112,7 +118,12 @@
   /** Handles the signal to stop. The relay goes on until mayExit(). */
   void stop();
 
-  /** Whether the process may exit: stop() was called and nothing is left to do. */
+  /**
+   * Whether the process may exit after stop(). While its worker leaves as announced, the relay
+   * stays until a leader has committed the ends of the runs, kLongestStopMs at most: nobody else
+   * can tell a new leader that they are over. Otherwise the runs continue under their lease while
+   * the next relay process takes over.
+   */
   bool mayExit() const;
 
   bool hasWorker() const { return mWorker.has_value(); }
@@ -162,6 +173,7 @@
   void onRunLists(std::int64_t aFence, MonotonicTime aRequestedAt, const Result<RunLists>& aResult);
   void sendReport(const RunLists* aLists, std::int64_t aFence);
   bool shouldRequestRunLists(MonotonicTime aNow) const;
+  void repeatDeparture();
 
   RelayContext mContext;
   std::optional<WorkerDescription> mWorker;
@@ -226,7 +238,11 @@
   std::map<std::pair<OrderKind, OrderResult>, std::int64_t> mOrderCounts;
   /** Start of the current batching interval of mAnswers. */
   MonotonicTime mAnswersSince;
-  bool mIsStopping = false;
+  /** Set by stop(). */
+  std::optional<Deadline> mExitAt;
+  /** A leader has committed the ends of all runs of the worker, which has left. */
+  bool mIsReleased = false;
+  MonotonicTime mDepartureReportedAt;
 };
 
 } // namespace magnoliadrum
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -401,4 +401,48 @@
   }
 }
 
+// Guards against a relay that delays its restart though its worker stays.
+BOOST_FIXTURE_TEST_CASE(relay_of_a_worker_that_stays_exits_at_once, RelayFixture)
+{
+  mRelay.stop();
+  BOOST_TEST(mRelay.mayExit());
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  BOOST_TEST(mRelay.mayExit());
+}
+
+// Guards against the end of a worker that no leader has committed when its relay exits.
+BOOST_FIXTURE_TEST_CASE(relay_of_a_departed_worker_reports_it_until_it_is_released, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
+  mRelay.stop();
+  BOOST_TEST(!mRelay.mayExit(), "the worker is still there");
+  mHasSession = false;
+  mRelay.onDeregistration("w");
+  mHasSession = true;
+  mNow = mNow.plusMs(WorkerRelay::kRepeatDepartureMs);
+  mRelay.tick();
+  BOOST_REQUIRE(!mReports.empty());
+  BOOST_TEST(mReports.back().worker().gone());
+  BOOST_TEST(!mRelay.mayExit());
+  mRelay.onOrders(
+    valueOf(WorkerOrders::create({ .worker = "w", .bornMs = 5, .fence = 1, .released = true })));
+  BOOST_TEST(mRelay.mayExit());
+  mReports.clear();
+  mNow = mNow.plusMs(WorkerRelay::kRepeatDepartureMs);
+  mRelay.tick();
+  BOOST_TEST(mReports.empty());
+}
+
+// Guards against a relay that never exits because no leader answers.
+BOOST_FIXTURE_TEST_CASE(relay_of_a_departed_worker_exits_in_time, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
+  mRelay.onDeregistration("w");
+  mRelay.stop();
+  mNow = mNow.plusMs(WorkerRelay::kLongestStopMs - 1);
+  BOOST_TEST(!mRelay.mayExit());
+  mNow = mNow.plusMs(1);
+  BOOST_TEST(mRelay.mayExit());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
