An announced departure is no crash for a new leader

A new leader answers the report of a departed worker with orders under its own fence, and the relay called the worker, which refuses connections by then. The relay took that for a crash and named the worker's runs as suspects, certain ones, since their lists were fresh.

The relay of a worker that has left as announced does not call it and names no suspects, and the leader counts none for it. A crash of a worker that still drains counts as before.

departure_is_no_crash_for_a_new_leader and job_survives_departures_beside_changes_of_the_leader failed before (one crash counted; the job failed) and pass now.

--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -289,6 +289,9 @@
 std::map<std::string, CrashSuspect>
 RunTracker::crashSuspects(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation) const
 {
+  if (aIncarnation.description.gone()) {
+    return {};
+  }
   if (aIncarnation.crashSuspects || aIncarnation.isLeaving()) {
     return aIncarnation.crashSuspects.value_or(std::map<std::string, CrashSuspect>());
   }
--- a/src/fleetmodel/DepartedWorkers_test.cpp
+++ b/src/fleetmodel/DepartedWorkers_test.cpp
@@ -84,4 +84,39 @@
   BOOST_TEST(mFleet.violations() == "");
 }
 
+// Guards against an announced departure that counts as a crash of the worker, because a new
+// leader's orders make the relay call a worker that is no longer there.
+BOOST_FIXTURE_TEST_CASE(departure_is_no_crash_for_a_new_leader, DepartureFixture)
+{
+  mFleet.run(300);
+  mFleet.changeLeader();
+  mFleet.run(kRestartedWithinMs);
+  BOOST_TEST(mFleet.isRunning("s.0.0.0"));
+  BOOST_TEST(mFleet.crashesOf("s.0.0.0") == 0);
+}
+
+// Guards against LOST: a job is shown as failed, because its worker left three times beside a
+// change of the leader.
+BOOST_AUTO_TEST_CASE(job_survives_departures_beside_changes_of_the_leader)
+{
+  FleetModel fleet(4, kWorkerCapacity);
+  fleet.run(1000);
+  JobStep::Fields step = stepOf(1, 1000, 10);
+  step.estimateMs = 60000;
+  fleet.submit(jobOf("s", { step }));
+  for (int departure = 0; departure < 3; departure++) {
+    fleet.run(3000);
+    const std::size_t slot = fleet.slotOf("s.0.0.0");
+    BOOST_REQUIRE(slot < fleet.slots());
+    fleet.announceEnd(slot);
+    fleet.run(kAnnouncedMs);
+    fleet.endWorker(slot);
+    fleet.run(300);
+    fleet.changeLeader();
+  }
+  fleet.run(kRestartedWithinMs);
+  BOOST_TEST((fleet.stateOf("s") == JobState::eRunning));
+  BOOST_TEST(fleet.violations() == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -374,6 +374,13 @@
   return position == mStarts.end() ? 0 : position->second;
 }
 
+std::int64_t
+FleetModel::crashesOf(const std::string& aTask) const
+{
+  const std::optional<TaskId> task = TaskId::parse(aTask);
+  return mState.jobs().find(task->jobId)->find(*task)->crashes;
+}
+
 bool
 FleetModel::isRunning(const std::string& aTask) const
 {
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -65,6 +65,8 @@
 
   JobState stateOf(const std::string& aJobId) const { return mState.jobs().find(aJobId)->state(); }
   std::int64_t startsOf(const std::string& aTask) const;
+  /** Number of crashes that count against the task. */
+  std::int64_t crashesOf(const std::string& aTask) const;
   /** Whether a worker that is up runs the task. */
   bool isRunning(const std::string& aTask) const;
   /** The slot whose worker runs the task; slots() if none does. */
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -254,7 +254,9 @@
     mOrderQueue.clear();
     // A list request in progress may wait up to kMaxListWaitMs; the worker must see the new fence
     // immediately.
-    requestRunLists(0);
+    if (!mWorker->gone()) {
+      requestRunLists(0);
+    }
   }
   queueOrders(aOrders);
   if (mListRequestsInProgress == 0 && shouldRequestRunLists(mContext.now())) {
@@ -470,7 +472,8 @@
   WorkerReport::Fields fields{ .worker = *mWorker,
                                .answers = { mAnswers.begin(), answersEnd },
                                .unreachable = mIsUnreachable };
-  if (mIsRefused) {
+  // A worker that has left as announced accepts no connections either.
+  if (mIsRefused && !mWorker->gone()) {
     fields.crashSuspects.push_back(currentSuspects());
   }
   std::erase_if(mEndedIncarnations, [now = mContext.now()](const EndedIncarnation& aEnded) {
