A departed worker's runs end after the rest of its grace under a new leader

Each leader waited 500 ms from the first report of a departure that it got, so terms shorter than that ended nothing.

Reports carry the time since the worker's notice that it exits, and the leader waits for the rest. tasks_of_a_departed_worker_run_again_in_short_terms guards it.

--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -92,9 +92,11 @@
   incarnation.reportedAt = aNow;
   incarnation.isUnreachable = aReport.unreachable();
   if (aReport.worker().gone() && !incarnation.leftAt) {
-    incarnation.leftAt = aNow;
+    incarnation.leftAt = aNow.plusMs(-aReport.goneForMs());
     logInfo("worker announced its shutdown",
-            { { "worker", key.worker }, { "born", key.startedAtMs } });
+            { { "worker", key.worker },
+              { "born", key.startedAtMs },
+              { "goneForMs", aReport.goneForMs() } });
   }
   return &incarnation;
 }
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -119,7 +119,7 @@
   static constexpr double kMaxClockDrift = 0.04;
   /** Margin for rounding and delayed timers. */
   static constexpr std::int64_t kLeaseMarginMs = 200;
-  /** Time from a worker's announcement of its shutdown until it is lost. */
+  /** Time from a worker's notice that it exits until it is lost. */
   static constexpr std::int64_t kShutdownGraceMs = 500;
 
   explicit WorkerFleet(std::int64_t aLeaseMs)
--- a/src/fleetmodel/DepartedWorkers_test.cpp
+++ b/src/fleetmodel/DepartedWorkers_test.cpp
@@ -119,4 +119,20 @@
   BOOST_TEST(fleet.violations() == "");
 }
 
+// Guards against LOST: each leader of a short term waits anew for the time that a departed worker
+// may take to exit.
+BOOST_FIXTURE_TEST_CASE(tasks_of_a_departed_worker_run_again_in_short_terms, DepartureFixture)
+{
+  constexpr std::int64_t kTermMs = 450;
+  constexpr std::int64_t kWithoutLeaderMs = 600;
+  for (int term = 0; term < 5; term++) {
+    mFleet.loseLeader();
+    mFleet.run(kWithoutLeaderMs);
+    mFleet.electLeader();
+    mFleet.run(kTermMs);
+  }
+  BOOST_TEST(mFleet.isRunning("s.0.0.0"));
+  BOOST_TEST(mFleet.violations() == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -196,6 +196,9 @@
   }
   const bool isAnnounced = mWorker->draining();
   logInfo("worker deregistered", { { "worker", aWorkerId }, { "wasDraining", isAnnounced } });
+  if (!mWorker->gone()) {
+    mGoneAt = mContext.now();
+  }
   WorkerDescription::Fields fields = mWorker->fields();
   fields.draining = true;
   fields.gone = isAnnounced;
@@ -471,6 +474,7 @@
     mAnswers.begin() + static_cast<std::ptrdiff_t>(std::min(mAnswers.size(), kMaxReportedAnswers));
   WorkerReport::Fields fields{ .worker = *mWorker,
                                .answers = { mAnswers.begin(), answersEnd },
+                               .goneForMs = mWorker->gone() ? mContext.now().msSince(mGoneAt) : 0,
                                .unreachable = mIsUnreachable };
   // A worker that has left as announced accepts no connections either.
   if (mIsRefused && !mWorker->gone()) {
