--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -34,7 +34,7 @@
   }
   if (isNewIncarnation(aWorker)) {
     beginIncarnation(aWorker, aAddress);
-  } else if (aSequence <= mRegistrationSequence) {
+  } else if (aSequence <= mRegistrationSequence || mWorker->gone()) {
     return;
   }
   mRegistrationSequence = aSequence;
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -445,4 +445,16 @@
   BOOST_TEST(mRelay.mayExit());
 }
 
+// Guards against a departure that a late registration takes back.
+BOOST_FIXTURE_TEST_CASE(late_registration_of_a_departed_worker_is_ignored, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
+  mRelay.onDeregistration("w");
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 2);
+  mNow = mNow.plusMs(WorkerRelay::kRepeatDepartureMs);
+  mRelay.tick();
+  BOOST_TEST(mReports.back().worker().gone());
+  BOOST_TEST(mReports.back().goneForMs() == WorkerRelay::kRepeatDepartureMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
