--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -38,6 +38,7 @@
     return;
   }
   mRegistrationSequence = aSequence;
+  mIsEndAnnounced = aWorker.draining();
   const bool isDrainingChanged = mWorker->draining() != aWorker.draining();
   mWorker = aWorker;
   if (isDrainingChanged) {
@@ -194,14 +195,13 @@
   if (!mWorker || mWorker->workerId() != aWorkerId) {
     return;
   }
-  const bool isAnnounced = mWorker->draining();
-  logInfo("worker deregistered", { { "worker", aWorkerId }, { "wasDraining", isAnnounced } });
+  logInfo("worker deregistered", { { "worker", aWorkerId }, { "wasDraining", mIsEndAnnounced } });
   if (!mWorker->gone()) {
     mGoneAt = mContext.now();
   }
   WorkerDescription::Fields fields = mWorker->fields();
   fields.draining = true;
-  fields.gone = isAnnounced;
+  fields.gone = mIsEndAnnounced;
   mWorker = valueOf(WorkerDescription::create(std::move(fields)));
   sendReport(nullptr, 0);
 }
@@ -209,7 +209,7 @@
 void
 WorkerRelay::stop()
 {
-  mExitAt = mContext.now().plusMs(kLongestStopMs);
+  mExitAt = mExitAt.value_or(mContext.now().plusMs(kLongestStopMs));
 }
 
 bool
@@ -218,7 +218,7 @@
   if (!mExitAt) {
     return false;
   }
-  const bool isDeparting = mWorker && mWorker->draining() && !mIsReleased;
+  const bool isDeparting = mWorker && mIsEndAnnounced && !mIsReleased;
   return !isDeparting || mContext.now() >= *mExitAt;
 }
 
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -240,6 +240,8 @@
   MonotonicTime mAnswersSince;
   /** Set by stop(). */
   std::optional<Deadline> mExitAt;
+  /** The latest registration announced the end of the worker. */
+  bool mIsEndAnnounced = false;
   /** When the worker gave notice that it exits. */
   MonotonicTime mGoneAt;
   /** A leader has committed the ends of all runs of the worker, which has left. */
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -440,9 +440,10 @@
   mRelay.onDeregistration("w");
   mRelay.stop();
   mNow = mNow.plusMs(WorkerRelay::kLongestStopMs - 1);
+  mRelay.stop();
   BOOST_TEST(!mRelay.mayExit());
   mNow = mNow.plusMs(1);
-  BOOST_TEST(mRelay.mayExit());
+  BOOST_TEST(mRelay.mayExit(), "a second signal does not put off the exit");
 }
 
 // Guards against a departure that a late registration takes back.
@@ -457,4 +458,14 @@
   BOOST_TEST(mReports.back().goneForMs() == WorkerRelay::kRepeatDepartureMs);
 }
 
+// Guards against a relay that waits for nothing: without an announcement the runs end with their
+// lease.
+BOOST_FIXTURE_TEST_CASE(relay_does_not_wait_for_a_worker_that_left_unannounced, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onDeregistration("w");
+  mRelay.stop();
+  BOOST_TEST(mRelay.mayExit());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
