Reports of a departure end when no leader confirms it

A leader releases departed workers of unknown pools, and the repeats end after 15 s; a new session reports once more.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -314,6 +314,9 @@
   const IncarnationKey key{ aReport.worker().workerId(), aReport.worker().bornMs() };
   const WorkerIncarnation* known = mFleet.find(key);
   if (known == nullptr && ignoresPool(aReport.worker())) {
+    if (aReport.worker().gone()) {
+      releaseRelay(key, session->session());
+    }
     return;
   }
   const bool wasUnreachable = known != nullptr && known->isUnreachable;
--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -509,8 +509,9 @@
 void
 WorkerRelay::repeatDeparture()
 {
-  const bool isDue =
-    mContext.now().msSince(mDepartureReportedAt) >= kRepeatDepartureMs && !mIsReleased;
+  const MonotonicTime now = mContext.now();
+  const bool isDue = !mIsReleased && now.msSince(mDepartureReportedAt) >= kRepeatDepartureMs &&
+                     now.msSince(mGoneAt) < kReportDepartureMs;
   if (mWorker && mWorker->gone() && isDue) {
     sendReport(nullptr, 0);
   }
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -75,6 +75,9 @@
   /** Time in ms between two reports of a worker that has left, until a leader has committed the
    * ends of its runs. As long as a leader waits after the first one. */
   static constexpr std::int64_t kRepeatDepartureMs = 500;
+  /** A departure is repeated for this long (ms): a leader that cannot be reached for longer learns
+   * of it when it opens a session. */
+  static constexpr std::int64_t kReportDepartureMs = 15000;
   /** Longest time in ms from stop() until the process may exit. The platform kills a process 6 s
    * after its signal. */
   static constexpr std::int64_t kLongestStopMs = 5000;
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -468,4 +468,21 @@
   BOOST_TEST(mRelay.mayExit());
 }
 
+// Guards against reports without end to leaders that do not release the relay.
+BOOST_FIXTURE_TEST_CASE(departure_is_not_repeated_for_ever, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
+  mRelay.onDeregistration("w");
+  for (std::int64_t ms = 0; ms < WorkerRelay::kReportDepartureMs; ms += WorkerRelay::kTickMs) {
+    mNow = mNow.plusMs(WorkerRelay::kTickMs);
+    mRelay.tick();
+  }
+  mReports.clear();
+  mNow = mNow.plusMs(2 * WorkerRelay::kRepeatDepartureMs);
+  mRelay.tick();
+  BOOST_TEST(mReports.empty());
+  mRelay.onSession();
+  BOOST_TEST(mReports.size() == 1u, "a new leader learns of it");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
