The time that a stopping relay waits is a setting

shutdownMs, as for gateways and agents, in place of a constant in src/relay: how soon a platform kills a process is a matter of the deployment.

--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -209,7 +209,7 @@
 void
 WorkerRelay::stop()
 {
-  mExitAt = mExitAt.value_or(mContext.now().plusMs(kLongestStopMs));
+  mExitAt = mExitAt.value_or(mContext.now().plusMs(mContext.longestStopMs));
 }
 
 bool
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -26,6 +26,8 @@
   std::function<Result<std::unique_ptr<WorkerClient>>(const WorkerDescription& aWorker,
                                                       const std::string& aAddress)>
     createClient;
+  /** Longest time in ms from stop() until the process may exit. */
+  std::int64_t longestStopMs = 5000;
 };
 
 /**
@@ -78,9 +80,6 @@
   /** A departure is repeated for this long (ms): a leader that cannot be reached for longer learns
    * of it when it opens a session. */
   static constexpr std::int64_t kReportDepartureMs = 15000;
-  /** Longest time in ms from stop() until the process may exit. The platform kills a process 6 s
-   * after its signal. */
-  static constexpr std::int64_t kLongestStopMs = 5000;
   /** Period of tick() in ms. */
   static constexpr std::int64_t kTickMs = 20;
 
@@ -123,7 +122,7 @@
 
   /**
    * Whether the process may exit after stop(). While its worker leaves as announced, the relay
-   * stays until a leader has committed the ends of the runs, kLongestStopMs at most: nobody else
+   * stays until a leader has committed the ends of the runs, longestStopMs at most: nobody else
    * can tell a new leader that they are over. Otherwise the runs continue under their lease while
    * the next relay process takes over.
    */
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -439,13 +439,24 @@
   mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
   mRelay.onDeregistration("w");
   mRelay.stop();
-  mNow = mNow.plusMs(WorkerRelay::kLongestStopMs - 1);
+  const std::int64_t longestStopMs = RelayContext().longestStopMs;
+  mNow = mNow.plusMs(longestStopMs - 1);
   mRelay.stop();
   BOOST_TEST(!mRelay.mayExit());
   mNow = mNow.plusMs(1);
   BOOST_TEST(mRelay.mayExit(), "a second signal does not put off the exit");
 }
 
+// Guards against a relay that waits for nothing: without an announcement the runs end with their
+// lease.
+BOOST_FIXTURE_TEST_CASE(relay_does_not_wait_for_a_worker_that_left_unannounced, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onDeregistration("w");
+  mRelay.stop();
+  BOOST_TEST(mRelay.mayExit());
+}
+
 // Guards against a departure that a late registration takes back.
 BOOST_FIXTURE_TEST_CASE(late_registration_of_a_departed_worker_is_ignored, RelayFixture)
 {
@@ -458,16 +469,6 @@
   BOOST_TEST(mReports.back().goneForMs() == WorkerRelay::kRepeatDepartureMs);
 }
 
-// Guards against a relay that waits for nothing: without an announcement the runs end with their
-// lease.
-BOOST_FIXTURE_TEST_CASE(relay_does_not_wait_for_a_worker_that_left_unannounced, RelayFixture)
-{
-  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
-  mRelay.onDeregistration("w");
-  mRelay.stop();
-  BOOST_TEST(mRelay.mayExit());
-}
-
 // Guards against reports without end to leaders that do not release the relay.
 BOOST_FIXTURE_TEST_CASE(departure_is_not_repeated_for_ever, RelayFixture)
 {
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -29,7 +29,8 @@
                .createClient =
                  [&aLoop](const WorkerDescription& aWorker, const std::string& aAddress) {
                    return platform::PlatformWorkerClient::create(aLoop, aAddress, aWorker);
-                 } })
+                 },
+               .longestStopMs = aSettings.shutdownMs() })
   {
     ControlLinkHandlers handlers;
     handlers.fillOpen = [](SessionOpen::Fields& /*aFields*/) { return true; };
