StandingWaitMeter: longest stretch of a reading, and room as the workers have it

The meter added up the milliseconds of each reading. What breaks the users' rule is room for 3 s on end, which a sum does not tell, and the room was read as the leader has it before a round: a run that had ended at its worker held its room until the commit of the end.

Each wait now has the longest stretch of each reading without an observation in which it does not hold; the largest of the current waits and of the leadership can be asked for. An assignment does not end a stretch, because its worker may refuse it. Candidates name the active runs that have ended at their workers; the readings leave them out, the cause and all decisions do not. isAwaited() tells whether a task without a run waits for a pool.

--- a/src/jobs/StandingWaitMeter.cpp
+++ b/src/jobs/StandingWaitMeter.cpp
@@ -3,6 +3,7 @@
 #include "jobs/CrashAttribution.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -151,8 +152,12 @@
   for (const Assignment& assignment : aPlan.assignments) {
     assigned.insert(assignment.task.text());
   }
+  // A run that has ended at its worker frees its room there before the leader commits the end.
+  std::vector<WorkerCandidate> atWorkers;
+  std::transform(aWorkers.begin(), aWorkers.end(), std::back_inserter(atWorkers), withoutEndedRuns);
   Changes changes;
   std::map<std::string, Wait> waits;
+  mAwaitedPools.clear();
   const auto visit =
     [&](const Job& aJob, const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
       const JobStep& step = aJob.steps()[static_cast<std::size_t>(aTask.step)];
@@ -167,20 +172,21 @@
       Wait wait = known != mWaits.end() ? known->second : Wait{ .since = aNow, .state = { aTask } };
       const bool wasOverdue = wait.state.waitedMs > kToleratedMs;
       wait.state.waitedMs = aNow.msSince(wait.since);
-      // The wait of an assigned task goes on until a list shows the run: its worker may refuse it.
-      if (wait.state.waitedMs > kToleratedMs && !assigned.contains(name)) {
-        const std::string& pool = aJob.queue().poolName();
+      const std::string& pool = aJob.queue().poolName();
+      if (!aRecord.active) {
+        mAwaitedPools.insert(pool);
+      }
+      if (wait.state.waitedMs > kToleratedMs) {
         const std::string nameOfStep = stepName(aTask);
-        wait.state.cpuMilli = requiredResources(step).cpuMilli;
-        wait.state.cause =
-          findCause(findWorkersWithRoom(aWorkers, pool, step, nameOfStep), aRecord, aPlan);
-        const std::array<bool, kRoomReadings> readings = readRoom(aWorkers, pool, step, nameOfStep);
-        for (std::size_t reading = 0; reading < kRoomReadings; reading++) {
-          if (readings[reading]) {
-            wait.state.readMs[reading] += elapsedMs;
-            mSumsMs[reading][static_cast<std::size_t>(wait.state.cause)] += elapsedMs;
-          }
+        // The wait of an assigned task goes on until a list shows the run: its worker may refuse
+        // it.
+        const bool isAssigned = assigned.contains(name);
+        if (!isAssigned) {
+          wait.state.cpuMilli = requiredResources(step).cpuMilli;
+          wait.state.cause =
+            findCause(findWorkersWithRoom(aWorkers, pool, step, nameOfStep), aRecord, aPlan);
         }
+        addReadings(wait, readRoom(atWorkers, pool, step, nameOfStep), elapsedMs, !isAssigned);
       }
       if (wait.state.waitedMs > kToleratedMs && !wasOverdue) {
         changes.begun.push_back(wait.state);
@@ -208,6 +214,28 @@
   return changes;
 }
 
+void
+StandingWaitMeter::addReadings(Wait& aWait,
+                               const std::array<bool, kRoomReadings>& aReadings,
+                               std::int64_t aElapsedMs,
+                               bool aIsCounted)
+{
+  StandingWait& state = aWait.state;
+  for (std::size_t reading = 0; reading < kRoomReadings; reading++) {
+    if (!aReadings[reading]) {
+      aWait.stretchMs[reading] = 0;
+      continue;
+    }
+    aWait.stretchMs[reading] += aElapsedMs;
+    state.longestMs[reading] = std::max(state.longestMs[reading], aWait.stretchMs[reading]);
+    mLongestMs[reading] = std::max(mLongestMs[reading], aWait.stretchMs[reading]);
+    if (aIsCounted) {
+      state.readMs[reading] += aElapsedMs;
+      mSumsMs[reading][static_cast<std::size_t>(state.cause)] += aElapsedMs;
+    }
+  }
+}
+
 std::size_t
 StandingWaitMeter::overdueTasks() const
 {
@@ -241,4 +269,14 @@
   return std::accumulate(sums.begin(), sums.end(), std::int64_t{ 0 });
 }
 
+std::int64_t
+StandingWaitMeter::longestMs(RoomReading aReading) const
+{
+  std::int64_t longest = 0;
+  for (const auto& [name, wait] : mWaits) {
+    longest = std::max(longest, wait.state.longestMs[static_cast<std::size_t>(aReading)]);
+  }
+  return longest;
+}
+
 } // namespace magnoliadrum
--- a/src/jobs/StandingWaitMeter.h
+++ b/src/jobs/StandingWaitMeter.h
@@ -29,7 +29,8 @@
 toText(RoomReading aReading);
 
 /** Returns which readings hold for a task of the step, by RoomReading. Counts the workers that may
- * run the task, regardless of reservations and of limits for workers that fail their runs. */
+ * run the task, regardless of reservations and of limits for workers that fail their runs.
+ * For the room as the workers themselves have it, pass them through withoutEndedRuns(). */
 std::array<bool, kRoomReadings>
 readRoom(const std::vector<WorkerCandidate>& aWorkers,
          const std::string& aPoolName,
@@ -39,7 +40,7 @@
 /** The first reason that keeps a long-running task from a run. */
 enum class StandingWaitCause
 {
-  eUnlisted,  /**< The leader counts a run that no list of its worker shows. */
+  eUnlisted,  /**< The leader counts a run that its worker does not have. */
   eSuspected, /**< The task may have crashed a worker and waits for a trial. */
   ePlanFull,  /**< A worker had room, and the round had reached its bound of assignments. */
   eOutranked, /**< A worker had room, and the round gave it to others. */
@@ -62,6 +63,8 @@
   StandingWaitCause cause = StandingWaitCause::eNoRoom;
   /** Time beyond kToleratedMs during which each reading held, in ms. */
   std::array<std::int64_t, kRoomReadings> readMs{};
+  /** Longest stretch of it without an observation in which the reading did not hold, in ms. */
+  std::array<std::int64_t, kRoomReadings> longestMs{};
 
   friend bool operator==(const StandingWait&, const StandingWait&) = default;
 };
@@ -96,7 +99,8 @@
   bool isDue(MonotonicTime aNow) const { return aNow.msSince(mObservedAt) >= kIntervalMs; }
 
   /** Adds a scheduling round. aWorkers is the state before the round, aUnlisted has the tasks whose
-   * active run no list of their worker shows. */
+   * active run their worker does not have: no list shows it, it has ended there, or the worker has
+   * left. */
   Changes observe(const JobRegistry& aJobs,
                   const std::vector<WorkerCandidate>& aWorkers,
                   const SchedulePlan& aPlan,
@@ -116,15 +120,41 @@
   /** The same for all causes. */
   std::int64_t sumMs(RoomReading aReading) const;
 
+  /** Longest stretch in ms, of all tasks that wait beyond kToleratedMs now, during which the
+   * reading held without a gap. */
+  std::int64_t longestMs(RoomReading aReading) const;
+
+  /** The same for all tasks that have waited since the leadership began. */
+  std::int64_t longestMsOfTerm(RoomReading aReading) const
+  {
+    return mLongestMs[static_cast<std::size_t>(aReading)];
+  }
+
+  /** Whether a long-running task without a run waited for a worker of the pool at the latest
+   * observation. */
+  bool isAwaited(const std::string& aPoolName) const { return mAwaitedPools.contains(aPoolName); }
+
 private:
   struct Wait
   {
     MonotonicTime since;
     StandingWait state;
+    /** Time up to the latest observation during which each reading has held without a gap, in ms.
+     */
+    std::array<std::int64_t, kRoomReadings> stretchMs{};
   };
 
+  /** Adds the readings of an observation to an overdue wait. aIsCounted tells whether they count
+   * for the sums and the cause. */
+  void addReadings(Wait& aWait,
+                   const std::array<bool, kRoomReadings>& aReadings,
+                   std::int64_t aElapsedMs,
+                   bool aIsCounted);
+
   std::map<std::string, Wait> mWaits;
+  std::set<std::string> mAwaitedPools;
   std::array<std::array<std::int64_t, kStandingWaitCauses>, kRoomReadings> mSumsMs{};
+  std::array<std::int64_t, kRoomReadings> mLongestMs{};
   MonotonicTime mObservedAt;
 };
 
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -1,6 +1,7 @@
 #include "jobs/WorkerCandidate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace magnoliadrum {
 
@@ -55,6 +56,21 @@
   }
 }
 
+WorkerCandidate
+withoutEndedRuns(WorkerCandidate aWorker)
+{
+  for (const EndedRun& ended : std::exchange(aWorker.endedRuns, {})) {
+    aWorker.used = aWorker.used.minus(ended.size);
+    std::erase_if(aWorker.evictable,
+                  [&ended](const EvictableRun& aRun) { return aRun.task == ended.task; });
+    const auto count = aWorker.runsOfStep.find(stepName(ended.task));
+    if (count != aWorker.runsOfStep.end()) {
+      count->second--;
+    }
+  }
+  return aWorker;
+}
+
 double
 unusedCpuMilli(const WorkerCandidate& aWorker)
 {
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -37,6 +37,15 @@
   friend bool operator==(const SlowRun&, const SlowRun&) = default;
 };
 
+/** A run that has ended at its worker and whose end is not committed yet. */
+struct EndedRun
+{
+  TaskId task;
+  ResourceAmount size;
+
+  friend bool operator==(const EndedRun&, const EndedRun&) = default;
+};
+
 /** A worker that may be assigned runs, with the capacity that its active runs take. */
 struct WorkerCandidate
 {
@@ -63,6 +72,9 @@
   /** Part of used that is held by runs that are being stopped. */
   ResourceAmount releasing;
   std::vector<EvictableRun> evictable;
+  /** The active runs that have ended at the worker; part of used. For measurements only: no run may
+   * be assigned in their place before their ends are committed. */
+  std::vector<EndedRun> endedRuns;
   /** The runs on this worker that would end sooner elsewhere, by task name. */
   std::map<std::string, SlowRun> stragglers;
   /** The tasks on this worker that serve users. */
@@ -148,4 +160,9 @@
 void
 addRun(WorkerCandidate& aWorker, const JobStep& aStep, const TaskId& aTask);
 
+/** Returns a worker as it is at the worker itself: its ended runs take no room and no place of
+ * their steps. */
+WorkerCandidate
+withoutEndedRuns(WorkerCandidate aWorker);
+
 } // namespace magnoliadrum
