A new leader names the workers that no relay has reported to it

2 s after its election a leader logs one line for each worker that holds runs by the log and that no relay has reported (worker, relay, runs, what is left of the lease), 50 at most and then the totals. "run ended" with "lapsed" tells for how long the worker had been silent. No decision changes.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -21,6 +21,10 @@
 /** Shortest time between two logs of the reasons why tasks wait. */
 constexpr std::int64_t kLogWaitReasonsMs = 1000;
 
+/** Largest number of lines about single unreported workers. After a change of the leader at which
+ * no relay finds the new one they would be thousands. */
+constexpr std::size_t kMaxUnreportedLines = 50;
+
 std::string
 joinFaults(const std::vector<std::string>& aFaults)
 {
@@ -89,7 +93,8 @@
       }
     });
   }
-  mFleet.startTerm(relays, mContext.mLog.term(), mContext.inheritedLeasesRenewedAt());
+  mFleet.startTerm(
+    relays, mContext.mLog.term(), mContext.inheritedLeasesRenewedAt(), mContext.mNow());
   restoreLearnedFigures();
   mScheduleDue = true;
   logInfo("jobs restored for a new leadership",
@@ -686,14 +691,25 @@
     if (run == nullptr) {
       continue;
     }
-    const std::string worker = run->incarnation.worker;
+    const IncarnationKey key = run->incarnation;
+    const std::string& worker = key.worker;
     mRuns.remove(end.task(), end.run());
-    logInfo("run ended",
-            { { "task", end.task() },
-              { "run", end.run() },
-              { "how", toText(end.how()) },
-              { "worker", worker },
-              { "checkpoint", end.checkpoint() } });
+    if (end.how() == RunEnd::eLapsed) {
+      logInfo("run ended",
+              { { "task", end.task() },
+                { "run", end.run() },
+                { "how", toText(end.how()) },
+                { "worker", worker },
+                { "checkpoint", end.checkpoint() },
+                { "silentMs", mFleet.silentMs(key, mContext.mNow()) } });
+    } else {
+      logInfo("run ended",
+              { { "task", end.task() },
+                { "run", end.run() },
+                { "how", toText(end.how()) },
+                { "worker", worker },
+                { "checkpoint", end.checkpoint() } });
+    }
     const std::optional<TaskId> task = TaskId::parse(end.task());
     const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
     if (end.crashSuspects() > 0) {
@@ -812,6 +828,34 @@
   }
   saveLearnedFigures();
   schedule();
+  logUnreportedWorkers();
+}
+
+void
+JobService::logUnreportedWorkers()
+{
+  std::size_t workers = 0;
+  std::size_t runs = 0;
+  for (const UnreportedIncarnation& incarnation : mFleet.takeUnreported(mContext.mNow())) {
+    const std::size_t runsOfWorker = mRuns.tasksOn(incarnation.key).size();
+    if (runsOfWorker == 0) {
+      continue;
+    }
+    workers++;
+    runs += runsOfWorker;
+    if (workers <= kMaxUnreportedLines) {
+      logWarning("worker not reported to the new leader",
+                 { { "worker", incarnation.key.worker },
+                   { "born", incarnation.key.startedAtMs },
+                   { "relay", incarnation.relay },
+                   { "runs", runsOfWorker },
+                   { "leaseLeftMs", incarnation.leaseLeftMs } });
+    }
+  }
+  if (workers > kMaxUnreportedLines) {
+    logWarning("more workers not reported to the new leader",
+               { { "workers", workers }, { "runs", runs }, { "logged", kMaxUnreportedLines } });
+  }
 }
 
 std::vector<WorkerCandidate>
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -93,6 +93,8 @@
   /** Tasks with an active long-running run that no list of its worker shows. */
   std::set<std::string> unlistedStandingTasks() const;
   void logStandingWaits(const StandingWaitMeter::Changes& aChanges);
+  /** Logs, once in a leadership, the workers with runs that no relay has reported in it. */
+  void logUnreportedWorkers();
   /** Logs why tasks wait and what takes the capacity of the pools. */
   void logWaitReasons(const std::vector<WaitReason>& aReasons,
                       const std::vector<WorkerCandidate>& aWorkers);
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -24,9 +24,12 @@
 void
 WorkerFleet::startTerm(const std::map<IncarnationKey, std::string>& aRelays,
                        std::int64_t aTerm,
-                       MonotonicTime aRenewedAt)
+                       MonotonicTime aRenewedAt,
+                       MonotonicTime aNow)
 {
   mIncarnations.clear();
+  mTermStartedAt = aNow;
+  mIsUnreportedTaken = false;
   mTerm = aTerm;
   mIssuedFences = 0;
   for (const auto& [key, relay] : aRelays) {
@@ -150,6 +153,13 @@
   return position == mIncarnations.end() ? nullptr : &position->second;
 }
 
+const WorkerIncarnation*
+WorkerFleet::find(const IncarnationKey& aKey) const
+{
+  const auto position = mIncarnations.find(aKey);
+  return position == mIncarnations.end() ? nullptr : &position->second;
+}
+
 bool
 WorkerFleet::isSuperseded(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation) const
 {
@@ -178,4 +188,38 @@
   return keys;
 }
 
+std::vector<UnreportedIncarnation>
+WorkerFleet::takeUnreported(MonotonicTime aNow)
+{
+  std::vector<UnreportedIncarnation> unreported;
+  if (mIsUnreportedTaken || aNow.msSince(mTermStartedAt) < kUnreportedAfterMs) {
+    return unreported;
+  }
+  mIsUnreportedTaken = true;
+  // Only incarnations that the leader took over from the log have no session of a relay.
+  for (const auto& [key, incarnation] : mIncarnations) {
+    if (incarnation.relaySession == 0) {
+      unreported.push_back({ .key = key,
+                             .relay = incarnation.relay,
+                             .leaseLeftMs = incarnation.leaseExpiresAt.msSince(aNow) });
+    }
+  }
+  return unreported;
+}
+
+bool
+WorkerFleet::hasLeft(const IncarnationKey& aKey) const
+{
+  const WorkerIncarnation* incarnation = find(aKey);
+  return incarnation == nullptr || incarnation->isLost || incarnation->leftAt;
+}
+
+std::int64_t
+WorkerFleet::silentMs(const IncarnationKey& aKey, MonotonicTime aNow) const
+{
+  const WorkerIncarnation* incarnation = find(aKey);
+  const bool hasReported = incarnation != nullptr && incarnation->relaySession != 0;
+  return aNow.msSince(hasReported ? incarnation->reportedAt : mTermStartedAt);
+}
+
 } // namespace magnoliadrum
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -104,6 +104,18 @@
   }
 };
 
+/** An incarnation that a new leader took over with runs and that no relay has reported to it. */
+struct UnreportedIncarnation
+{
+  IncarnationKey key;
+  /** Its relay by the log; may be empty. */
+  std::string relay;
+  /** Time until its runs are taken for ended, in ms. */
+  std::int64_t leaseLeftMs = 0;
+
+  friend bool operator==(const UnreportedIncarnation&, const UnreportedIncarnation&) = default;
+};
+
 /**
  * Keeps the incarnations of all workers and the leases that this leader grants them.
  *
@@ -121,6 +133,9 @@
   static constexpr std::int64_t kLeaseMarginMs = 200;
   /** Time from a worker's announcement of its shutdown until it is lost. */
   static constexpr std::int64_t kShutdownGraceMs = 500;
+  /** Relays report four times a second. One that has found the new leader has reported by this time
+   * of the leadership, in ms. */
+  static constexpr std::int64_t kUnreportedAfterMs = 2000;
 
   explicit WorkerFleet(std::int64_t aLeaseMs)
     : mLeaseMs(aLeaseMs)
@@ -128,12 +143,13 @@
   }
 
   /**
-   * Starts a leadership with the incarnations that hold runs, each with the id of its relay. The
-   * leases that they may have of the previous leader count as renewed at aRenewedAt.
+   * Starts a leadership at aNow with the incarnations that hold runs, each with the id of its
+   * relay. The leases that they may have of the previous leader count as renewed at aRenewedAt.
    */
   void startTerm(const std::map<IncarnationKey, std::string>& aRelays,
                  std::int64_t aTerm,
-                 MonotonicTime aRenewedAt);
+                 MonotonicTime aRenewedAt,
+                 MonotonicTime aNow);
   void endTerm() { mIncarnations.clear(); }
 
   /**
@@ -152,6 +168,7 @@
   void renewLease(WorkerIncarnation& aIncarnation, std::int64_t aClockMs, MonotonicTime aNow);
 
   WorkerIncarnation* find(const IncarnationKey& aKey);
+  const WorkerIncarnation* find(const IncarnationKey& aKey) const;
   std::map<IncarnationKey, WorkerIncarnation>& incarnations() { return mIncarnations; }
   std::size_t size() const { return mIncarnations.size(); }
 
@@ -164,6 +181,17 @@
 
   void remove(const IncarnationKey& aKey) { mIncarnations.erase(aKey); }
 
+  /** Returns, once in a leadership and kUnreportedAfterMs after its start, the incarnations with
+   * runs that no relay has reported since; empty at all other times. */
+  std::vector<UnreportedIncarnation> takeUnreported(MonotonicTime aNow);
+
+  /** Whether the incarnation is known to have left, so that none of its runs is at work. */
+  bool hasLeft(const IncarnationKey& aKey) const;
+
+  /** Time in ms since the latest report of the incarnation, or since the start of the leadership if
+   * there was none in it. */
+  std::int64_t silentMs(const IncarnationKey& aKey, MonotonicTime aNow) const;
+
 private:
   void markSuperseded(const IncarnationKey& aSuccessor,
                       const std::string& aRelay,
@@ -174,6 +202,8 @@
   std::int64_t mLeaseMs;
   std::int64_t mTerm = 0;
   std::int64_t mIssuedFences = 0;
+  MonotonicTime mTermStartedAt;
+  bool mIsUnreportedTaken = false;
   std::map<IncarnationKey, WorkerIncarnation> mIncarnations;
 };
 
