Latencies from the end of a run at its worker to the use of its room

Nothing showed how long freed room stays unused between a worker and the leader. RunEndMeter records, with quantiles: control_run_stop_ms from the first stop order to the report of the end, control_run_end_commit_ms from that report to the commit, and control_freed_room_reuse_ms from the commit to the next assignment on the worker while a standing task without a run waits in its pool. Orders that are sent again and reports that repeat an end do not count.

The metrics of ControlService move in front of JobService, which keeps a reference to them.

--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -19,7 +19,7 @@
   , mSessions(mContext, *this)
   , mTasks(mContext, mSessions, aSeed)
   , mRequests(mContext, mSessions, mTasks)
-  , mJobs(mContext, mSessions)
+  , mJobs(mContext, mSessions, mMetrics)
   , mEvacuations(mContext, mJobs.evacuation())
   , mMembership(mContext)
 {
--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -72,11 +72,11 @@
   SessionService mSessions;
   TaskService mTasks;
   RequestService mRequests;
+  MetricsRegistry mMetrics;
   JobService mJobs;
   EvacuationService mEvacuations;
   MembershipManager mMembership;
   ServiceLevelCollector mServiceLevel;
-  MetricsRegistry mMetrics;
   bool mIsLeader = false;
   MonotonicTime mLastTick;
   MonotonicTime mLastSilenceCheck;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -66,11 +66,14 @@
 
 } // namespace
 
-JobService::JobService(ControlContext& aContext, SessionService& aSessions)
+JobService::JobService(ControlContext& aContext,
+                       SessionService& aSessions,
+                       MetricsRegistry& aMetrics)
   : RequestHandler(aContext)
   , mSessions(aSessions)
   , mFleet(aContext.mSettings.workerLeaseMs())
   , mEvacuation(mContext, mFleet, mRuns)
+  , mRunEnds(aMetrics)
 {
 }
 
@@ -150,6 +153,7 @@
   mReliability.clear();
   mLimitedWorkers.clear();
   mStandingWaits.clear();
+  mRunEnds.endTerm();
   mRestartCount = 0;
   mStartedJobs.clear();
   mAssignmentPending = false;
@@ -444,6 +448,7 @@
         learnEnd(*run, aReport.clockMs());
       }
       run->endProposed = true;
+      mRunEnds.onReported(*run, mContext.mNow());
       mStartedJobs.insert(run->task.jobId);
     }
   }
@@ -676,6 +681,7 @@
         { .task = start.task(), .run = start.run(), .how = RunEnd::eNeverRan }));
       continue;
     }
+    mRunEnds.onAssigned(key, mContext.mNow());
     affected.insert(key);
   }
   proposeEnds(std::move(neverRan));
@@ -693,6 +699,7 @@
     }
     const IncarnationKey key = run->incarnation;
     const std::string& worker = key.worker;
+    mRunEnds.onCommitted(*run, isAwaited(key), mContext.mNow());
     mRuns.remove(end.task(), end.run());
     if (end.how() == RunEnd::eLapsed) {
       logInfo("run ended",
@@ -858,6 +865,13 @@
   }
 }
 
+bool
+JobService::isAwaited(const IncarnationKey& aKey) const
+{
+  const WorkerIncarnation* incarnation = mFleet.find(aKey);
+  return incarnation != nullptr && mStandingWaits.isAwaited(incarnation->description.poolName());
+}
+
 std::vector<WorkerCandidate>
 JobService::buildWorkerCandidates()
 {
@@ -1021,6 +1035,7 @@
 {
   logStandingWaits(mStandingWaits.observe(
     mContext.mState.jobs(), aBefore, aPlan, unlistedStandingTasks(), mContext.mNow()));
+  mRunEnds.forgetFreed([this](const IncarnationKey& aKey) { return !isAwaited(aKey); });
 }
 
 void
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -3,6 +3,7 @@
 #include "control/EvacuationDriver.h"
 #include "control/LearnedFiguresKeeper.h"
 #include "control/RequestHandler.h"
+#include "control/RunEndMeter.h"
 #include "control/RunTracker.h"
 #include "control/SessionService.h"
 #include "control/WorkerFleet.h"
@@ -27,7 +28,8 @@
 class JobService : private RequestHandler
 {
 public:
-  JobService(ControlContext& aContext, SessionService& aSessions);
+  /** aMetrics gets the latencies of run ends; it outlives the service. */
+  JobService(ControlContext& aContext, SessionService& aSessions, MetricsRegistry& aMetrics);
 
   void startTerm();
   void endTerm();
@@ -95,6 +97,8 @@
   void logStandingWaits(const StandingWaitMeter::Changes& aChanges);
   /** Logs, once in a leadership, the workers with runs that no relay has reported in it. */
   void logUnreportedWorkers();
+  /** Whether a long-running task waits for a worker of the pool of the incarnation. */
+  bool isAwaited(const IncarnationKey& aKey) const;
   /** Logs why tasks wait and what takes the capacity of the pools. */
   void logWaitReasons(const std::vector<WaitReason>& aReasons,
                       const std::vector<WorkerCandidate>& aWorkers);
@@ -124,6 +128,7 @@
   /** Ids of the workers that get single runs because they fail them. */
   std::set<std::string> mLimitedWorkers;
   StandingWaitMeter mStandingWaits;
+  RunEndMeter mRunEnds;
   LearnedFiguresKeeper mLearnedFigures;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -229,6 +229,7 @@
       const bool isOnWorker = run.isConfirmed && !run.missingSince;
       if ((!run.closedAtClockMs || isOnWorker) && isDue(run.stopSentAt, aNow)) {
         run.stopSentAt = aNow;
+        run.firstStopSentAt = run.firstStopSentAt.value_or(aNow);
         aOrders.stops.push_back(buildValue<StopOrder>({ .task = name, .run = run.run }));
       }
       continue;
@@ -258,6 +259,9 @@
   }
   for (const StopOrder& order : aOrders.stops()) {
     if (TrackedRun* run = find(order.task(), order.run())) {
+      if (run->firstStopSentAt == run->stopSentAt) {
+        run->firstStopSentAt.reset();
+      }
       run->stopSentAt.reset();
     }
   }
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -38,6 +38,10 @@
   bool endProposed = false;
   std::optional<MonotonicTime> startSentAt;
   std::optional<MonotonicTime> stopSentAt;
+  /** When the first stop order was sent. */
+  std::optional<MonotonicTime> firstStopSentAt;
+  /** When the worker's lists first named the end of the run. */
+  std::optional<MonotonicTime> endReportedAt;
   /** Worker's clock at its answer that it will not start the run any more, or that it accepts a
    * stop order. */
   std::optional<std::int64_t> closedAtClockMs;
