The leader measures waits beside ended runs and departed workers

A task counted as waiting only after the commit of the end of its run, or from the time on when its worker's lists no longer showed it. It now waits as well once the end is proposed or its worker is known to have left, and the room of ended runs is free for the readings. A round without any worker is an observation too: it ends a stretch.

"long-running task no longer waits" and "long-running tasks wait too long" get the longest stretch by reading (longestTwoWorkersMs and so on), and the gauge control_standing_wait_longest_seconds the longest one of the leadership.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -916,6 +916,9 @@
           run.desiredPacePercent > 0) {
         candidate.unobservedShares[run.step().image()] += cpuShare(candidate, run.step());
       }
+      if (run.endProposed) {
+        candidate.endedRuns.push_back({ run.task, requiredResources(run.step()) });
+      }
       addStraggler(run, candidate);
       if (run.shouldStop || run.job->isFinished()) {
         candidate.releasing = candidate.releasing.plus(requiredResources(run.step()));
@@ -978,13 +981,16 @@
   }
   mScheduleDue = false;
   std::vector<WorkerCandidate> candidates = buildWorkerCandidates();
+  const MonotonicTime now = mContext.mNow();
+  const bool isMeasurementDue = mStandingWaits.isDue(now);
   if (candidates.empty()) {
+    if (isMeasurementDue) {
+      observeStandingWaits(candidates, {});
+    }
     mEvacuation.moveRuns(candidates);
     return;
   }
-  const MonotonicTime now = mContext.mNow();
   const bool isWaitLogDue = now.msSince(mWaitReasonsLoggedAt) >= kLogWaitReasonsMs;
-  const bool isMeasurementDue = mStandingWaits.isDue(now);
   // decide() reduces the capacity of the candidates by what it plans.
   const std::vector<WorkerCandidate> before =
     isWaitLogDue || isMeasurementDue ? candidates : std::vector<WorkerCandidate>();
@@ -1022,7 +1028,9 @@
 {
   std::set<std::string> tasks;
   for (const auto& [name, run] : mRuns.runs()) {
-    if (run.step().longRunning() && (!run.isConfirmed || run.missingSince)) {
+    const bool isAbsent =
+      !run.isConfirmed || run.missingSince || run.endProposed || mFleet.hasLeft(run.incarnation);
+    if (run.step().longRunning() && isAbsent) {
       tasks.insert(name);
     }
   }
@@ -1044,6 +1052,9 @@
   const auto readMs = [](const StandingWait& aWait, RoomReading aReading) {
     return aWait.readMs[static_cast<std::size_t>(aReading)];
   };
+  const auto longestMs = [](const StandingWait& aWait, RoomReading aReading) {
+    return aWait.longestMs[static_cast<std::size_t>(aReading)];
+  };
   for (const StandingWait& wait : aChanges.begun) {
     logWarning("long-running task waits too long",
                { { "task", wait.task.text() },
@@ -1053,15 +1064,20 @@
                  { "tasks", mStandingWaits.overdueTasks() } });
   }
   for (const StandingWait& wait : aChanges.ended) {
-    logInfo("long-running task no longer waits",
-            { { "task", wait.task.text() },
-              { "waitedMs", wait.waitedMs },
-              { "cpuMilli", wait.cpuMilli },
-              { "cause", toText(wait.cause) },
-              { "twoWorkersMs", readMs(wait, RoomReading::eTwoWorkers) },
-              { "oneWorkerMs", readMs(wait, RoomReading::eOneWorker) },
-              { "poolMs", readMs(wait, RoomReading::ePool) },
-              { "twoWorkersWithShortMs", readMs(wait, RoomReading::eTwoWorkersWithShort) } });
+    logInfo(
+      "long-running task no longer waits",
+      { { "task", wait.task.text() },
+        { "waitedMs", wait.waitedMs },
+        { "cpuMilli", wait.cpuMilli },
+        { "cause", toText(wait.cause) },
+        { "twoWorkersMs", readMs(wait, RoomReading::eTwoWorkers) },
+        { "oneWorkerMs", readMs(wait, RoomReading::eOneWorker) },
+        { "poolMs", readMs(wait, RoomReading::ePool) },
+        { "twoWorkersWithShortMs", readMs(wait, RoomReading::eTwoWorkersWithShort) },
+        { "longestTwoWorkersMs", longestMs(wait, RoomReading::eTwoWorkers) },
+        { "longestOneWorkerMs", longestMs(wait, RoomReading::eOneWorker) },
+        { "longestPoolMs", longestMs(wait, RoomReading::ePool) },
+        { "longestTwoWorkersWithShortMs", longestMs(wait, RoomReading::eTwoWorkersWithShort) } });
   }
 }
 
@@ -1089,20 +1105,24 @@
     const auto overdue = [this](StandingWaitCause aCause) {
       return mStandingWaits.overdueTasks(aCause);
     };
-    logInfo(
-      "long-running tasks wait too long",
-      { { "tasks", mStandingWaits.overdueTasks() },
-        { "unlisted", overdue(StandingWaitCause::eUnlisted) },
-        { "suspected", overdue(StandingWaitCause::eSuspected) },
-        { "planFull", overdue(StandingWaitCause::ePlanFull) },
-        { "outranked", overdue(StandingWaitCause::eOutranked) },
-        { "reserved", overdue(StandingWaitCause::eReserved) },
-        { "limited", overdue(StandingWaitCause::eLimited) },
-        { "noRoom", overdue(StandingWaitCause::eNoRoom) },
-        { "twoWorkersMs", mStandingWaits.sumMs(RoomReading::eTwoWorkers) },
-        { "oneWorkerMs", mStandingWaits.sumMs(RoomReading::eOneWorker) },
-        { "poolMs", mStandingWaits.sumMs(RoomReading::ePool) },
-        { "twoWorkersWithShortMs", mStandingWaits.sumMs(RoomReading::eTwoWorkersWithShort) } });
+    logInfo("long-running tasks wait too long",
+            { { "tasks", mStandingWaits.overdueTasks() },
+              { "unlisted", overdue(StandingWaitCause::eUnlisted) },
+              { "suspected", overdue(StandingWaitCause::eSuspected) },
+              { "planFull", overdue(StandingWaitCause::ePlanFull) },
+              { "outranked", overdue(StandingWaitCause::eOutranked) },
+              { "reserved", overdue(StandingWaitCause::eReserved) },
+              { "limited", overdue(StandingWaitCause::eLimited) },
+              { "noRoom", overdue(StandingWaitCause::eNoRoom) },
+              { "twoWorkersMs", mStandingWaits.sumMs(RoomReading::eTwoWorkers) },
+              { "oneWorkerMs", mStandingWaits.sumMs(RoomReading::eOneWorker) },
+              { "poolMs", mStandingWaits.sumMs(RoomReading::ePool) },
+              { "twoWorkersWithShortMs", mStandingWaits.sumMs(RoomReading::eTwoWorkersWithShort) },
+              { "longestTwoWorkersMs", mStandingWaits.longestMs(RoomReading::eTwoWorkers) },
+              { "longestOneWorkerMs", mStandingWaits.longestMs(RoomReading::eOneWorker) },
+              { "longestPoolMs", mStandingWaits.longestMs(RoomReading::ePool) },
+              { "longestTwoWorkersWithShortMs",
+                mStandingWaits.longestMs(RoomReading::eTwoWorkersWithShort) } });
   }
   for (const PoolLoad& load :
        summarizePools(aWorkers, mContext.mState.jobs(), mContext.mWallClockMs())) {
@@ -1217,6 +1237,11 @@
                      "\",cause=\"" + toText(static_cast<StandingWaitCause>(cause)) + "\"",
                    static_cast<double>(waitedMs) / kMsPerSecond);
     }
+    const std::int64_t longestMs =
+      mStandingWaits.longestMsOfTerm(static_cast<RoomReading>(reading));
+    aMetrics.set("control_standing_wait_longest_seconds",
+                 std::string("room=\"") + toText(static_cast<RoomReading>(reading)) + "\"",
+                 static_cast<double>(longestMs) / kMsPerSecond);
   }
   set("control_learned_image_pairs", mGuard.model().size());
   std::size_t overObjective = 0;
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -92,7 +92,8 @@
   /** Measures and logs the waits of long-running tasks after a round. aBefore is the state of the
    * workers before it. */
   void observeStandingWaits(const std::vector<WorkerCandidate>& aBefore, const SchedulePlan& aPlan);
-  /** Tasks with an active long-running run that no list of its worker shows. */
+  /** Tasks with an active long-running run that its worker does not have: no list shows it, it has
+   * ended there, or the worker has left. */
   std::set<std::string> unlistedStandingTasks() const;
   void logStandingWaits(const StandingWaitMeter::Changes& aChanges);
   /** Logs, once in a leadership, the workers with runs that no relay has reported in it. */
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -93,6 +93,12 @@
     return replies.front();
   }
 
+  /** Whether the metrics contain the line, without the prefix of all names. */
+  bool hasMetric(const std::string& aLine)
+  {
+    return mService.metricsText().find("magnoliadrum_" + aLine) != std::string::npos;
+  }
+
   JobState stateOf(const std::string& aJobId) { return jobs().find(aJobId)->state(); }
   const JobRegistry& jobs() const { return mState.jobs(); }
 
@@ -681,4 +687,84 @@
   BOOST_TEST(std::ssize(mStarted) >= 4);
 }
 
+// Guards against room that no measurement shows: two runs have ended at their workers, and the
+// leader takes long to commit the ends while a standing task waits.
+BOOST_FIXTURE_TEST_CASE(room_of_ended_runs_and_the_steps_to_its_use_are_measured, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  const std::int64_t fence = mFence;
+  registerWorker(kRelay, worker("w2"));
+  submit("s1", standingJobOf("a", 2, 4000));
+  submit("s2", standingJobOf("t", 1, 4000));
+  std::map<std::string, std::string> tasks;
+  for (const char* name : { "a.0.0.0", "a.0.0.1" }) {
+    tasks[jobs().find("a")->find(*TaskId::parse(name))->worker] = name;
+  }
+  BOOST_REQUIRE(tasks.size() == 2u);
+  std::int64_t clockMs = kWorkerClockMs;
+  const auto listsOf = [&](const std::string& aWorker) {
+    return WorkerReport::Fields{ .worker = worker(aWorker),
+                                 .listFence = aWorker == "w1" ? fence : mFence,
+                                 .clockMs = clockMs };
+  };
+  for (std::int64_t elapsedMs = 0; elapsedMs <= StandingWaitMeter::kToleratedMs + 500;
+       elapsedMs += 100) {
+    waitWithHeartbeats(100);
+    clockMs += 100;
+    for (const auto& [name, task] : tasks) {
+      WorkerReport::Fields lists = listsOf(name);
+      lists.running = { running(task, 1) };
+      deliver(kRelay, buildValue<WorkerReport>(std::move(lists)));
+    }
+  }
+  BOOST_TEST(hasMetric("control_standing_wait_longest_seconds{room=\"twoWorkers\"} 0\n"));
+  deliver(kCaller,
+          buildValue<JobCancel>({ .requestId = "c2",
+                                  .queue = buildValue<QueueSelector>({ .name = "urgent" }),
+                                  .jobId = "a" }));
+  for (const auto& [name, task] : tasks) {
+    WorkerReport::Fields lists = listsOf(name);
+    lists.ended = { ended(1, task, 1, RunEnd::eStopped) };
+    // Without deliver() the ends stay uncommitted.
+    mService.onMessage(kRelay, buildValue<WorkerReport>(std::move(lists)));
+  }
+  for (std::int64_t elapsedMs = 0; elapsedMs < 500; elapsedMs += 100) {
+    mNow = mNow.plusMs(100);
+    mService.tick();
+  }
+  BOOST_TEST(hasMetric("control_standing_wait_longest_seconds{room=\"twoWorkers\"} 0.5\n"));
+  BOOST_TEST(hasMetric("control_run_stop_ms_count 2\n"));
+  runPostedFunctions();
+  BOOST_TEST(hasMetric("control_run_end_commit_ms_count 2\n"));
+  BOOST_TEST(jobs().find("t")->find({ "t", 0, 0, 0 })->active);
+  BOOST_TEST(hasMetric("control_freed_room_reuse_ms_count 1\n"));
+}
+
+// Guards against a wait that is not measured because the leader has not committed the end of the
+// runs of a worker that has left.
+BOOST_FIXTURE_TEST_CASE(task_of_a_worker_that_has_left_waits, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  submit("s1", standingJobOf("s", 1, 1000));
+  std::int64_t clockMs = kWorkerClockMs;
+  const auto lists = [&]() {
+    clockMs += 100;
+    return WorkerReport::Fields{ .listFence = mFence,
+                                 .clockMs = clockMs,
+                                 .running = { running("s.0.0.0", 1) } };
+  };
+  report(kRelay, worker("w1"), lists());
+  WorkerDescription::Fields gone = worker("w1").fields();
+  gone.gone = true;
+  report(kRelay, buildValue<WorkerDescription>(std::move(gone)));
+  // Without posted functions the end of the run stays uncommitted.
+  for (std::int64_t elapsedMs = 0; elapsedMs <= StandingWaitMeter::kToleratedMs + 500;
+       elapsedMs += 100) {
+    mNow = mNow.plusMs(100);
+    mService.tick();
+  }
+  BOOST_REQUIRE(jobs().find("s")->find({ "s", 0, 0, 0 })->active);
+  BOOST_TEST(hasMetric("control_standing_tasks_overdue 1\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
