--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -21,6 +21,10 @@
 /** Shortest time between two logs of the reasons why tasks wait. */
 constexpr std::int64_t kLogWaitReasonsMs = 1000;
 
+/** Largest number of lines about single unreported workers. After a change of the leader at which
+ * no relay finds the new one they would be thousands. */
+constexpr std::size_t kMaxUnreportedLines = 50;
+
 std::string
 joinFaults(const std::vector<std::string>& aFaults)
 {
@@ -62,11 +66,14 @@
 
 } // namespace
 
-JobService::JobService(ControlContext& aContext, SessionService& aSessions)
+JobService::JobService(ControlContext& aContext,
+                       SessionService& aSessions,
+                       MetricsRegistry& aMetrics)
   : RequestHandler(aContext)
   , mSessions(aSessions)
   , mFleet(aContext.mSettings.workerLeaseMs())
   , mEvacuation(mContext, mFleet, mRuns)
+  , mRunEnds(aMetrics)
 {
 }
 
@@ -89,7 +96,8 @@
       }
     });
   }
-  mFleet.startTerm(relays, mContext.mLog.term(), mContext.inheritedLeasesRenewedAt());
+  mFleet.startTerm(
+    relays, mContext.mLog.term(), mContext.inheritedLeasesRenewedAt(), mContext.mNow());
   restoreLearnedFigures();
   mScheduleDue = true;
   logInfo("jobs restored for a new leadership",
@@ -145,6 +153,7 @@
   mReliability.clear();
   mLimitedWorkers.clear();
   mStandingWaits.clear();
+  mRunEnds.endTerm();
   mRestartCount = 0;
   mStartedJobs.clear();
   mAssignmentPending = false;
@@ -442,6 +451,7 @@
         learnEnd(*run, aReport.clockMs());
       }
       run->endProposed = true;
+      mRunEnds.onReported(*run, mContext.mNow());
       mStartedJobs.insert(run->task.jobId);
     }
   }
@@ -674,6 +684,7 @@
         { .task = start.task(), .run = start.run(), .how = RunEnd::eNeverRan }));
       continue;
     }
+    mRunEnds.onAssigned(key, mContext.mNow());
     affected.insert(key);
   }
   proposeEnds(std::move(neverRan));
@@ -689,14 +700,26 @@
     if (run == nullptr) {
       continue;
     }
-    const std::string worker = run->incarnation.worker;
+    const IncarnationKey key = run->incarnation;
+    const std::string& worker = key.worker;
+    mRunEnds.onCommitted(*run, isAwaited(key), mContext.mNow());
     mRuns.remove(end.task(), end.run());
-    logInfo("run ended",
-            { { "task", end.task() },
-              { "run", end.run() },
-              { "how", toText(end.how()) },
-              { "worker", worker },
-              { "checkpoint", end.checkpoint() } });
+    if (end.how() == RunEnd::eLapsed) {
+      logInfo("run ended",
+              { { "task", end.task() },
+                { "run", end.run() },
+                { "how", toText(end.how()) },
+                { "worker", worker },
+                { "checkpoint", end.checkpoint() },
+                { "silentMs", mFleet.silentMs(key, mContext.mNow()) } });
+    } else {
+      logInfo("run ended",
+              { { "task", end.task() },
+                { "run", end.run() },
+                { "how", toText(end.how()) },
+                { "worker", worker },
+                { "checkpoint", end.checkpoint() } });
+    }
     const std::optional<TaskId> task = TaskId::parse(end.task());
     const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
     if (end.crashSuspects() > 0) {
@@ -815,6 +838,41 @@
   }
   saveLearnedFigures();
   schedule();
+  logUnreportedWorkers();
+}
+
+void
+JobService::logUnreportedWorkers()
+{
+  std::size_t workers = 0;
+  std::size_t runs = 0;
+  for (const UnreportedIncarnation& incarnation : mFleet.takeUnreported(mContext.mNow())) {
+    const std::size_t runsOfWorker = mRuns.tasksOn(incarnation.key).size();
+    if (runsOfWorker == 0) {
+      continue;
+    }
+    workers++;
+    runs += runsOfWorker;
+    if (workers <= kMaxUnreportedLines) {
+      logWarning("worker not reported to the new leader",
+                 { { "worker", incarnation.key.worker },
+                   { "born", incarnation.key.startedAtMs },
+                   { "relay", incarnation.relay },
+                   { "runs", runsOfWorker },
+                   { "leaseLeftMs", incarnation.leaseLeftMs } });
+    }
+  }
+  if (workers > kMaxUnreportedLines) {
+    logWarning("more workers not reported to the new leader",
+               { { "workers", workers }, { "runs", runs }, { "logged", kMaxUnreportedLines } });
+  }
+}
+
+bool
+JobService::isAwaited(const IncarnationKey& aKey) const
+{
+  const WorkerIncarnation* incarnation = mFleet.find(aKey);
+  return incarnation != nullptr && mStandingWaits.isAwaited(incarnation->description.poolName());
 }
 
 std::vector<WorkerCandidate>
@@ -861,6 +919,9 @@
           run.desiredPacePercent > 0) {
         candidate.unobservedShares[run.step().image()] += cpuShare(candidate, run.step());
       }
+      if (run.endProposed) {
+        candidate.endedRuns.push_back({ run.task, requiredResources(run.step()) });
+      }
       addStraggler(run, candidate);
       if (run.shouldStop || run.job->isFinished()) {
         candidate.releasing = candidate.releasing.plus(requiredResources(run.step()));
@@ -923,13 +984,16 @@
   }
   mScheduleDue = false;
   std::vector<WorkerCandidate> candidates = buildWorkerCandidates();
+  const MonotonicTime now = mContext.mNow();
+  const bool isMeasurementDue = mStandingWaits.isDue(now);
   if (candidates.empty()) {
+    if (isMeasurementDue) {
+      observeStandingWaits(candidates, {});
+    }
     mEvacuation.moveRuns(candidates);
     return;
   }
-  const MonotonicTime now = mContext.mNow();
   const bool isWaitLogDue = now.msSince(mWaitReasonsLoggedAt) >= kLogWaitReasonsMs;
-  const bool isMeasurementDue = mStandingWaits.isDue(now);
   // decide() reduces the capacity of the candidates by what it plans.
   const std::vector<WorkerCandidate> before =
     isWaitLogDue || isMeasurementDue ? candidates : std::vector<WorkerCandidate>();
@@ -967,7 +1031,9 @@
 {
   std::set<std::string> tasks;
   for (const auto& [name, run] : mRuns.runs()) {
-    if (run.step().longRunning() && (!run.isConfirmed || run.missingSince)) {
+    const bool isAbsent =
+      !run.isConfirmed || run.missingSince || run.endProposed || mFleet.hasLeft(run.incarnation);
+    if (run.step().longRunning() && isAbsent) {
       tasks.insert(name);
     }
   }
@@ -980,6 +1046,7 @@
 {
   logStandingWaits(mStandingWaits.observe(
     mContext.mState.jobs(), aBefore, aPlan, unlistedStandingTasks(), mContext.mNow()));
+  mRunEnds.forgetFreed([this](const IncarnationKey& aKey) { return !isAwaited(aKey); });
 }
 
 void
@@ -988,6 +1055,9 @@
   const auto readMs = [](const StandingWait& aWait, RoomReading aReading) {
     return aWait.readMs[static_cast<std::size_t>(aReading)];
   };
+  const auto longestMs = [](const StandingWait& aWait, RoomReading aReading) {
+    return aWait.longestMs[static_cast<std::size_t>(aReading)];
+  };
   for (const StandingWait& wait : aChanges.begun) {
     logWarning("long-running task waits too long",
                { { "task", wait.task.text() },
@@ -997,15 +1067,20 @@
                  { "tasks", mStandingWaits.overdueTasks() } });
   }
   for (const StandingWait& wait : aChanges.ended) {
-    logInfo("long-running task no longer waits",
-            { { "task", wait.task.text() },
-              { "waitedMs", wait.waitedMs },
-              { "cpuMilli", wait.cpuMilli },
-              { "cause", toText(wait.cause) },
-              { "twoWorkersMs", readMs(wait, RoomReading::eTwoWorkers) },
-              { "oneWorkerMs", readMs(wait, RoomReading::eOneWorker) },
-              { "poolMs", readMs(wait, RoomReading::ePool) },
-              { "twoWorkersWithShortMs", readMs(wait, RoomReading::eTwoWorkersWithShort) } });
+    logInfo(
+      "long-running task no longer waits",
+      { { "task", wait.task.text() },
+        { "waitedMs", wait.waitedMs },
+        { "cpuMilli", wait.cpuMilli },
+        { "cause", toText(wait.cause) },
+        { "twoWorkersMs", readMs(wait, RoomReading::eTwoWorkers) },
+        { "oneWorkerMs", readMs(wait, RoomReading::eOneWorker) },
+        { "poolMs", readMs(wait, RoomReading::ePool) },
+        { "twoWorkersWithShortMs", readMs(wait, RoomReading::eTwoWorkersWithShort) },
+        { "longestTwoWorkersMs", longestMs(wait, RoomReading::eTwoWorkers) },
+        { "longestOneWorkerMs", longestMs(wait, RoomReading::eOneWorker) },
+        { "longestPoolMs", longestMs(wait, RoomReading::ePool) },
+        { "longestTwoWorkersWithShortMs", longestMs(wait, RoomReading::eTwoWorkersWithShort) } });
   }
 }
 
@@ -1033,20 +1108,24 @@
     const auto overdue = [this](StandingWaitCause aCause) {
       return mStandingWaits.overdueTasks(aCause);
     };
-    logInfo(
-      "long-running tasks wait too long",
-      { { "tasks", mStandingWaits.overdueTasks() },
-        { "unlisted", overdue(StandingWaitCause::eUnlisted) },
-        { "suspected", overdue(StandingWaitCause::eSuspected) },
-        { "planFull", overdue(StandingWaitCause::ePlanFull) },
-        { "outranked", overdue(StandingWaitCause::eOutranked) },
-        { "reserved", overdue(StandingWaitCause::eReserved) },
-        { "limited", overdue(StandingWaitCause::eLimited) },
-        { "noRoom", overdue(StandingWaitCause::eNoRoom) },
-        { "twoWorkersMs", mStandingWaits.sumMs(RoomReading::eTwoWorkers) },
-        { "oneWorkerMs", mStandingWaits.sumMs(RoomReading::eOneWorker) },
-        { "poolMs", mStandingWaits.sumMs(RoomReading::ePool) },
-        { "twoWorkersWithShortMs", mStandingWaits.sumMs(RoomReading::eTwoWorkersWithShort) } });
+    logInfo("long-running tasks wait too long",
+            { { "tasks", mStandingWaits.overdueTasks() },
+              { "unlisted", overdue(StandingWaitCause::eUnlisted) },
+              { "suspected", overdue(StandingWaitCause::eSuspected) },
+              { "planFull", overdue(StandingWaitCause::ePlanFull) },
+              { "outranked", overdue(StandingWaitCause::eOutranked) },
+              { "reserved", overdue(StandingWaitCause::eReserved) },
+              { "limited", overdue(StandingWaitCause::eLimited) },
+              { "noRoom", overdue(StandingWaitCause::eNoRoom) },
+              { "twoWorkersMs", mStandingWaits.sumMs(RoomReading::eTwoWorkers) },
+              { "oneWorkerMs", mStandingWaits.sumMs(RoomReading::eOneWorker) },
+              { "poolMs", mStandingWaits.sumMs(RoomReading::ePool) },
+              { "twoWorkersWithShortMs", mStandingWaits.sumMs(RoomReading::eTwoWorkersWithShort) },
+              { "longestTwoWorkersMs", mStandingWaits.longestMs(RoomReading::eTwoWorkers) },
+              { "longestOneWorkerMs", mStandingWaits.longestMs(RoomReading::eOneWorker) },
+              { "longestPoolMs", mStandingWaits.longestMs(RoomReading::ePool) },
+              { "longestTwoWorkersWithShortMs",
+                mStandingWaits.longestMs(RoomReading::eTwoWorkersWithShort) } });
   }
   for (const PoolLoad& load :
        summarizePools(aWorkers, mContext.mState.jobs(), mContext.mWallClockMs())) {
@@ -1161,6 +1240,11 @@
                      "\",cause=\"" + toText(static_cast<StandingWaitCause>(cause)) + "\"",
                    static_cast<double>(waitedMs) / kMsPerSecond);
     }
+    const std::int64_t longestMs =
+      mStandingWaits.longestMsOfTerm(static_cast<RoomReading>(reading));
+    aMetrics.set("control_standing_wait_longest_seconds",
+                 std::string("room=\"") + toText(static_cast<RoomReading>(reading)) + "\"",
+                 static_cast<double>(longestMs) / kMsPerSecond);
   }
   set("control_learned_image_pairs", mGuard.model().size());
   std::size_t overObjective = 0;
