Standing tasks join a trial that has worked for two seconds

Cause: a run on trial reserves its worker for twice the time of the crash, up to 20 s. A standing task that had no other room waited for all of it, beside a worker that the trial used to a small part. Change: once each trial on a worker has worked for 2 s, standing tasks without a crash may be placed there. Short tasks and other suspects stay away.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -851,6 +851,8 @@
       if (run.listedMs < kHarmlessRunMs || (isOnTrial && !run.isProvenHarmless())) {
         candidate.unprovenRuns++;
         candidate.suspects += needsTrial ? 1 : 0;
+        candidate.youngSuspects +=
+          needsTrial && run.listedMs < CrashAttribution::kClosedTrialMs ? 1 : 0;
         candidate.isReserved = candidate.isReserved ||
                                (needsTrial && CrashAttribution::needsOwnWorker(run.step(), record));
       }
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -139,7 +139,7 @@
       CrashAttribution::needsTrial(*aReady.job->find(aTask))) {
     return false;
   }
-  return !aWorker.isReserved && !isLimited(aWorker, step) &&
+  return !isClosedForTrials(aWorker, step, *aReady.job->find(aTask)) && !isLimited(aWorker, step) &&
          isPermitted(aWorker, aReady, aStepName);
 }
 
@@ -493,7 +493,9 @@
   {
     occupy(aWorker, aReady.description(), aTask);
     aWorker.unprovenRuns++;
-    aWorker.suspects += CrashAttribution::needsTrial(*aReady.job->find(aTask)) ? 1 : 0;
+    const bool isSuspect = CrashAttribution::needsTrial(*aReady.job->find(aTask));
+    aWorker.suspects += isSuspect ? 1 : 0;
+    aWorker.youngSuspects += isSuspect ? 1 : 0;
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
                                                              .worker = aWorker.worker,
@@ -517,7 +519,7 @@
         reason.otherPoolWorkers++;
       } else if (!hasLabel(worker, step.requiredLabel())) {
         reason.missingLabelWorkers++;
-      } else if (worker.isReserved) {
+      } else if (isClosedForTrials(worker, step, *aReady.job->find(aTask))) {
         reason.reservedWorkers++;
       } else if (isLimited(worker, step)) {
         reason.unreliableWorkers++;
--- a/src/jobs/StandingRoom_random_test.cpp
+++ b/src/jobs/StandingRoom_random_test.cpp
@@ -625,6 +625,7 @@
         (needsTrial && !isFinished && ranMs < CrashAttribution::provingMs(record))) {
       aWorker.unprovenRuns++;
       aWorker.suspects += needsTrial ? 1 : 0;
+      aWorker.youngSuspects += needsTrial && ranMs < CrashAttribution::kClosedTrialMs ? 1 : 0;
       aWorker.isReserved =
         aWorker.isReserved || (needsTrial && CrashAttribution::needsOwnWorker(job.step, record));
     }
--- a/src/jobs/StandingWaitMeter.cpp
+++ b/src/jobs/StandingWaitMeter.cpp
@@ -22,14 +22,15 @@
 findWorkersWithRoom(const std::vector<WorkerCandidate>& aWorkers,
                     const std::string& aPoolName,
                     const JobStep& aStep,
-                    const std::string& aStepName)
+                    const std::string& aStepName,
+                    const JobTaskRecord::Fields& aRecord)
 {
   WorkersWithRoom found;
   for (const WorkerCandidate& worker : aWorkers) {
     if (!isPermitted(worker, aPoolName, aStep, aStepName) || !fits(worker, aStep)) {
       continue;
     }
-    if (worker.isReserved) {
+    if (isClosedForTrials(worker, aStep, aRecord)) {
       found.reserved++;
     } else if (isLimited(worker, aStep)) {
       found.limited++;
@@ -173,7 +174,7 @@
         const std::string nameOfStep = stepName(aTask);
         wait.state.cpuMilli = requiredResources(step).cpuMilli;
         wait.state.cause =
-          findCause(findWorkersWithRoom(aWorkers, pool, step, nameOfStep), aRecord, aPlan);
+          findCause(findWorkersWithRoom(aWorkers, pool, step, nameOfStep, aRecord), aRecord, aPlan);
         const std::array<bool, kRoomReadings> readings = readRoom(aWorkers, pool, step, nameOfStep);
         for (std::size_t reading = 0; reading < kRoomReadings; reading++) {
           if (readings[reading]) {
--- a/src/jobs/TrialPlanner_test.cpp
+++ b/src/jobs/TrialPlanner_test.cpp
@@ -279,4 +279,28 @@
   BOOST_TEST(single.assignments.empty(), "a task that is likely to be the cause is tried apart");
 }
 
+// Guards against standing tasks that wait beside a worker on which a long trial takes little room:
+// a trial works for twice the time of the crash, up to 20 s.
+BOOST_AUTO_TEST_CASE(standing_tasks_join_a_trial_that_has_worked_for_a_while)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", standingJobOf("s", 1, 1000)));
+  jobs.apply(submitOf("urgent", jobOf("z", { stepOf(1, 1000, 10) })));
+  const InterferenceGuard guard;
+  const auto assigned = [&](std::int64_t aSuspects, std::int64_t aYoungSuspects) {
+    std::vector<WorkerCandidate> workers = poolOf(1);
+    workers[0].suspects = aSuspects;
+    workers[0].youngSuspects = aYoungSuspects;
+    workers[0].isReserved = true;
+    std::set<std::string> tasks;
+    for (const Assignment& assignment : JobScheduler::decide(jobs, guard, workers, 0).assignments) {
+      tasks.insert(assignment.start.task());
+    }
+    return tasks;
+  };
+  BOOST_TEST((assigned(1, 0) == std::set<std::string>{ "s.0.0.0" }));
+  BOOST_TEST(assigned(1, 1).empty(), "the trial has just begun");
+  BOOST_TEST(assigned(0, 0).empty(), "the worker is reserved for a trial to come");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -1,5 +1,7 @@
 #include "jobs/WorkerCandidate.h"
 
+#include "jobs/CrashAttribution.h"
+
 #include <algorithm>
 
 namespace magnoliadrum {
@@ -98,6 +100,17 @@
                              : aWorker.youngStandingRuns + aWorker.endingRuns >= aWorker.maxRuns;
 }
 
+bool
+isClosedForTrials(const WorkerCandidate& aWorker,
+                  const JobStep& aStep,
+                  const JobTaskRecord::Fields& aTask)
+{
+  const bool mayJoin = aStep.longRunning() && !aStep.gang() && !aStep.opportunistic() &&
+                       !CrashAttribution::needsTrial(aTask) && aWorker.suspects > 0 &&
+                       aWorker.youngSuspects == 0;
+  return aWorker.isReserved && !mayJoin;
+}
+
 bool
 fits(const WorkerCandidate& aWorker, const JobStep& aStep)
 {
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -90,8 +90,10 @@
   std::int64_t unprovenRuns = 0;
   /** Number of them whose task may have crashed a worker. */
   std::int64_t suspects = 0;
+  /** Number of suspects that have worked for less than CrashAttribution::kClosedTrialMs. */
+  std::int64_t youngSuspects = 0;
   /** A run of a task that may have crashed a worker is on trial here, or will be. Other tasks are
-   * not assigned. */
+   * not assigned, see isClosedForTrials(). */
   bool isReserved = false;
   /** Number of active runs of the steps that limit it, by step name (JOB.OCCURRENCE.STEP). */
   std::map<std::string, std::int64_t> runsOfStep;
@@ -140,6 +142,14 @@
 bool
 isLimited(const WorkerCandidate& aWorker, const JobStep& aStep);
 
+/** Whether the worker is reserved for trials and a task of the step may not join them. Standing
+ * tasks without a crash may, once each trial has worked for CrashAttribution::kClosedTrialMs: a
+ * trial can last for twenty seconds, longer than their users tolerate to miss them. */
+bool
+isClosedForTrials(const WorkerCandidate& aWorker,
+                  const JobStep& aStep,
+                  const JobTaskRecord::Fields& aTask);
+
 /** Whether the declared size of a task of the step fits in the free capacity. */
 bool
 fits(const WorkerCandidate& aWorker, const JobStep& aStep);
