One standing run proves a worker that has recovered

Cause: a worker that had failed up to 20 short runs stayed limited to one standing run at a time after a standing run had worked there for 3 s, since a success halves the failures only once. And 1 s of pause with 3 s of proof is more than the 3 s for which callers tolerate a task beside room. Change: a standing run counts as a success after 1.5 s; if nothing has failed on the worker since it began, at most 2 failures are left, which ends the limit.

--- a/src/jobs/WorkerReliability.cpp
+++ b/src/jobs/WorkerReliability.cpp
@@ -14,6 +14,11 @@
 /** A success after failures that leaves at most this many counts as a recovery. */
 constexpr double kFailuresAfterSuccess = 0.5;
 
+/** Failures that are left after a standing run without a failure since its start. They have to be
+ * fewer than kMinFailures, so that one such run ends the limit: a worker that has failed many short
+ * runs would otherwise stay limited for 20 s, as standing runs rarely follow one another. */
+constexpr double kFailuresAfterStandingRun = 2;
+
 } // namespace
 
 WorkerReliability::Record
@@ -57,6 +62,8 @@
 {
   if (aStartedAt > decayed(aWorker, aNow).lastFailureAt) {
     record(aWorker, true, aNow);
+    double& failures = mRecords[aWorker].failures;
+    failures = std::min(failures, kFailuresAfterStandingRun);
   }
 }
 
--- a/src/jobs/WorkerReliability.h
+++ b/src/jobs/WorkerReliability.h
@@ -29,8 +29,10 @@
   static constexpr double kMinSoundShare = 0.6;
   /** Shortest time from a failure on a limited worker to its next trial run. */
   static constexpr std::int64_t kTrialIntervalMs = 1000;
-  /** A standing run, which never ends well, counts as a success after this time at work. */
-  static constexpr std::int64_t kStandingSuccessMs = 3000;
+  /** A standing run, which never ends well, counts as a success after this time at work. With
+   * kTrialIntervalMs before it, it is less than the 3 s for which callers tolerate a standing task
+   * that waits beside room. */
+  static constexpr std::int64_t kStandingSuccessMs = 1500;
   /** The reciprocal of the largest share of a pool that is limited: failures on more workers have
    * another cause. */
   static constexpr std::size_t kWorkersPerLimited = 3;
--- a/src/jobs/WorkerReliability_test.cpp
+++ b/src/jobs/WorkerReliability_test.cpp
@@ -109,4 +109,19 @@
   BOOST_TEST(JobScheduler::decide(jobs, guard, workers, 0).assignments.size() == 1u);
 }
 
+// Guards against a worker that has recovered and stays limited to one standing run at a time,
+// because it had failed many short runs before.
+BOOST_AUTO_TEST_CASE(one_standing_run_without_a_failure_ends_the_limit)
+{
+  WorkerReliability reliability;
+  recordFailures(reliability, "w1", 20);
+  const MonotonicTime startedAt = kStart.plusMs(WorkerReliability::kTrialIntervalMs);
+  const MonotonicTime provenAt = startedAt.plusMs(WorkerReliability::kStandingSuccessMs);
+  BOOST_TEST(provenAt.msSince(kStart) < 3000, "callers tolerate 3 s beside room");
+  const std::vector<std::string> pool = { "w1", "w2", "w3" };
+  BOOST_TEST(reliability.runLimits(pool, provenAt)[0] == 1);
+  reliability.recordStandingRun("w1", startedAt, provenAt);
+  BOOST_TEST(reliability.runLimits(pool, provenAt)[0] == WorkerReliability::kNoLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
