A task that fails everywhere does not keep others from a limited worker

Cause: the single run of a limited worker went to a standing task that fails everywhere, at each pause, and its failures kept the worker limited: tasks that could have proved the worker waited for up to 20 s. Change: a standing task with three starts and no run of 1.5 s is doubtful. Its runs and its pause on a limited worker count apart from those of other tasks, and its failures are not counted for the worker.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -331,8 +331,7 @@
   mRuns.applyAnswers(key, aReport.answers());
   for (const OrderAnswer& answer : aReport.answers()) {
     if (answer.kind() == OrderKind::eStart && answer.result() == OrderResult::eUnhealthy) {
-      mReliability.record(key.worker, false, now);
-      recordStandingFailure(key, answer.task(), answer.run());
+      recordFailure(key, answer.task(), answer.run());
     }
   }
   if (aReport.listFence() > 0) {
@@ -428,11 +427,10 @@
         .checkpointPercent = run != nullptr ? run->percentAt(ended.checkpoint()) : 0,
         .ranMs = run != nullptr ? run->listedMs : 0,
         .harmless = hasWorked || (run != nullptr && run->isProvenHarmless()) }));
-    if (ended.how() == RunEnd::eDone || ended.how() == RunEnd::eFailed) {
-      mReliability.record(aKey.worker, ended.how() == RunEnd::eDone, mContext.mNow());
-      if (ended.how() == RunEnd::eFailed) {
-        recordStandingFailure(aKey, ended.task(), ended.run());
-      }
+    if (ended.how() == RunEnd::eDone) {
+      mReliability.record(aKey.worker, true, mContext.mNow());
+    } else if (ended.how() == RunEnd::eFailed) {
+      recordFailure(aKey, ended.task(), ended.run());
     }
     if (run != nullptr) {
       if (ended.how() == RunEnd::eDone) {
@@ -551,13 +549,18 @@
 }
 
 void
-JobService::recordStandingFailure(const IncarnationKey& aKey,
-                                  const std::string& aTask,
-                                  std::int64_t aRun)
+JobService::recordFailure(const IncarnationKey& aKey, const std::string& aTask, std::int64_t aRun)
 {
+  const MonotonicTime now = mContext.mNow();
   const TrackedRun* run = mRuns.find(aTask, aRun);
-  if (run != nullptr && !run->job->isFinished() && run->step().longRunning()) {
-    mReliability.recordStandingFailure(aKey.worker, mContext.mNow());
+  const bool isStanding = run != nullptr && !run->job->isFinished() && run->step().longRunning();
+  if (isStanding && isDoubtful(run->step(), *run->job->find(run->task))) {
+    mReliability.recordDoubtfulFailure(aKey.worker, now);
+    return;
+  }
+  mReliability.record(aKey.worker, false, now);
+  if (isStanding) {
+    mReliability.recordStandingFailure(aKey.worker, now);
   }
 }
 
@@ -836,16 +839,21 @@
     candidate.failureRank = failureRank(successShare);
     candidate.hasJustFailedStandingRun =
       mReliability.hasJustFailedStandingRun(key.worker, mContext.mNow());
+    candidate.hasJustFailedDoubtfulRun =
+      mReliability.hasJustFailedDoubtfulRun(key.worker, mContext.mNow());
     for (const std::string& name : mRuns.tasksOn(key)) {
       const TrackedRun& run = mRuns.run(name);
       addRun(candidate, run.step(), run.task);
-      if (run.step().longRunning() && run.listedMs >= WorkerReliability::kStandingSuccessMs) {
+      const JobTaskRecord::Fields& record = *run.job->find(run.task);
+      const bool isOld = run.listedMs >= WorkerReliability::kStandingSuccessMs;
+      const bool isDoubtfulRun = isDoubtful(run.step(), record);
+      if (run.step().longRunning() && (isOld || isDoubtfulRun)) {
         candidate.youngStandingRuns--;
+        candidate.youngDoubtfulRuns += isOld ? 0 : 1;
       }
       if (!run.isConfirmed || run.missingSince) {
         candidate.unlistedCpuMilli += requiredResources(run.step()).cpuMilli;
       }
-      const JobTaskRecord::Fields& record = *run.job->find(run.task);
       const bool needsTrial = CrashAttribution::needsTrial(record);
       const bool isOnTrial = needsTrial && !run.job->isFinished();
       if (run.listedMs < kHarmlessRunMs || (isOnTrial && !run.isProvenHarmless())) {
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -80,10 +80,8 @@
   void learnProgress(const IncarnationKey& aKey);
   /** Counts the standing runs of a worker that have worked for long enough as successes. */
   void recordStandingRuns(const IncarnationKey& aKey);
-  /** Records the failure of a run if it is a standing one. */
-  void recordStandingFailure(const IncarnationKey& aKey,
-                             const std::string& aTask,
-                             std::int64_t aRun);
+  /** Records the failure of a run for the reliability of its worker. */
+  void recordFailure(const IncarnationKey& aKey, const std::string& aTask, std::int64_t aRun);
   void learnEnd(const TrackedRun& aRun, std::int64_t aClockMs);
   void addStraggler(const TrackedRun& aRun, WorkerCandidate& aCandidate) const;
   void restart(const std::vector<RestartDecision>& aRestarts);
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -139,7 +139,8 @@
       CrashAttribution::needsTrial(*aReady.job->find(aTask))) {
     return false;
   }
-  return !isClosedForTrials(aWorker, step, *aReady.job->find(aTask)) && !isLimited(aWorker, step) &&
+  const JobTaskRecord::Fields& record = *aReady.job->find(aTask);
+  return !isClosedForTrials(aWorker, step, record) && !isLimited(aWorker, step, record) &&
          isPermitted(aWorker, aReady, aStepName);
 }
 
@@ -493,7 +494,12 @@
   {
     occupy(aWorker, aReady.description(), aTask);
     aWorker.unprovenRuns++;
-    const bool isSuspect = CrashAttribution::needsTrial(*aReady.job->find(aTask));
+    const JobTaskRecord::Fields& record = *aReady.job->find(aTask);
+    if (isDoubtful(aReady.description(), record)) {
+      aWorker.youngStandingRuns--;
+      aWorker.youngDoubtfulRuns++;
+    }
+    const bool isSuspect = CrashAttribution::needsTrial(record);
     aWorker.suspects += isSuspect ? 1 : 0;
     aWorker.youngSuspects += isSuspect ? 1 : 0;
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
@@ -521,7 +527,7 @@
         reason.missingLabelWorkers++;
       } else if (isClosedForTrials(worker, step, *aReady.job->find(aTask))) {
         reason.reservedWorkers++;
-      } else if (isLimited(worker, step)) {
+      } else if (isLimited(worker, step, *aReady.job->find(aTask))) {
         reason.unreliableWorkers++;
       } else if (!isEligible(worker, aReady, aTask, aStepName)) {
         reason.perWorkerLimitWorkers++;
--- a/src/jobs/StandingRoom_random_test.cpp
+++ b/src/jobs/StandingRoom_random_test.cpp
@@ -536,10 +536,7 @@
       const std::int64_t ranMs = mNowMs - run.startedAtMs;
       const JobTaskRecord::Fields* record = recordOf(run.task);
       if (run.how == RunEnd::eDone || run.how == RunEnd::eFailed || run.how == RunEnd::eNeverRan) {
-        mReliability.record(run.worker, run.how == RunEnd::eDone, now());
-        if (run.how != RunEnd::eDone && jobOfTask(run.task).step.longRunning()) {
-          mReliability.recordStandingFailure(run.worker, now());
-        }
+        recordEnd(run, record);
       }
       mTotals.shortRuns += run.how == RunEnd::eDone ? 1 : 0;
       command.ends.push_back(valueOf(RunEnding::create(
@@ -554,6 +551,20 @@
     mJobs.apply(valueOf(EndRuns::create(std::move(command))));
   }
 
+  /** Counts the end of a run for its worker; the record is that before the end. */
+  void recordEnd(const PoolRun& aRun, const JobTaskRecord::Fields* aRecord)
+  {
+    const JobStep& step = jobOfTask(aRun.task).step;
+    if (aRun.how != RunEnd::eDone && aRecord != nullptr && isDoubtful(step, *aRecord)) {
+      mReliability.recordDoubtfulFailure(aRun.worker, now());
+      return;
+    }
+    mReliability.record(aRun.worker, aRun.how == RunEnd::eDone, now());
+    if (aRun.how != RunEnd::eDone && step.longRunning()) {
+      mReliability.recordStandingFailure(aRun.worker, now());
+    }
+  }
+
   void start(const Assignment& aAssignment)
   {
     const PoolJob& job = jobOfTask(aAssignment.task);
@@ -598,6 +609,7 @@
         found.back().failureTenths = static_cast<std::int64_t>((1 - share) * 10);
         found.back().failureRank = share >= 0.5 ? 0 : found.back().failureTenths;
         found.back().hasJustFailedStandingRun = mReliability.hasJustFailedStandingRun(id, now());
+        found.back().hasJustFailedDoubtfulRun = mReliability.hasJustFailedDoubtfulRun(id, now());
       }
     }
     const std::vector<std::int64_t> limits = mReliability.runLimits(names, now());
@@ -629,8 +641,10 @@
       aWorker.isReserved =
         aWorker.isReserved || (needsTrial && CrashAttribution::needsOwnWorker(job.step, record));
     }
-    if (job.step.longRunning() && ranMs >= WorkerReliability::kStandingSuccessMs) {
+    const bool isOld = ranMs >= WorkerReliability::kStandingSuccessMs;
+    if (job.step.longRunning() && (isOld || isDoubtful(job.step, record))) {
       aWorker.youngStandingRuns--;
+      aWorker.youngDoubtfulRuns += isOld ? 0 : 1;
     }
     if (aRun.isStopping || isFinished) {
       aWorker.releasing = aWorker.releasing.plus(requiredResources(job.step));
@@ -791,7 +805,7 @@
       }
       if (mReserved.contains(worker.worker)) {
         cause = "reserved for trials";
-      } else if (isLimited(worker, aStep)) {
+      } else if (isLimited(worker, aStep, aRecord)) {
         cause = "limited";
       } else {
         return "kept for others";
--- a/src/jobs/StandingWaitMeter.cpp
+++ b/src/jobs/StandingWaitMeter.cpp
@@ -32,7 +32,7 @@
     }
     if (isClosedForTrials(worker, aStep, aRecord)) {
       found.reserved++;
-    } else if (isLimited(worker, aStep)) {
+    } else if (isLimited(worker, aStep, aRecord)) {
       found.limited++;
     } else {
       found.open++;
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -88,14 +88,26 @@
 }
 
 bool
-isLimited(const WorkerCandidate& aWorker, const JobStep& aStep)
+isDoubtful(const JobStep& aStep, const JobTaskRecord::Fields& aTask)
 {
-  if (aStep.longRunning() && aWorker.hasJustFailedStandingRun) {
+  return aStep.longRunning() && aTask.run >= WorkerReliability::kDoubtfulStarts &&
+         aTask.harmlessMs < WorkerReliability::kStandingSuccessMs;
+}
+
+bool
+isLimited(const WorkerCandidate& aWorker, const JobStep& aStep, const JobTaskRecord::Fields& aTask)
+{
+  const bool isOfDoubtfulTask = isDoubtful(aStep, aTask);
+  if (aStep.longRunning() &&
+      (isOfDoubtfulTask ? aWorker.hasJustFailedDoubtfulRun : aWorker.hasJustFailedStandingRun)) {
     return true;
   }
   if (aWorker.maxRuns == WorkerReliability::kNoLimit) {
     return false;
   }
+  if (isOfDoubtfulTask) {
+    return aWorker.youngDoubtfulRuns >= 1;
+  }
   return aStep.longRunning() ? aWorker.youngStandingRuns >= 1
                              : aWorker.youngStandingRuns + aWorker.endingRuns >= aWorker.maxRuns;
 }
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -82,10 +82,15 @@
   /** Number of runs that end by themselves, and how many there may be; see WorkerReliability. */
   std::int64_t endingRuns = 0;
   std::int64_t maxRuns = WorkerReliability::kNoLimit;
-  /** Number of standing runs that have not worked for WorkerReliability::kStandingSuccessMs. */
+  /** Number of standing runs that have not worked for WorkerReliability::kStandingSuccessMs, but
+   * for those of doubtful tasks. */
   std::int64_t youngStandingRuns = 0;
+  /** Number of such runs of doubtful tasks, see isDoubtful(). */
+  std::int64_t youngDoubtfulRuns = 0;
   /** A standing run has just failed. The next one waits, else it may be started without pause. */
   bool hasJustFailedStandingRun = false;
+  /** The same for the runs of doubtful tasks. */
+  bool hasJustFailedDoubtfulRun = false;
   /** Number of active runs that are not yet known to be harmless to the worker. */
   std::int64_t unprovenRuns = 0;
   /** Number of them whose task may have crashed a worker. */
@@ -136,11 +141,17 @@
             const JobStep& aStep,
             const std::string& aStepName);
 
+/** Whether a standing task has had WorkerReliability::kDoubtfulStarts without a run that worked for
+ * kStandingSuccessMs. Its failures say little of a worker, and its runs hardly prove one, so it
+ * takes no run from another task that could. */
+bool
+isDoubtful(const JobStep& aStep, const JobTaskRecord::Fields& aTask);
+
 /** Whether a worker that fails its runs has as many as it may have, or pauses after a failure. For
  * a standing task neither the number nor the failures of short runs count: they would close free
  * room to it for longer than its users tolerate. */
 bool
-isLimited(const WorkerCandidate& aWorker, const JobStep& aStep);
+isLimited(const WorkerCandidate& aWorker, const JobStep& aStep, const JobTaskRecord::Fields& aTask);
 
 /** Whether the worker is reserved for trials and a task of the step may not join them. Standing
  * tasks without a crash may, once each trial has worked for CrashAttribution::kClosedTrialMs: a
--- a/src/jobs/WorkerReliability.cpp
+++ b/src/jobs/WorkerReliability.cpp
@@ -73,13 +73,32 @@
   mRecords[aWorker].lastStandingFailureAt = aNow;
 }
 
+void
+WorkerReliability::recordDoubtfulFailure(const std::string& aWorker, MonotonicTime aNow)
+{
+  mRecords[aWorker].lastDoubtfulFailureAt = aNow;
+}
+
+bool
+WorkerReliability::needsPause(const std::string& aWorker,
+                              MonotonicTime aFailedAt,
+                              MonotonicTime aNow) const
+{
+  return aNow.msSince(aFailedAt) < kTrialIntervalMs && successShare(aWorker, aNow) < kMinSoundShare;
+}
+
 bool
 WorkerReliability::hasJustFailedStandingRun(const std::string& aWorker, MonotonicTime aNow) const
 {
   const auto found = mRecords.find(aWorker);
-  return found != mRecords.end() &&
-         aNow.msSince(found->second.lastStandingFailureAt) < kTrialIntervalMs &&
-         successShare(aWorker, aNow) < kMinSoundShare;
+  return found != mRecords.end() && needsPause(aWorker, found->second.lastStandingFailureAt, aNow);
+}
+
+bool
+WorkerReliability::hasJustFailedDoubtfulRun(const std::string& aWorker, MonotonicTime aNow) const
+{
+  const auto found = mRecords.find(aWorker);
+  return found != mRecords.end() && needsPause(aWorker, found->second.lastDoubtfulFailureAt, aNow);
 }
 
 double
--- a/src/jobs/WorkerReliability.h
+++ b/src/jobs/WorkerReliability.h
@@ -33,6 +33,10 @@
    * kTrialIntervalMs before it, it is less than the 3 s for which callers tolerate a standing task
    * that waits beside room. */
   static constexpr std::int64_t kStandingSuccessMs = 1500;
+  /** A standing task is doubtful from so many starts on if no run has worked for
+   * kStandingSuccessMs: it is likelier to fail everywhere than to have met this many failing
+   * workers. */
+  static constexpr std::int64_t kDoubtfulStarts = 3;
   /** The reciprocal of the largest share of a pool that is limited: failures on more workers have
    * another cause. */
   static constexpr std::size_t kWorkersPerLimited = 3;
@@ -48,11 +52,18 @@
   /** Records that a standing run has failed, in addition to record(). */
   void recordStandingFailure(const std::string& aWorker, MonotonicTime aNow);
 
+  /** Records that a standing run of a doubtful task has failed, in place of record(): such failures
+   * are not counted for the worker. */
+  void recordDoubtfulFailure(const std::string& aWorker, MonotonicTime aNow);
+
   /** Whether a standing run has failed within kTrialIntervalMs, on a worker on which less than
    * kMinSoundShare of the recent runs succeeded. On others the task is the more likely cause, and
    * the pause would leave the room of the run to others. */
   bool hasJustFailedStandingRun(const std::string& aWorker, MonotonicTime aNow) const;
 
+  /** The same for runs of doubtful tasks. */
+  bool hasJustFailedDoubtfulRun(const std::string& aWorker, MonotonicTime aNow) const;
+
   /** Share of the recent runs that succeeded; near 1 for a worker with few. */
   double successShare(const std::string& aWorker, MonotonicTime aNow) const;
 
@@ -71,8 +82,12 @@
     MonotonicTime updatedAt;
     MonotonicTime lastFailureAt;
     MonotonicTime lastStandingFailureAt;
+    MonotonicTime lastDoubtfulFailureAt;
   };
 
+  /** Whether a failure at aFailedAt calls for a pause before the next standing run. */
+  bool needsPause(const std::string& aWorker, MonotonicTime aFailedAt, MonotonicTime aNow) const;
+
   /** The counts of a worker as they are at aNow. */
   Record decayed(const std::string& aWorker, MonotonicTime aNow) const;
 
--- a/src/jobs/WorkerReliability_test.cpp
+++ b/src/jobs/WorkerReliability_test.cpp
@@ -124,4 +124,35 @@
   BOOST_TEST(reliability.runLimits(pool, provenAt)[0] == WorkerReliability::kNoLimit);
 }
 
+// Guards against a task that fails everywhere and takes the single run of a worker that has
+// recovered, again and again, while another task waits that could prove the worker.
+BOOST_AUTO_TEST_CASE(a_task_that_fails_everywhere_does_not_keep_others_from_a_limited_worker)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", standingJobOf("failing", 1, 100)));
+  jobs.apply(submitOf("urgent", standingJobOf("s", 2, 100)));
+  for (std::int64_t run = 1; run <= WorkerReliability::kDoubtfulStarts; run++) {
+    jobs.apply(startOf("failing.0.0.0", run));
+    jobs.apply(endOf("failing.0.0.0", run, RunEnd::eFailed));
+  }
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 4000, 1000) };
+  workers[0].maxRuns = 1;
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(plan.assignments.size() == 2u);
+  BOOST_TEST(plan.assignments[0].start.task() == "failing.0.0.0");
+  BOOST_TEST(plan.assignments[1].start.task() == "s.0.0.0");
+}
+
+// Guards against a sound worker that is limited because of the failures of such a task.
+BOOST_AUTO_TEST_CASE(failures_of_a_doubtful_task_do_not_limit_a_worker)
+{
+  WorkerReliability reliability;
+  for (int failure = 0; failure < 20; failure++) {
+    reliability.recordDoubtfulFailure("w1", kStart);
+  }
+  BOOST_TEST(reliability.runLimits({ "w1", "w2", "w3" }, kStart)[0] == WorkerReliability::kNoLimit);
+  BOOST_TEST(!reliability.hasJustFailedStandingRun("w1", kStart));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
