--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -139,7 +139,8 @@
       CrashAttribution::needsTrial(*aReady.job->find(aTask))) {
     return false;
   }
-  return !aWorker.isReserved && !isLimited(aWorker, step) &&
+  const JobTaskRecord::Fields& record = *aReady.job->find(aTask);
+  return !isClosedForTrials(aWorker, step, record) && !isLimited(aWorker, step, record) &&
          isPermitted(aWorker, aReady, aStepName);
 }
 
@@ -493,7 +494,14 @@
   {
     occupy(aWorker, aReady.description(), aTask);
     aWorker.unprovenRuns++;
-    aWorker.suspects += CrashAttribution::needsTrial(*aReady.job->find(aTask)) ? 1 : 0;
+    const JobTaskRecord::Fields& record = *aReady.job->find(aTask);
+    if (isDoubtful(aReady.description(), record)) {
+      aWorker.youngStandingRuns--;
+      aWorker.youngDoubtfulRuns++;
+    }
+    const bool isSuspect = CrashAttribution::needsTrial(record);
+    aWorker.suspects += isSuspect ? 1 : 0;
+    aWorker.youngSuspects += isSuspect ? 1 : 0;
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
                                                              .worker = aWorker.worker,
@@ -517,9 +525,9 @@
         reason.otherPoolWorkers++;
       } else if (!hasLabel(worker, step.requiredLabel())) {
         reason.missingLabelWorkers++;
-      } else if (worker.isReserved) {
+      } else if (isClosedForTrials(worker, step, *aReady.job->find(aTask))) {
         reason.reservedWorkers++;
-      } else if (isLimited(worker, step)) {
+      } else if (isLimited(worker, step, *aReady.job->find(aTask))) {
         reason.unreliableWorkers++;
       } else if (!isEligible(worker, aReady, aTask, aStepName)) {
         reason.perWorkerLimitWorkers++;
--- a/src/jobs/StandingWaitMeter.cpp
+++ b/src/jobs/StandingWaitMeter.cpp
@@ -23,16 +23,17 @@
 findWorkersWithRoom(const std::vector<WorkerCandidate>& aWorkers,
                     const std::string& aPoolName,
                     const JobStep& aStep,
-                    const std::string& aStepName)
+                    const std::string& aStepName,
+                    const JobTaskRecord::Fields& aRecord)
 {
   WorkersWithRoom found;
   for (const WorkerCandidate& worker : aWorkers) {
     if (!isPermitted(worker, aPoolName, aStep, aStepName) || !fits(worker, aStep)) {
       continue;
     }
-    if (worker.isReserved) {
+    if (isClosedForTrials(worker, aStep, aRecord)) {
       found.reserved++;
-    } else if (isLimited(worker, aStep)) {
+    } else if (isLimited(worker, aStep, aRecord)) {
       found.limited++;
     } else {
       found.open++;
@@ -158,41 +159,41 @@
   Changes changes;
   std::map<std::string, Wait> waits;
   mAwaitedPools.clear();
-  const auto visit =
-    [&](const Job& aJob, const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
-      const JobStep& step = aJob.steps()[static_cast<std::size_t>(aTask.step)];
-      if (!step.longRunning() || aRecord.done || !aJob.isStepReady(aTask.occurrence, aTask.step)) {
-        return;
-      }
-      const std::string name = aTask.text();
-      if (aRecord.active && !aUnlisted.contains(name)) {
-        return;
-      }
-      const auto known = mWaits.find(name);
-      Wait wait = known != mWaits.end() ? known->second : Wait{ .since = aNow, .state = { aTask } };
-      const bool wasOverdue = wait.state.waitedMs > kToleratedMs;
-      wait.state.waitedMs = aNow.msSince(wait.since);
-      const std::string& pool = aJob.queue().poolName();
-      if (!aRecord.active) {
-        mAwaitedPools.insert(pool);
-      }
-      if (wait.state.waitedMs > kToleratedMs) {
-        const std::string nameOfStep = stepName(aTask);
-        // The wait of an assigned task goes on until a list shows the run: its worker may refuse
-        // it.
-        const bool isAssigned = assigned.contains(name);
-        if (!isAssigned) {
-          wait.state.cpuMilli = requiredResources(step).cpuMilli;
-          wait.state.cause =
-            findCause(findWorkersWithRoom(aWorkers, pool, step, nameOfStep), aRecord, aPlan);
-        }
-        addReadings(wait, readRoom(atWorkers, pool, step, nameOfStep), elapsedMs, !isAssigned);
-      }
-      if (wait.state.waitedMs > kToleratedMs && !wasOverdue) {
-        changes.begun.push_back(wait.state);
+  const auto visit = [&](
+                       const Job& aJob, const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
+    const JobStep& step = aJob.steps()[static_cast<std::size_t>(aTask.step)];
+    if (!step.longRunning() || aRecord.done || !aJob.isStepReady(aTask.occurrence, aTask.step)) {
+      return;
+    }
+    const std::string name = aTask.text();
+    if (aRecord.active && !aUnlisted.contains(name)) {
+      return;
+    }
+    const auto known = mWaits.find(name);
+    Wait wait = known != mWaits.end() ? known->second : Wait{ .since = aNow, .state = { aTask } };
+    const bool wasOverdue = wait.state.waitedMs > kToleratedMs;
+    wait.state.waitedMs = aNow.msSince(wait.since);
+    const std::string& pool = aJob.queue().poolName();
+    if (!aRecord.active) {
+      mAwaitedPools.insert(pool);
+    }
+    if (wait.state.waitedMs > kToleratedMs) {
+      const std::string nameOfStep = stepName(aTask);
+      // The wait of an assigned task goes on until a list shows the run: its worker may refuse
+      // it.
+      const bool isAssigned = assigned.contains(name);
+      if (!isAssigned) {
+        wait.state.cpuMilli = requiredResources(step).cpuMilli;
+        wait.state.cause =
+          findCause(findWorkersWithRoom(aWorkers, pool, step, nameOfStep, aRecord), aRecord, aPlan);
       }
-      waits.emplace(name, std::move(wait));
-    };
+      addReadings(wait, readRoom(atWorkers, pool, step, nameOfStep), elapsedMs, !isAssigned);
+    }
+    if (wait.state.waitedMs > kToleratedMs && !wasOverdue) {
+      changes.begun.push_back(wait.state);
+    }
+    waits.emplace(name, std::move(wait));
+  };
   for (const std::string& jobId : aJobs.openJobs()) {
     const Job* job = aJobs.find(jobId);
     const bool hasLongRunning =
--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -1,5 +1,7 @@
 #include "jobs/WorkerCandidate.h"
 
+#include "jobs/CrashAttribution.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -102,18 +104,41 @@
 }
 
 bool
-isLimited(const WorkerCandidate& aWorker, const JobStep& aStep)
+isDoubtful(const JobStep& aStep, const JobTaskRecord::Fields& aTask)
+{
+  return aStep.longRunning() && aTask.run >= WorkerReliability::kDoubtfulStarts &&
+         aTask.harmlessMs < WorkerReliability::kStandingSuccessMs;
+}
+
+bool
+isLimited(const WorkerCandidate& aWorker, const JobStep& aStep, const JobTaskRecord::Fields& aTask)
 {
-  if (aStep.longRunning() && aWorker.hasJustFailedStandingRun) {
+  const bool isOfDoubtfulTask = isDoubtful(aStep, aTask);
+  if (aStep.longRunning() &&
+      (isOfDoubtfulTask ? aWorker.hasJustFailedDoubtfulRun : aWorker.hasJustFailedStandingRun)) {
     return true;
   }
   if (aWorker.maxRuns == WorkerReliability::kNoLimit) {
     return false;
   }
+  if (isOfDoubtfulTask) {
+    return aWorker.youngDoubtfulRuns >= 1;
+  }
   return aStep.longRunning() ? aWorker.youngStandingRuns >= 1
                              : aWorker.youngStandingRuns + aWorker.endingRuns >= aWorker.maxRuns;
 }
 
+bool
+isClosedForTrials(const WorkerCandidate& aWorker,
+                  const JobStep& aStep,
+                  const JobTaskRecord::Fields& aTask)
+{
+  const bool mayJoin = aStep.longRunning() && !aStep.gang() && !aStep.opportunistic() &&
+                       !CrashAttribution::needsTrial(aTask) && aWorker.suspects > 0 &&
+                       aWorker.youngSuspects == 0;
+  return aWorker.isReserved && !mayJoin;
+}
+
 bool
 fits(const WorkerCandidate& aWorker, const JobStep& aStep)
 {
