A trial keeps standing tasks away for one second in place of two

Cause: before a trial its worker is reserved until the young runs there have worked for a second, so with two closed seconds the worker was closed for the 3 s that callers tolerate, and trials that follow one another on a worker closed it again before a task could join. Change: kClosedTrialMs is 1000, the time within which a crash is blamed most.

--- a/src/jobs/CrashAttribution.h
+++ b/src/jobs/CrashAttribution.h
@@ -41,10 +41,11 @@
   /** A trial keeps other runs away from a worker, so tasks that crash it later (ms) are only
    * counted. */
   static constexpr std::int64_t kLongestTrialDelayMs = 10000;
-  /** For so long (ms) a trial keeps standing tasks without a crash away. Callers tolerate 3 s of
-   * room that a standing task doesn't get. A crash after that has more suspects, of which the task
-   * on trial has the largest share. */
-  static constexpr std::int64_t kClosedTrialMs = 2000;
+  /** For so long (ms) a trial keeps standing tasks without a crash away. Before it, the young runs
+   * of its worker are awaited for kHarmlessRunMs, and callers tolerate 3 s of room that a standing
+   * task doesn't get. A later crash has more suspects, of which the task on trial has the largest
+   * share. */
+  static constexpr std::int64_t kClosedTrialMs = 1000;
   /** Share, in thousandths, from which a run is taken for the cause of a crash. */
   static constexpr std::int64_t kCausingShare = 900;
   /** A task with this suspicion, in thousandths, is tried apart from others. */
