Large entries go to followers in parts, and entries in flight are bounded

Cause: an entry was one message to each follower, and up to 16 messages of 1 MB were sent before an answer. With a catalogue of 4,200 queues (1.6 MB) and six followers 9.6 MB waited in the leader's link of 200 Mbit/s, 384 ms, after the leader had taken about 190 ms on 0.4 cores to decode the document. Heartbeats waited behind that, so followers heard nothing and the leader had no answer within the election timeout of 500 ms. The next leader got the same entry or the same document again.

An AppendRequest holds at most 128 KiB (was 1 MiB), and none is sent while 256 KiB are unanswered. A follower that already has the entry says so at once.

The simulation now sends 3% of its entries in several parts.

A replica without this change closes the connection on an EntryPart, so a group takes no entry over 128 KiB while most of its replicas are not updated.

--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "consensus/ConsensusTypes.h"
+#include "consensus/EntryReceiver.h"
 #include "consensus/LeaderReplication.h"
 #include "consensus/ReplicatedLog.h"
 #include "consensus/SnapshotReceiver.h"
@@ -116,6 +117,8 @@
   void on(const VoteReply& aReply);
   void on(const AppendRequest& aRequest);
   void on(const AppendReply& aReply);
+  void on(const EntryPart& aPart);
+  void on(const EntryPartReply& aReply);
   void on(const SnapshotChunk& aChunk);
   void on(const SnapshotReply& aReply);
   void on(const TimeoutNow& aRequest);
@@ -134,6 +137,7 @@
   bool isWellFormed(const AppendRequest& aRequest) const;
   void appendFromLeader(const AppendRequest& aRequest, std::int64_t aFirstIndex);
   void replyToAppend(const AppendRequest& aRequest, bool aSuccess, std::int64_t aMatchIndex);
+  void replyToPart(const EntryPart& aPart, std::int64_t aReceivedBytes);
   void replyToChunk(const SnapshotChunk& aChunk, bool aInstalled);
   void installSnapshot(ConsensusSnapshotPointer aSnapshot);
   Result<std::int64_t> appendOwn(LogEntryKind aKind, std::string aData);
@@ -158,6 +162,7 @@
   ReplicatedLog mLog;
   ConsensusSnapshotPointer mSnapshot;
   SnapshotReceiver mReceiver;
+  EntryReceiver mEntryReceiver;
 
   ConsensusRole mRole = ConsensusRole::eFollower;
   std::string mLeaderId;
--- a/src/consensus/ConsensusNodeElection.cpp
+++ b/src/consensus/ConsensusNodeElection.cpp
@@ -14,6 +14,7 @@
     mHardState = { .term = aTerm, .votedFor = "" };
     mHardStateChanged = true;
     mReceiver.clear();
+    mEntryReceiver.clear();
   }
   if (mRole == ConsensusRole::eLeader) {
     mLeader.reset();
--- a/src/consensus/ConsensusNodeReplication.cpp
+++ b/src/consensus/ConsensusNodeReplication.cpp
@@ -111,6 +111,66 @@
   tickTransfer();
 }
 
+void
+ConsensusNode::on(const EntryPart& aPart)
+{
+  if (aPart.term() < mHardState.term) {
+    replyToPart(aPart, 0);
+    return;
+  }
+  if (aPart.term() == mHardState.term && mRole == ConsensusRole::eLeader) {
+    return;
+  }
+  acceptLeader(aPart.term(), aPart.leaderId());
+  const std::int64_t index = aPart.previousIndex() + 1;
+  AppendRequest::Fields request{ .term = aPart.term(),
+                                 .leaderId = aPart.leaderId(),
+                                 .previousIndex = aPart.previousIndex(),
+                                 .previousTerm = aPart.previousTerm(),
+                                 .commitIndex = aPart.commitIndex(),
+                                 .round = aPart.round() };
+  if (index <= mCommitIndex || mLog.termAt(index) == aPart.entryTerm()) {
+    // The entry is here already: its last part was answered and the answer was lost, or an earlier
+    // leader sent it.
+    mEntryReceiver.clear();
+    request.previousIndex = index;
+    request.previousTerm = aPart.entryTerm();
+    on(makeChecked<AppendRequest>(std::move(request)));
+    return;
+  }
+  std::optional<LogEntry> entry = mEntryReceiver.add(aPart);
+  if (!entry) {
+    replyToPart(aPart, mEntryReceiver.receivedBytes());
+    return;
+  }
+  request.entries.push_back(std::move(*entry));
+  on(makeChecked<AppendRequest>(std::move(request)));
+}
+
+void
+ConsensusNode::replyToPart(const EntryPart& aPart, std::int64_t aReceivedBytes)
+{
+  send(aPart.leaderId(),
+       makeChecked<EntryPartReply>({ .term = mHardState.term,
+                                     .followerId = mSettings.replicaId,
+                                     .index = aPart.previousIndex() + 1,
+                                     .receivedBytes = aReceivedBytes,
+                                     .round = aPart.round() }));
+}
+
+void
+ConsensusNode::on(const EntryPartReply& aReply)
+{
+  if (aReply.term() > mHardState.term) {
+    becomeFollower(aReply.term(), "");
+    return;
+  }
+  if (!mLeader || aReply.term() < mHardState.term) {
+    return;
+  }
+  mLeader->onEntryPartReply(aReply, view());
+}
+
 void
 ConsensusNode::on(const SnapshotChunk& aChunk)
 {
--- a/src/consensus/ConsensusSimulation_test.h
+++ b/src/consensus/ConsensusSimulation_test.h
@@ -173,8 +173,11 @@
 
   void start(SimulatedReplica& aReplica)
   {
+    ConsensusSettings settings = testSettings(aReplica.id);
+    settings.maxMessageBytes = 64;
+    settings.maxUnansweredBytes = 160;
     aReplica.node = std::make_unique<ConsensusNode>(
-      testSettings(aReplica.id), aReplica.disk, std::mt19937_64(mRandom()), clockOf(aReplica));
+      std::move(settings), aReplica.disk, std::mt19937_64(mRandom()), clockOf(aReplica));
     aReplica.applied = 0;
     aReplica.digest = 0;
     if (aReplica.disk.snapshot) {
@@ -341,7 +344,9 @@
   {
     for (auto& [id, replica] : mReplicas) {
       if (replica.node && !standsStill(replica) && replica.node->role() == ConsensusRole::eLeader) {
-        replica.node->propose("command " + std::to_string(mOrder++));
+        // Some entries need several parts.
+        const std::size_t padding = chance(0.03) ? 100 : 0;
+        replica.node->propose("command " + std::to_string(mOrder++) + std::string(padding, ' '));
         process(replica, mCrashShare > 0);
       }
     }
--- a/src/consensus/ConsensusTypes.h
+++ b/src/consensus/ConsensusTypes.h
@@ -21,11 +21,17 @@
   std::int64_t electionTimeoutMs = 1000;
   /** Period of the leader's messages to idle followers; well below the election timeout. */
   std::int64_t heartbeatMs = 100;
-  /** Entry bytes in one AppendRequest; a frame holds 4 MiB and one entry may exceed this limit. */
-  std::size_t maxMessageBytes = std::size_t{ 1 } << 20;
+  /**
+   * Entry bytes in one message; a larger entry is sent in parts of this size. Small, because a
+   * heartbeat waits behind one message to each follower: with six followers 31 ms on a link of
+   * 200 Mbit/s.
+   */
+  std::size_t maxMessageBytes = std::size_t{ 128 } << 10;
   std::size_t maxMessageEntries = 512;
   /** AppendRequests with entries that may be sent to a follower before the first is answered. */
   std::size_t maxUnansweredMessages = 16;
+  /** No further AppendRequest with entries is sent while this many entry bytes are unanswered. */
+  std::size_t maxUnansweredBytes = std::size_t{ 256 } << 10;
   /** Largest proposal; it must fit into a frame with its envelope. */
   std::size_t maxProposalBytes = std::size_t{ 3 } << 20;
   std::size_t snapshotChunkBytes = std::size_t{ 512 } << 10;
@@ -69,6 +75,8 @@
                                       VoteReply,
                                       AppendRequest,
                                       AppendReply,
+                                      EntryPart,
+                                      EntryPartReply,
                                       SnapshotChunk,
                                       SnapshotReply,
                                       TimeoutNow>;
--- a/src/consensus/LeaderReplication.cpp
+++ b/src/consensus/LeaderReplication.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/** A chunk without an answer is sent again after this many heartbeat periods. */
+/** A chunk or a part without an answer is sent again after this many heartbeat periods. */
 constexpr std::int64_t kChunkRetryHeartbeats = 5;
 
 /** Rounds are remembered for this many election timeouts; check-quorum looks back for one. */
@@ -86,8 +86,7 @@
   }
   if (aProgress.mode == FollowerProgress::Mode::eSnapshot) {
     const FollowerProgress::Transfer& transfer = aProgress.transfer;
-    const std::int64_t retryMs = mSettings.heartbeatMs * kChunkRetryHeartbeats;
-    if (transfer.round == 0 || aView.now.msSince(transfer.sentAt) >= retryMs) {
+    if (!isUnanswered(transfer.round, transfer.sentAt, aView.now)) {
       sendChunk(aId, aProgress, aView.now, aMessages);
     }
     return;
@@ -100,12 +99,61 @@
     }
     return;
   }
-  while (aProgress.nextIndex <= aView.log.lastIndex() &&
-         aProgress.unanswered.size() < mSettings.maxUnansweredMessages) {
+  while (aProgress.nextIndex <= aView.log.lastIndex()) {
+    if (aView.log.at(aProgress.nextIndex).data().size() > mSettings.maxMessageBytes) {
+      sendPartIfDue(aId, aProgress, aView, aMessages);
+      return;
+    }
+    if (aProgress.unanswered.size() >= mSettings.maxUnansweredMessages ||
+        aProgress.unansweredBytes >= mSettings.maxUnansweredBytes) {
+      return;
+    }
     sendAppend(aId, aProgress, aView, true, aMessages);
   }
 }
 
+bool
+LeaderReplication::isUnanswered(std::int64_t aRound,
+                                MonotonicTime aSentAt,
+                                MonotonicTime aNow) const
+{
+  return aRound != 0 && aNow.msSince(aSentAt) < mSettings.heartbeatMs * kChunkRetryHeartbeats;
+}
+
+void
+LeaderReplication::sendPartIfDue(const std::string& aId,
+                                 FollowerProgress& aProgress,
+                                 const View& aView,
+                                 Messages& aMessages)
+{
+  if (!aProgress.parts) {
+    aProgress.parts.emplace();
+  }
+  FollowerProgress::PartTransfer& parts = *aProgress.parts;
+  if (isUnanswered(parts.round, parts.sentAt, aView.now)) {
+    return;
+  }
+  const LogEntry& entry = aView.log.at(aProgress.nextIndex);
+  const std::int64_t previous = aProgress.nextIndex - 1;
+  const std::optional<std::int64_t> previousTerm = aView.log.termAt(previous);
+  assert(previousTerm.has_value());
+  parts.round = newRound(aView.now);
+  parts.sentAt = aView.now;
+  aMessages.push_back({ aId,
+                        makeChecked<EntryPart>({ .term = mTerm,
+                                                 .leaderId = mSettings.replicaId,
+                                                 .previousIndex = previous,
+                                                 .previousTerm = *previousTerm,
+                                                 .commitIndex = aView.commitIndex,
+                                                 .entryTerm = entry.term(),
+                                                 .kind = entry.kind(),
+                                                 .offset = static_cast<std::int64_t>(parts.offset),
+                                                 .totalBytes = std::ssize(entry.data()),
+                                                 .round = parts.round,
+                                                 .data = entry.data().substr(
+                                                   parts.offset, mSettings.maxMessageBytes) }) });
+}
+
 void
 LeaderReplication::sendAppend(const std::string& aId,
                               FollowerProgress& aProgress,
@@ -128,7 +176,11 @@
   }
   if (!fields.entries.empty()) {
     aProgress.nextIndex = fields.entries.back().index() + 1;
-    aProgress.unanswered.push_back(fields.entries.back().index());
+    std::size_t bytes = 0;
+    for (const LogEntry& entry : fields.entries) {
+      bytes += entry.data().size();
+    }
+    aProgress.addUnanswered(fields.entries.back().index(), bytes);
   }
   aMessages.push_back({ aId, makeChecked<AppendRequest>(std::move(fields)) });
 }
@@ -150,7 +202,7 @@
 {
   assert(aView.snapshot != nullptr);
   aProgress.mode = FollowerProgress::Mode::eSnapshot;
-  aProgress.unanswered.clear();
+  aProgress.clearSent();
   aProgress.transfer = FollowerProgress::Transfer();
   aProgress.transfer.snapshot = aView.snapshot;
 }
@@ -198,6 +250,24 @@
                        mFirstRound + static_cast<std::int64_t>(mRoundTimes.size()));
 }
 
+void
+LeaderReplication::onEntryPartReply(const EntryPartReply& aReply, const View& aView)
+{
+  FollowerProgress* progress = answered(aReply.followerId(), aReply.round(), aView.now);
+  const bool isAwaited = progress != nullptr && progress->parts &&
+                         aReply.round() == progress->parts->round &&
+                         aReply.index() == progress->nextIndex;
+  if (!isAwaited || aReply.index() > aView.log.lastIndex()) {
+    return;
+  }
+  const std::int64_t size = std::ssize(aView.log.at(aReply.index()).data());
+  // The last part is answered by an AppendReply, so that something is left to send.
+  if (aReply.receivedBytes() < size) {
+    progress->parts->offset = static_cast<std::size_t>(aReply.receivedBytes());
+    progress->parts->round = 0;
+  }
+}
+
 void
 LeaderReplication::onSnapshotReply(const SnapshotReply& aReply, const View& aView)
 {
@@ -222,8 +292,9 @@
 LeaderReplication::matched(FollowerProgress& aProgress, std::int64_t aIndex)
 {
   aProgress.matchIndex = std::max(aProgress.matchIndex, aIndex);
-  while (!aProgress.unanswered.empty() && aProgress.unanswered.front() <= aIndex) {
-    aProgress.unanswered.pop_front();
+  aProgress.removeAnswered(aIndex);
+  if (aProgress.matchIndex >= aProgress.nextIndex) {
+    aProgress.parts.reset();
   }
   if (aProgress.mode == FollowerProgress::Mode::eSnapshot) {
     if (aProgress.matchIndex < aProgress.transfer.snapshot->lastIndex) {
--- a/src/consensus/LeaderReplication.h
+++ b/src/consensus/LeaderReplication.h
@@ -34,6 +34,7 @@
   std::vector<OutgoingMessage> heartbeat(const View& aView);
 
   void onAppendReply(const AppendReply& aReply, const View& aView);
+  void onEntryPartReply(const EntryPartReply& aReply, const View& aView);
   void onSnapshotReply(const SnapshotReply& aReply, const View& aView);
 
   /** Last index stored on a majority of voters, of which this replica stored up to aOwnIndex. */
@@ -67,6 +68,12 @@
                   const View& aView,
                   bool aWithEntries,
                   Messages& aMessages);
+  /** Sends the next part of the entry at nextIndex unless one is on its way. */
+  void sendPartIfDue(const std::string& aId,
+                     FollowerProgress& aProgress,
+                     const View& aView,
+                     Messages& aMessages);
+  bool isUnanswered(std::int64_t aRound, MonotonicTime aSentAt, MonotonicTime aNow) const;
   void sendHeartbeatInTransfer(const std::string& aId, Messages& aMessages, MonotonicTime aNow);
   void sendChunk(const std::string& aId,
                  FollowerProgress& aProgress,
--- a/src/control/Replicator.cpp
+++ b/src/control/Replicator.cpp
@@ -47,6 +47,8 @@
          std::holds_alternative<VoteReply>(aMessage) ||
          std::holds_alternative<AppendRequest>(aMessage) ||
          std::holds_alternative<AppendReply>(aMessage) ||
+         std::holds_alternative<EntryPart>(aMessage) ||
+         std::holds_alternative<EntryPartReply>(aMessage) ||
          std::holds_alternative<SnapshotChunk>(aMessage) ||
          std::holds_alternative<SnapshotReply>(aMessage) ||
          std::holds_alternative<TimeoutNow>(aMessage);
--- a/src/control/Replicator_test.cpp
+++ b/src/control/Replicator_test.cpp
@@ -337,6 +337,27 @@
   BOOST_TEST(group.leader()->replicator->term() == term, "the group changed its leader");
 }
 
+// Guards against parts of a large entry that a connection does not carry, or that are put together
+// in another way than they were sent.
+BOOST_AUTO_TEST_CASE(largest_proposal_reaches_all_replicas_in_parts)
+{
+  ReplicaGroup group;
+  group.startAll();
+  TestReplica& leader = group.waitForLeader();
+  std::string command(ConsensusSettings().maxProposalBytes, '\0');
+  for (std::size_t position = 0; position < command.size(); position++) {
+    command[position] = static_cast<char>(position % 251);
+  }
+  std::optional<std::string> code;
+  leader.replicator->propose(command,
+                             [&](const ProposalResult& aResult) { code = resultCode(aResult); });
+  group.waitFor("no result of the proposal", [&] { return code.has_value(); });
+  BOOST_TEST(*code == "done");
+  group.proposeAndWait(leader, 5);
+  group.waitForEqualStates(6);
+  BOOST_TEST((leader.applied.front() == command));
+}
+
 // Guards against a follower that applies entries of its log on top of a snapshot that holds them.
 BOOST_AUTO_TEST_CASE(snapshot_replaces_committed_entries_that_are_not_applied_yet)
 {
