Failing tests: a standing task that fits waits behind a reservation

A task that fits nowhere takes the free piece of a worker together with what is being released there. A smaller task behind it that fits the free piece is not started.

--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -325,6 +325,45 @@
   BOOST_TEST(msUntilRunning(pool, "s.0.0.5", "urgent") <= kRestartedWithinMs);
 }
 
+// Guards against a task that fits nowhere and keeps a free piece, beside room that is being
+// released, from a smaller one behind it that could start now.
+BOOST_AUTO_TEST_CASE(standing_task_that_fits_now_goes_before_room_is_reserved_for_a_larger_one)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", standingJobOf("large", 1, 12000), 1));
+  jobs.apply(submitOf("urgent", standingJobOf("small", 1, 4000), 2));
+  for (const std::string task : { "large.0.0.0", "small.0.0.0" }) {
+    jobs.apply(startOf(task, 1, "w9"));
+    jobs.apply(endOf(task, 1, RunEnd::eLapsed));
+  }
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 16000, 1000) };
+  workers.front().used.cpuMilli = 12000;
+  workers.front().releasing.cpuMilli = 12000;
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(plan.assignments.size() == 1u);
+  BOOST_TEST(plan.assignments.front().start.task() == "small.0.0.0");
+  BOOST_REQUIRE(plan.waiting.size() == 1u);
+  BOOST_TEST(plan.waiting.front().task.text() == "large.0.0.0");
+}
+
+// The same for tasks that were never started: they are placed in a step of the round of their own.
+BOOST_AUTO_TEST_CASE(first_run_that_fits_now_goes_before_room_is_reserved_for_a_larger_restart)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", standingJobOf("large", 1, 12000), 1));
+  jobs.apply(submitOf("urgent", standingJobOf("small", 1, 4000), 2));
+  jobs.apply(startOf("large.0.0.0", 1, "w9"));
+  jobs.apply(endOf("large.0.0.0", 1, RunEnd::eLapsed));
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 16000, 1000) };
+  workers.front().used.cpuMilli = 12000;
+  workers.front().releasing.cpuMilli = 12000;
+  const InterferenceGuard guard;
+  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  BOOST_REQUIRE(plan.assignments.size() == 1u);
+  BOOST_TEST(plan.assignments.front().start.task() == "small.0.0.0");
+}
+
 // Guards against waiting standing tasks that keep short tasks from the whole pool at once.
 BOOST_AUTO_TEST_CASE(room_is_awaited_on_one_worker_at_a_time)
 {
