Standing tasks that fit are assigned before room is reserved for others

A standing task that fits nowhere reserved a worker with room that is being released, together with its free piece. Smaller tasks behind it that fitted that piece were passed over, round after round, as long as room came back.

The standing tasks of a priority, restarts first, are now assigned where they fit; only then room is reserved, in the same order. Short tasks still follow the reservations. Once a task of a step has found no worker, the search is not repeated for the others of the step.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -232,6 +232,7 @@
     const JobStep& step = aReady.description();
     TaskId task = firstTask(aReady);
     const std::string name = stepName(task);
+    bool isUnplaceable = false;
     for (task.index = 0; task.index < step.count(); task.index++) {
       const JobTaskRecord::Fields* record = aReady.job->find(task);
       if (record->active && !record->done) {
@@ -247,13 +248,19 @@
       if (isFull()) {
         return;
       }
-      if (assign(aReady, task, name, mWorkers, {})) {
+      if (!isUnplaceable && assign(aReady, task, name, mWorkers, {})) {
         continue;
       }
       if (step.opportunistic() && isStarved(aReady) &&
           assignDespiteInterference(aReady, task, name)) {
         return;
       }
+      if (step.longRunning()) {
+        mUnplaced.emplace_back(&aReady, task);
+        // The tasks of a step fit the same workers, suspected ones fewer.
+        isUnplaceable = isUnplaceable || !CrashAttribution::needsTrial(*record);
+        continue;
+      }
       addWaitReason(aReady, task, name);
       if (!reserveCapacity(aReady, task, name)) {
         return;
@@ -261,6 +268,26 @@
     }
   }
 
+  /** Reserves capacity for the long-running tasks that place() has found no worker for since the
+   * last call. Reserved earlier, it would keep a free piece from tasks behind them that fit it. */
+  void reserveForUnplaced()
+  {
+    const ReadyStep* refused = nullptr;
+    for (const auto& [ready, task] : std::exchange(mUnplaced, {})) {
+      if (isFull()) {
+        return;
+      }
+      if (ready == refused) {
+        continue;
+      }
+      const std::string name = stepName(task);
+      addWaitReason(*ready, task, name);
+      if (!reserveCapacity(*ready, task, name)) {
+        refused = ready;
+      }
+    }
+  }
+
   /** Assigns the tasks that may have crashed a worker, each where another crash would show it. */
   void placeTrials(const std::vector<ReadyStep>& aReadySteps)
   {
@@ -633,6 +660,8 @@
   std::optional<TrialPlanner> mTrialPlanner;
   /** Tasks that wait for a trial, with their step. */
   std::vector<std::pair<const ReadyStep*, TrialTask>> mWaitingTrials;
+  /** Long-running tasks without a worker for which nothing is reserved yet, with their step. */
+  std::vector<std::pair<const ReadyStep*, TaskId>> mUnplaced;
   /** The stragglers and their workers, by task name. */
   std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
   RoomPlanner mRoomPlanner;
@@ -654,12 +683,19 @@
   const std::vector<ReadyStep> readySteps = findReadySteps(dueJobs, aWallMs);
   SchedulingRound round(aGuard, aWorkers, readySteps);
   round.placeTrials(readySteps);
+  std::optional<std::int64_t> standingPriority;
   for (const ReadyStep& ready : readySteps) {
     if (round.isFull()) {
       break;
     }
+    // The long-running steps of a priority come one after the other, before its short ones.
+    if (!ready.description().longRunning() || ready.priority != standingPriority) {
+      round.reserveForUnplaced();
+      standingPriority = ready.priority;
+    }
     round.place(ready);
   }
+  round.reserveForUnplaced();
   round.placeTrialsOnIdleWorkers();
   return round.takePlan();
 }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -75,13 +75,14 @@
  * first, those that have had a run before the others, in the order of their acceptance; the others
  * follow by the outlook of their job (see JobSelector), then by the deadline that this outlook
  * refers to. A task is only assigned to a worker with enough free capacity for what it requires.
- * For a task that fits nowhere, capacity is reserved, see RoomPlanner. A straggler is stopped when
- * another worker has room for its next run, which is then kept free; overdue jobs are not worth it.
- * Tasks that serve users are packed on few workers, preferably with tasks of the same image, which
- * leaves workers on which opportunistic tasks interfere with nobody. While its pool is mostly free,
- * a job without active runs gets one task of an opportunistic step placed even where it may
- * interfere, so that every job makes progress. Tasks that may have crashed a worker go first, see
- * TrialPlanner; gangs are not tried.
+ * For a task that fits nowhere, capacity is reserved, see RoomPlanner; for a long-running one only
+ * once those of its priority that fit have been assigned. A straggler is stopped when another
+ * worker has room for its next run, which is then kept free; overdue jobs are not worth it. Tasks
+ * that serve users are packed on few workers, preferably with tasks of the same image, which leaves
+ * workers on which opportunistic tasks interfere with nobody. While its pool is mostly free, a job
+ * without active runs gets one task of an opportunistic step placed even where it may interfere, so
+ * that every job makes progress. Tasks that may have crashed a worker go first, see TrialPlanner;
+ * gangs are not tried.
  */
 class JobScheduler
 {
