A task whose workers have left is not doubtful

A standing task counted as doubtful from its third start on if no run had worked for 1.5 s by the record, which runs that lapse leave as it is. So after three departures of its workers its failures would no longer have counted against a worker that fails its runs.

--- a/src/jobs/WorkerCandidate.cpp
+++ b/src/jobs/WorkerCandidate.cpp
@@ -106,8 +106,9 @@
 bool
 isDoubtful(const JobStep& aStep, const JobTaskRecord::Fields& aTask)
 {
+  // Runs that were lost with their workers leave harmlessMs as it is.
   return aStep.longRunning() && aTask.run >= WorkerReliability::kDoubtfulStarts &&
-         aTask.harmlessMs < WorkerReliability::kStandingSuccessMs;
+         aTask.harmlessMs > 0 && aTask.harmlessMs < WorkerReliability::kStandingSuccessMs;
 }
 
 bool
--- a/src/jobs/WorkerCandidate.h
+++ b/src/jobs/WorkerCandidate.h
@@ -153,9 +153,9 @@
             const JobStep& aStep,
             const std::string& aStepName);
 
-/** Whether a standing task has had WorkerReliability::kDoubtfulStarts without a run that worked for
- * kStandingSuccessMs. Its failures say little of a worker, and its runs hardly prove one, so it
- * takes no run from another task that could. */
+/** Whether a standing task has had WorkerReliability::kDoubtfulStarts, a run that ended early and
+ * none that worked for kStandingSuccessMs. Its failures say little of a worker, and its runs hardly
+ * prove one, so it takes no run from another task that could. */
 bool
 isDoubtful(const JobStep& aStep, const JobTaskRecord::Fields& aTask);
 
--- a/src/jobs/WorkerReliability_test.cpp
+++ b/src/jobs/WorkerReliability_test.cpp
@@ -133,7 +133,9 @@
   jobs.apply(submitOf("urgent", standingJobOf("s", 2, 100)));
   for (std::int64_t run = 1; run <= WorkerReliability::kDoubtfulStarts; run++) {
     jobs.apply(startOf("failing.0.0.0", run));
-    jobs.apply(endOf("failing.0.0.0", run, RunEnd::eFailed));
+    jobs.apply(valueOf(EndRuns::create(
+      { .ends = { valueOf(RunEnding::create(
+          { .task = "failing.0.0.0", .run = run, .how = RunEnd::eFailed, .ranMs = 200 })) } })));
   }
   std::vector<WorkerCandidate> workers = { workerOf("w1", 4000, 1000) };
   workers[0].maxRuns = 1;
@@ -155,4 +157,20 @@
   BOOST_TEST(!reliability.hasJustFailedStandingRun("w1", kStart));
 }
 
+// Guards against a failing worker that is not noticed, because the failures of tasks whose earlier
+// workers have left do not count.
+BOOST_AUTO_TEST_CASE(a_task_that_has_lost_its_workers_is_not_doubtful)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", standingJobOf("s", 1, 100)));
+  for (std::int64_t run = 1; run <= WorkerReliability::kDoubtfulStarts; run++) {
+    jobs.apply(startOf("s.0.0.0", run));
+    jobs.apply(valueOf(EndRuns::create(
+      { .ends = { valueOf(RunEnding::create(
+          { .task = "s.0.0.0", .run = run, .how = RunEnd::eLapsed, .ranMs = 60000 })) } })));
+  }
+  const Job* job = jobs.find("s");
+  BOOST_TEST(!isDoubtful(job->steps()[0], *job->find({ "s", 0, 0, 0 })));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
