Test of a standing run that ends the limit of its worker: times by the constant

The test looked for the limit 2 s after the start of the run, when it is over by now; it looks within half of that time plus 500 ms, and the end of the limit is asked for as before.

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -667,7 +667,7 @@
   BOOST_REQUIRE((stateOf("a") == JobState::eFailed));
   mFailsRuns = false;
   submit("s2", standingJobOf("s", 1, 1000));
-  play(1500);
+  play(WorkerReliability::kStandingSuccessMs / 2);
   BOOST_REQUIRE(activeRuns("s") == 1);
   submit("s3", jobOf("b", { stepOf(3, 1000, 10) }));
   play(500);
