--- a/src/consensus/LeaderReplication.cpp
+++ b/src/consensus/LeaderReplication.cpp
@@ -127,7 +127,7 @@
                                  Messages& aMessages)
 {
   if (!aProgress.parts) {
-    aProgress.parts.emplace();
+    aProgress.parts = FollowerProgress::PartTransfer();
   }
   FollowerProgress::PartTransfer& parts = *aProgress.parts;
   if (isUnanswered(parts.round, parts.sentAt, aView.now)) {
