Tests of reservations share their builder

The two cases repeated the same jobs and worker; planBesideReleasedRoom() builds them, and each case keeps its checks.

--- a/src/jobs/StandingTaskRecovery_test.cpp
+++ b/src/jobs/StandingTaskRecovery_test.cpp
@@ -203,6 +203,25 @@
   return pool;
 }
 
+/** Plans for the tasks large.0.0.0 and small.0.0.0 of 12 and 4 cores on a worker with 4 free cores
+ * and 12 that are being released. The tasks in aRestarted have lost a run. */
+SchedulePlan
+planBesideReleasedRoom(const std::vector<std::string>& aRestarted)
+{
+  JobRegistry jobs = registryWithQueues();
+  jobs.apply(submitOf("urgent", standingJobOf("large", 1, 12000), 1));
+  jobs.apply(submitOf("urgent", standingJobOf("small", 1, 4000), 2));
+  for (const std::string& task : aRestarted) {
+    jobs.apply(startOf(task, 1, "w9"));
+    jobs.apply(endOf(task, 1, RunEnd::eLapsed));
+  }
+  std::vector<WorkerCandidate> workers = { workerOf("w1", 16000, 1000) };
+  workers.front().used.cpuMilli = 12000;
+  workers.front().releasing.cpuMilli = 12000;
+  const InterferenceGuard guard;
+  return JobScheduler::decide(jobs, guard, workers, 0);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(standing_task_recovery)
@@ -329,18 +348,7 @@
 // released, from a smaller one behind it that could start now.
 BOOST_AUTO_TEST_CASE(standing_task_that_fits_now_goes_before_room_is_reserved_for_a_larger_one)
 {
-  JobRegistry jobs = registryWithQueues();
-  jobs.apply(submitOf("urgent", standingJobOf("large", 1, 12000), 1));
-  jobs.apply(submitOf("urgent", standingJobOf("small", 1, 4000), 2));
-  for (const std::string task : { "large.0.0.0", "small.0.0.0" }) {
-    jobs.apply(startOf(task, 1, "w9"));
-    jobs.apply(endOf(task, 1, RunEnd::eLapsed));
-  }
-  std::vector<WorkerCandidate> workers = { workerOf("w1", 16000, 1000) };
-  workers.front().used.cpuMilli = 12000;
-  workers.front().releasing.cpuMilli = 12000;
-  const InterferenceGuard guard;
-  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  const SchedulePlan plan = planBesideReleasedRoom({ "large.0.0.0", "small.0.0.0" });
   BOOST_REQUIRE(plan.assignments.size() == 1u);
   BOOST_TEST(plan.assignments.front().start.task() == "small.0.0.0");
   BOOST_REQUIRE(plan.waiting.size() == 1u);
@@ -350,16 +358,7 @@
 // The same for tasks that were never started: they are placed in a step of the round of their own.
 BOOST_AUTO_TEST_CASE(first_run_that_fits_now_goes_before_room_is_reserved_for_a_larger_restart)
 {
-  JobRegistry jobs = registryWithQueues();
-  jobs.apply(submitOf("urgent", standingJobOf("large", 1, 12000), 1));
-  jobs.apply(submitOf("urgent", standingJobOf("small", 1, 4000), 2));
-  jobs.apply(startOf("large.0.0.0", 1, "w9"));
-  jobs.apply(endOf("large.0.0.0", 1, RunEnd::eLapsed));
-  std::vector<WorkerCandidate> workers = { workerOf("w1", 16000, 1000) };
-  workers.front().used.cpuMilli = 12000;
-  workers.front().releasing.cpuMilli = 12000;
-  const InterferenceGuard guard;
-  const SchedulePlan plan = JobScheduler::decide(jobs, guard, workers, 0);
+  const SchedulePlan plan = planBesideReleasedRoom({ "large.0.0.0" });
   BOOST_REQUIRE(plan.assignments.size() == 1u);
   BOOST_TEST(plan.assignments.front().start.task() == "small.0.0.0");
 }
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -75,7 +75,7 @@
    * one. The system may know nothing of its pool, and its birth may lie in the future. */
   static constexpr std::int64_t kNoOrdersMs = 3000;
   /** Time in ms between two reports of a worker that has left, until a leader has committed the
-   * ends of its runs. As long as a leader waits after the first one. */
+   * ends of its runs. As long as a leader waits after the worker's notice. */
   static constexpr std::int64_t kRepeatDepartureMs = 500;
   /** A departure is repeated for this long (ms): a leader that cannot be reached for longer learns
    * of it when it opens a session. */
