--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -34,6 +34,7 @@
 magnoliadrum_program(fake-worker testbench fake_worker_main.cpp)
 magnoliadrum_program(fault-proxy testbench fault_proxy_main.cpp)
 magnoliadrum_program(history-checker testbench history_checker_main.cpp)
+magnoliadrum_program(scheduling-benchmark testbench scheduling_benchmark_main.cpp jobs)
 
 # Model of a fleet in virtual time, on the fixtures of the control tests.
 magnoliadrum_module(fleetmodel control relay)
