Rounds show what they cost, and pools what they have promised

The logs could not tell a pool that was promised away from a leader that is too slow for its queue. New: promised processor time in the pool load, a log line and counters of rounds with the workers that they examined, the time between rounds while tasks wait, the time from the acceptance of a job to its first start for standing and short jobs, and starts of jobs that can no longer be of use.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -74,6 +74,7 @@
   , mFleet(aContext.mSettings.workerLeaseMs())
   , mEvacuation(mContext, mFleet, mRuns)
   , mRunEnds(aMetrics)
+  , mRounds(aMetrics)
 {
 }
 
@@ -154,6 +155,7 @@
   mLimitedWorkers.clear();
   mStandingWaits.clear();
   mRunEnds.endTerm();
+  mRounds.endTerm();
   mRestartCount = 0;
   mStartedJobs.clear();
   mAssignmentPending = false;
@@ -628,6 +630,7 @@
     if (changed != nullptr && changed->mApplied) {
       logInfo("job cancelled", { { "job", cancel->jobId() } });
       mRunTimes.forget(cancel->jobId());
+      mRounds.forget(cancel->jobId());
       stopRunsOfFinishedJobs({ cancel->jobId() });
     }
   } else if (const SubmitJob* submit = std::get_if<SubmitJob>(&aCommand)) {
@@ -637,6 +640,9 @@
               { "queue", submit->queueName() },
               { "steps", submit->job().steps().size() },
               { "isNew", changed != nullptr && changed->mApplied } });
+    if (changed != nullptr && changed->mApplied) {
+      mRounds.onAccepted(*mContext.mState.jobs().find(submit->job().jobId()), mContext.mNow());
+    }
     mScheduleDue = true;
   } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
     logInfo("queue catalogue applied",
@@ -672,6 +678,7 @@
     }
     const IncarnationKey key{ start.worker(), start.bornMs() };
     mRuns.add(*task, start.run(), key, job);
+    mRounds.onAssigned(*job, mContext.mNow());
     const WorkerIncarnation* incarnation = mFleet.find(key);
     logInfo("run assigned",
             { { "task", start.task() },
@@ -740,6 +747,7 @@
     if (job != nullptr && job->isFinished() && finishedJobs.insert(task->jobId).second) {
       logInfo("job finished", { { "job", task->jobId }, { "state", toText(job->state()) } });
       mRunTimes.forget(task->jobId);
+      mRounds.forget(task->jobId);
     }
   }
   stopRunsOfFinishedJobs(finishedJobs);
@@ -1009,6 +1017,7 @@
     isWaitLogDue || isMeasurementDue ? candidates : std::vector<WorkerCandidate>();
   const SchedulePlan plan = JobScheduler::decide(
     mContext.mState.jobs(), mGuard, candidates, mContext.mWallClockMs(), mRunTimes);
+  mRounds.onRound(plan, now);
   if (isMeasurementDue) {
     observeStandingWaits(before, plan);
   }
@@ -1017,6 +1026,7 @@
   restart(plan.restarts);
   if (isWaitLogDue && !plan.waiting.empty()) {
     logWaitReasons(plan.waiting, before);
+    logRounds();
   }
   if (plan.assignments.empty()) {
     return;
@@ -1143,6 +1153,7 @@
             { { "pool", load.poolName },
               { "workers", load.workers },
               { "cpuMilli", load.capacityCpuMilli },
+              { "promised", load.promisedCpuMilli },
               { "longRunning", load.longRunningCpuMilli },
               { "shortRunning", load.shortRunningCpuMilli },
               { "unlisted", load.unlistedCpuMilli },
@@ -1155,6 +1166,18 @@
   }
 }
 
+void
+JobService::logRounds()
+{
+  const RoundSummary summary = mRounds.takeSummary();
+  logInfo("scheduling rounds",
+          { { "rounds", summary.rounds },
+            { "examinedWorkers", summary.examinedWorkers },
+            { "assignments", summary.assignments },
+            { "overdueAssignments", summary.overdueAssignments },
+            { "longestGapMs", summary.longestGapMs } });
+}
+
 void
 JobService::evict(const std::vector<EvictableRun>& aRuns)
 {
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -3,6 +3,7 @@
 #include "control/EvacuationDriver.h"
 #include "control/LearnedFiguresKeeper.h"
 #include "control/RequestHandler.h"
+#include "control/RoundMeter.h"
 #include "control/RunEndMeter.h"
 #include "control/RunTracker.h"
 #include "control/SessionService.h"
@@ -101,6 +102,7 @@
   /** Logs why tasks wait and what takes the capacity of the pools. */
   void logWaitReasons(const std::vector<WaitReason>& aReasons,
                       const std::vector<WorkerCandidate>& aWorkers);
+  void logRounds();
   void proposeEnds(std::vector<RunEnding> aEnds);
   void sendOrders(WorkerIncarnation& aIncarnation,
                   const IncarnationKey& aKey,
@@ -128,6 +130,7 @@
   std::set<std::string> mLimitedWorkers;
   StandingWaitMeter mStandingWaits;
   RunEndMeter mRunEnds;
+  RoundMeter mRounds;
   LearnedFiguresKeeper mLearnedFigures;
   /** Ids of the jobs of which a worker has started a task. */
   std::set<std::string> mStartedJobs;
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -410,6 +410,7 @@
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
     double bestInterferenceCost = 0;
+    mPlan.examinedWorkers += std::ssize(aWorkers);
     for (WorkerCandidate& worker : aWorkers) {
       if (&worker == aExcluded || (aRack && worker.rack != *aRack) ||
           !isEligible(worker, aReady, aTask, aStepName) || !hasCapacity(worker, step)) {
@@ -467,13 +468,14 @@
   }
 
   /** Whether the job has no active runs although its pool is mostly free. */
-  bool isStarved(const ReadyStep& aReady) const
+  bool isStarved(const ReadyStep& aReady)
   {
     if (aReady.job->hasActiveRuns()) {
       return false;
     }
     double used = 0;
     double capacity = 0;
+    mPlan.examinedWorkers += std::ssize(mWorkers);
     for (const WorkerCandidate& worker : mWorkers) {
       if (worker.poolName == aReady.job->queue().poolName()) {
         used += static_cast<double>(worker.used.cpuMilli);
@@ -492,6 +494,7 @@
     const JobStep& step = aReady.description();
     const std::optional<std::size_t> image = opportunisticImage(step);
     WorkerCandidate* best = nullptr;
+    mPlan.examinedWorkers += std::ssize(mWorkers);
     for (WorkerCandidate& worker : mWorkers) {
       if (!isEligible(worker, aReady, aTask, aStepName) || !fits(worker, step)) {
         continue;
@@ -529,6 +532,7 @@
     const bool isSuspect = CrashAttribution::needsTrial(record);
     aWorker.suspects += isSuspect ? 1 : 0;
     aWorker.youngSuspects += isSuspect ? 1 : 0;
+    mPlan.overdueAssignments += aReady.outlook == JobOutlook::eOverdue ? 1 : 0;
     mPlan.assignments.push_back({ valueOf(RunStart::create({ .task = aTask.text(),
                                                              .run = aReady.job->nextRun(aTask),
                                                              .worker = aWorker.worker,
@@ -547,6 +551,7 @@
                        .isLongRunning = step.longRunning(),
                        .outlook = aReady.outlook,
                        .size = requiredResources(step) };
+    mPlan.examinedWorkers += std::ssize(mWorkers);
     for (const WorkerCandidate& worker : mWorkers) {
       if (worker.poolName != aReady.job->queue().poolName()) {
         reason.otherPoolWorkers++;
@@ -607,6 +612,7 @@
     const ResourceAmount size = requiredResources(step);
     WorkerCandidate* best = nullptr;
     std::optional<RoomPlan> bestPlan;
+    mPlan.examinedWorkers += std::ssize(mWorkers);
     for (WorkerCandidate& worker : mWorkers) {
       if (!isEligible(worker, aReady, aTask, aStepName) || !size.fitsIn(worker.capacity)) {
         continue;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -65,6 +65,10 @@
   /** Reasons for the first tasks, in scheduling order, that could not start. Gangs are not listed.
    */
   std::vector<WaitReason> waiting;
+  /** Number of workers that were examined for a task; the cost of a round grows with it. */
+  std::int64_t examinedWorkers = 0;
+  /** Number of assignments to jobs that can no longer complete in useful time. */
+  std::int64_t overdueAssignments = 0;
 };
 
 /**
--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -22,6 +22,17 @@
   aLoad.freeMemoryMb += std::max<std::int64_t>(0, free.memoryMb);
 }
 
+void
+addPromises(PoolLoad& aLoad, const Job& aJob)
+{
+  for (const JobStep& step : aJob.steps()) {
+    if (step.longRunning()) {
+      aLoad.promisedCpuMilli +=
+        aJob.occurrences() * step.count() * requiredResources(step).cpuMilli;
+    }
+  }
+}
+
 void
 addWaitingTasks(PoolLoad& aLoad, const Job& aJob, std::int64_t aWallMs)
 {
@@ -50,7 +61,9 @@
   for (const std::string& jobId : aJobs.openJobs()) {
     const Job* job = aJobs.find(jobId);
     if (!job->isFinished()) {
-      addWaitingTasks(loads[job->queue().poolName()], *job, aWallMs);
+      PoolLoad& load = loads[job->queue().poolName()];
+      addPromises(load, *job);
+      addWaitingTasks(load, *job, aWallMs);
     }
   }
   std::vector<PoolLoad> pools;
--- a/src/jobs/PoolLoad.h
+++ b/src/jobs/PoolLoad.h
@@ -28,6 +28,8 @@
   std::int64_t freeCpuMilli = 0;
   std::int64_t largestFreeCpuMilli = 0;
   std::int64_t freeMemoryMb = 0;
+  /** Declared processor time of all long-running tasks of accepted jobs, with or without a run. */
+  std::int64_t promisedCpuMilli = 0;
   /** Tasks of due steps that have no run. */
   std::int64_t waitingLongRunning = 0;
   std::int64_t waitingOther = 0;
--- a/src/jobs/PoolLoad_test.cpp
+++ b/src/jobs/PoolLoad_test.cpp
@@ -26,6 +26,7 @@
                            .freeCpuMilli = 2500,
                            .largestFreeCpuMilli = 1500,
                            .freeMemoryMb = 1990,
+                           .promisedCpuMilli = 6000,
                            .waitingLongRunning = 2,
                            .waitingOther = 2 };
   BOOST_TEST((loads.front() == expected));
--- a/src/testbench/scheduling_benchmark_main.cpp
+++ b/src/testbench/scheduling_benchmark_main.cpp
@@ -49,18 +49,28 @@
     mJobs.apply(submitOf("urgent", jobOf("standing", { standingStep(aWorkers) })));
   }
 
-  /** Returns the mean processor time of a round in ms. */
-  double measureRoundMs(std::int64_t aRounds) const
+  struct RoundCost
+  {
+    double ms = 0;
+    std::int64_t examinedWorkers = 0;
+  };
+
+  /** Returns the mean processor time of a round. */
+  RoundCost measureRound(std::int64_t aRounds) const
   {
     const InterferenceGuard guard;
     std::chrono::nanoseconds total{ 0 };
+    RoundCost cost;
     for (std::int64_t round = 0; round < aRounds; round++) {
       std::vector<WorkerCandidate> workers = mWorkers;
       const auto begin = std::chrono::steady_clock::now();
-      JobScheduler::decide(mJobs, guard, workers, kNowMs);
+      const SchedulePlan plan = JobScheduler::decide(mJobs, guard, workers, kNowMs);
       total += std::chrono::steady_clock::now() - begin;
+      cost.examinedWorkers = plan.examinedWorkers;
     }
-    return std::chrono::duration<double, std::milli>(total).count() / static_cast<double>(aRounds);
+    cost.ms =
+      std::chrono::duration<double, std::milli>(total).count() / static_cast<double>(aRounds);
+    return cost;
   }
 
 private:
@@ -128,9 +138,10 @@
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
   for (const std::int64_t waitingTasks : { 200, 2000, 20000 }) {
     const FullPool pool(FLAGS_workers, waitingTasks);
+    const FullPool::RoundCost cost = pool.measureRound(FLAGS_rounds);
     std::cout << "workers " << FLAGS_workers << ", waiting tasks " << waitingTasks << ": "
-              << std::fixed << std::setprecision(2) << pool.measureRoundMs(FLAGS_rounds)
-              << " ms a round\n";
+              << std::fixed << std::setprecision(2) << cost.ms << " ms a round, "
+              << cost.examinedWorkers << " workers examined\n";
   }
   return 0;
 }
