--- a/src/control/ControlService.h
+++ b/src/control/ControlService.h
@@ -41,6 +41,7 @@
 
   /** Returns the metrics of the log, sessions, tasks, jobs and commands in text form. */
   std::string metricsText();
+  const MetricsRegistry& metrics() const { return mMetrics; }
 
 private:
   /** Period of committing service level rows, which bounds what a leader change loses. */
--- a/src/control/control_fixture_test.h
+++ b/src/control/control_fixture_test.h
@@ -51,7 +51,7 @@
                                *this,
                                settings(),
                                [this]() { return mNow; },
-                               []() { return std::int64_t{ 60000 }; } },
+                               [this]() { return mWallClockMs(); } },
                1)
   {
     mLog.setLeader(true, mNow);
@@ -78,13 +78,21 @@
   /** Runs the posted functions, including those that they post, until none is left. */
   void runPostedFunctions()
   {
-    while (!mPostedFunctions.empty()) {
+    while (!mPostedFunctions.empty() && !mHoldsPostedFunctions) {
       const auto function = std::move(mPostedFunctions.front());
       mPostedFunctions.pop_front();
       function();
     }
   }
 
+  /** Commits the commands that are held. */
+  void commitHeld()
+  {
+    for (const std::function<void()>& function : std::exchange(mPostedFunctions, {})) {
+      function();
+    }
+  }
+
   /** Advances the clock in steps of kTickMs and calls tick() after each step. */
   void advance(std::int64_t aMs)
   {
@@ -180,7 +188,11 @@
 
   ControlState mState;
   MonotonicTime mNow = MonotonicTime::fromMs(100000);
+  /** The leader's wall clock in ms. */
+  std::function<std::int64_t()> mWallClockMs = []() { return std::int64_t{ 60000 }; };
   std::deque<std::function<void()>> mPostedFunctions;
+  /** Commands are committed only when commitHeld() is called. */
+  bool mHoldsPostedFunctions = false;
   InMemoryCommandLog mLog;
   std::map<ConnectionId, std::vector<Message>> mSent;
   /** No message can be sent, as on a connection that has just ended. */
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -114,7 +114,7 @@
     if (mSlots.at(aSlot).isCut || mSlots.at(aSlot).isRelayStopped) {
       return false;
     }
-    runLater(kMessageMs, [this, connection, aMessage]() { deliver(connection, aMessage); });
+    runLater(kMessageMs, [this, connection, aMessage]() { toLeader(connection, aMessage); });
     return true;
   };
   context.createClient = [this, aSlot](const WorkerDescription& /*aWorker*/,
@@ -166,10 +166,61 @@
 FleetModel::submit(const JobDescription& aJob, const std::string& aQueue)
 {
   mJobs.emplace(aJob.jobId(), aJob);
-  deliver(kCaller,
-          buildValue<JobSubmit>({ .requestId = "s-" + aJob.jobId(),
-                                  .queue = buildValue<QueueSelector>({ .name = aQueue }),
-                                  .job = aJob }));
+  toLeader(kCaller,
+           buildValue<JobSubmit>({ .requestId = "s-" + aJob.jobId(),
+                                   .queue = buildValue<QueueSelector>({ .name = aQueue }),
+                                   .job = aJob }));
+}
+
+void
+FleetModel::cancel(const std::string& aJobId, const std::string& aQueue)
+{
+  toLeader(kCaller,
+           buildValue<JobCancel>({ .requestId = "c-" + aJobId,
+                                   .queue = buildValue<QueueSelector>({ .name = aQueue }),
+                                   .jobId = aJobId }));
+}
+
+void
+FleetModel::modelBusyLeader(std::int64_t aMicrosPerExaminedWorker)
+{
+  mMicrosPerExaminedWorker = aMicrosPerExaminedWorker;
+  mChargedWorkers = mService.metrics().counter("control_examined_workers");
+  mWallClockMs = [this]() { return mNow.ms(); };
+  mHoldsPostedFunctions = true;
+}
+
+void
+FleetModel::toLeader(ConnectionId aConnection, const Message& aMessage)
+{
+  mLeaderInbox.emplace_back(aConnection, aMessage);
+  deliverWaiting();
+}
+
+void
+FleetModel::deliverWaiting()
+{
+  while (!mLeaderInbox.empty() && !isLeaderBusy()) {
+    const auto [connection, message] = std::move(mLeaderInbox.front());
+    mLeaderInbox.pop_front();
+    deliver(connection, message);
+    chargeLeader();
+  }
+}
+
+void
+FleetModel::chargeLeader()
+{
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  if (mMicrosPerExaminedWorker == 0) {
+    return;
+  }
+  const std::int64_t examined = mService.metrics().counter("control_examined_workers");
+  mUnchargedMicros +=
+    (examined - std::exchange(mChargedWorkers, examined)) * mMicrosPerExaminedWorker;
+  mLeaderBusyUntil =
+    std::max(mLeaderBusyUntil, mNow)
+      .plusMs(std::exchange(mUnchargedMicros, mUnchargedMicros % kMicrosPerMs) / kMicrosPerMs);
 }
 
 void
@@ -197,13 +248,29 @@
     function();
     runPostedFunctions();
   }
+  if (mHoldsPostedFunctions && !isLeaderBusy()) {
+    commitHeld();
+    chargeLeader();
+  }
+  tickLeader();
+  deliverWaiting();
   for (std::size_t slot = 0; slot < mSlots.size(); slot++) {
     stepSlot(slot);
   }
-  if (mNow.ms() % ControlService::kTickMs == 0) {
-    mService.tick();
-    runPostedFunctions();
+  mIsTickDue = mIsTickDue || mNow.ms() % ControlService::kTickMs == 0;
+  tickLeader();
+}
+
+void
+FleetModel::tickLeader()
+{
+  if (!mIsTickDue || isLeaderBusy()) {
+    return;
   }
+  mIsTickDue = false;
+  mService.tick();
+  runPostedFunctions();
+  chargeLeader();
 }
 
 void
@@ -233,7 +300,9 @@
     openSession(slot);
     slot.relay->onSession();
   }
-  for (const WorkerOrders& orders : takeMessages<WorkerOrders>(slot.connection)) {
+  const std::vector<WorkerOrders> sent =
+    isLeaderBusy() ? std::vector<WorkerOrders>() : takeMessages<WorkerOrders>(slot.connection);
+  for (const WorkerOrders& orders : sent) {
     if (slot.isCut) {
       continue;
     }
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -5,6 +5,7 @@
 #include "relay/relay.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,6 +38,11 @@
 
   void submit(const JobDescription& aJob, const std::string& aQueue = "urgent");
 
+  /** From now on the leader's wall clock runs, commits take kStepMs, and its processor takes time
+   * to examine a worker for a task: what arrives meanwhile waits, and what it has sent leaves
+   * afterwards. */
+  void modelBusyLeader(std::int64_t aMicrosPerExaminedWorker);
+
   /** Every worker that begins a run of the task crashes after aDelayMs. */
   void makeDeadly(const std::string& aTask, std::int64_t aDelayMs = kStepMs);
 
@@ -63,6 +69,8 @@
   ModelWorker& worker(std::size_t aSlot) { return *mSlots.at(aSlot).worker; }
   std::size_t slots() const { return mSlots.size(); }
 
+  bool isKnown(const std::string& aJobId) const { return mState.jobs().find(aJobId) != nullptr; }
+  void cancel(const std::string& aJobId, const std::string& aQueue = "urgent");
   JobState stateOf(const std::string& aJobId) const { return mState.jobs().find(aJobId)->state(); }
   std::int64_t startsOf(const std::string& aTask) const;
   /** Number of crashes that count against the task. */
@@ -105,6 +113,13 @@
   void createRelay(std::size_t aSlot);
   void createWorker(std::size_t aSlot);
   void toRelay(Slot& aSlot, std::function<void()> aFunction);
+  /** Delivers a message to the leader, once that is idle. */
+  void toLeader(ConnectionId aConnection, const Message& aMessage);
+  void deliverWaiting();
+  void tickLeader();
+  bool isLeaderBusy() const { return mNow < mLeaderBusyUntil; }
+  /** Counts the processor time of what the leader has done since the last call. */
+  void chargeLeader();
   void registerWorker(std::size_t aSlot);
   void step();
   void stepSlot(std::size_t aSlot);
@@ -116,6 +131,13 @@
   bool mWorkersForget;
   std::vector<Slot> mSlots;
   std::int64_t mIncarnations = 0;
+  std::int64_t mMicrosPerExaminedWorker = 0;
+  std::int64_t mChargedWorkers = 0;
+  /** Processor time of the leader that is less than a millisecond. */
+  std::int64_t mUnchargedMicros = 0;
+  MonotonicTime mLeaderBusyUntil;
+  bool mIsTickDue = false;
+  std::deque<std::pair<ConnectionId, Message>> mLeaderInbox;
   std::multimap<std::int64_t, std::function<void()>> mTimers;
   /** All incarnations, because calls that are still in progress refer to them. */
   std::vector<std::shared_ptr<ModelWorker>> mWorkers;
--- a/src/jobs/JobScheduler_test.cpp
+++ b/src/jobs/JobScheduler_test.cpp
@@ -48,6 +48,23 @@
   return step;
 }
 
+/** Number of workers that a round examines in a full pool with the given number of waiting jobs. */
+std::int64_t
+examinedWorkers(std::int64_t aJobs)
+{
+  JobRegistry jobs = registryWithQueues();
+  for (std::int64_t job = 0; job < aJobs; job++) {
+    jobs.apply(submitOf("urgent", jobOf("u" + std::to_string(job), { stepOf(10, 1500, 10) })));
+    jobs.apply(submitOf("tally", jobOf("t" + std::to_string(job), { stepOf(10, 1500, 10) })));
+  }
+  std::vector<WorkerCandidate> workers;
+  for (std::int64_t index = 0; index < 20; index++) {
+    workers.push_back(workerOf("w" + std::to_string(index), 1000, 1000));
+  }
+  const InterferenceGuard guard;
+  return JobScheduler::decide(jobs, guard, workers, 0).examinedWorkers;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(job_scheduler)
@@ -351,4 +368,11 @@
   BOOST_TEST(tasksByJob["large"] <= 1, "at most the task that keeps a waiting job going");
 }
 
+// Guards against SHORT: the cost of a round grows with the queue, so that a leader with a long
+// queue leaves room idle.
+BOOST_AUTO_TEST_CASE(full_pool_is_not_searched_for_each_waiting_task)
+{
+  BOOST_TEST(examinedWorkers(200) == examinedWorkers(10));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
