A full pool is searched once for each kind of task

Callers saw jobs that wait beside free room: each waiting step of a round searched all workers for a place, and again for room to be made, though an earlier one that needs less had found none. The cost of a round grew with the queue, the next round came later, and the queue grew.

Within a round room only shrinks, so a failed search also holds for the tasks of its kind that need at least as much (FailedSearches). Runs that could be evicted are sorted only where they free enough; the job with the least value for its work comes from a heap.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "jobs/CrashAttribution.h"
 #include "jobs/DueJobs.h"
+#include "jobs/FailedSearches.h"
 #include "jobs/RoomPlanner.h"
 #include "jobs/TrialPlanner.h"
 
@@ -11,6 +12,7 @@
 #include <iterator>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -66,8 +68,13 @@
   {
     // A long-running task has no deadline that it could miss: it serves from its start on. One that
     // has served before is missed by its users.
-    return std::tuple(
-      priority, !description().longRunning(), selection, outlook, order, job->jobId(), step);
+    return std::tuple(priority,
+                      !description().longRunning(),
+                      selection,
+                      outlook,
+                      order,
+                      std::string_view(job->jobId()),
+                      step);
   }
 };
 
@@ -249,7 +256,7 @@
       if (isFull()) {
         return;
       }
-      if (!isUnplaceable && assign(aReady, task, name, mWorkers, {})) {
+      if (!isUnplaceable && assignAnywhere(aReady, task, name)) {
         continue;
       }
       if (step.opportunistic() && isStarved(aReady) &&
@@ -444,6 +451,28 @@
     return true;
   }
 
+  /** assign() to one of all workers, unless an earlier search shows that none has room. */
+  bool assignAnywhere(const ReadyStep& aReady, const TaskId& aTask, const std::string& aStepName)
+  {
+    const bool isOrdinary = isOrdinaryTask(aReady, aTask);
+    const std::string& pool = aReady.job->queue().poolName();
+    if (isOrdinary && mFailedSearches.contain(pool, aReady.description())) {
+      return false;
+    }
+    const bool isAssigned = assign(aReady, aTask, aStepName, mWorkers, std::nullopt);
+    if (isOrdinary && !isAssigned) {
+      mFailedSearches.add(pool, aReady.description());
+    }
+    return isAssigned;
+  }
+
+  /** Whether the history of a task closes no worker to it. */
+  static bool isOrdinaryTask(const ReadyStep& aReady, const TaskId& aTask)
+  {
+    const JobTaskRecord::Fields& record = *aReady.job->find(aTask);
+    return !CrashAttribution::needsTrial(record) && !isDoubtful(aReady.description(), record);
+  }
+
   /** Stops a straggler if another worker has room for its next run, and keeps that room until then.
    */
   void keepRoomForStraggler(const ReadyStep& aReady,
@@ -470,19 +499,24 @@
   /** Whether the job has no active runs although its pool is mostly free. */
   bool isStarved(const ReadyStep& aReady)
   {
-    if (aReady.job->hasActiveRuns()) {
+    const std::string& pool = aReady.job->queue().poolName();
+    if (aReady.job->hasActiveRuns() || mBusyPools.contains(pool)) {
       return false;
     }
     double used = 0;
     double capacity = 0;
     mPlan.examinedWorkers += std::ssize(mWorkers);
     for (const WorkerCandidate& worker : mWorkers) {
-      if (worker.poolName == aReady.job->queue().poolName()) {
+      if (worker.poolName == pool) {
         used += static_cast<double>(worker.used.cpuMilli);
         capacity += static_cast<double>(worker.capacity.cpuMilli);
       }
     }
-    return used < JobScheduler::kMostlyFreeUsage * capacity;
+    const bool isMostlyFree = used < JobScheduler::kMostlyFreeUsage * capacity;
+    if (!isMostlyFree) {
+      mBusyPools.insert(pool);
+    }
+    return isMostlyFree;
   }
 
   /** Assigns an opportunistic task where it interferes least, regardless of objectives and of
@@ -609,6 +643,11 @@
     if (step.opportunistic()) {
       return false;
     }
+    const std::string& pool = aReady.job->queue().poolName();
+    const bool isOrdinary = isOrdinaryTask(aReady, aTask);
+    if (isOrdinary && mFailedReservations.contain(pool, step)) {
+      return false;
+    }
     const ResourceAmount size = requiredResources(step);
     WorkerCandidate* best = nullptr;
     std::optional<RoomPlan> bestPlan;
@@ -624,6 +663,9 @@
       }
     }
     if (!bestPlan) {
+      if (isOrdinary) {
+        mFailedReservations.add(pool, step);
+      }
       return false;
     }
     mRoomPlanner.carryOut(*best, *bestPlan);
@@ -679,6 +721,11 @@
   /** The stragglers and their workers, by task name. */
   std::map<std::string, std::pair<const WorkerCandidate*, SlowRun>> mStragglers;
   RoomPlanner mRoomPlanner;
+  FailedSearches mFailedSearches;
+  /** Steps come in the order of their priority, and a lower priority evicts fewer runs. */
+  FailedSearches mFailedReservations;
+  /** Pools that are not mostly free any more. */
+  std::set<std::string_view> mBusyPools;
   /** Number of stragglers that are being stopped. */
   std::size_t mRestarting = 0;
   SchedulePlan mPlan;
--- a/src/jobs/JobSelector.cpp
+++ b/src/jobs/JobSelector.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <functional>
 #include <numeric>
+#include <queue>
+#include <utility>
 
 namespace magnoliadrum {
 
@@ -38,6 +41,10 @@
       aCandidates.begin(), aCandidates.end(), [this](std::size_t aLeft, std::size_t aRight) {
         return mDeadlineOf(mDemands[aLeft]) < mDeadlineOf(mDemands[aRight]);
       });
+    // The jobs that may still be left out, the one with the least value for its work on top.
+    using Removable = std::pair<double, std::size_t>;
+    std::priority_queue<Removable, std::vector<Removable>, std::greater<>> removable;
+    std::vector<bool> isRemoved(mDemands.size(), false);
     std::vector<std::size_t> selected;
     double work = aReservedWork;
     for (const std::size_t candidate : aCandidates) {
@@ -48,28 +55,21 @@
       if (shortestPathMs > static_cast<double>(leftMs)) {
         continue;
       }
+      removable.emplace(valuePerWork(demand), selected.size());
       selected.push_back(candidate);
       work += demand.remainingWork;
-      while (!selected.empty() && work > aCores * static_cast<double>(leftMs)) {
-        work -= removeLeastValuable(selected);
+      while (!removable.empty() && work > aCores * static_cast<double>(leftMs)) {
+        const std::size_t least = selected[removable.top().second];
+        removable.pop();
+        isRemoved[least] = true;
+        work -= mDemands[least].remainingWork;
       }
     }
+    std::erase_if(selected, [&isRemoved](std::size_t aIndex) { return isRemoved[aIndex]; });
     return selected;
   }
 
 private:
-  /** Removes the job with the least value for its work and returns that work. */
-  double removeLeastValuable(std::vector<std::size_t>& aSelected) const
-  {
-    const auto least = std::min_element(
-      aSelected.begin(), aSelected.end(), [this](std::size_t aLeft, std::size_t aRight) {
-        return valuePerWork(mDemands[aLeft]) < valuePerWork(mDemands[aRight]);
-      });
-    const double work = mDemands[*least].remainingWork;
-    aSelected.erase(least);
-    return work;
-  }
-
   const std::vector<JobDemand>& mDemands;
   DeadlineOf mDeadlineOf;
   std::int64_t mNowMs;
--- a/src/jobs/RoomPlanner.cpp
+++ b/src/jobs/RoomPlanner.cpp
@@ -68,23 +68,31 @@
                          ResourceAmount aFree,
                          std::int64_t aPriority) const
 {
-  RoomPlan plan;
-  std::vector<EvictableRun> candidates = aWorker.evictable;
+  std::vector<const EvictableRun*> candidates;
+  ResourceAmount attainable = aFree;
+  for (const EvictableRun& run : aWorker.evictable) {
+    if (run.priority > aPriority) {
+      candidates.push_back(&run);
+      attainable = attainable.plus(run.size);
+    }
+  }
+  if (!aSize.fitsIn(attainable)) {
+    return std::nullopt;
+  }
   std::sort(candidates.begin(),
             candidates.end(),
-            [](const EvictableRun& aLeft, const EvictableRun& aRight) {
-              return std::tie(aLeft.lostWork, aLeft.task) < std::tie(aRight.lostWork, aRight.task);
+            [](const EvictableRun* aLeft, const EvictableRun* aRight) {
+              return std::tie(aLeft->lostWork, aLeft->task) <
+                     std::tie(aRight->lostWork, aRight->task);
             });
-  for (const EvictableRun& candidate : candidates) {
+  RoomPlan plan;
+  for (const EvictableRun* candidate : candidates) {
     if (aSize.fitsIn(aFree)) {
       break;
     }
-    if (candidate.priority <= aPriority) {
-      continue;
-    }
-    aFree = aFree.plus(candidate.size);
-    plan.lostWork += candidate.lostWork;
-    plan.victims.push_back(candidate);
+    aFree = aFree.plus(candidate->size);
+    plan.lostWork += candidate->lostWork;
+    plan.victims.push_back(*candidate);
   }
   const bool isAllowed = mEvictions.size() + plan.victims.size() <= kMaxEvictions;
   return aSize.fitsIn(aFree) && isAllowed ? std::optional<RoomPlan>(plan) : std::nullopt;
