Standing jobs without room are refused at hand-in

The leader now decides by pool (StandingAdmission): promised processor time, the job, and a part that is not promised have to fit. That part is what short work of the same or a higher priority takes (its mean and one deviation, from the log, so a new leader has it), at least room for the restarts of the square root of the standing tasks, at most half of the pool. Each task also needs a worker with a piece of room for it. What does not fit is answered 429 with the time in which so much was released lately. Nothing of it is committed; what is in the log is never refused, and a resend gets the answer of the first request.

Tests that need a pool with more standing tasks than room commit the job to the log (commitJob), as one of an earlier leader: a hand-in is refused there now. Their checks are unchanged.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -73,6 +73,7 @@
   , mSessions(aSessions)
   , mFleet(aContext.mSettings.workerLeaseMs())
   , mEvacuation(mContext, mFleet, mRuns)
+  , mAdmission(mContext, mFleet, mEvacuation, mRuns, aMetrics)
   , mRunEnds(aMetrics)
   , mRounds(aMetrics)
 {
@@ -100,6 +101,7 @@
   mFleet.startTerm(
     relays, mContext.mLog.term(), mContext.inheritedLeasesRenewedAt(), mContext.mNow());
   restoreLearnedFigures();
+  mAdmission.startTerm();
   mScheduleDue = true;
   logInfo("jobs restored for a new leadership",
           { { "open", jobs.openJobs().size() }, { "runs", mRuns.runs().size() } });
@@ -156,6 +158,7 @@
   mStandingWaits.clear();
   mRunEnds.endTerm();
   mRounds.endTerm();
+  mAdmission.endTerm();
   mRestartCount = 0;
   mStartedJobs.clear();
   mAssignmentPending = false;
@@ -204,12 +207,26 @@
       Error::create(ErrorCode::eInvalid, "job.submit", aRequest.job().jobId(), joinFaults(faults)));
     return;
   }
+  const std::string& jobId = aRequest.job().jobId();
+  if (const std::optional<JobRefusal> refusal = mAdmission.refuse(
+        *queue, aRequest.job(), mRunTimes, [this]() { return buildWorkerCandidates(); })) {
+    reply(origin,
+          { .outcome = JobOutcome::eRefused,
+            .retryAfterMs = refusal->retryAfterMs,
+            .detail = refusal->detail });
+    return;
+  }
+  mAdmission.onProposed(*queue, aRequest.job());
   const SubmitJob command = buildValue<SubmitJob>(
     { .queueName = queue->name(), .job = aRequest.job(), .acceptedAtMs = mContext.mWallClockMs() });
-  propose(origin, command, [this, origin](const Outcome& aOutcome) {
-    const JobChanged& changed = std::get<JobChanged>(aOutcome);
-    reply(origin, { .outcome = JobOutcome::eAccepted, .state = changed.mState });
-  });
+  propose(
+    origin,
+    command,
+    [this, origin](const Outcome& aOutcome) {
+      const JobChanged& changed = std::get<JobChanged>(aOutcome);
+      reply(origin, { .outcome = JobOutcome::eAccepted, .state = changed.mState });
+    },
+    [this, jobId]() { mAdmission.onProposalFailed(jobId); });
 }
 
 void
@@ -631,6 +648,7 @@
       logInfo("job cancelled", { { "job", cancel->jobId() } });
       mRunTimes.forget(cancel->jobId());
       mRounds.forget(cancel->jobId());
+      mAdmission.onFinished(cancel->jobId());
       stopRunsOfFinishedJobs({ cancel->jobId() });
     }
   } else if (const SubmitJob* submit = std::get_if<SubmitJob>(&aCommand)) {
@@ -641,7 +659,9 @@
               { "steps", submit->job().steps().size() },
               { "isNew", changed != nullptr && changed->mApplied } });
     if (changed != nullptr && changed->mApplied) {
-      mRounds.onAccepted(*mContext.mState.jobs().find(submit->job().jobId()), mContext.mNow());
+      const Job& job = *mContext.mState.jobs().find(submit->job().jobId());
+      mRounds.onAccepted(job, mContext.mNow());
+      mAdmission.onAccepted(job);
     }
     mScheduleDue = true;
   } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
@@ -748,6 +768,7 @@
       logInfo("job finished", { { "job", task->jobId }, { "state", toText(job->state()) } });
       mRunTimes.forget(task->jobId);
       mRounds.forget(task->jobId);
+      mAdmission.onFinished(task->jobId);
     }
   }
   stopRunsOfFinishedJobs(finishedJobs);
@@ -1261,6 +1282,7 @@
   set("control_workers", mFleet.size());
   set("control_unknown_pool_reports", mUnknownPoolReports);
   mEvacuation.setGauges(aMetrics);
+  mAdmission.setGauges(aMetrics);
   set("control_slow_runs_restarted", mRestartCount);
   set("control_limited_workers", mLimitedWorkers.size());
   set("control_standing_tasks_overdue", mStandingWaits.overdueTasks());
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/EvacuationDriver.h"
+#include "control/JobAdmission.h"
 #include "control/LearnedFiguresKeeper.h"
 #include "control/RequestHandler.h"
 #include "control/RoundMeter.h"
@@ -121,6 +122,7 @@
   WorkerFleet mFleet;
   RunTracker mRuns;
   EvacuationDriver mEvacuation;
+  JobAdmission mAdmission;
   InterferenceGuard mGuard;
   RunTimeModel mRunTimes;
   WorkerReliability mReliability;
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -694,8 +694,8 @@
   registerWorker(kRelay, worker("w1"));
   const std::int64_t fence = mFence;
   registerWorker(kRelay, worker("w2"));
-  submit("s1", standingJobOf("a", 2, 4000));
-  submit("s2", standingJobOf("t", 1, 4000));
+  commitJob(standingJobOf("a", 2, 4000));
+  commitJob(standingJobOf("t", 1, 4000));
   std::map<std::string, std::string> tasks;
   for (const char* name : { "a.0.0.0", "a.0.0.1" }) {
     tasks[jobs().find("a")->find(*TaskId::parse(name))->worker] = name;
--- a/src/control/RequestHandler.cpp
+++ b/src/control/RequestHandler.cpp
@@ -60,20 +60,26 @@
 void
 RequestHandler::propose(const RequestOrigin& aOrigin,
                         const Command& aCommand,
-                        std::function<void(const Outcome&)> aOnOutcome)
+                        std::function<void(const Outcome&)> aOnOutcome,
+                        std::function<void()> aOnFailure)
 {
   if (!checkLeadership(aOrigin)) {
+    aOnFailure();
     return;
   }
   mContext.mLog.propose(
-    aCommand, [this, aOrigin, onOutcome = std::move(aOnOutcome)](const CommandResult& aResult) {
+    aCommand,
+    [this, aOrigin, onOutcome = std::move(aOnOutcome), onFailure = std::move(aOnFailure)](
+      const CommandResult& aResult) {
       if (const CommandFailure* failure = std::get_if<CommandFailure>(&aResult)) {
         fail(aOrigin, failure->mError);
+        onFailure();
         return;
       }
       const Outcome& outcome = std::get<Outcome>(aResult);
       if (const Error* error = std::get_if<Error>(&outcome)) {
         fail(aOrigin, *error);
+        onFailure();
         return;
       }
       onOutcome(outcome);
--- a/src/control/RequestHandler.h
+++ b/src/control/RequestHandler.h
@@ -29,10 +29,12 @@
   void fail(const RequestOrigin& aOrigin, const Error& aError);
 
   /** Proposes a command. Sends a failure for an error; any other outcome is passed to aOnOutcome,
-   * which sends the answer. */
-  void propose(const RequestOrigin& aOrigin,
-               const Command& aCommand,
-               std::function<void(const Outcome&)> aOnOutcome);
+   * which sends the answer. aOnFailure is called after a failure was sent. */
+  void propose(
+    const RequestOrigin& aOrigin,
+    const Command& aCommand,
+    std::function<void(const Outcome&)> aOnOutcome,
+    std::function<void()> aOnFailure = []() {});
 
   ControlContext& mContext;
 };
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -170,6 +170,7 @@
   WorkerIncarnation* find(const IncarnationKey& aKey);
   const WorkerIncarnation* find(const IncarnationKey& aKey) const;
   std::map<IncarnationKey, WorkerIncarnation>& incarnations() { return mIncarnations; }
+  const std::map<IncarnationKey, WorkerIncarnation>& incarnations() const { return mIncarnations; }
   std::size_t size() const { return mIncarnations.size(); }
 
   /**
--- a/src/control/control_fixture_test.h
+++ b/src/control/control_fixture_test.h
@@ -155,6 +155,16 @@
                                            .catalogueVersion = aCatalogueVersion }));
   }
 
+  /** Commits the acceptance of a job without the decision at hand-in, as a job of an earlier leader
+   * under which the pool had room. */
+  void commitJob(const JobDescription& aJob, const std::string& aQueue = "urgent")
+  {
+    mLog.propose(
+      buildValue<SubmitJob>({ .queueName = aQueue, .job = aJob, .acceptedAtMs = mWallClockMs() }),
+      [](const CommandResult&) {});
+    runPostedFunctions();
+  }
+
   void change(const CatalogueChange& aChange)
   {
     deliver(kOperator, buildValue<ChangeSubmit>({ .requestId = "c", .change = aChange }));
--- a/src/fleetmodel/CrashingTasks_test.cpp
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -194,8 +194,8 @@
     FleetModel fleet(6, kWorkerCapacity);
     fleet.run(1000);
     constexpr std::int64_t kStandingTasks = 24;
-    fleet.submit(standingJobOf("s", kStandingTasks, 600));
-    fleet.submit(standingJobOf("deadly", 1, 600));
+    fleet.addAccepted(standingJobOf("s", kStandingTasks, 600));
+    fleet.addAccepted(standingJobOf("deadly", 1, 600));
     fleet.makeDeadly("deadly.0.0.0", 10 + static_cast<std::int64_t>(random() % 700));
     std::int64_t longestWaitMs = 0;
     std::map<std::string, std::int64_t> waitsMs;
@@ -236,7 +236,7 @@
     for (int event = 0; event < kEvents; event++) {
       const std::string id = "j" + std::to_string(event);
       if (below(4) == 0) {
-        fleet.submit(standingJobOf(id, 2, 400));
+        fleet.addAccepted(standingJobOf(id, 2, 400));
         if (below(2) == 0) {
           fleet.makeDeadly(id + ".0.0." + std::to_string(below(2)), 10 + below(1500));
           deadly.push_back(id);
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -172,6 +172,13 @@
                                    .job = aJob }));
 }
 
+void
+FleetModel::addAccepted(const JobDescription& aJob)
+{
+  mJobs.emplace(aJob.jobId(), aJob);
+  commitJob(aJob);
+}
+
 void
 FleetModel::cancel(const std::string& aJobId, const std::string& aQueue)
 {
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -37,6 +37,8 @@
   FleetModel& operator=(const FleetModel&) = delete;
 
   void submit(const JobDescription& aJob, const std::string& aQueue = "urgent");
+  /** The job was accepted before, see commitJob(). */
+  void addAccepted(const JobDescription& aJob);
 
   /** From now on the leader's wall clock runs, commits take kStepMs, and its processor takes time
    * to examine a worker for a task: what arrives meanwhile waits, and what it has sent leaves
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -56,6 +56,7 @@
   }
   mJobs.emplace(jobId, Job::accept(*queue, aCommand.job(), aCommand.acceptedAtMs()));
   mOpenJobs.insert(jobId);
+  mShortWork.add(*queue, aCommand.job(), aCommand.acceptedAtMs());
   return JobChanged{ jobId, JobState::eQueued, true };
 }
 
--- a/src/jobs/JobRegistry.h
+++ b/src/jobs/JobRegistry.h
@@ -3,6 +3,7 @@
 #include "generated/CommandsTypes.h"
 #include "generated/SnapshotTypes.h"
 #include "jobs/Job.h"
+#include "jobs/ShortWorkDemand.h"
 
 #include <deque>
 #include <map>
@@ -85,6 +86,9 @@
   /** Ids of the jobs that are not over or may still have active runs. */
   const std::set<std::string>& openJobs() const { return mOpenJobs; }
 
+  /** Demand of the jobs that end by themselves. */
+  const ShortWorkDemand& shortWork() const { return mShortWork; }
+
 private:
   static bool isSelected(const JobQueue& aQueue, const QueueSelector& aSelector);
 
@@ -95,6 +99,7 @@
   std::optional<QueueCatalogue> mCatalogue;
   std::map<std::string, Job> mJobs;
   std::set<std::string> mOpenJobs;
+  ShortWorkDemand mShortWork;
   /** Ids of the jobs that are over and have no active runs, oldest first. */
   std::deque<std::string> mFinishedOrder;
   /** The same ids as in mFinishedOrder, for look-up. */
--- a/src/jobs/RunTimeModel.cpp
+++ b/src/jobs/RunTimeModel.cpp
@@ -184,6 +184,19 @@
            .observations = prior.count + weight };
 }
 
+double
+RunTimeModel::workRatio(const std::string& aQueueName) const
+{
+  const auto found = mQueues.find({ aQueueName, "" });
+  if (found == mQueues.end()) {
+    return 1;
+  }
+  // Large estimates are mostly too large, so their sum errs by more than their median.
+  const QueueError& queue = found->second;
+  const double weight = queue.count / (queue.count + kDeclaredWeight);
+  return std::exp(weight * (queue.mean - queue.variance / 2));
+}
+
 double
 RunTimeModel::cpuShare(const Job& aJob, std::int64_t aStep) const
 {
--- a/src/jobs/RunTimeModel.h
+++ b/src/jobs/RunTimeModel.h
@@ -61,6 +61,9 @@
   /** Run time of the tasks of a step. */
   RunTimeEstimate runTime(const Job& aJob, std::int64_t aOccurrence, std::int64_t aStep) const;
 
+  /** Ratio of the work of a queue's steps to the work that they declare. */
+  double workRatio(const std::string& aQueueName) const;
+
   /** Processor time in use as a share of what a task of the step declares. */
   double cpuShare(const Job& aJob, std::int64_t aStep) const;
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -20,6 +20,7 @@
 #include "jobs/ProgressMeter.h"
 #include "jobs/RoomPlanner.h"
 #include "jobs/RunTimeModel.h"
+#include "jobs/StandingAdmission.h"
 #include "jobs/StandingWaitMeter.h"
 #include "jobs/StragglerPlanner.h"
 #include "jobs/TaskId.h"
