--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -172,6 +172,12 @@
                                    .job = aJob }));
 }
 
+std::vector<JobReply>
+FleetModel::takeReplies()
+{
+  return takeMessages<JobReply>(kCaller);
+}
+
 void
 FleetModel::addAccepted(const JobDescription& aJob)
 {
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -37,6 +37,8 @@
   FleetModel& operator=(const FleetModel&) = delete;
 
   void submit(const JobDescription& aJob, const std::string& aQueue = "urgent");
+  /** Takes the answers to submit() and cancel() since the last call. */
+  std::vector<JobReply> takeReplies();
   /** The job was accepted before, see commitJob(). */
   void addAccepted(const JobDescription& aJob);
 
--- a/src/jobs/ShortWorkDemand.cpp
+++ b/src/jobs/ShortWorkDemand.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::int64_t kMsPerSecond = 1000;
 
+/** Leaders' clocks may differ by so much without one of them having been set. */
+constexpr std::int64_t kToleratedBackstepS = 2;
+
 /** Declared work that ends by itself and reserves capacity, in thousandths of a core times
  * seconds. */
 double
@@ -41,6 +44,11 @@
 ShortWorkDemand::QueueDemand::advance(std::int64_t aWallMs)
 {
   const std::int64_t current = aWallMs / kMsPerSecond;
+  if (current + kToleratedBackstepS < second) {
+    // The clock was set back; the second that it was in cannot be completed.
+    work = 0;
+    second = current;
+  }
   // After a long pause, or a jump of the clock, nothing of the earlier demand is left.
   if (current > second + 4 * kWindowS) {
     mean = 0;
