--- a/src/fleetmodel/SharedPool_test.cpp
+++ b/src/fleetmodel/SharedPool_test.cpp
@@ -22,9 +22,11 @@
 
 /** Processor time of the leader for each worker that it examines for a task, in us: half a
  * microsecond with 0.4 cores (scheduling-benchmark). The model has fewer workers than the
- * deployments with 72 and, in proportion, fewer waiting tasks, and its rounds should take as long.
- */
-constexpr std::int64_t kExaminedWorkerMicros = 72 * 72 / (2 * kWorkers * kWorkers);
+ * deployment that it stands for and, in proportion, fewer waiting tasks, and its rounds should take
+ * as long. */
+constexpr std::int64_t kModelledWorkers = 72;
+constexpr std::int64_t kExaminedWorkerMicros =
+  kModelledWorkers * kModelledWorkers / (2 * kWorkers * kWorkers);
 
 /** Run time of a short task, and the objective of its job with the queue of the fixture: a stretch
  * of 2 and 1,000 ms. Up to three times the objective a completion is of some use. */
