A resend of a job that is over promises no room

A hand-in that came again after its job was cancelled counted as a promise of the pool until the next change of the leader. The proposal now counts only for a job that the log does not have. resend_of_a_cancelled_job_promises_nothing failed before.

--- a/src/control/JobAdmission.cpp
+++ b/src/control/JobAdmission.cpp
@@ -66,7 +66,10 @@
 void
 JobAdmission::onProposed(const JobQueue& aQueue, const JobDescription& aJob)
 {
-  addPromise(aJob.jobId(), aQueue.poolName(), aJob.steps(), aJob.occurrences());
+  // A resend of a job that is over promises nothing.
+  if (mContext.mState.jobs().find(aJob.jobId()) == nullptr) {
+    addPromise(aJob.jobId(), aQueue.poolName(), aJob.steps(), aJob.occurrences());
+  }
 }
 
 void
--- a/src/fleetmodel/RefusedJobs_test.cpp
+++ b/src/fleetmodel/RefusedJobs_test.cpp
@@ -72,6 +72,16 @@
   BOOST_TEST(!isRefused(standingJobOf("second", 3, 1000)));
 }
 
+// Guards against room that stays promised to a job that is over, because its hand-in came again.
+BOOST_FIXTURE_TEST_CASE(resend_of_a_cancelled_job_promises_nothing, FullPoolFixture)
+{
+  mFleet.cancel("first");
+  mFleet.run(2000);
+  mFleet.takeReplies();
+  BOOST_TEST((submit(standingJobOf("first", 12, 1000)).outcome() == JobOutcome::eAccepted));
+  BOOST_TEST(!isRefused(standingJobOf("second", 3, 1000)));
+}
+
 BOOST_FIXTURE_TEST_CASE(occurrences_of_a_scheduled_job_are_promised_together, FullPoolFixture)
 {
   JobDescription::Fields scheduled = standingJobOf("second", 1, 500).fields();
