--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases of the second review into target/review. Needs what the build of the deploy file needs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for source in review/standin-2/*.cpp; do
+  name=$(basename "$source" .cpp)
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers "$source" -o "target/review/$name" -pthread
+done
