--- a/review/standin-2/uncounted.cpp
+++ b/review/standin-2/uncounted.cpp
@@ -1,13 +1,17 @@
 // A task crashes each executor that starts it, before the start is answered. At its first start the relay beside the
-// executor is killed as well, as when a machine runs out of memory, and is restarted after half a second.
+// executor is killed as well, as when a machine runs out of memory, and is restarted after half a second. It is killed
+// once more shortly before that executor is back, and is down for 3 s.
 #include "../standin/small.h"
 
 using namespace standin;
 
 namespace {
 
-constexpr std::int64_t kDownMs = 7000;
+constexpr std::int64_t kDownMs = 4500;
 constexpr std::int64_t kRelayDownMs = 500;
+/** From the first kill of the relay to the second, and how long the relay is down then. */
+constexpr std::int64_t kSecondKillMs = 4000;
+constexpr std::int64_t kSecondRelayDownMs = 3000;
 constexpr int kExecutors = 3;
 const char* const kDeadlyJob = "5c0e7a21d94b36f8";
 
@@ -223,6 +227,7 @@
   // When the relay of a machine was last killed or started again; 0: never.
   std::vector<std::int64_t> relayTouchedAt(kExecutors + 1, 0);
   std::int64_t relayDueAt = 0;
+  std::int64_t secondKillAt = 0;
   int killed = 0;
   std::string state;
   std::int64_t nextLook = 0;
@@ -237,6 +242,13 @@
       aDeployment.signal(site.sides[static_cast<std::size_t>(killed - 1)], "relay", SIGKILL);
       relayTouchedAt[static_cast<std::size_t>(killed)] = steadyMs();
       relayDueAt = steadyMs() + kRelayDownMs;
+      secondKillAt = steadyMs() + kSecondKillMs;
+    }
+    if (secondKillAt != 0 && steadyMs() >= secondKillAt) {
+      secondKillAt = 0;
+      aDeployment.signal(site.sides[static_cast<std::size_t>(killed - 1)], "relay", SIGKILL);
+      relayTouchedAt[static_cast<std::size_t>(killed)] = steadyMs();
+      relayDueAt = steadyMs() + kSecondRelayDownMs;
     }
     if (relayDueAt != 0 && steadyMs() >= relayDueAt) {
       relayDueAt = 0;
