Log the evidence on which a lapsed run counts as a crash

The log names each run that may have crashed its worker, but not what speaks for a crash: a word of the relay, a later incarnation or a lapsed lease alone. The new line has it, with its age and the count before. Decisions are unchanged.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -850,7 +850,7 @@
   }
   const MonotonicTime now = mContext.mNow();
   for (const IncarnationKey& key : mFleet.markLost(now)) {
-    std::vector<RunEnding> ends = mRuns.takeLapsedEnds(key, *mFleet.find(key));
+    std::vector<RunEnding> ends = mRuns.takeLapsedEnds(key, *mFleet.find(key), now);
     if (!ends.empty()) {
       logWarning("worker lost",
                  { { "worker", key.worker },
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -311,13 +311,17 @@
     // A run that this leader has not seen at work is not taken for one that has just begun.
     suspects[name] = { .run = run.run,
                        .hasBegun = run.isConfirmed,
-                       .ranMs = run.isConfirmed ? run.listedMs : kHarmlessRunMs };
+                       .ranMs = run.isConfirmed ? run.listedMs : kHarmlessRunMs,
+                       .evidence = aIncarnation.leftAt ? CrashEvidence::eLaterIncarnation
+                                                       : CrashEvidence::eLapseOnly };
   }
   return suspects;
 }
 
 std::vector<RunEnding>
-RunTracker::takeLapsedEnds(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation)
+RunTracker::takeLapsedEnds(const IncarnationKey& aKey,
+                           const WorkerIncarnation& aIncarnation,
+                           MonotonicTime aNow)
 {
   const std::map<std::string, CrashSuspect> suspects = crashSuspects(aKey, aIncarnation);
   std::vector<RunAtCrash> atCrash;
@@ -366,6 +370,19 @@
     // The run has refuted the earlier crashes only if it is not the likely cause of this one.
     ends[position].harmless =
       ends[position].harmless && shares[suspect] < CrashAttribution::kTrialSuspicion;
+    const TrackedRun& run = mRuns.at(ends[position].task);
+    const CrashSuspect& cause = suspects.at(ends[position].task);
+    logInfo("lapsed run counts as a crash of its worker",
+            { { "task", ends[position].task },
+              { "run", run.run },
+              { "worker", aKey.worker },
+              { "evidence", toText(cause.evidence) },
+              { "certain", ends[position].crashCertain },
+              { "silentMs", aNow.msSince(aIncarnation.reportedAt) },
+              { "listAgeMs", cause.listAgeMs },
+              { "ranMs", ends[position].ranMs },
+              { "share", shares[suspect] },
+              { "crashesBefore", run.job->find(run.task)->crashes } });
   }
   std::vector<RunEnding> endings;
   for (RunEnding::Fields& end : ends) {
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -151,7 +151,8 @@
    * already proposed are left out. aIncarnation is the lost incarnation, which tells the runs that
    * may have crashed it. */
   std::vector<RunEnding> takeLapsedEnds(const IncarnationKey& aKey,
-                                        const WorkerIncarnation& aIncarnation);
+                                        const WorkerIncarnation& aIncarnation,
+                                        MonotonicTime aNow);
 
 private:
   /** Returns the runs, by task, that may have crashed a lost incarnation. Evidence of a crash is
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -21,6 +21,20 @@
 
 } // namespace
 
+const char*
+toText(CrashEvidence aEvidence)
+{
+  switch (aEvidence) {
+    case CrashEvidence::eRelayReport:
+      return "relay-report";
+    case CrashEvidence::eLaterIncarnation:
+      return "later-incarnation";
+    case CrashEvidence::eLapseOnly:
+      return "lapse-only";
+  }
+  return "unknown";
+}
+
 void
 WorkerFleet::startTerm(const std::map<IncarnationKey, std::string>& aRelays,
                        std::int64_t aTerm,
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -26,6 +26,17 @@
   friend auto operator<=>(const IncarnationKey&, const IncarnationKey&) = default;
 };
 
+/** Why a run that has lapsed is taken for the possible cause of a crash. */
+enum class CrashEvidence
+{
+  eRelayReport,      /**< The relay has seen that the worker refuses connections, or its successor. */
+  eLaterIncarnation, /**< A later incarnation has reported, and the relay names no runs. */
+  eLapseOnly         /**< The lease has lapsed, and nothing has been heard since. */
+};
+
+const char*
+toText(CrashEvidence aEvidence);
+
 /** A run that may have crashed its worker. */
 struct CrashSuspect
 {
@@ -39,6 +50,7 @@
   std::int64_t listAgeMs = 0;
   /** The relay saw the crash shortly after the lists, so no run but the suspects is the cause. */
   bool isWitnessed = false;
+  CrashEvidence evidence = CrashEvidence::eRelayReport;
 
   friend bool operator==(const CrashSuspect&, const CrashSuspect&) = default;
 };
