--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+# KEEP=1 keeps the settings and the logs of the processes.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/gang ] || exit 2
+exec target/review/gang "review/4/record.txt"
