A lapsed lease is no crash: later reports explain it

From the first counted crash of a task on, each lapse of its runs counted as a crash, so one crash and four cuts gave the job up.

The same absence of a report hid crashes.

A lapse without evidence is now kept open in the task record, counts for nothing and makes nothing wait. The relay's later reports explain it: the runs that it names crashed, the same incarnation with lists under a new fence survived, a later incarnation at the same relay shows a crash without a witness. A task with two counted crashes, and five with its open lapses, awaits the evidence for 30 s at most.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -96,6 +96,9 @@
         relays.emplace(key, aRecord.place);
         mRuns.add(aTask, aRecord.run, key, job);
       }
+      for (const LapsedRun& lapse : aRecord.lapses) {
+        mLapses.add(aTask, lapse, mContext.mNow());
+      }
     });
   }
   mFleet.startTerm(
@@ -152,6 +155,7 @@
   mGeneration++;
   mFleet.endTerm();
   mRuns.clear();
+  mLapses.clear();
   mEvacuation.endTerm();
   mReliability.clear();
   mLimitedWorkers.clear();
@@ -371,6 +375,8 @@
   if (aReport.listFence() == incarnation->fence && aReport.clockMs() >= incarnation->listClockMs) {
     applyLists(*incarnation, key, aReport);
   }
+  proposeFindings(
+    mLapses.explain(aReport, session->processId(), incarnation->isSynced, mContext.mState.jobs()));
   mScheduleDue = mScheduleDue || wasUnreachable != incarnation->isUnreachable;
   if (aReport.clockMs() > 0 && !incarnation->leftAt) {
     mFleet.renewLease(*incarnation, aReport.clockMs(), now);
@@ -635,6 +641,23 @@
                         });
 }
 
+void
+JobService::proposeFindings(std::vector<LapseFinding> aFindings)
+{
+  if (aFindings.empty()) {
+    return;
+  }
+  const ExplainLapses command = buildValue<ExplainLapses>({ .findings = std::move(aFindings) });
+  mContext.mLog.propose(command,
+                        [this, command, generation = mGeneration](const CommandResult& aResult) {
+                          const CommandFailure* failure = std::get_if<CommandFailure>(&aResult);
+                          if (failure != nullptr && generation == mGeneration) {
+                            logWarning("failed to commit causes of lapses", failure->mError);
+                            mLapses.reopen(command.findings());
+                          }
+                        });
+}
+
 void
 JobService::onApplied(const Command& aCommand, const Outcome& aOutcome)
 {
@@ -642,6 +665,8 @@
     onStartsApplied(*starts);
   } else if (const EndRuns* ends = std::get_if<EndRuns>(&aCommand)) {
     onEndsApplied(*ends);
+  } else if (const ExplainLapses* explained = std::get_if<ExplainLapses>(&aCommand)) {
+    onLapsesExplained(*explained);
   } else if (const CancelJob* cancel = std::get_if<CancelJob>(&aCommand)) {
     const JobChanged* changed = std::get_if<JobChanged>(&aOutcome);
     if (changed != nullptr && changed->mApplied) {
@@ -764,17 +789,63 @@
                    { "crashes", record != nullptr ? record->crashes : 0 },
                    { "givenUp", record == nullptr || job->isFinished() } });
     }
-    if (job != nullptr && job->isFinished() && finishedJobs.insert(task->jobId).second) {
-      logInfo("job finished", { { "job", task->jobId }, { "state", toText(job->state()) } });
-      mRunTimes.forget(task->jobId);
-      mRounds.forget(task->jobId);
-      mAdmission.onFinished(task->jobId);
+    if (end.unexplained() && job != nullptr && !job->isFinished()) {
+      for (const LapsedRun& lapse : job->find(*task)->lapses) {
+        if (lapse.run() == end.run()) {
+          mLapses.add(*task, lapse, mContext.mNow());
+        }
+      }
+    }
+    if (job != nullptr) {
+      handleIfFinished(task->jobId, finishedJobs);
     }
   }
   stopRunsOfFinishedJobs(finishedJobs);
   mScheduleDue = true;
 }
 
+void
+JobService::handleIfFinished(const std::string& aJobId, std::set<std::string>& aFinishedJobs)
+{
+  const Job& job = *mContext.mState.jobs().find(aJobId);
+  if (!job.isFinished() || !aFinishedJobs.insert(aJobId).second) {
+    return;
+  }
+  logInfo("job finished", { { "job", aJobId }, { "state", toText(job.state()) } });
+  mRunTimes.forget(aJobId);
+  mRounds.forget(aJobId);
+  mAdmission.onFinished(aJobId);
+}
+
+void
+JobService::onLapsesExplained(const ExplainLapses& aCommand)
+{
+  std::set<std::string> finishedJobs;
+  for (const LapseFinding& finding : aCommand.findings()) {
+    mLapses.remove(finding.task(), finding.run());
+    mLapseCauses[finding.cause()]++;
+    const std::optional<TaskId> task = TaskId::parse(finding.task());
+    const Job* job = task ? mContext.mState.jobs().find(task->jobId) : nullptr;
+    if (job == nullptr) {
+      continue;
+    }
+    const JobTaskRecord::Fields* record = job->find(*task);
+    logInfo("cause of a lapsed run found",
+            { { "task", finding.task() },
+              { "run", finding.run() },
+              { "cause", toText(finding.cause()) },
+              { "certain", finding.crashCertain() },
+              { "suspects", finding.crashSuspects() },
+              { "share", finding.crashShare() },
+              { "ranMs", finding.ranMs() },
+              { "crashes", record != nullptr ? record->crashes : 0 },
+              { "givenUp", record == nullptr || job->isFinished() } });
+    handleIfFinished(task->jobId, finishedJobs);
+  }
+  stopRunsOfFinishedJobs(finishedJobs);
+  mScheduleDue = true;
+}
+
 void
 JobService::stopRunsOfFinishedJobs(const std::set<std::string>& aJobs)
 {
@@ -868,6 +939,7 @@
       mFleet.remove(key);
     }
   }
+  proposeFindings(mLapses.takeExpired(now));
   saveLearnedFigures();
   schedule();
   logUnreportedWorkers();
@@ -1280,6 +1352,12 @@
   set("control_open_jobs", mContext.mState.jobs().openJobs().size());
   set("control_active_runs", mRuns.size());
   set("control_workers", mFleet.size());
+  set("control_open_lapses", mLapses.size());
+  for (const auto& [cause, count] : mLapseCauses) {
+    aMetrics.set("control_explained_lapses",
+                 std::string("cause=\"") + toText(cause) + "\"",
+                 static_cast<double>(count));
+  }
   set("control_unknown_pool_reports", mUnknownPoolReports);
   mEvacuation.setGauges(aMetrics);
   mAdmission.setGauges(aMetrics);
--- a/src/control/JobService.h
+++ b/src/control/JobService.h
@@ -3,6 +3,7 @@
 #include "control/EvacuationDriver.h"
 #include "control/JobAdmission.h"
 #include "control/LearnedFiguresKeeper.h"
+#include "control/OpenLapses.h"
 #include "control/RequestHandler.h"
 #include "control/RoundMeter.h"
 #include "control/RunEndMeter.h"
@@ -75,6 +76,9 @@
                            const WorkerReport& aReport);
   void onStartsApplied(const StartRuns& aCommand);
   void onEndsApplied(const EndRuns& aCommand);
+  void onLapsesExplained(const ExplainLapses& aCommand);
+  /** Forgets a job that is over and adds it to aFinishedJobs; does nothing while it is open. */
+  void handleIfFinished(const std::string& aJobId, std::set<std::string>& aFinishedJobs);
   void adjustPaces(WorkerIncarnation& aIncarnation, const IncarnationKey& aKey);
   std::vector<ServingTask> servingTasks(const IncarnationKey& aKey) const;
   std::vector<OpportunisticTask> opportunisticTasks(const IncarnationKey& aKey,
@@ -105,6 +109,7 @@
                       const std::vector<WorkerCandidate>& aWorkers);
   void logRounds();
   void proposeEnds(std::vector<RunEnding> aEnds);
+  void proposeFindings(std::vector<LapseFinding> aFindings);
   void sendOrders(WorkerIncarnation& aIncarnation,
                   const IncarnationKey& aKey,
                   WorkerOrders::Fields aOrders = {});
@@ -121,6 +126,9 @@
   SessionService& mSessions;
   WorkerFleet mFleet;
   RunTracker mRuns;
+  OpenLapses mLapses;
+  /** Number of lapsed runs that were explained since the start of the process, by cause. */
+  std::map<LapseCause, std::size_t> mLapseCauses;
   EvacuationDriver mEvacuation;
   JobAdmission mAdmission;
   InterferenceGuard mGuard;
--- /dev/null
+++ b/src/control/OpenLapses.cpp
@@ -0,0 +1,201 @@
+#include "control/OpenLapses.h"
+
+#include "control/CrashBlame.h"
+#include "state/BuildValue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliadrum {
+
+namespace {
+
+LapseFinding
+findingOf(const TaskId& aTask, std::int64_t aRun, LapseCause aCause)
+{
+  return buildValue<LapseFinding>({ .task = aTask.text(), .run = aRun, .cause = aCause });
+}
+
+/** Returns the record of a task if its lapse is still open in the log; otherwise null: a later run
+ * of the task has been harmless, or the job is over. */
+const JobTaskRecord::Fields*
+openRecord(const JobRegistry& aJobs, const TaskId& aTask, std::int64_t aRun)
+{
+  const Job* job = aJobs.find(aTask.jobId);
+  const JobTaskRecord::Fields* record = job != nullptr ? job->find(aTask) : nullptr;
+  const bool isOpen = record != nullptr && !job->isFinished() &&
+                      std::any_of(record->lapses.begin(),
+                                  record->lapses.end(),
+                                  [aRun](const LapsedRun& aLapse) { return aLapse.run() == aRun; });
+  return isOpen ? record : nullptr;
+}
+
+/** Whether a job has ended without having completed, so that nothing shows that its tasks are
+ * harmless. */
+bool
+isEndedIncomplete(const JobRegistry& aJobs, const std::string& aTask)
+{
+  const std::optional<TaskId> task = TaskId::parse(aTask);
+  const Job* job = task ? aJobs.find(task->jobId) : nullptr;
+  return job != nullptr && job->isFinished() && job->state() != JobState::eCompleted;
+}
+
+} // namespace
+
+void
+OpenLapses::add(const TaskId& aTask, const LapsedRun& aLapse, MonotonicTime aNow)
+{
+  mIncarnations[{ aLapse.worker(), aLapse.bornMs() }].push_back(
+    { .task = aTask, .run = aLapse, .addedAt = aNow });
+}
+
+void
+OpenLapses::remove(const std::string& aTask, std::int64_t aRun)
+{
+  for (auto& [key, lapses] : mIncarnations) {
+    std::erase_if(lapses, [&](const Lapse& aLapse) {
+      return aLapse.run.run() == aRun && aLapse.task.text() == aTask;
+    });
+  }
+  std::erase_if(mIncarnations, [](const auto& aItem) { return aItem.second.empty(); });
+}
+
+std::vector<LapseFinding>
+OpenLapses::findingsOf(Lapses& aLapses, LapseCause aCause)
+{
+  std::vector<LapseFinding> findings;
+  for (Lapse& lapse : aLapses) {
+    if (!std::exchange(lapse.isExplained, true)) {
+      findings.push_back(findingOf(lapse.task, lapse.run.run(), aCause));
+    }
+  }
+  return findings;
+}
+
+std::vector<LapseFinding>
+OpenLapses::crashFindings(Lapses& aLapses, const CrashSuspects* aSuspects, const JobRegistry& aJobs)
+{
+  std::map<std::string, CrashSuspect> evidence;
+  if (aSuspects != nullptr) {
+    evidence = crashSuspectsOf(*aSuspects);
+  } else {
+    for (const Lapse& lapse : aLapses) {
+      // A run that no leader has seen at work is not taken for one that has just begun.
+      evidence[lapse.task.text()] = { .run = lapse.run.run(),
+                                      .hasBegun = lapse.run.begun(),
+                                      .ranMs =
+                                        lapse.run.begun() ? lapse.run.ranMs() : kHarmlessRunMs,
+                                      .evidence = CrashEvidence::eLaterIncarnation };
+    }
+  }
+  CrashBlame blame;
+  std::vector<LapseFinding> findings;
+  std::vector<LapseFinding::Fields> crashes;
+  for (Lapse& lapse : aLapses) {
+    if (std::exchange(lapse.isExplained, true)) {
+      continue;
+    }
+    const std::string name = lapse.task.text();
+    const std::int64_t run = lapse.run.run();
+    const auto suspect = evidence.find(name);
+    const JobTaskRecord::Fields* record = openRecord(aJobs, lapse.task, run);
+    const bool isSuspect =
+      record != nullptr && suspect != evidence.end() && suspect->second.run == run;
+    const JobStep* step =
+      isSuspect ? &aJobs.find(lapse.task.jobId)->steps()[static_cast<std::size_t>(lapse.task.step)]
+                : nullptr;
+    if (!isSuspect ||
+        !blame.add(
+          *step, *record, suspect->second, std::max(suspect->second.ranMs, lapse.run.ranMs()))) {
+      findings.push_back(findingOf(lapse.task, run, LapseCause::eSurvived));
+      continue;
+    }
+    evidence.erase(suspect);
+    crashes.push_back({ .task = name, .run = run, .cause = LapseCause::eCrashed });
+  }
+  for (const auto& [task, suspect] : evidence) {
+    if (isEndedIncomplete(aJobs, task)) {
+      blame.addUnknown(suspect);
+    }
+  }
+  const std::vector<CrashBlame::Verdict> verdicts = blame.verdicts();
+  for (std::size_t index = 0; index < crashes.size(); index++) {
+    crashes[index].ranMs = verdicts[index].ranMs;
+    crashes[index].crashSuspects = blame.suspects();
+    crashes[index].crashShare = verdicts[index].share;
+    crashes[index].crashCertain = verdicts[index].isCertain;
+    findings.push_back(buildValue<LapseFinding>(std::move(crashes[index])));
+  }
+  return findings;
+}
+
+std::vector<LapseFinding>
+OpenLapses::explain(const WorkerReport& aReport,
+                    const std::string& aRelay,
+                    bool aIsSynced,
+                    const JobRegistry& aJobs)
+{
+  const IncarnationKey reported{ aReport.worker().workerId(), aReport.worker().bornMs() };
+  std::vector<LapseFinding> findings;
+  for (auto& [key, lapses] : mIncarnations) {
+    const auto named = std::find_if(aReport.crashSuspects().begin(),
+                                    aReport.crashSuspects().end(),
+                                    [incarnation = key](const CrashSuspects& aSuspects) {
+                                      return aSuspects.worker() == incarnation.worker &&
+                                             aSuspects.bornMs() == incarnation.startedAtMs;
+                                    });
+    const bool isSuccessor =
+      reported.startedAtMs > key.startedAtMs &&
+      (reported.worker == key.worker || lapses.front().run.place() == aRelay);
+    std::vector<LapseFinding> found;
+    if (named != aReport.crashSuspects().end()) {
+      found = crashFindings(lapses, &*named, aJobs);
+    } else if (aIsSynced && key == reported) {
+      found = findingsOf(lapses, LapseCause::eSurvived);
+    } else if (aIsSynced && isSuccessor) {
+      found = crashFindings(lapses, nullptr, aJobs);
+    }
+    findings.insert(findings.end(), found.begin(), found.end());
+  }
+  return findings;
+}
+
+std::vector<LapseFinding>
+OpenLapses::takeExpired(MonotonicTime aNow)
+{
+  std::vector<LapseFinding> findings;
+  for (auto& [key, lapses] : mIncarnations) {
+    for (Lapse& lapse : lapses) {
+      if (aNow.msSince(lapse.addedAt) >= kEvidenceMs && !std::exchange(lapse.isExplained, true)) {
+        findings.push_back(findingOf(lapse.task, lapse.run.run(), LapseCause::eUnknown));
+      }
+    }
+  }
+  return findings;
+}
+
+void
+OpenLapses::reopen(const std::vector<LapseFinding>& aFindings)
+{
+  for (auto& [key, lapses] : mIncarnations) {
+    for (Lapse& lapse : lapses) {
+      lapse.isExplained =
+        lapse.isExplained &&
+        std::none_of(aFindings.begin(), aFindings.end(), [&lapse](const LapseFinding& aFinding) {
+          return aFinding.run() == lapse.run.run() && aFinding.task() == lapse.task.text();
+        });
+    }
+  }
+}
+
+std::size_t
+OpenLapses::size() const
+{
+  std::size_t count = 0;
+  for (const auto& [key, lapses] : mIncarnations) {
+    count += lapses.size();
+  }
+  return count;
+}
+
+} // namespace magnoliadrum
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -1,5 +1,6 @@
 #include "control/RunTracker.h"
 
+#include "control/CrashBlame.h"
 #include "observability/observability.h"
 #include "state/BuildValue.h"
 
@@ -290,30 +291,26 @@
     buildValue<PaceOrder>({ .task = aRun.task.text(), .run = aRun.run, .percent = percent }));
 }
 
-std::map<std::string, CrashSuspect>
+std::optional<std::map<std::string, CrashSuspect>>
 RunTracker::crashSuspects(const IncarnationKey& aKey, const WorkerIncarnation& aIncarnation) const
 {
   if (aIncarnation.description.gone()) {
-    return {};
+    return std::map<std::string, CrashSuspect>();
   }
   if (aIncarnation.crashSuspects || aIncarnation.isLeaving()) {
     return aIncarnation.crashSuspects.value_or(std::map<std::string, CrashSuspect>());
   }
+  if (!aIncarnation.leftAt) {
+    return std::nullopt;
+  }
   std::map<std::string, CrashSuspect> suspects;
   for (const std::string& name : tasksOn(aKey)) {
     const TrackedRun& run = mRuns.at(name);
-    // A lease that has lapsed without a word of the relay is no evidence of a crash: the network in
-    // between may be cut. It adds to the evidence against a task that already has enough.
-    const JobTaskRecord::Fields* record = run.job->find(run.task);
-    if (!aIncarnation.leftAt && record->crashes < kCrashesToDoubtLapse) {
-      continue;
-    }
     // A run that this leader has not seen at work is not taken for one that has just begun.
     suspects[name] = { .run = run.run,
                        .hasBegun = run.isConfirmed,
                        .ranMs = run.isConfirmed ? run.listedMs : kHarmlessRunMs,
-                       .evidence = aIncarnation.leftAt ? CrashEvidence::eLaterIncarnation
-                                                       : CrashEvidence::eLapseOnly };
+                       .evidence = CrashEvidence::eLaterIncarnation };
   }
   return suspects;
 }
@@ -323,10 +320,14 @@
                            const WorkerIncarnation& aIncarnation,
                            MonotonicTime aNow)
 {
-  const std::map<std::string, CrashSuspect> suspects = crashSuspects(aKey, aIncarnation);
-  std::vector<RunAtCrash> atCrash;
+  const std::optional<std::map<std::string, CrashSuspect>> evidence =
+    crashSuspects(aKey, aIncarnation);
+  const std::map<std::string, CrashSuspect> suspects =
+    evidence.value_or(std::map<std::string, CrashSuspect>());
+  CrashBlame blame;
   std::vector<RunEnding::Fields> ends;
-  std::map<std::size_t, std::size_t> positions;
+  /** Positions in ends of the runs that share the blame. */
+  std::vector<std::size_t> positions;
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
     if (std::exchange(run.endProposed, true)) {
@@ -338,50 +339,41 @@
                      .checkpoint = run.checkpoint,
                      .checkpointPercent = run.checkpointPercent,
                      .ranMs = run.listedMs,
-                     .harmless = run.isProvenHarmless() });
+                     .harmless = run.isProvenHarmless(),
+                     .begun = run.isConfirmed,
+                     .unexplained = !evidence });
     const auto suspect = suspects.find(name);
     // A finished job has dropped its steps and tasks.
     if (suspect == suspects.end() || suspect->second.run != run.run || run.job->isFinished()) {
       continue;
     }
-    const CrashSuspect& evidence = suspect->second;
-    const std::int64_t ranMs = std::max(evidence.ranMs, run.listedMs);
     // A run that has worked for long enough refutes the earlier crashes and may still have caused
     // this one.
-    ends.back().ranMs = ranMs;
-    if (ranMs > CrashAttribution::kLongestCrashDelayMs) {
-      continue;
+    ends.back().ranMs = std::max(suspect->second.ranMs, run.listedMs);
+    if (blame.add(run.step(), *run.job->find(run.task), suspect->second, ends.back().ranMs)) {
+      positions.push_back(ends.size() - 1);
     }
-    const bool mayHaveEnded =
-      CrashAttribution::mayHaveEnded(run.step(), ranMs, evidence.percent, evidence.listAgeMs);
-    const JobTaskRecord::Fields& record = *run.job->find(run.task);
-    ends.back().crashCertain = evidence.isWitnessed && evidence.hasBegun && !mayHaveEnded;
-    positions.emplace(atCrash.size(), ends.size() - 1);
-    atCrash.push_back({ .ranMs = ranMs,
-                        .hasBegun = evidence.hasBegun,
-                        .mayHaveEnded = mayHaveEnded,
-                        .harmlessMs = record.harmlessMs,
-                        .suspicion = record.suspicion });
   }
-  const std::vector<std::int64_t> shares = CrashAttribution::shares(atCrash);
-  for (const auto& [suspect, position] : positions) {
-    ends[position].crashSuspects = std::ssize(atCrash);
-    ends[position].crashShare = shares[suspect];
+  const std::vector<CrashBlame::Verdict> verdicts = blame.verdicts();
+  for (std::size_t index = 0; index < positions.size(); index++) {
+    RunEnding::Fields& end = ends[positions[index]];
+    end.crashSuspects = blame.suspects();
+    end.crashShare = verdicts[index].share;
+    end.crashCertain = verdicts[index].isCertain;
     // The run has refuted the earlier crashes only if it is not the likely cause of this one.
-    ends[position].harmless =
-      ends[position].harmless && shares[suspect] < CrashAttribution::kTrialSuspicion;
-    const TrackedRun& run = mRuns.at(ends[position].task);
-    const CrashSuspect& cause = suspects.at(ends[position].task);
+    end.harmless = end.harmless && end.crashShare < CrashAttribution::kTrialSuspicion;
+    const TrackedRun& run = mRuns.at(end.task);
+    const CrashSuspect& suspect = suspects.at(end.task);
     logInfo("lapsed run counts as a crash of its worker",
-            { { "task", ends[position].task },
+            { { "task", end.task },
               { "run", run.run },
               { "worker", aKey.worker },
-              { "evidence", toText(cause.evidence) },
-              { "certain", ends[position].crashCertain },
+              { "evidence", toText(suspect.evidence) },
+              { "certain", end.crashCertain },
               { "silentMs", aNow.msSince(aIncarnation.reportedAt) },
-              { "listAgeMs", cause.listAgeMs },
-              { "ranMs", ends[position].ranMs },
-              { "share", shares[suspect] },
+              { "listAgeMs", suspect.listAgeMs },
+              { "ranMs", end.ranMs },
+              { "share", end.crashShare },
               { "crashesBefore", run.job->find(run.task)->crashes } });
   }
   std::vector<RunEnding> endings;
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -95,10 +95,6 @@
   /** A pace below 100 is resent at this interval, because an older order may take effect late. */
   static constexpr std::int64_t kPaceResendMs = 3000;
 
-  /** A run that lapses without evidence of a crash counts as one from this number of crashes of its
-   * task on. A worker may crash while its relay is out of touch. */
-  static constexpr std::int64_t kCrashesToDoubtLapse = 1;
-
   void clear();
   void add(const TaskId& aTask, std::int64_t aRun, const IncarnationKey& aKey, const Job* aJob);
   void remove(const std::string& aTask, std::int64_t aRun);
@@ -149,16 +145,19 @@
 
   /** Returns the ends of all runs of a lost incarnation and marks them as proposed; ends that are
    * already proposed are left out. aIncarnation is the lost incarnation, which tells the runs that
-   * may have crashed it. */
+   * may have crashed it. An end without evidence for or against a crash is marked as unexplained.
+   */
   std::vector<RunEnding> takeLapsedEnds(const IncarnationKey& aKey,
                                         const WorkerIncarnation& aIncarnation,
                                         MonotonicTime aNow);
 
 private:
   /** Returns the runs, by task, that may have crashed a lost incarnation. Evidence of a crash is
-   * the relay's word or a later incarnation; a lapsed lease is none. */
-  std::map<std::string, CrashSuspect> crashSuspects(const IncarnationKey& aKey,
-                                                    const WorkerIncarnation& aIncarnation) const;
+   * the relay's word or a later incarnation. Without either, empty optional: a lapsed lease is no
+   * evidence, as the network in between may be cut. */
+  std::optional<std::map<std::string, CrashSuspect>> crashSuspects(
+    const IncarnationKey& aKey,
+    const WorkerIncarnation& aIncarnation) const;
   /** Returns whether all runs of the incarnation fit in aCapacity; withdraws runs if they do not.
    */
   bool withdrawUnstartedRuns(const IncarnationKey& aKey, const ResourceAmount& aCapacity);
--- a/src/control/WorkerFleet.cpp
+++ b/src/control/WorkerFleet.cpp
@@ -29,12 +29,25 @@
       return "relay-report";
     case CrashEvidence::eLaterIncarnation:
       return "later-incarnation";
-    case CrashEvidence::eLapseOnly:
-      return "lapse-only";
   }
   return "unknown";
 }
 
+std::map<std::string, CrashSuspect>
+crashSuspectsOf(const CrashSuspects& aReported)
+{
+  std::map<std::string, CrashSuspect> runs;
+  for (const SuspectedRun& run : aReported.runs()) {
+    runs[run.task()] = { .run = run.run(),
+                         .hasBegun = run.begun(),
+                         .ranMs = run.ranMs(),
+                         .percent = run.percent(),
+                         .listAgeMs = aReported.listAgeMs(),
+                         .isWitnessed = aReported.certain() };
+  }
+  return runs;
+}
+
 void
 WorkerFleet::startTerm(const std::map<IncarnationKey, std::string>& aRelays,
                        std::int64_t aTerm,
@@ -142,15 +155,7 @@
     if (incarnation == nullptr) {
       continue;
     }
-    std::map<std::string, CrashSuspect>& runs = incarnation->crashSuspects.emplace();
-    for (const SuspectedRun& run : suspects.runs()) {
-      runs[run.task()] = { .run = run.run(),
-                           .hasBegun = run.begun(),
-                           .ranMs = run.ranMs(),
-                           .percent = run.percent(),
-                           .listAgeMs = suspects.listAgeMs(),
-                           .isWitnessed = suspects.certain() };
-    }
+    incarnation->crashSuspects = crashSuspectsOf(suspects);
   }
 }
 
--- a/src/control/WorkerFleet.h
+++ b/src/control/WorkerFleet.h
@@ -29,9 +29,8 @@
 /** Why a run that has lapsed is taken for the possible cause of a crash. */
 enum class CrashEvidence
 {
-  eRelayReport,      /**< The relay has seen that the worker refuses connections, or its successor. */
-  eLaterIncarnation, /**< A later incarnation has reported, and the relay names no runs. */
-  eLapseOnly         /**< The lease has lapsed, and nothing has been heard since. */
+  eRelayReport, /**< The relay has seen that the worker refuses connections, or its successor. */
+  eLaterIncarnation /**< A later incarnation has reported, and the relay names no runs. */
 };
 
 const char*
@@ -55,6 +54,10 @@
   friend bool operator==(const CrashSuspect&, const CrashSuspect&) = default;
 };
 
+/** Returns the runs that a relay names for a crash, by task name. */
+std::map<std::string, CrashSuspect>
+crashSuspectsOf(const CrashSuspects& aReported);
+
 /** What the leader knows about one incarnation of a worker. Kept in memory for one leadership only.
  */
 struct WorkerIncarnation
--- a/src/fleetmodel/CrashingTasks_test.cpp
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -131,6 +131,67 @@
   }
 }
 
+// Guards against LOST: from the first crash of a task on, each lapse of its runs counted as a
+// crash, and its job was given up after one crash and four cuts.
+BOOST_AUTO_TEST_CASE(cuts_after_a_crash_do_not_give_a_job_up)
+{
+  constexpr std::size_t kWorkers = 6;
+  constexpr std::int64_t kTasks = 4;
+  FleetModel fleet(kWorkers, kWorkerCapacity);
+  fleet.run(1000);
+  fleet.addAccepted(standingJobOf("s", kTasks, 1000));
+  fleet.run(3000);
+  for (std::int64_t index = 0; index < kTasks; index++) {
+    const std::size_t slot = fleet.slotOf("s.0.0." + std::to_string(index));
+    if (slot < kWorkers) {
+      fleet.crashWorker(slot);
+    }
+  }
+  fleet.run(10000);
+  for (int cut = 0; cut < 8; cut++) {
+    fleet.cutRelay(fleet.slotOf("s.0.0." + std::to_string(cut % kTasks)) % kWorkers, 6500);
+    fleet.run(2000);
+    fleet.cutRelay(fleet.slotOf("s.0.0." + std::to_string((cut + 1) % kTasks)) % kWorkers, 6500);
+    fleet.run(9000);
+  }
+  BOOST_TEST(fleet.violations() == "");
+  BOOST_TEST((fleet.stateOf("s") == JobState::eRunning));
+  for (std::int64_t index = 0; index < kTasks; index++) {
+    BOOST_TEST(fleet.isRunning("s.0.0." + std::to_string(index)), index);
+  }
+}
+
+// Guards against BUDGET: a crash whose relay was cut off until the lease had lapsed, or was
+// restarted meanwhile and knew nothing of the run, was never counted.
+BOOST_AUTO_TEST_CASE(crash_that_no_relay_reports_in_time_is_counted_when_the_relay_is_back)
+{
+  for (const bool isRelayRestarted : { false, true }) {
+    FleetModel fleet(4, kWorkerCapacity);
+    fleet.run(1000);
+    fleet.submit(jobOf("deadly", { stepOf(1, 1000, 10) }));
+    fleet.makeDeadly("deadly.0.0.0", 0);
+    while (fleet.startsOf("deadly.0.0.0") == 0) {
+      fleet.run(FleetModel::kStepMs);
+    }
+    for (std::size_t slot = 0; slot < fleet.slots(); slot++) {
+      if (!fleet.worker(slot).isUp() || fleet.worker(slot).runs("deadly.0.0.0")) {
+        if (isRelayRestarted) {
+          fleet.restartRelay(slot);
+        }
+        fleet.cutRelay(slot, 9000);
+      }
+    }
+    fleet.run(9000 + 2 * FleetModel::kRegistrationMs);
+    BOOST_TEST_CONTEXT("relay restarted: " << isRelayRestarted)
+    {
+      fleet.run(60000);
+      BOOST_TEST(fleet.violations() == "");
+      BOOST_TEST((fleet.stateOf("deadly") == JobState::eFailed));
+      BOOST_TEST(fleet.startsOf("deadly.0.0.0") <= Job::kMaxCrashes);
+    }
+  }
+}
+
 // Guards against BUDGET and against blaming harmless tasks when the evidence is lost with relays,
 // leaders change, workers crash by themselves and tasks crash their workers late.
 BOOST_AUTO_TEST_CASE(random_faults_neither_hide_crashing_tasks_nor_blame_others)
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -104,6 +104,17 @@
       { .processId = aSlot.processId, .processKind = ProcessKind::eRelay, .incarnation = "i1" }));
 }
 
+void
+FleetModel::reopenExpiredSession(Slot& aSlot)
+{
+  if (!mLog.isLeader() || mState.sessions().find(aSlot.session) != nullptr) {
+    return;
+  }
+  mSent[aSlot.connection].clear();
+  openSession(aSlot);
+  aSlot.relay->onSession();
+}
+
 void
 FleetModel::createRelay(std::size_t aSlot)
 {
@@ -332,6 +343,7 @@
     slot.isRelayStopped = slot.relay->mayExit();
   }
   if (mNow.ms() % kHeartbeatMs == 0 && !slot.isCut) {
+    reopenExpiredSession(slot);
     heartbeat(slot.connection, slot.session, slot.processId);
   }
 }
--- a/src/fleetmodel/FleetModel.h
+++ b/src/fleetmodel/FleetModel.h
@@ -114,6 +114,8 @@
   /** The description of a job's step; requires that the job was submitted. */
   const JobStep& stepOf(const std::string& aTask) const;
   void openSession(Slot& aSlot);
+  /** A relay whose session has ended while its machine stood still opens a new one. */
+  void reopenExpiredSession(Slot& aSlot);
   void createRelay(std::size_t aSlot);
   void createWorker(std::size_t aSlot);
   void toRelay(Slot& aSlot, std::function<void()> aFunction);
--- a/src/jobs/CrashAttribution.cpp
+++ b/src/jobs/CrashAttribution.cpp
@@ -95,6 +95,13 @@
          (aTask.crashAfterMs < kHarmlessRunMs || aTask.suspicion >= kTrialSuspicion);
 }
 
+bool
+CrashAttribution::awaitsEvidence(const JobTaskRecord::Fields& aTask)
+{
+  return aTask.crashes >= kMaxCrashesAlone &&
+         aTask.crashes + std::ssize(aTask.lapses) >= kMaxCrashes;
+}
+
 bool
 CrashAttribution::needsOwnWorker(const JobStep& aStep, const JobTaskRecord::Fields& aTask)
 {
--- a/src/jobs/CrashAttribution.h
+++ b/src/jobs/CrashAttribution.h
@@ -51,6 +51,13 @@
   /** A task with this suspicion, in thousandths, is tried apart from others. */
   static constexpr std::int64_t kTrialSuspicion = 200;
 
+  /** Number of workers that may be crashed by a task before its job is given up, if each time other
+   * runs may have been the cause. */
+  static constexpr std::int64_t kMaxCrashes = 5;
+  /** The same if a run of the task was surely there at so many crashes and almost certainly caused
+   * the last one; one more if one of these runs had worked for longer than kHarmlessRunMs. */
+  static constexpr std::int64_t kMaxCrashesAlone = 2;
+
   /** Returns the share of each run in the blame for a crash, in thousandths. */
   static std::vector<std::int64_t> shares(const std::vector<RunAtCrash>& aRuns);
 
@@ -71,6 +78,10 @@
   /** Whether the next run of the task is tried apart from others. */
   static bool needsTrial(const JobTaskRecord::Fields& aTask);
 
+  /** Whether the next run of the task waits until its open lapses are explained: if they were
+   * crashes too, there have been as many as a task may cause. */
+  static bool awaitsEvidence(const JobTaskRecord::Fields& aTask);
+
   /** Whether a task with needsTrial() waits until it can be tried on a worker of its own. A
    * standing task whose only crash had other suspects does not: it is most likely innocent, and its
    * users miss it. It only keeps away from other suspects. */
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -1,7 +1,6 @@
 #include "jobs/Job.h"
 
 #include "core/core.h"
-#include "jobs/CrashAttribution.h"
 
 #include <algorithm>
 #include <cassert>
@@ -10,6 +9,21 @@
 
 namespace magnoliadrum {
 
+namespace {
+
+/** Drops the open lapses that a harmless run refutes: a later run that has ended by itself or has
+ * worked for twice as long. */
+void
+refuteLapses(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd)
+{
+  const bool hasEndedByItself = aEnd.how() == RunEnd::eDone || aEnd.how() == RunEnd::eFailed;
+  std::erase_if(aRecord.lapses, [&](const LapsedRun& aLapse) {
+    return hasEndedByItself || aEnd.ranMs() >= std::max(kHarmlessRunMs, 2 * aLapse.ranMs());
+  });
+}
+
+} // namespace
+
 Job
 Job::accept(const JobQueue& aQueue, const JobDescription& aDescription, std::int64_t aAcceptedAtMs)
 {
@@ -233,13 +247,69 @@
   }
   if (aEnd.harmless()) {
     clearCrashes(record);
+    refuteLapses(record, aEnd);
   }
   if (!isFinished() && aEnd.how() == RunEnd::eDone) {
     finishTask(aTask, record);
   } else if (!isFinished() && aEnd.how() == RunEnd::eFailed) {
     countFailure(aTask, aEnd.run());
   } else if (!isFinished() && aEnd.crashSuspects() > 0) {
-    countCrash(record, aEnd);
+    countCrash(record,
+               { .place = record.place,
+                 .ranMs = aEnd.ranMs(),
+                 .share = aEnd.crashShare(),
+                 .isCertain = aEnd.crashCertain() });
+  } else if (!isFinished() && aEnd.unexplained()) {
+    addLapse(record, aEnd);
+  }
+  dropContentIfUnused();
+  return true;
+}
+
+void
+Job::addLapse(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd)
+{
+  if (aRecord.done) {
+    return;
+  }
+  aRecord.lapses.push_back(valueOf(LapsedRun::create({ .run = aEnd.run(),
+                                                       .worker = aRecord.worker,
+                                                       .bornMs = aRecord.bornMs,
+                                                       .place = aRecord.place,
+                                                       .ranMs = aEnd.ranMs(),
+                                                       .begun = aEnd.begun() })));
+  if (aRecord.lapses.size() > kMaxOpenLapses) {
+    aRecord.lapses.erase(aRecord.lapses.begin());
+  }
+}
+
+bool
+Job::explainLapse(const TaskId& aTask, const LapseFinding& aFinding)
+{
+  const std::optional<std::size_t> found = taskPosition(aTask);
+  if (!found) {
+    return false;
+  }
+  JobTaskRecord::Fields& record = mTasks[*found];
+  const auto lapse =
+    std::find_if(record.lapses.begin(), record.lapses.end(), [&aFinding](const LapsedRun& aLapse) {
+      return aLapse.run() == aFinding.run();
+    });
+  if (lapse == record.lapses.end()) {
+    return false;
+  }
+  // Without evidence a lapse counts only if its task may not start again unless it was no crash.
+  const bool isCounted =
+    aFinding.cause() == LapseCause::eCrashed ||
+    (aFinding.cause() == LapseCause::eUnknown && CrashAttribution::awaitsEvidence(record));
+  const std::string place = lapse->place();
+  record.lapses.erase(lapse);
+  if (!isFinished() && isCounted) {
+    countCrash(record,
+               { .place = place,
+                 .ranMs = aFinding.ranMs(),
+                 .share = aFinding.crashShare(),
+                 .isCertain = aFinding.crashCertain() });
   }
   dropContentIfUnused();
   return true;
@@ -278,6 +348,7 @@
       mOpenTasks[stepPosition(aTask.occurrence, aTask.step)]--;
       mOpenTaskCount--;
       mCrashSuspects -= aTaskRecord.crashes > 0 ? 1 : 0;
+      aTaskRecord.lapses.clear();
     }
   };
   markDone(aRecord);
@@ -317,7 +388,7 @@
 }
 
 void
-Job::countCrash(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd)
+Job::countCrash(JobTaskRecord::Fields& aRecord, const CountedCrash& aCrash)
 {
   if (aRecord.done) {
     // Another member of its gang has ended the task, which is no longer counted as a suspect.
@@ -325,17 +396,17 @@
   }
   mCrashSuspects += aRecord.crashes == 0 ? 1 : 0;
   aRecord.crashes++;
-  aRecord.crashAfterMs = std::max(aRecord.crashAfterMs, aEnd.ranMs());
-  aRecord.suspicion += aEnd.crashShare();
-  aRecord.certainCrashes += aEnd.crashCertain() ? 1 : 0;
+  aRecord.crashAfterMs = std::max(aRecord.crashAfterMs, aCrash.ranMs);
+  aRecord.suspicion += aCrash.share;
+  aRecord.certainCrashes += aCrash.isCertain ? 1 : 0;
   // Two crashes in a row at the same place may be the worker's own fault.
-  const bool isElsewhere = aRecord.place != aRecord.crashPlace;
-  aRecord.crashPlace = aRecord.place;
+  const bool isElsewhere = aCrash.place != aRecord.crashPlace;
+  aRecord.crashPlace = aCrash.place;
   // Later into a run, a worker is likelier to have crashed by itself.
   const bool isLate = aRecord.crashAfterMs >= kHarmlessRunMs;
-  const std::int64_t needed = kMaxCrashesAlone + (isElsewhere ? 0 : 1) + (isLate ? 1 : 0);
-  const bool isCause = aEnd.crashCertain() &&
-                       aEnd.crashShare() >= CrashAttribution::kCausingShare &&
+  const std::int64_t needed =
+    CrashAttribution::kMaxCrashesAlone + (isElsewhere ? 0 : 1) + (isLate ? 1 : 0);
+  const bool isCause = aCrash.isCertain && aCrash.share >= CrashAttribution::kCausingShare &&
                        aRecord.certainCrashes >= needed;
   if (isCause || aRecord.crashes >= kMaxCrashes) {
     setOutcome(JobState::eFailed);
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "generated/JobsTypes.h"
+#include "jobs/CrashAttribution.h"
 #include "jobs/TaskId.h"
 
 #include <cstdint>
@@ -52,12 +53,10 @@
   /** Whether all tasks of the steps that the step depends on are done. */
   bool isStepReady(std::int64_t aOccurrence, std::int64_t aStep) const;
 
-  /** Number of workers that may be crashed by a task before its job is given up, if each time other
-   * runs may have been the cause. */
-  static constexpr std::int64_t kMaxCrashes = 5;
-  /** The same if a run of the task was surely there at so many crashes and almost certainly caused
-   * the last one; one more if one of these runs had worked for longer than kHarmlessRunMs. */
-  static constexpr std::int64_t kMaxCrashesAlone = 2;
+  static constexpr std::int64_t kMaxCrashes = CrashAttribution::kMaxCrashes;
+  /** Number of lapsed runs of a task whose cause is open that are kept; beyond it the oldest is
+   * dropped. */
+  static constexpr std::size_t kMaxOpenLapses = 8;
 
   /** Whether a task that is not done may have crashed a worker. */
   bool hasCrashSuspects() const { return mCrashSuspects > 0; }
@@ -80,10 +79,23 @@
   /** Records the end of a run. False if that run is not active. */
   bool end(const TaskId& aTask, const RunEnding& aEnd);
 
+  /** Records why a run has lapsed. False if the cause of that run's lapse is not open. */
+  bool explainLapse(const TaskId& aTask, const LapseFinding& aFinding);
+
   /** False if the job was finished already. */
   bool cancel();
 
 private:
+  /** A crash of a worker that a run of a task may have caused. */
+  struct CountedCrash
+  {
+    /** Relay beside the worker. */
+    std::string place;
+    std::int64_t ranMs = 0;
+    std::int64_t share = 0;
+    bool isCertain = false;
+  };
+
   Job() = default;
 
   /** Recomputes everything that is derived from the steps and the tasks. */
@@ -94,7 +106,8 @@
   const JobTaskRecord::Fields& gangCheckpoint(const TaskId& aMember) const;
   void finishTask(const TaskId& aTask, JobTaskRecord::Fields& aRecord);
   void countFailure(const TaskId& aTask, std::int64_t aRun);
-  void countCrash(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd);
+  void countCrash(JobTaskRecord::Fields& aRecord, const CountedCrash& aCrash);
+  static void addLapse(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd);
   void clearCrashes(JobTaskRecord::Fields& aRecord);
   void setOutcome(JobState aOutcome);
   /** Frees the payload, steps and tasks once the job is finished and has no active runs. */
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -102,6 +102,21 @@
   return outcome;
 }
 
+RunsChanged
+JobRegistry::apply(const ExplainLapses& aCommand)
+{
+  RunsChanged outcome;
+  for (const LapseFinding& finding : aCommand.findings()) {
+    const std::optional<TaskId> task = TaskId::parse(finding.task());
+    const auto position = task ? mJobs.find(task->jobId) : mJobs.end();
+    if (position != mJobs.end() && position->second.explainLapse(*task, finding)) {
+      outcome.mAppliedCount++;
+      updateIndexes(position->second);
+    }
+  }
+  return outcome;
+}
+
 void
 JobRegistry::updateIndexes(const Job& aJob)
 {
--- a/src/jobs/JobRegistry.h
+++ b/src/jobs/JobRegistry.h
@@ -37,7 +37,7 @@
   friend bool operator==(const JobChanged&, const JobChanged&) = default;
 };
 
-/** Outcome of StartRuns and EndRuns. */
+/** Outcome of StartRuns, EndRuns and ExplainLapses. */
 struct RunsChanged
 {
   /** Number of listed runs to which the command was applied; for the others it was outdated by
@@ -68,6 +68,7 @@
   std::variant<JobChanged, Error> apply(const CancelJob& aCommand);
   RunsChanged apply(const StartRuns& aCommand);
   RunsChanged apply(const EndRuns& aCommand);
+  RunsChanged apply(const ExplainLapses& aCommand);
 
   /** Empty until the first SetQueueCatalogue. */
   const std::optional<QueueCatalogue>& catalogue() const { return mCatalogue; }
--- a/src/jobs/JobRegistry_test.cpp
+++ b/src/jobs/JobRegistry_test.cpp
@@ -20,6 +20,27 @@
   return valueOf(QueueSelector::create({ .name = "", .host = aHost, .path = aPath }));
 }
 
+/** The end of a run whose lease has lapsed without evidence of a crash. */
+EndRuns
+unexplainedEndOf(const std::string& aTask, std::int64_t aRun)
+{
+  return valueOf(
+    EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = aTask,
+                                                            .run = aRun,
+                                                            .how = RunEnd::eLapsed,
+                                                            .ranMs = 300,
+                                                            .begun = true,
+                                                            .unexplained = true })) } }));
+}
+
+ExplainLapses
+findingOf(const std::string& aTask, std::int64_t aRun, LapseCause aCause)
+{
+  return valueOf(ExplainLapses::create(
+    { .findings = { valueOf(LapseFinding::create(
+        { .task = aTask, .run = aRun, .cause = aCause, .ranMs = 300, .crashShare = 100 })) } }));
+}
+
 /** A registry with an accepted job "j" of two tasks. */
 struct RegistryWithJob
 {
@@ -120,6 +141,94 @@
   BOOST_TEST(mRegistry.openJobs().empty());
 }
 
+// Guards against a crash that is counted twice, or forgotten, because its evidence came after the
+// lapse of the run: with a new leader, over a snapshot, and while the next run is active.
+BOOST_FIXTURE_TEST_CASE(late_evidence_of_a_crash_counts_once, RegistryWithJob)
+{
+  const TaskId task{ "j", 0, 0, 0 };
+  mRegistry.apply(startOf("j.0.0.0", 1));
+  mRegistry.apply(unexplainedEndOf("j.0.0.0", 1));
+  BOOST_TEST(job().find(task)->crashes == 0, "a lapse alone is no crash");
+  mRegistry.apply(startOf("j.0.0.0", 2));
+  StateSnapshot::Fields snapshot{ .appliedIndex = 1, .catalogueVersion = 0, .nextSession = 1 };
+  mRegistry.writeTo(snapshot);
+  mRegistry = JobRegistry::fromSnapshot(valueOf(StateSnapshot::create(std::move(snapshot))));
+  BOOST_REQUIRE(job().find(task)->lapses.size() == 1u);
+  BOOST_TEST(job().find(task)->lapses.front().worker() == "w1");
+  BOOST_TEST(appliedCount(mRegistry.apply(findingOf("j.0.0.0", 2, LapseCause::eCrashed))) == 0u);
+  BOOST_TEST(appliedCount(mRegistry.apply(findingOf("j.0.0.0", 1, LapseCause::eCrashed))) == 1u);
+  BOOST_TEST(job().find(task)->crashes == 1);
+  BOOST_TEST(job().hasCrashSuspects());
+  BOOST_TEST(appliedCount(mRegistry.apply(findingOf("j.0.0.0", 1, LapseCause::eCrashed))) == 0u);
+  BOOST_TEST(job().find(task)->crashes == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(lapse_that_its_worker_survived_leaves_no_crash, RegistryWithJob)
+{
+  for (std::int64_t run = 1; run <= 2 * Job::kMaxCrashes; run++) {
+    mRegistry.apply(startOf("j.0.0.0", run));
+    mRegistry.apply(unexplainedEndOf("j.0.0.0", run));
+    mRegistry.apply(
+      findingOf("j.0.0.0", run, run % 2 == 0 ? LapseCause::eSurvived : LapseCause::eUnknown));
+  }
+  BOOST_TEST((job().state() == JobState::eRunning));
+  BOOST_TEST(!job().hasCrashSuspects());
+  BOOST_TEST(job().find({ "j", 0, 0, 0 })->lapses.empty());
+}
+
+// Guards against blaming a task for a lapse that a later run of it has refuted.
+BOOST_FIXTURE_TEST_CASE(harmless_run_refutes_the_open_lapses_before_it, RegistryWithJob)
+{
+  mRegistry.apply(startOf("j.0.0.0", 1));
+  mRegistry.apply(unexplainedEndOf("j.0.0.0", 1));
+  mRegistry.apply(startOf("j.0.0.0", 2));
+  mRegistry.apply(valueOf(EndRuns::create(
+    { .ends = { valueOf(RunEnding::create(
+        { .task = "j.0.0.0", .run = 2, .how = RunEnd::eFailed, .harmless = true })) } })));
+  BOOST_TEST(appliedCount(mRegistry.apply(findingOf("j.0.0.0", 1, LapseCause::eCrashed))) == 0u);
+  BOOST_TEST(!job().hasCrashSuspects());
+}
+
+// Guards against BUDGET: a task with four counted crashes was started again while a lapse of it was
+// open that nobody could explain any more.
+BOOST_FIXTURE_TEST_CASE(task_awaits_evidence_before_it_starts_beyond_the_bound, RegistryWithJob)
+{
+  const TaskId task{ "j", 0, 0, 0 };
+  for (std::int64_t run = 1; run <= Job::kMaxCrashes; run++) {
+    BOOST_TEST(!CrashAttribution::awaitsEvidence(*job().find(task)));
+    mRegistry.apply(startOf("j.0.0.0", run));
+    mRegistry.apply(unexplainedEndOf("j.0.0.0", run));
+    if (run > 1) {
+      mRegistry.apply(findingOf("j.0.0.0", run, LapseCause::eCrashed));
+    }
+  }
+  BOOST_TEST(CrashAttribution::awaitsEvidence(*job().find(task)));
+  JobRegistry survived = mRegistry;
+  survived.apply(findingOf("j.0.0.0", 1, LapseCause::eSurvived));
+  BOOST_TEST(!CrashAttribution::awaitsEvidence(*survived.find("j")->find(task)));
+  BOOST_TEST((survived.find("j")->state() == JobState::eRunning));
+  mRegistry.apply(findingOf("j.0.0.0", 1, LapseCause::eUnknown));
+  BOOST_TEST((job().state() == JobState::eFailed));
+}
+
+BOOST_FIXTURE_TEST_CASE(late_crashes_give_a_job_up_and_its_active_run_is_kept_until_its_end,
+                        RegistryWithJob)
+{
+  for (std::int64_t run = 1; run <= Job::kMaxCrashes; run++) {
+    mRegistry.apply(startOf("j.0.0.0", run));
+    mRegistry.apply(unexplainedEndOf("j.0.0.0", run));
+  }
+  mRegistry.apply(startOf("j.0.0.0", Job::kMaxCrashes + 1));
+  for (std::int64_t run = 1; run <= Job::kMaxCrashes; run++) {
+    BOOST_TEST((job().state() == JobState::eRunning));
+    mRegistry.apply(findingOf("j.0.0.0", run, LapseCause::eCrashed));
+  }
+  BOOST_TEST((job().state() == JobState::eFailed));
+  BOOST_TEST(mRegistry.openJobs().contains("j"));
+  mRegistry.apply(endOf("j.0.0.0", Job::kMaxCrashes + 1, RunEnd::eStopped));
+  BOOST_TEST(mRegistry.openJobs().empty());
+}
+
 BOOST_AUTO_TEST_CASE(long_running_tasks_have_no_attempt_limit_and_never_end_their_job)
 {
   JobRegistry registry = registryWithQueues();
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -45,12 +45,13 @@
 
   const JobStep& description() const { return job->steps()[static_cast<std::size_t>(step)]; }
 
-  /** Whether a task of the step is selected and neither done nor active. */
+  /** Whether a task of the step is selected, neither done nor active, and may start. */
   bool isWaiting(const JobTaskRecord::Fields& aRecord) const
   {
     const bool isSelected = selection == TaskSelection::eAll ||
                             (selection == TaskSelection::eFirstRuns) == (aRecord.run == 0);
-    return isSelected && !aRecord.done && !aRecord.active;
+    return isSelected && !aRecord.done && !aRecord.active &&
+           !CrashAttribution::awaitsEvidence(aRecord);
   }
 
   /** Number of tasks for which isWaiting() holds. */
@@ -679,7 +680,8 @@
   {
     TaskId task = firstTask(aReady);
     for (task.index = 0; task.index < aReady.description().count(); task.index++) {
-      if (aReady.job->find(task)->active) {
+      const JobTaskRecord::Fields& member = *aReady.job->find(task);
+      if (member.active || CrashAttribution::awaitsEvidence(member)) {
         return;
       }
     }
--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -181,6 +181,12 @@
   return mJobs.apply(aCommand);
 }
 
+Outcome
+ControlState::applyCommand(const ExplainLapses& aCommand)
+{
+  return mJobs.apply(aCommand);
+}
+
 Outcome
 ControlState::applyCommand(const SaveLearnedFigures& aCommand)
 {
--- a/src/state/ControlState.h
+++ b/src/state/ControlState.h
@@ -78,6 +78,7 @@
   Outcome applyCommand(const CancelJob& aCommand);
   Outcome applyCommand(const StartRuns& aCommand);
   Outcome applyCommand(const EndRuns& aCommand);
+  Outcome applyCommand(const ExplainLapses& aCommand);
   Outcome applyCommand(const SaveLearnedFigures& aCommand);
   Outcome applyCommand(const SetEvacuation& aCommand);
 
