Bystanders of a crash are not all tried: the blame follows the run that has just begun

Each task that had begun within the second before a crash was tried apart, whatever its share, and the blame did not tell a run of 11 ms from one of 900 ms.

A task with shares below 0.05 in the mean of one or two crashes is started like others; from the third crash on each suspect is tried, and the bound of five crashes stands, so BUDGET does not depend on it.

--- a/src/fleetmodel/CrashingTasks_test.cpp
+++ b/src/fleetmodel/CrashingTasks_test.cpp
@@ -192,6 +192,45 @@
   }
 }
 
+// Guards against LOST: after a series of crashing tasks all tasks that had been beside one were
+// tried one after the other, and jobs had nothing running for a minute in a mostly free pool.
+BOOST_AUTO_TEST_CASE(jobs_beside_a_series_of_crashing_tasks_do_not_wait_for_trials_of_all)
+{
+  constexpr std::int64_t kStepMs = 200;
+  constexpr std::int64_t kSeriesMs = 40000;
+  constexpr std::int64_t kDeadlyEveryMs = 1400;
+  // The users' bound finish_s.
+  constexpr std::int64_t kFinishMs = 14000;
+  for (unsigned seed = 1; seed <= 3; seed++) {
+    std::mt19937 random(seed);
+    FleetModel fleet(10, { 30000, 100000, 0 });
+    fleet.run(1000);
+    std::vector<std::string> harmless;
+    for (std::int64_t atMs = 0; atMs < kSeriesMs; atMs += kStepMs) {
+      const std::string id = "j" + std::to_string(atMs);
+      JobStep::Fields step = stepOf(10, 400, 10);
+      step.estimateMs = 800 + static_cast<std::int64_t>(random() % 1500);
+      fleet.submit(jobOf(id, { step }));
+      if (atMs % kDeadlyEveryMs == 0) {
+        fleet.makeDeadly(id + ".0.0." + std::to_string(random() % 10));
+      } else {
+        harmless.push_back(id);
+      }
+      fleet.run(kStepMs);
+    }
+    fleet.run(kFinishMs);
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      BOOST_TEST(fleet.violations() == "");
+      std::size_t waiting = 0;
+      for (const std::string& id : harmless) {
+        waiting += fleet.stateOf(id) != JobState::eCompleted && !fleet.mayBeGivenUp(id) ? 1 : 0;
+      }
+      BOOST_TEST(waiting == 0u);
+    }
+  }
+}
+
 // Guards against BUDGET and against blaming harmless tasks when the evidence is lost with relays,
 // leaders change, workers crash by themselves and tasks crash their workers late.
 BOOST_AUTO_TEST_CASE(random_faults_neither_hide_crashing_tasks_nor_blame_others)
--- a/src/jobs/CrashAttribution.cpp
+++ b/src/jobs/CrashAttribution.cpp
@@ -11,7 +11,11 @@
 
 constexpr double kThousand = 1000;
 
-/** Weight of a worker that crashes by itself; a run that has just begun weighs 1. */
+/** Runs that have worked for less (ms) are equally likely to be the cause: the relay's times are no
+ * more exact than its orders and lists. */
+constexpr std::int64_t kShortestDelayMs = 100;
+
+/** Weight of a worker that crashes by itself; a run that has worked for a second weighs 1. */
 constexpr double kOwnCrashWeight = 0.2;
 
 /** How much a suspicion of 1 from earlier crashes raises the weight of a run. */
@@ -40,7 +44,7 @@
     return 0;
   }
   const double delay = static_cast<double>(kHarmlessRunMs) /
-                       static_cast<double>(std::max<std::int64_t>(kHarmlessRunMs, aRun.ranMs));
+                       static_cast<double>(std::max(kShortestDelayMs, aRun.ranMs));
   const double presence = aRun.hasBegun && !aRun.mayHaveEnded ? 1 : kDoubtfulPresence;
   const bool isProven = aRun.harmlessMs >= std::max(kHarmlessRunMs, 2 * aRun.ranMs);
   return delay * presence * (isProven ? kProvenHarmless : 1) *
@@ -91,8 +95,14 @@
 bool
 CrashAttribution::needsTrial(const JobTaskRecord::Fields& aTask)
 {
-  return aTask.crashes > 0 && aTask.crashAfterMs <= kLongestTrialDelayMs &&
-         (aTask.crashAfterMs < kHarmlessRunMs || aTask.suspicion >= kTrialSuspicion);
+  if (aTask.crashes == 0 || aTask.crashAfterMs > kLongestTrialDelayMs) {
+    return false;
+  }
+  constexpr std::int64_t kCrashesByChance = 2;
+  const bool hasSmallShares =
+    aTask.crashes <= kCrashesByChance && aTask.suspicion < kSmallShare * aTask.crashes;
+  return aTask.suspicion >= kTrialSuspicion ||
+         (aTask.crashAfterMs < kHarmlessRunMs && !hasSmallShares);
 }
 
 bool
--- a/src/jobs/CrashAttribution.h
+++ b/src/jobs/CrashAttribution.h
@@ -50,7 +50,11 @@
   static constexpr std::int64_t kCausingShare = 900;
   /** A task with this suspicion, in thousandths, is tried apart from others. */
   static constexpr std::int64_t kTrialSuspicion = 200;
-
+  /** A task whose runs had just begun is tried apart from this share on, in thousandths, in the
+   * mean of its first two crashes. With less it is most likely one of many that were there by
+   * chance, and trials of them all would make the cause wait. From the third crash on it is tried
+   * in any case. */
+  static constexpr std::int64_t kSmallShare = 50;
   /** Number of workers that may be crashed by a task before its job is given up, if each time other
    * runs may have been the cause. */
   static constexpr std::int64_t kMaxCrashes = 5;
--- a/src/jobs/CrashAttribution_test.cpp
+++ b/src/jobs/CrashAttribution_test.cpp
@@ -33,6 +33,46 @@
   BOOST_TEST(shares[3] == 0);
 }
 
+// Guards against LOST: all tasks that had been started within the second before a crash shared the
+// blame alike and were tried apart, so that the cause waited among hundreds of others.
+BOOST_AUTO_TEST_CASE(run_that_has_just_begun_takes_most_of_the_blame)
+{
+  std::vector<RunAtCrash> runs = { { .ranMs = 12, .hasBegun = true } };
+  for (std::int64_t index = 1; index <= 15; index++) {
+    runs.push_back({ .ranMs = 300 + 100 * index, .hasBegun = true });
+  }
+  const std::vector<std::int64_t> shares = CrashAttribution::shares(runs);
+  BOOST_TEST(3 * shares[0] > 1000);
+  BOOST_TEST(2 * shares[0] > 5 * shares[1]);
+  for (std::size_t index = 1; index < shares.size(); index++) {
+    const JobTaskRecord::Fields task{ .crashes = 1,
+                                      .crashAfterMs = runs[index].ranMs,
+                                      .suspicion = shares[index] };
+    BOOST_TEST(
+      CrashAttribution::needsTrial(task) ==
+        (runs[index].ranMs < kHarmlessRunMs && shares[index] >= CrashAttribution::kSmallShare),
+      index);
+  }
+  const std::vector<std::int64_t> together = CrashAttribution::shares(
+    { { .ranMs = 5, .hasBegun = true }, { .ranMs = 90, .hasBegun = true } });
+  BOOST_TEST(together[0] == together[1], "the relay's times are no more exact");
+}
+
+// Guards against BUDGET: a task with small shares of many crashes was never tried apart.
+BOOST_AUTO_TEST_CASE(task_with_three_early_crashes_is_tried_whatever_its_shares_were)
+{
+  const auto needsTrial = [](std::int64_t aCrashes, std::int64_t aSuspicion) {
+    return CrashAttribution::needsTrial(
+      { .crashes = aCrashes, .crashAfterMs = 500, .suspicion = aSuspicion });
+  };
+  constexpr std::int64_t kSmall = CrashAttribution::kSmallShare;
+  BOOST_TEST(!needsTrial(1, kSmall - 1));
+  BOOST_TEST(needsTrial(1, kSmall));
+  BOOST_TEST(!needsTrial(2, 2 * kSmall - 1));
+  BOOST_TEST(needsTrial(2, 2 * kSmall));
+  BOOST_TEST(needsTrial(3, 3));
+}
+
 // Guards against a job that is given up for a crash beside a task that is known from earlier ones.
 BOOST_AUTO_TEST_CASE(task_under_suspicion_takes_the_blame_from_the_runs_beside_it)
 {
