Open lapses are found by the name of their run

After a cut of many workers thousands of lapses are explained at once. Each removal searched all of them, which is quadratic in their number and costs the leader's processor on large deployments; found by reading. No behaviour changes; control_test and fleetmodel_test pass.

--- a/src/control/OpenLapses.cpp
+++ b/src/control/OpenLapses.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 LapseFinding
-findingOf(const TaskId& aTask, std::int64_t aRun, LapseCause aCause)
+findingOf(const std::string& aTask, std::int64_t aRun, LapseCause aCause)
 {
-  return buildValue<LapseFinding>({ .task = aTask.text(), .run = aRun, .cause = aCause });
+  return buildValue<LapseFinding>({ .task = aTask, .run = aRun, .cause = aCause });
 }
 
 /** Returns the record of a task if its lapse is still open in the log; otherwise null: a later run
@@ -45,28 +45,34 @@
 void
 OpenLapses::add(const TaskId& aTask, const LapsedRun& aLapse, MonotonicTime aNow)
 {
-  mIncarnations[{ aLapse.worker(), aLapse.bornMs() }].push_back(
-    { .task = aTask, .run = aLapse, .addedAt = aNow });
+  const IncarnationKey key{ aLapse.worker(), aLapse.bornMs() };
+  const RunName name{ aTask.text(), aLapse.run() };
+  mIncarnations[key].insert_or_assign(name, Lapse{ .task = aTask, .run = aLapse, .addedAt = aNow });
+  mKeys.insert_or_assign(name, key);
 }
 
 void
 OpenLapses::remove(const std::string& aTask, std::int64_t aRun)
 {
-  for (auto& [key, lapses] : mIncarnations) {
-    std::erase_if(lapses, [&](const Lapse& aLapse) {
-      return aLapse.run.run() == aRun && aLapse.task.text() == aTask;
-    });
+  const auto position = mKeys.find({ aTask, aRun });
+  if (position == mKeys.end()) {
+    return;
+  }
+  const auto incarnation = mIncarnations.find(position->second);
+  incarnation->second.erase(position->first);
+  if (incarnation->second.empty()) {
+    mIncarnations.erase(incarnation);
   }
-  std::erase_if(mIncarnations, [](const auto& aItem) { return aItem.second.empty(); });
+  mKeys.erase(position);
 }
 
 std::vector<LapseFinding>
 OpenLapses::findingsOf(Lapses& aLapses, LapseCause aCause)
 {
   std::vector<LapseFinding> findings;
-  for (Lapse& lapse : aLapses) {
+  for (auto& [name, lapse] : aLapses) {
     if (!std::exchange(lapse.isExplained, true)) {
-      findings.push_back(findingOf(lapse.task, lapse.run.run(), aCause));
+      findings.push_back(findingOf(name.first, name.second, aCause));
     }
   }
   return findings;
@@ -79,25 +85,23 @@
   if (aSuspects != nullptr) {
     evidence = crashSuspectsOf(*aSuspects);
   } else {
-    for (const Lapse& lapse : aLapses) {
+    for (const auto& [name, lapse] : aLapses) {
       // A run that no leader has seen at work is not taken for one that has just begun.
-      evidence[lapse.task.text()] = { .run = lapse.run.run(),
-                                      .hasBegun = lapse.run.begun(),
-                                      .ranMs =
-                                        lapse.run.begun() ? lapse.run.ranMs() : kHarmlessRunMs,
-                                      .evidence = CrashEvidence::eLaterIncarnation };
+      evidence[name.first] = { .run = lapse.run.run(),
+                               .hasBegun = lapse.run.begun(),
+                               .ranMs = lapse.run.begun() ? lapse.run.ranMs() : kHarmlessRunMs,
+                               .evidence = CrashEvidence::eLaterIncarnation };
     }
   }
   CrashBlame blame;
   std::vector<LapseFinding> findings;
   std::vector<LapseFinding::Fields> crashes;
-  for (Lapse& lapse : aLapses) {
+  for (auto& [name, lapse] : aLapses) {
     if (std::exchange(lapse.isExplained, true)) {
       continue;
     }
-    const std::string name = lapse.task.text();
-    const std::int64_t run = lapse.run.run();
-    const auto suspect = evidence.find(name);
+    const auto& [task, run] = name;
+    const auto suspect = evidence.find(task);
     const JobTaskRecord::Fields* record = openRecord(aJobs, lapse.task, run);
     const bool isSuspect =
       record != nullptr && suspect != evidence.end() && suspect->second.run == run;
@@ -107,11 +111,11 @@
     if (!isSuspect ||
         !blame.add(
           *step, *record, suspect->second, std::max(suspect->second.ranMs, lapse.run.ranMs()))) {
-      findings.push_back(findingOf(lapse.task, run, LapseCause::eSurvived));
+      findings.push_back(findingOf(task, run, LapseCause::eSurvived));
       continue;
     }
     evidence.erase(suspect);
-    crashes.push_back({ .task = name, .run = run, .cause = LapseCause::eCrashed });
+    crashes.push_back({ .task = task, .run = run, .cause = LapseCause::eCrashed });
   }
   for (const auto& [task, suspect] : evidence) {
     if (isEndedIncomplete(aJobs, task)) {
@@ -146,7 +150,7 @@
                                     });
     const bool isSuccessor =
       reported.startedAtMs > key.startedAtMs &&
-      (reported.worker == key.worker || lapses.front().run.place() == aRelay);
+      (reported.worker == key.worker || lapses.begin()->second.run.place() == aRelay);
     std::vector<LapseFinding> found;
     if (named != aReport.crashSuspects().end()) {
       found = crashFindings(lapses, &*named, aJobs);
@@ -165,9 +169,9 @@
 {
   std::vector<LapseFinding> findings;
   for (auto& [key, lapses] : mIncarnations) {
-    for (Lapse& lapse : lapses) {
+    for (auto& [name, lapse] : lapses) {
       if (aNow.msSince(lapse.addedAt) >= kEvidenceMs && !std::exchange(lapse.isExplained, true)) {
-        findings.push_back(findingOf(lapse.task, lapse.run.run(), LapseCause::eUnknown));
+        findings.push_back(findingOf(name.first, name.second, LapseCause::eUnknown));
       }
     }
   }
@@ -177,25 +181,12 @@
 void
 OpenLapses::reopen(const std::vector<LapseFinding>& aFindings)
 {
-  for (auto& [key, lapses] : mIncarnations) {
-    for (Lapse& lapse : lapses) {
-      lapse.isExplained =
-        lapse.isExplained &&
-        std::none_of(aFindings.begin(), aFindings.end(), [&lapse](const LapseFinding& aFinding) {
-          return aFinding.run() == lapse.run.run() && aFinding.task() == lapse.task.text();
-        });
+  for (const LapseFinding& finding : aFindings) {
+    const RunName name{ finding.task(), finding.run() };
+    if (const auto position = mKeys.find(name); position != mKeys.end()) {
+      mIncarnations.at(position->second).at(name).isExplained = false;
     }
   }
 }
 
-std::size_t
-OpenLapses::size() const
-{
-  std::size_t count = 0;
-  for (const auto& [key, lapses] : mIncarnations) {
-    count += lapses.size();
-  }
-  return count;
-}
-
 } // namespace magnoliadrum
--- a/src/control/OpenLapses.h
+++ b/src/control/OpenLapses.h
@@ -8,8 +8,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliadrum {
@@ -29,7 +29,11 @@
    * log keeps of workers that never come back. */
   static constexpr std::int64_t kEvidenceMs = 30000;
 
-  void clear() { mIncarnations.clear(); }
+  void clear()
+  {
+    mIncarnations.clear();
+    mKeys.clear();
+  }
 
   /** Adds a lapsed run of the log. */
   void add(const TaskId& aTask, const LapsedRun& aLapse, MonotonicTime aNow);
@@ -54,7 +58,7 @@
   /** The findings were not recorded. */
   void reopen(const std::vector<LapseFinding>& aFindings);
 
-  std::size_t size() const;
+  std::size_t size() const { return mKeys.size(); }
 
 private:
   struct Lapse
@@ -64,7 +68,9 @@
     MonotonicTime addedAt;
     bool isExplained = false;
   };
-  using Lapses = std::vector<Lapse>;
+  /** A task's name and the number of its run. */
+  using RunName = std::pair<std::string, std::int64_t>;
+  using Lapses = std::map<RunName, Lapse>;
 
   static std::vector<LapseFinding> findingsOf(Lapses& aLapses, LapseCause aCause);
   /** Returns the findings for the lapses of an incarnation that has crashed. aSuspects is what its
@@ -74,6 +80,8 @@
                                                  const JobRegistry& aJobs);
 
   std::map<IncarnationKey, Lapses> mIncarnations;
+  /** The incarnation of each lapse. */
+  std::map<RunName, IncarnationKey> mKeys;
 };
 
 } // namespace magnoliadrum
