--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -96,7 +96,7 @@
         relays.emplace(key, aRecord.place);
         mRuns.add(aTask, aRecord.run, key, job);
       }
-      for (const LapsedRun& lapse : aRecord.lapses) {
+      for (const LapsedRun& lapse : CrashAttribution::openLapses(aRecord)) {
         mLapses.add(aTask, lapse, mContext.mNow());
       }
     });
@@ -790,7 +790,7 @@
                    { "givenUp", record == nullptr || job->isFinished() } });
     }
     if (end.unexplained() && job != nullptr && !job->isFinished()) {
-      for (const LapsedRun& lapse : job->find(*task)->lapses) {
+      for (const LapsedRun& lapse : CrashAttribution::openLapses(*job->find(*task))) {
         if (lapse.run() == end.run()) {
           mLapses.add(*task, lapse, mContext.mNow());
         }
--- a/src/control/OpenLapses.cpp
+++ b/src/control/OpenLapses.cpp
@@ -23,10 +23,12 @@
 {
   const Job* job = aJobs.find(aTask.jobId);
   const JobTaskRecord::Fields* record = job != nullptr ? job->find(aTask) : nullptr;
-  const bool isOpen = record != nullptr && !job->isFinished() &&
-                      std::any_of(record->lapses.begin(),
-                                  record->lapses.end(),
-                                  [aRun](const LapsedRun& aLapse) { return aLapse.run() == aRun; });
+  if (record == nullptr || job->isFinished()) {
+    return nullptr;
+  }
+  const std::vector<LapsedRun>& lapses = CrashAttribution::openLapses(*record);
+  const bool isOpen = std::any_of(
+    lapses.begin(), lapses.end(), [aRun](const LapsedRun& aLapse) { return aLapse.run() == aRun; });
   return isOpen ? record : nullptr;
 }
 
--- a/src/control/OpenLapses_test.cpp
+++ b/src/control/OpenLapses_test.cpp
@@ -41,14 +41,13 @@
                                                                  .worker = "w1",
                                                                  .bornMs = 1,
                                                                  .place = "relay-1" }) } }));
-      mJobs.apply(
-        buildValue<EndRuns>({ .ends = { buildValue<RunEnding>({ .task = task.text(),
-                                                                .run = 1,
-                                                                .how = RunEnd::eLapsed,
-                                                                .ranMs = kRanMs,
-                                                                .begun = true,
-                                                                .unexplained = true }) } }));
-      mLapses.add(task, mJobs.find("j")->find(task)->lapses.front(), at(0));
+      mJobs.apply(buildValue<EndRuns>(
+        { .ends = { buildValue<RunEnding>({ .task = task.text(),
+                                            .run = 1,
+                                            .how = RunEnd::eLapsed,
+                                            .ranMs = kRanMs,
+                                            .unexplained = UnexplainedLapse::eBegun }) } }));
+      mLapses.add(task, mJobs.find("j")->find(task)->lapses->front(), at(0));
     }
   }
 
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -339,9 +339,11 @@
                      .checkpoint = run.checkpoint,
                      .checkpointPercent = run.checkpointPercent,
                      .ranMs = run.listedMs,
-                     .harmless = run.isProvenHarmless(),
-                     .begun = run.isConfirmed,
-                     .unexplained = !evidence });
+                     .harmless = run.isProvenHarmless() });
+    if (!evidence) {
+      ends.back().unexplained =
+        run.isConfirmed ? UnexplainedLapse::eBegun : UnexplainedLapse::eNotBegun;
+    }
     const auto suspect = suspects.find(name);
     // A finished job has dropped its steps and tasks.
     if (suspect == suspects.end() || suspect->second.run != run.run || run.job->isFinished()) {
--- a/src/jobs/CrashAttribution.cpp
+++ b/src/jobs/CrashAttribution.cpp
@@ -105,11 +105,18 @@
          (aTask.crashAfterMs < kHarmlessRunMs && !hasSmallShares);
 }
 
+const std::vector<LapsedRun>&
+CrashAttribution::openLapses(const JobTaskRecord::Fields& aTask)
+{
+  static const std::vector<LapsedRun> sNone;
+  return aTask.lapses ? *aTask.lapses : sNone;
+}
+
 bool
 CrashAttribution::awaitsEvidence(const JobTaskRecord::Fields& aTask)
 {
   return aTask.crashes >= kMaxCrashesAlone &&
-         aTask.crashes + std::ssize(aTask.lapses) >= kMaxCrashes;
+         aTask.crashes + std::ssize(openLapses(aTask)) >= kMaxCrashes;
 }
 
 bool
--- a/src/jobs/CrashAttribution.h
+++ b/src/jobs/CrashAttribution.h
@@ -82,6 +82,9 @@
   /** Whether the next run of the task is tried apart from others. */
   static bool needsTrial(const JobTaskRecord::Fields& aTask);
 
+  /** Returns the lapsed runs of a task whose cause is open. */
+  static const std::vector<LapsedRun>& openLapses(const JobTaskRecord::Fields& aTask);
+
   /** Whether the next run of the task waits until its open lapses are explained: if they were
    * crashes too, there have been as many as a task may cause. */
   static bool awaitsEvidence(const JobTaskRecord::Fields& aTask);
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -11,13 +11,27 @@
 
 namespace {
 
-/** Drops the open lapses that a harmless run refutes: a later run that has ended by itself or has
+/** Removes the open lapses for which aIsExplained holds. */
+template<typename Predicate>
+void
+eraseLapses(JobTaskRecord::Fields& aRecord, Predicate aIsExplained)
+{
+  if (!aRecord.lapses) {
+    return;
+  }
+  std::erase_if(*aRecord.lapses, aIsExplained);
+  if (aRecord.lapses->empty()) {
+    aRecord.lapses.reset();
+  }
+}
+
+/** Removes the open lapses that a harmless run refutes: a later run that has ended by itself or has
  * worked for twice as long. */
 void
 refuteLapses(JobTaskRecord::Fields& aRecord, const RunEnding& aEnd)
 {
   const bool hasEndedByItself = aEnd.how() == RunEnd::eDone || aEnd.how() == RunEnd::eFailed;
-  std::erase_if(aRecord.lapses, [&](const LapsedRun& aLapse) {
+  eraseLapses(aRecord, [&](const LapsedRun& aLapse) {
     return hasEndedByItself || aEnd.ranMs() >= std::max(kHarmlessRunMs, 2 * aLapse.ranMs());
   });
 }
@@ -272,14 +286,18 @@
   if (aRecord.done) {
     return;
   }
-  aRecord.lapses.push_back(valueOf(LapsedRun::create({ .run = aEnd.run(),
-                                                       .worker = aRecord.worker,
-                                                       .bornMs = aRecord.bornMs,
-                                                       .place = aRecord.place,
-                                                       .ranMs = aEnd.ranMs(),
-                                                       .begun = aEnd.begun() })));
-  if (aRecord.lapses.size() > kMaxOpenLapses) {
-    aRecord.lapses.erase(aRecord.lapses.begin());
+  if (!aRecord.lapses) {
+    aRecord.lapses.emplace();
+  }
+  aRecord.lapses->push_back(
+    valueOf(LapsedRun::create({ .run = aEnd.run(),
+                                .worker = aRecord.worker,
+                                .bornMs = aRecord.bornMs,
+                                .place = aRecord.place,
+                                .ranMs = aEnd.ranMs(),
+                                .begun = aEnd.unexplained() == UnexplainedLapse::eBegun })));
+  if (aRecord.lapses->size() > kMaxOpenLapses) {
+    aRecord.lapses->erase(aRecord.lapses->begin());
   }
 }
 
@@ -291,11 +309,12 @@
     return false;
   }
   JobTaskRecord::Fields& record = mTasks[*found];
-  const auto lapse =
-    std::find_if(record.lapses.begin(), record.lapses.end(), [&aFinding](const LapsedRun& aLapse) {
-      return aLapse.run() == aFinding.run();
-    });
-  if (lapse == record.lapses.end()) {
+  const std::vector<LapsedRun>& lapses = CrashAttribution::openLapses(record);
+  const auto isExplained = [&aFinding](const LapsedRun& aLapse) {
+    return aLapse.run() == aFinding.run();
+  };
+  const auto lapse = std::find_if(lapses.begin(), lapses.end(), isExplained);
+  if (lapse == lapses.end()) {
     return false;
   }
   // Without evidence a lapse counts only if its task may not start again unless it was no crash.
@@ -303,7 +322,7 @@
     aFinding.cause() == LapseCause::eCrashed ||
     (aFinding.cause() == LapseCause::eUnknown && CrashAttribution::awaitsEvidence(record));
   const std::string place = lapse->place();
-  record.lapses.erase(lapse);
+  eraseLapses(record, isExplained);
   if (!isFinished() && isCounted) {
     countCrash(record,
                { .place = place,
@@ -348,7 +367,7 @@
       mOpenTasks[stepPosition(aTask.occurrence, aTask.step)]--;
       mOpenTaskCount--;
       mCrashSuspects -= aTaskRecord.crashes > 0 ? 1 : 0;
-      aTaskRecord.lapses.clear();
+      aTaskRecord.lapses.reset();
     }
   };
   markDone(aRecord);
--- a/src/jobs/JobRegistry_test.cpp
+++ b/src/jobs/JobRegistry_test.cpp
@@ -24,13 +24,12 @@
 EndRuns
 unexplainedEndOf(const std::string& aTask, std::int64_t aRun)
 {
-  return valueOf(
-    EndRuns::create({ .ends = { valueOf(RunEnding::create({ .task = aTask,
-                                                            .run = aRun,
-                                                            .how = RunEnd::eLapsed,
-                                                            .ranMs = 300,
-                                                            .begun = true,
-                                                            .unexplained = true })) } }));
+  return valueOf(EndRuns::create(
+    { .ends = { valueOf(RunEnding::create({ .task = aTask,
+                                            .run = aRun,
+                                            .how = RunEnd::eLapsed,
+                                            .ranMs = 300,
+                                            .unexplained = UnexplainedLapse::eBegun })) } }));
 }
 
 ExplainLapses
@@ -153,8 +152,8 @@
   StateSnapshot::Fields snapshot{ .appliedIndex = 1, .catalogueVersion = 0, .nextSession = 1 };
   mRegistry.writeTo(snapshot);
   mRegistry = JobRegistry::fromSnapshot(valueOf(StateSnapshot::create(std::move(snapshot))));
-  BOOST_REQUIRE(job().find(task)->lapses.size() == 1u);
-  BOOST_TEST(job().find(task)->lapses.front().worker() == "w1");
+  BOOST_REQUIRE(CrashAttribution::openLapses(*job().find(task)).size() == 1u);
+  BOOST_TEST(job().find(task)->lapses->front().worker() == "w1");
   BOOST_TEST(appliedCount(mRegistry.apply(findingOf("j.0.0.0", 2, LapseCause::eCrashed))) == 0u);
   BOOST_TEST(appliedCount(mRegistry.apply(findingOf("j.0.0.0", 1, LapseCause::eCrashed))) == 1u);
   BOOST_TEST(job().find(task)->crashes == 1);
@@ -173,7 +172,7 @@
   }
   BOOST_TEST((job().state() == JobState::eRunning));
   BOOST_TEST(!job().hasCrashSuspects());
-  BOOST_TEST(job().find({ "j", 0, 0, 0 })->lapses.empty());
+  BOOST_TEST(!job().find({ "j", 0, 0, 0 })->lapses.has_value());
 }
 
 // Guards against blaming a task for a lapse that a later run of it has refuted.
--- a/src/jobs/StandingWaitMeter.cpp
+++ b/src/jobs/StandingWaitMeter.cpp
@@ -51,7 +51,7 @@
   if (aRecord.active) {
     return StandingWaitCause::eUnlisted;
   }
-  if (CrashAttribution::needsTrial(aRecord)) {
+  if (CrashAttribution::needsTrial(aRecord) || CrashAttribution::awaitsEvidence(aRecord)) {
     return StandingWaitCause::eSuspected;
   }
   if (aRoom.open > 0) {
--- a/src/jobs/StandingWaitMeter.h
+++ b/src/jobs/StandingWaitMeter.h
@@ -41,7 +41,7 @@
 enum class StandingWaitCause
 {
   eUnlisted,  /**< The leader counts a run that its worker does not have. */
-  eSuspected, /**< The task may have crashed a worker and waits for a trial. */
+  eSuspected, /**< The task may have crashed a worker and waits for a trial or for evidence. */
   ePlanFull,  /**< A worker had room, and the round had reached its bound of assignments. */
   eOutranked, /**< A worker had room, and the round gave it to others. */
   eReserved,  /**< Only workers that are reserved for trials have room. */
