--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,59 +1,54 @@
-"""One status report of another writer, with fields missing, reaches each machine of an executor before the executor's next one."""
+"""A machine that took a job from its client freezes. The client gives the job up and cancels it elsewhere."""
 import asyncio
 import os
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin-3"))
 import standin  # noqa: E402
 
+FREEZE_S = 3.4
 JOB = "5c0e7a21d94b36f8"
 PATH = "/queue/" + JOB
-CONFIRM = {"Spec": "confirm the pickup", "Steps": [{"Count": 2, "Cpu": 1000, "MemMb": 512, "EstimateMs": 500}]}
-
-
-async def report_of_another_writer(record, deployment, number):
-    """Sends one report without Capacity, Labels and Slots, as soon as the machine's process listens."""
-    body = {"Service": "desk", "Address": f"{deployment.ip(4, number + 1)}:8080", "Zone": "z1", "Version": "v1",
-            "State": "ready", "ColdRemainingMs": 0, "ClockMs": 5, "Seq": 1,
-            "born": int(standin.time.time() * 1000)}
-    for _ in range(200):
-        answer = await standin.call(deployment.side[number], "PUT", f"/-/instances/i-{number}0000000", body)
-        if answer is not None:
-            record.write("report of another writer, without Capacity, Labels and Slots, at", deployment.side[number], "->", answer[0])
-            return
-        await asyncio.sleep(0.02)
+# Two tasks that last.
+WATCH = {"Spec": "watch the lockers",
+         "Steps": [{"Count": 2, "Cpu": 1000, "MemMb": 512, "EstimateMs": 500, "LongRunning": True}]}
 
 
 async def case(record, folder):
     jobs = {}
-    deployment = standin.Deployment(record, folder, 2)
+    deployment = standin.Deployment(record, folder, 3)
     executors = [standin.Executor(record, jobs, f"i-{number}f3a91c2", deployment.app[number], deployment.side[number],
                                   deployment.ZONES[number], "desk", {"Cpu": 8000, "MemMb": 16000, "Gpu": 0})
-                 for number in range(2)]
+                 for number in range(3)]
     client = standin.Client(record, jobs)
     try:
-        deployment.start(deployment.controls + deployment.gateways)
-        await deployment.put_manifest(standin.manifest(7, [standin.route("r-1", "/queue/", "desk")], ["desk"]))
+        deployment.start(deployment.controls + deployment.gateways + deployment.relays)
+        await asyncio.sleep(1)
         for executor in executors:
             await executor.start()
-        # The executors report each 1.5 s; the processes beside them start between two reports.
-        await asyncio.sleep(0.4)
-        writers = []
+        await deployment.put_manifest(standin.manifest(7, [standin.route("r-1", "/queue/", "desk")], ["desk"]))
+        await asyncio.sleep(4)
+        thaw = None
         if standin.has_trouble():
-            writers = [asyncio.create_task(report_of_another_writer(record, deployment, number)) for number in range(2)]
-        deployment.start(deployment.relays)
-        await asyncio.gather(*writers)
-        await asyncio.sleep(5)
-        accepted = await client.submit(deployment.front[0], PATH, CONFIRM)
-        if accepted is None or accepted[0] != 200:
-            raise RuntimeError("the job was not accepted")
-        # finish_s after the last request, and 3 s and more with nothing running on idle executors.
-        await asyncio.sleep(standin.FINISH_MS / 1000 + 10)
-        answer = await client.ask(deployment.front[1], "GET", PATH)
-        started = [start for executor in executors for start in executor.started]
-        record.write("starts", started, "; in use", [executor.cpu_in_use() for executor in executors])
-        return answer is not None and answer[0] == 200 and answer[2].get("State") == "completed"
+            deployment.signal("gateway-1", signal.SIGSTOP)
+            thaw = asyncio.get_running_loop().call_later(FREEZE_S, deployment.signal, "gateway-1", signal.SIGCONT)
+        accepted = await client.submit(deployment.front[0], PATH, WATCH)
+        cancelled = await client.ask(deployment.front[1], "DELETE", PATH)
+        cancelled_ms = record.now_ms()
+        if cancelled is None or cancelled[0] not in (200, 410):
+            raise RuntimeError("the cancelling was not acknowledged")
+        if standin.has_trouble() == (accepted is not None) or (thaw is not None and thaw.when() < asyncio.get_running_loop().time()):
+            raise RuntimeError("the times did not fit")
+        record.write("the cancelling is acknowledged; no task may start later than cancel_ms, and none may run StopMs after")
+        # The machine is back, and nothing is disturbed, for 20 s.
+        await asyncio.sleep(20)
+        await client.ask(deployment.front[1], "GET", PATH)
+        late = [task for executor in executors for task in executor.runs]
+        starts = [(at_ms, task) for executor in executors for at_ms, task in executor.started]
+        record.write("starts", starts, "; at work", record.now_ms() - cancelled_ms, "ms after the acknowledgement:", late)
+        return not late
     finally:
         for executor in executors:
             executor.stop()
