--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -174,7 +174,7 @@
             while True:
                 line, headers, body = await read_message(reader)
                 status, answer = await self.handle(line.split()[1], headers, json.loads(body))
-                answer.update({"ClockMs": self.clock_ms(), "born": self.born})
+                answer = {"ClockMs": self.clock_ms(), "born": self.born, **answer}
                 content = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {len(content)}"
                              "\r\n\r\n".encode() + content)
