--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -93,7 +93,7 @@
 class Executor:
     """A sound executor that takes its orders by calls ("rpc"). It guards nothing and runs what it is told to run."""
 
-    def __init__(self, record, jobs, executor_id, address, control, zone, service, capacity):
+    def __init__(self, record, jobs, executor_id, address, control, zone, service, capacity, kind="a", clock_jump_ms=0):
         self.record = record
         self.jobs = jobs
         self.id = executor_id
@@ -102,7 +102,10 @@
         self.zone = zone
         self.service = service
         self.capacity = capacity
+        self.kind = kind
+        self.clock_jump_ms = clock_jump_ms
         self.server = None
+        self.channels = set()
         self.runs = {}
         self.started = []
         self.ended = []
@@ -119,7 +122,7 @@
 
     async def start(self):
         self.began = time.monotonic()
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) + self.clock_jump_ms
         host, port = self.address.rsplit(":", 1)
         self.server = await asyncio.start_server(self.serve, host, int(port))
         self.work = [asyncio.create_task(self.report()), asyncio.create_task(self.advance())]
@@ -131,6 +134,13 @@
         if self.server is not None:
             self.server.close()
 
+    def crash(self):
+        """Ends at once: all channels break, and all runs are gone."""
+        self.stop()
+        for writer in list(self.channels):
+            writer.transport.abort()
+        self.runs.clear()
+
     async def report(self):
         """The status reports; the next one comes after HEARTBEAT_MS, acknowledged or not."""
         while True:
@@ -138,7 +148,7 @@
             answer = await call(self.control, "PUT", "/-/instances/" + self.id,
                                 {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1",
                                  "Slots": 8, "State": "ready", "ColdRemainingMs": 0, "Capacity": self.capacity,
-                                 "Labels": ["a", "r1"], "ClockMs": self.clock_ms(), "Seq": self.sequence,
+                                 "Labels": [self.kind, "r1"], "ClockMs": self.clock_ms(), "Seq": self.sequence,
                                  "born": self.born})
             if answer is not None:
                 self.record.write("report of", self.id, "->", answer[0])
@@ -170,6 +180,7 @@
         self.has_end = asyncio.Event()
 
     async def serve(self, reader, writer):
+        self.channels.add(writer)
         try:
             while True:
                 line, headers, body = await read_message(reader)
@@ -181,6 +192,8 @@
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.close()
+        finally:
+            self.channels.discard(writer)
 
     async def handle(self, path, headers, body):
         if headers.get("expect-instance", self.id) != self.id:
