--- a/review/standin-3/cancelled.cpp
+++ b/review/standin-3/cancelled.cpp
@@ -12,31 +12,37 @@
 run(Deployment& aDeployment, bool aHasTrouble)
 {
   PlainSite& site = *new PlainSite(aDeployment);
-  for (int number = 0; number < 3; number++) {
+  for (int number = 0; number < 6; number++) {
     // Tasks that last.
     site.add({ .workMs = 1000000 });
   }
   if (!site.start(manifest(7))) {
     return 2;
   }
+  // A machine without a disk, which runs nothing but a gateway: the freeze of this process is that of the machine.
+  const Deployment::Machine entry = aDeployment.machine("edge-4");
+  aDeployment.startGateway(entry);
   for (const auto& executor : site.executors) {
     executor->boot();
   }
   sleepMs(4000);
+  if (httpCall(aDeployment.ready(entry), "GET", "/-/readyz", entry.ip, "", 500).status != 200) {
+    return 2;
+  }
   std::int64_t thawAt = 0;
   if (aHasTrouble) {
-    aDeployment.signal(site.core[0], "gateway", SIGSTOP);
+    aDeployment.signal(entry, "gateway", SIGSTOP);
     thawAt = steadyMs() + kFreezeMs;
   }
   // The client's time budget is 3,000 ms.
-  const Reply accepted = httpCall(site.fronts[0],
+  const Reply accepted = httpCall(aDeployment.front(entry),
                                   "POST",
                                   std::string("/jobs/") + kJob,
                                   "desk.example",
                                   jobOf("watch the lockers", 2, 1000, 500, true).dump(),
                                   3000,
                                   "Deadline-Ms: 3000\r\n");
-  RECORD("client: POST %s at the first gateway answered %d (0: no response)", kJob, accepted.status);
+  RECORD("client: POST %s at edge-4 answered %d (0: no response)", kJob, accepted.status);
   const Reply cancelled = site.client->send("DELETE", kJob, "", 1);
   const std::int64_t acknowledgedAt = steadyMs();
   if ((cancelled.status != 200 && cancelled.status != 410) || (accepted.status == 0) != aHasTrouble ||
@@ -46,7 +52,7 @@
   RECORD("the cancelling is acknowledged");
   if (aHasTrouble) {
     sleepMs(thawAt - steadyMs());
-    aDeployment.signal(site.core[0], "gateway", SIGCONT);
+    aDeployment.signal(entry, "gateway", SIGCONT);
   }
   // Nothing is disturbed for 19 s, much longer than cancel_ms, StopMs and ContactMs together.
   sleepMs(acknowledgedAt + 20000 - steadyMs());
--- a/review/standin-3/earlier_life.cpp
+++ b/review/standin-3/earlier_life.cpp
@@ -13,14 +13,14 @@
 run(Deployment& aDeployment, bool aHasTrouble)
 {
   PlainSite& site = *new PlainSite(aDeployment);
-  for (int number = 0; number < 3; number++) {
+  for (int number = 0; number < 7; number++) {
     site.add({ .kind = "a" });
   }
   PlainExecutor& only = site.add({ .kind = "b" });
   if (!site.start(manifest(7))) {
     return 2;
   }
-  for (int number = 0; number < 3; number++) {
+  for (int number = 0; number < 7; number++) {
     site.executors[static_cast<std::size_t>(number)]->boot();
   }
   sleepMs(3000);
