A list with the clock reading of a closing answer does not show that its run never began

Hypotheses: the leader takes a list with the same clock reading as the accepted stop for newer; a list that is older by its clock counts because it arrives later; the lease of the first worker counts as lapsed. The log line added here, "closed run is missing from the lists", tells them apart. It is the first one.

Cause: RunTracker::applyLists compared with >=. Two equal readings do not show which came first. Lists must now be newer than the answer, an accepted stop or a start rejected as closed alike. A run that the worker has is in the newer lists, at work or ended.

Tests, failing before (run 2 instead of 1 for both kinds of answer, and the room given to the next run): job_service/lists_with_the_clock_of_a_closing_answer_end_no_run (TWICE) and lists_with_the_clock_of_an_accepted_stop_free_no_room (LIMIT).

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -436,6 +436,77 @@
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 2);
 }
 
+// Guards against TWICE: a start took effect late, in the millisecond in which the run was closed,
+// and lists with the same clock reading, made before, were taken for evidence that it never began.
+BOOST_FIXTURE_TEST_CASE(lists_with_the_clock_of_a_closing_answer_end_no_run, JobServiceFixture)
+{
+  struct ClosingAnswer
+  {
+    OrderKind kind;
+    OrderResult result;
+  };
+  for (const ClosingAnswer& closing :
+       { ClosingAnswer{ OrderKind::eStop, OrderResult::eAccepted },
+         ClosingAnswer{ OrderKind::eStart, OrderResult::eClosed } }) {
+    BOOST_TEST_CONTEXT(toText(closing.kind))
+    {
+      const std::string job = std::string("j-") + toText(closing.kind);
+      const std::string task = job + ".0.0.0";
+      registerWorker(kRelay, worker("w1", mNow.ms()));
+      const WorkerDescription current = worker("w1", mNow.ms());
+      submit("s-" + job, jobOf(job, { stepOf(1, 1000, 10) }));
+      constexpr std::int64_t kClosedAtMs = kWorkerClockMs + 50;
+      const OrderAnswer answer = buildValue<OrderAnswer>({ .kind = closing.kind,
+                                                           .task = task,
+                                                           .run = 1,
+                                                           .result = closing.result,
+                                                           .clockMs = kClosedAtMs });
+      report(kRelay, current, { .answers = { answer } });
+      report(kRelay, current, { .listFence = mFence, .clockMs = kClosedAtMs });
+      BOOST_TEST(jobs().find(job)->find({ job, 0, 0, 0 })->run == 1);
+      report(kRelay,
+             current,
+             { .listFence = mFence,
+               .clockMs = kClosedAtMs + 1,
+               .ended = { ended(1, task, 1, RunEnd::eDone) } });
+      BOOST_TEST((stateOf(job) == JobState::eCompleted));
+      waitWithHeartbeats(100);
+    }
+  }
+}
+
+// Guards against LIMIT: the room of a run that was being stopped was taken for free on the evidence
+// of lists with the clock reading of the accepted stop, made before the run began late.
+BOOST_FIXTURE_TEST_CASE(lists_with_the_clock_of_an_accepted_stop_free_no_room, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  deliver(kCaller,
+          buildValue<JobSubmit>({ .requestId = "s1",
+                                  .queue = buildValue<QueueSelector>({ .name = "tally" }),
+                                  .job = jobOf("low", { stepOf(1, 3000, 10) }) }));
+  mSent.clear();
+  submit("s2", jobOf("high", { stepOf(1, 3000, 10) }));
+  const OrderAnswer stopped = buildValue<OrderAnswer>({ .kind = OrderKind::eStop,
+                                                        .task = "low.0.0.0",
+                                                        .run = 1,
+                                                        .result = OrderResult::eAccepted,
+                                                        .clockMs = kWorkerClockMs + 50 });
+  report(kRelay, worker("w1"), { .answers = { stopped } });
+  report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 50 });
+  report(kRelay,
+         worker("w1"),
+         { .listFence = mFence,
+           .clockMs = kWorkerClockMs + 51,
+           .running = { running("low.0.0.0", 1) } });
+  BOOST_TEST(jobs().find("high")->find({ "high", 0, 0, 0 })->run == 0, "the room is still in use");
+  report(kRelay,
+         worker("w1"),
+         { .listFence = mFence,
+           .clockMs = kWorkerClockMs + 900,
+           .ended = { ended(1, "low.0.0.0", 1, RunEnd::eStopped) } });
+  BOOST_TEST(jobs().find("high")->find({ "high", 0, 0, 0 })->run == 1);
+}
+
 // Guards against a second run of a task that is done: a worker lists only its oldest ends at a
 // time, so a confirmed run that is in neither list may be among the others.
 BOOST_FIXTURE_TEST_CASE(a_run_missing_from_truncated_lists_is_neither_stopped_nor_ended,
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -117,8 +117,16 @@
     if (listed.contains(name) || run.endProposed) {
       continue;
     }
-    if (run.closedAtClockMs && aReport.clockMs() >= *run.closedAtClockMs) {
+    // Lists with the same clock reading may have been read before the run was closed.
+    if (run.closedAtClockMs && aReport.clockMs() > *run.closedAtClockMs) {
       run.endProposed = true;
+      logInfo("closed run is missing from the lists",
+              { { "task", name },
+                { "run", run.run },
+                { "worker", aKey.worker },
+                { "closedBy", toText(run.closedBy) },
+                { "closedClock", *run.closedAtClockMs },
+                { "listClock", aReport.clockMs() } });
       neverRan.push_back(buildValue<RunEnding>({ .task = name,
                                                  .run = run.run,
                                                  .how = RunEnd::eNeverRan,
@@ -142,6 +150,7 @@
     }
     if (answer.kind() == OrderKind::eStop && answer.result() == OrderResult::eAccepted) {
       run->closedAtClockMs = answer.clockMs();
+      run->closedBy = answer.kind();
       continue;
     }
     if (answer.kind() != OrderKind::eStart) {
@@ -153,6 +162,7 @@
         break;
       case OrderResult::eClosed:
         run->closedAtClockMs = answer.clockMs();
+        run->closedBy = answer.kind();
         break;
       case OrderResult::eLate:
       case OrderResult::eFenced:
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -45,6 +45,8 @@
   /** Worker's clock at its answer that it will not start the run any more, or that it accepts a
    * stop order. */
   std::optional<std::int64_t> closedAtClockMs;
+  /** The order with that answer. */
+  OrderKind closedBy = OrderKind::eStop;
   /** Time of the first list without the run after its confirmation. */
   std::optional<MonotonicTime> missingSince;
   /** Last reported checkpoint, progress and measurement. */
