Relay: a closing answer is not reported before the lists that were requested before it

Callers would see a task at work on two workers: the users' page states that each response has ClockMs, but not that the lists of a waiting request were read at that reading. A worker that reads its lists when the request comes and its clock when it answers would give lists without a run that began late and was closed meanwhile, and a later reading than the answer that closed it. Newer by the clock alone is then no evidence.

The relay now holds an accepted stop, and a start rejected as closed, until the list requests that were in progress at that time have ended. Whatever it reports after the answer was requested after it, so the order does not rest on a clock. The next list request is then answered at once, so the end of a run that never began comes after as many lists as before.

--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -10,6 +10,14 @@
 
 namespace {
 
+/** Whether the worker will never start the run after this answer. */
+bool
+closesRun(OrderKind aKind, OrderResult aResult)
+{
+  return aKind == OrderKind::eStop ? aResult == OrderResult::eAccepted
+                                   : aResult == OrderResult::eClosed;
+}
+
 std::string
 runName(const std::string& aTask, std::int64_t aRun)
 {
@@ -127,7 +135,7 @@
   mLeaseUntilMs = 0;
   mAckedEnds = 0;
   mLastReceivedEnd = 0;
-  mListRequestsInProgress = 0;
+  mListRequestsInProgress.clear();
   mOrderQueue.clear();
   mOrdersInProgress = 0;
   mStartsInProgress.clear();
@@ -138,6 +146,8 @@
   mIsReleased = false;
   mListsRequestedAt = mContext.now();
   mAnswers.clear();
+  mClosingAnswers.clear();
+  mNeedsListsAtOnce = false;
 }
 
 CrashSuspects
@@ -262,9 +272,7 @@
     }
   }
   queueOrders(aOrders);
-  if (mListRequestsInProgress == 0 && shouldRequestRunLists(mContext.now())) {
-    requestRunLists(kMaxListWaitMs);
-  }
+  requestDueRunLists();
 }
 
 void
@@ -403,24 +411,62 @@
   if (aKind == OrderKind::ePace) {
     return;
   }
+  OrderAnswer answer = valueOf(OrderAnswer::create(
+    { .kind = aKind, .task = aTask, .run = aRun, .result = aResult, .clockMs = aClockMs }));
+  if (closesRun(aKind, aResult) && !mListRequestsInProgress.empty()) {
+    mClosingAnswers.push_back({ std::move(answer), mListRequestCount });
+    return;
+  }
+  addAnswer(std::move(answer));
+}
+
+void
+WorkerRelay::addAnswer(OrderAnswer aAnswer)
+{
   if (mAnswers.empty()) {
     mAnswersSince = mContext.now();
   }
-  mAnswers.push_back(valueOf(OrderAnswer::create(
-    { .kind = aKind, .task = aTask, .run = aRun, .result = aResult, .clockMs = aClockMs })));
+  mAnswers.push_back(std::move(aAnswer));
+}
+
+void
+WorkerRelay::releaseClosingAnswers()
+{
+  const auto isReleased = [this](const ClosingAnswer& aClosing) {
+    return mListRequestsInProgress.empty() ||
+           *mListRequestsInProgress.begin() > aClosing.lastListRequest;
+  };
+  while (!mClosingAnswers.empty() && isReleased(mClosingAnswers.front())) {
+    addAnswer(std::move(mClosingAnswers.front().answer));
+    mClosingAnswers.pop_front();
+    mNeedsListsAtOnce = true;
+  }
+}
+
+void
+WorkerRelay::requestDueRunLists()
+{
+  if (mListRequestsInProgress.empty() && shouldRequestRunLists(mContext.now())) {
+    requestRunLists(mNeedsListsAtOnce ? 0 : kMaxListWaitMs);
+  }
 }
 
 void
 WorkerRelay::requestRunLists(std::int64_t aWaitMs)
 {
+  mNeedsListsAtOnce = false;
   mHasOrdersSinceListRequest = false;
-  mListRequestsInProgress++;
+  mListRequestCount++;
+  mListRequestsInProgress.insert(mListRequestCount);
   mClient->listRuns(
     { .fence = mFence, .ackedEnds = mAckedEnds, .leaseUntilMs = mLeaseUntilMs, .waitMs = aWaitMs },
-    [this, fence = mFence, requestedAt = mContext.now()](const Result<RunLists>& aResult) {
-      mListRequestsInProgress--;
+    [this, number = mListRequestCount, fence = mFence, requestedAt = mContext.now()](
+      const Result<RunLists>& aResult) {
+      mListRequestsInProgress.erase(number);
       mLastListAt = mContext.now();
       onRunLists(fence, requestedAt, aResult);
+      // The lists are reported first, without the answers for which they are no evidence.
+      releaseClosingAnswers();
     });
 }
 
@@ -547,9 +593,7 @@
   const MonotonicTime now = mContext.now();
   handlePostponedRegistration();
   repeatDeparture();
-  if (mListRequestsInProgress == 0 && shouldRequestRunLists(now)) {
-    requestRunLists(kMaxListWaitMs);
-  }
+  requestDueRunLists();
   if (!mAnswers.empty() && now.msSince(mAnswersSince) >= kAnswerBatchMs) {
     mAnswersSince = now;
     sendReport(nullptr, 0);
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -5,6 +5,7 @@
 #include "relay/StartedRuns.h"
 #include "relay/WorkerClient.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,7 +48,9 @@
   /** The run lists are requested again this long (ms) after the last answer when the leader has not
    * acknowledged the report. */
   static constexpr std::int64_t kListRefreshMs = 300;
-  /** Answers to orders are batched for this long (ms) before they are reported. */
+  /** Answers to orders are batched for this long (ms) before they are reported. An answer that
+   * closes a run waits in addition until the list requests of before it have ended: a list that was
+   * read before the run was closed must not follow the answer. */
   static constexpr std::int64_t kAnswerBatchMs = 30;
   /** Answers in one report; the others follow with the next ones. Bounds the size of a report after
    * a long time without a session. */
@@ -171,7 +174,13 @@
                     std::int64_t aRun,
                     OrderResult aResult,
                     std::int64_t aClockMs);
+  /** Adds the closing answers to mAnswers that no list request of before them is in progress for.
+   */
+  void releaseClosingAnswers();
+  void addAnswer(OrderAnswer aAnswer);
   void requestRunLists(std::int64_t aWaitMs);
+  /** Requests run lists when they are due and no request is in progress. */
+  void requestDueRunLists();
   void onRunLists(std::int64_t aFence, MonotonicTime aRequestedAt, const Result<RunLists>& aResult);
   void sendReport(const RunLists* aLists, std::int64_t aFence);
   bool shouldRequestRunLists(MonotonicTime aNow) const;
@@ -197,7 +206,9 @@
   std::int64_t mAckedEnds = 0;
   /** Highest number of an ended run received in run lists. */
   std::int64_t mLastReceivedEnd = 0;
-  int mListRequestsInProgress = 0;
+  /** Numbers of the list requests in progress, in the order in which they were sent. */
+  std::set<std::int64_t> mListRequestsInProgress;
+  std::int64_t mListRequestCount = 0;
   /** Whether the leader has sent orders since the last list request. */
   bool mHasOrdersSinceListRequest = false;
   /** Worker's clock at the last lists, and when they arrived. */
@@ -236,6 +247,17 @@
   std::int64_t mCrashCount = 0;
   /** Answers to orders that were not reported yet. */
   std::vector<OrderAnswer> mAnswers;
+  struct ClosingAnswer
+  {
+    OrderAnswer answer;
+    /** Number of the latest list request that was sent before the answer arrived. */
+    std::int64_t lastListRequest = 0;
+  };
+  /** Answers that close a run and wait for the end of earlier list requests, oldest first. */
+  std::deque<ClosingAnswer> mClosingAnswers;
+  /** The next list request is answered at once, so that the leader does not wait for the lists that
+   * show which of the closed runs have begun. */
+  bool mNeedsListsAtOnce = false;
   /** Number of orders by kind and result since the start of the process. */
   std::map<std::pair<OrderKind, OrderResult>, std::int64_t> mOrderCounts;
   /** Start of the current batching interval of mAnswers. */
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -94,16 +94,27 @@
   {
   }
 
-  void answerListRequest(std::int64_t aBornMs = 5)
+  /** Answers the latest list request in progress. */
+  void answerListRequest(std::int64_t aBornMs = 5, std::int64_t aClockMs = 1000)
   {
     const auto callback = std::move(mRecord.listCallbacks.back());
     mRecord.listCallbacks.pop_back();
     RunLists lists;
     lists.bornMs = aBornMs;
-    lists.clockMs = 1000;
+    lists.clockMs = aClockMs;
     callback(lists);
   }
 
+  /** The number of answers to orders that were reported. */
+  std::size_t reportedAnswers() const
+  {
+    std::size_t count = 0;
+    for (const WorkerReport& report : mReports) {
+      count += report.answers().size();
+    }
+    return count;
+  }
+
   void failListRequest(ErrorCode aCode)
   {
     const auto callback = std::move(mRecord.listCallbacks.back());
@@ -238,6 +249,46 @@
   BOOST_TEST(mRecord.orders.size() == sent);
 }
 
+// Guards against TWICE: a waiting list request was answered with the lists as they were before a
+// run began late and was closed, and with a later clock reading than the answer that closed it.
+BOOST_FIXTURE_TEST_CASE(closing_answer_is_reported_after_the_lists_requested_before_it,
+                        RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7));
+  answerListRequest();
+  WorkerOrders::Fields orders = workerOrders(7, 5, "rejected.0.0.0").fields();
+  orders.stops = { valueOf(StopOrder::create({ .task = "stopped.0.0.0", .run = 1 })) };
+  mRelay.onOrders(valueOf(WorkerOrders::create(std::move(orders))));
+  BOOST_REQUIRE(mRecord.listRequests.size() == 2u);
+  BOOST_REQUIRE(mRecord.orderCallbacks.size() == 2u);
+  mRecord.orderCallbacks.at(0)(OrderResult::eAccepted, 1100);
+  mRecord.orderCallbacks.at(1)(OrderResult::eClosed, 1100);
+  mNow = mNow.plusMs(WorkerRelay::kAnswerBatchMs);
+  mRelay.tick();
+  BOOST_TEST(reportedAnswers() == 0u, "the lists of the request in progress may be older");
+  answerListRequest(5, 1200);
+  BOOST_TEST(mReports.back().clockMs() == 1200);
+  BOOST_TEST(reportedAnswers() == 0u);
+  mRelay.onOrders(workerOrders(7));
+  BOOST_TEST(mRecord.listRequests.back().waitMs == 0, "the leader waits for these lists");
+  answerListRequest(5, 1300);
+  BOOST_TEST(mReports.back().clockMs() == 1300);
+  BOOST_TEST(mReports.back().answers().size() == 2u);
+}
+
+// Guards against answers that no leader gets to know because a list request fails.
+BOOST_FIXTURE_TEST_CASE(closing_answer_is_reported_after_a_failed_list_request, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7, 5, "c.0.0.0"));
+  mRecord.orderCallbacks.back()(OrderResult::eClosed, 1100);
+  failListRequest(ErrorCode::eTimeout);
+  mNow = mNow.plusMs(WorkerRelay::kAnswerBatchMs);
+  mRelay.tick();
+  BOOST_TEST(reportedAnswers() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(deregistration_of_draining_worker_is_reported, RelayFixture)
 {
   mRelay.onRegistration(workerDescription("w", 5, true), "127.0.0.1:1", 1);
