Of two lists with the same clock reading neither shows what the other lacks

Callers would see a worker with more work than it holds (LIMIT). The leader took the list that arrived last for the newer one, also with the same clock reading. A list from an earlier process of the relay, read in the same millisecond and lacking an unassigned run that the other one names, opened the worker for new runs.

What such a list names still counts. What it lacks counts only if it is newer than all others: applyLists is divided into applyListedRuns and applyAbsentRuns.

Test: job_service/lists_of_the_same_clock_reading_do_not_hide_an_unassigned_run, failing before (run 1 assigned).

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -407,6 +407,9 @@
                        const IncarnationKey& aKey,
                        const WorkerReport& aReport)
 {
+  // Of two lists with the same clock reading either may be the newer one, so what these lack is no
+  // evidence.
+  const bool isNewer = !aIncarnation.isSynced || aReport.clockMs() > aIncarnation.listClockMs;
   aIncarnation.listClockMs = aReport.clockMs();
   if (!std::exchange(aIncarnation.isSynced, true)) {
     logInfo("worker synced its run lists",
@@ -416,8 +419,7 @@
               { "ended", aReport.ended().size() } });
     mScheduleDue = true;
   }
-  std::vector<ListedRun> unassigned;
-  std::vector<RunEnding> neverRan = mRuns.applyLists(aKey, aReport, mContext.mNow(), unassigned);
+  const std::vector<ListedRun> unassigned = mRuns.applyListedRuns(aKey, aReport);
   learnProgress(aKey);
   recordStandingRuns(aKey);
   for (const ListedRun& running : aReport.running()) {
@@ -425,9 +427,12 @@
       mStartedJobs.insert(task->jobId);
     }
   }
-  mScheduleDue = mScheduleDue || (aIncarnation.hasUnassignedRuns && unassigned.empty());
-  aIncarnation.hasUnassignedRuns = !unassigned.empty();
-  proposeEnds(std::move(neverRan));
+  if (isNewer) {
+    mScheduleDue = mScheduleDue || (aIncarnation.hasUnassignedRuns && unassigned.empty());
+    aIncarnation.hasUnassignedRuns = !unassigned.empty();
+    proposeEnds(mRuns.applyAbsentRuns(aKey, aReport, mContext.mNow()));
+  }
+  aIncarnation.hasUnassignedRuns = aIncarnation.hasUnassignedRuns || !unassigned.empty();
   adjustPaces(aIncarnation, aKey);
   if (unassigned.empty()) {
     return;
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -710,6 +710,24 @@
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
 }
 
+// Guards against LIMIT: of two lists with the same clock reading the one that arrives last, from an
+// earlier process of the relay, was read first and lacks the unassigned run.
+BOOST_FIXTURE_TEST_CASE(lists_of_the_same_clock_reading_do_not_hide_an_unassigned_run,
+                        JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  report(kRelay,
+         worker("w1"),
+         { .listFence = mFence,
+           .clockMs = kWorkerClockMs + 10,
+           .running = { running("gone.0.0.0", 1) } });
+  report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 10 });
+  commitJob(jobOf("j", { stepOf(1, 4000, 10) }));
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 0);
+  report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 11 });
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
+}
+
 // Guards against LIMIT: the start of a run that was assigned before is repeated beside an
 // unassigned one.
 BOOST_FIXTURE_TEST_CASE(a_worker_with_an_unassigned_run_gets_no_start_order, JobServiceFixture)
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -75,20 +75,16 @@
   return position == mTasksByIncarnation.end() ? sNoTasks : position->second;
 }
 
-std::vector<RunEnding>
-RunTracker::applyLists(const IncarnationKey& aKey,
-                       const WorkerReport& aReport,
-                       MonotonicTime aNow,
-                       std::vector<ListedRun>& aUnassigned)
+std::vector<ListedRun>
+RunTracker::applyListedRuns(const IncarnationKey& aKey, const WorkerReport& aReport)
 {
-  std::set<std::string> listed;
+  std::vector<ListedRun> unassigned;
   for (const ListedRun& running : aReport.running()) {
     TrackedRun* run = find(running.task(), running.run());
     if (run == nullptr || run->incarnation != aKey) {
-      aUnassigned.push_back(running);
+      unassigned.push_back(running);
       continue;
     }
-    listed.insert(running.task());
     run->isConfirmed = true;
     run->missingSince.reset();
     run->firstListedClockMs = run->firstListedClockMs.value_or(aReport.clockMs());
@@ -101,20 +97,29 @@
       run->checkpointPercent = running.percent();
     }
   }
-  for (const ListedEnd& ended : aReport.ended()) {
-    const TrackedRun* run = find(ended.task(), ended.run());
-    if (run != nullptr && run->incarnation == aKey) {
-      listed.insert(ended.task());
-    }
-  }
+  return unassigned;
+}
+
+std::vector<RunEnding>
+RunTracker::applyAbsentRuns(const IncarnationKey& aKey,
+                            const WorkerReport& aReport,
+                            MonotonicTime aNow)
+{
   std::vector<RunEnding> neverRan;
   if (aReport.hasMoreEnds()) {
     // A run that is not listed may be among the ends that the list leaves out.
     return neverRan;
   }
+  std::set<std::pair<std::string, std::int64_t>> listed;
+  for (const ListedRun& running : aReport.running()) {
+    listed.emplace(running.task(), running.run());
+  }
+  for (const ListedEnd& ended : aReport.ended()) {
+    listed.emplace(ended.task(), ended.run());
+  }
   for (const std::string& name : tasksOn(aKey)) {
     TrackedRun& run = mRuns.at(name);
-    if (listed.contains(name) || run.endProposed) {
+    if (listed.contains({ name, run.run }) || run.endProposed) {
       continue;
     }
     // Lists with the same clock reading may have been read before the run was closed.
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -114,13 +114,18 @@
   const std::set<std::string>& tasksOn(const IncarnationKey& aKey) const;
 
   /**
-   * Applies the lists of a synced incarnation. Returns the ends of the runs that never started and
-   * never will, and adds the listed runs that are not assigned to the incarnation to aUnassigned.
+   * Applies the runs that the lists of a synced incarnation name. Returns the listed runs that are
+   * not assigned to the incarnation.
    */
-  std::vector<RunEnding> applyLists(const IncarnationKey& aKey,
-                                    const WorkerReport& aReport,
-                                    MonotonicTime aNow,
-                                    std::vector<ListedRun>& aUnassigned);
+  std::vector<ListedRun> applyListedRuns(const IncarnationKey& aKey, const WorkerReport& aReport);
+
+  /**
+   * Applies the absence of runs from lists that are newer than all earlier ones. Returns the ends
+   * of the runs that never started and never will.
+   */
+  std::vector<RunEnding> applyAbsentRuns(const IncarnationKey& aKey,
+                                         const WorkerReport& aReport,
+                                         MonotonicTime aNow);
 
   /** Applies a worker's answers to orders. */
   void applyAnswers(const IncarnationKey& aKey, const std::vector<OrderAnswer>& aAnswers);
