Relay: run lists that later ones have overtaken are ignored

Callers would see a worker with more work than it holds (LIMIT): after a change of the leader two list requests are in progress on two connections. If the older lists arrive last, the relay's reading of the worker's clock goes back, and a start order based on lists of too long ago counts as fresh. The crash suspects would lose a run that only the later lists name.

Test: worker_relay/overtaken_run_lists_do_not_set_the_workers_clock_back, failing before: the lists are reported and the start is sent.

--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -504,6 +504,13 @@
     return;
   }
   setReachable(true);
+  if (mWorkerClock && lists.clockMs < mWorkerClock->clockMs) {
+    logInfo("run lists ignored: later ones have overtaken them",
+            { { "worker", mWorker->workerId() },
+              { "clock", lists.clockMs },
+              { "seen", mWorkerClock->clockMs } });
+    return;
+  }
   mWorkerClock = ClockReading{ lists.clockMs, mContext.now() };
   mListsRequestedAt = std::max(mListsRequestedAt, aRequestedAt);
   mStartedRuns.onRunLists(lists, mContext.now());
--- a/src/relay/WorkerRelay_test.cpp
+++ b/src/relay/WorkerRelay_test.cpp
@@ -201,6 +201,24 @@
   BOOST_TEST(mReports.size() == before);
 }
 
+// Guards against LIMIT: a start is sent that is based on lists of too long ago, because lists that
+// later ones had overtaken set the relay's reading of the worker's clock back.
+BOOST_FIXTURE_TEST_CASE(overtaken_run_lists_do_not_set_the_workers_clock_back, RelayFixture)
+{
+  mRelay.onRegistration(workerDescription("w", 5), "127.0.0.1:1", 1);
+  mRelay.onOrders(workerOrders(7));
+  mRelay.onOrders(workerOrders(8));
+  BOOST_REQUIRE(mRecord.listCallbacks.size() == 2u);
+  answerListRequest(5, 1000 + WorkerRelay::kMaxBasisAgeMs);
+  const std::size_t reports = mReports.size();
+  answerListRequest(5, 1000);
+  BOOST_TEST(mReports.size() == reports, "the leader knows later lists");
+  WorkerOrders::Fields fields = workerOrders(8, 5, "c.0.0.0").fields();
+  fields.basisClockMs = 999;
+  mRelay.onOrders(valueOf(WorkerOrders::create(std::move(fields))));
+  BOOST_TEST(mRecord.orders.empty());
+}
+
 // Guards against a start that waits behind unanswered orders and is sent seconds after the run was
 // stopped, for example because its job was cancelled.
 BOOST_FIXTURE_TEST_CASE(waiting_start_is_not_sent_after_the_stop_of_its_run, RelayFixture)
