A closing answer without a clock reading is no evidence that its run never began

Callers would see a task at work on two workers: an answer whose body cannot be read has the clock 0, and all lists are newer than that, so the next ones ended a run that was being stopped. Such an answer closes nothing; the stop order is sent again until one has a reading.

Test: job_service/closing_answer_without_a_clock_reading_ends_no_run, failing before (run 2 instead of 1).

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -475,6 +475,20 @@
   }
 }
 
+// Guards against TWICE: a closing answer without a readable clock was older than all lists, so the
+// next ones ended a run that was being stopped.
+BOOST_FIXTURE_TEST_CASE(closing_answer_without_a_clock_reading_ends_no_run, JobServiceFixture)
+{
+  registerWorker(kRelay, worker("w1"));
+  submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
+  const OrderAnswer closed = buildValue<OrderAnswer>(
+    { .kind = OrderKind::eStart, .task = "j.0.0.0", .run = 1, .result = OrderResult::eClosed });
+  const auto orders = report(kRelay, worker("w1"), { .answers = { closed } });
+  report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 10 });
+  BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
+  BOOST_TEST(orders.back().stops().size() == 1u, "a stop is answered with a clock reading");
+}
+
 // Guards against LIMIT: the room of a run that was being stopped was taken for free on the evidence
 // of lists with the clock reading of the accepted stop, made before the run began late.
 BOOST_FIXTURE_TEST_CASE(lists_with_the_clock_of_an_accepted_stop_free_no_room, JobServiceFixture)
--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -145,6 +145,18 @@
   return neverRan;
 }
 
+void
+RunTracker::close(TrackedRun& aRun, const OrderAnswer& aAnswer)
+{
+  // Without a clock reading no lists are known to be newer. The stop order is sent again.
+  if (aAnswer.clockMs() > 0) {
+    aRun.closedAtClockMs = aAnswer.clockMs();
+    aRun.closedBy = aAnswer.kind();
+  } else if (aAnswer.kind() == OrderKind::eStart) {
+    aRun.shouldStop = true;
+  }
+}
+
 void
 RunTracker::applyAnswers(const IncarnationKey& aKey, const std::vector<OrderAnswer>& aAnswers)
 {
@@ -154,8 +166,7 @@
       continue;
     }
     if (answer.kind() == OrderKind::eStop && answer.result() == OrderResult::eAccepted) {
-      run->closedAtClockMs = answer.clockMs();
-      run->closedBy = answer.kind();
+      close(*run, answer);
       continue;
     }
     if (answer.kind() != OrderKind::eStart) {
@@ -166,8 +177,7 @@
         run->isConfirmed = true;
         break;
       case OrderResult::eClosed:
-        run->closedAtClockMs = answer.clockMs();
-        run->closedBy = answer.kind();
+        close(*run, answer);
         break;
       case OrderResult::eLate:
       case OrderResult::eFenced:
--- a/src/control/RunTracker.h
+++ b/src/control/RunTracker.h
@@ -168,6 +168,8 @@
   /** Returns whether all runs of the incarnation fit in aCapacity; withdraws runs if they do not.
    */
   bool withdrawUnstartedRuns(const IncarnationKey& aKey, const ResourceAmount& aCapacity);
+  /** Records an answer after which the worker never starts the run. */
+  static void close(TrackedRun& aRun, const OrderAnswer& aAnswer);
   bool needsStop(const TrackedRun& aRun) const { return aRun.shouldStop || aRun.job->isFinished(); }
   static void addDuePaceOrder(TrackedRun& aRun, MonotonicTime aNow, WorkerOrders::Fields& aOrders);
 
