Accepted jobs follow their queue when a catalogue changes its pool or its priority

Hypotheses: accepted jobs keep the pool of the acceptance; no scheduling round follows a new catalogue; the leader ignores the workers of the new pool. The line "task is waiting" tells them apart by its counts. The line now names the pool as well.

Cause: Job held a copy of the queue as it was at the acceptance, and nothing changed it. The open jobs now follow the queue with their name in each newer catalogue, else the one with their host and path prefix: pool, priority, advice, name and timeout. What their callers were promised stays as accepted: the address, the attempts and the objective. A removed queue keeps its last version until it comes back. With the pool go the promises of room at hand-in, the measured demand of short work and a scheduling round at once; all else reads the pool of the job. Runs stay where they are, and the room that long-running ones take in the old pool counts there as long as they do.

Tests, failing before: job_registry/accepted_job_follows_its_queue_and_keeps_its_promises, accepted_job_keeps_a_removed_queue_until_it_comes_back, accepted_job_follows_a_queue_that_was_renamed, job_follows_its_queue_from_a_snapshot_on; job_service/job_accepted_before_its_queue_moved_runs_in_the_new_pool, job_follows_its_queue_under_a_new_leader, promised_room_follows_the_queue, job_of_a_removed_queue_runs_and_can_be_cancelled; with the new function short_work_demand/demand_follows_its_queue_to_another_pool.

--- a/src/control/JobAdmission.cpp
+++ b/src/control/JobAdmission.cpp
@@ -87,6 +87,17 @@
   addPromise(aJob.jobId(), aJob.queue().poolName(), aJob.steps(), aJob.occurrences());
 }
 
+void
+JobAdmission::onCatalogueChanged()
+{
+  for (auto& [jobId, promise] : mPromises) {
+    // A job that is not committed yet is accepted in the pool that its queue has then.
+    if (const Job* job = mContext.mState.jobs().find(jobId)) {
+      promise.poolName = job->queue().poolName();
+    }
+  }
+}
+
 void
 JobAdmission::onFinished(const std::string& aJobId)
 {
@@ -108,9 +119,28 @@
       pool.promisedTasks += promise.tasks;
     }
   }
+  addRunsOfOtherPools(aPoolName, pool);
   return pool;
 }
 
+void
+JobAdmission::addRunsOfOtherPools(const std::string& aPoolName, PoolPromises& aPool) const
+{
+  for (const auto& [key, incarnation] : mFleet.incarnations()) {
+    if (incarnation.description.poolName() != aPoolName) {
+      continue;
+    }
+    for (const std::string& name : mRuns.tasksOn(key)) {
+      const TrackedRun& run = mRuns.run(name);
+      if (!run.job->isFinished() && run.step().longRunning() &&
+          run.job->queue().poolName() != aPoolName) {
+        aPool.promisedCpuMilli += requiredResources(run.step()).cpuMilli;
+        aPool.promisedTasks++;
+      }
+    }
+  }
+}
+
 std::vector<WaitingTasks>
 JobAdmission::waitingTasks() const
 {
--- a/src/control/JobAdmission.h
+++ b/src/control/JobAdmission.h
@@ -68,6 +68,9 @@
 
   void onAccepted(const Job& aJob);
 
+  /** Moves what was promised to accepted jobs to the pools that their queues have now. */
+  void onCatalogueChanged();
+
   /** Releases what was promised to a job that is over. */
   void onFinished(const std::string& aJobId);
 
@@ -97,6 +100,10 @@
                   std::int64_t aOccurrences);
   PoolPromises promisesOf(const std::string& aPoolName) const;
 
+  /** Adds the long-running runs on workers of the pool that were started before their queue got
+   * another pool. They stay, and their tasks are promised room in the other pool as well. */
+  void addRunsOfOtherPools(const std::string& aPoolName, PoolPromises& aPool) const;
+
   /** Long-running tasks of accepted and proposed jobs that have no run. */
   std::vector<WaitingTasks> waitingTasks() const;
 
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -697,6 +697,11 @@
   } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
     logInfo("queue catalogue applied",
             { { "version", set->mVersion }, { "changed", set->mChanged } });
+    if (set->mChanged) {
+      // Queues may have other pools now, and the jobs accepted before follow them.
+      mAdmission.onCatalogueChanged();
+      mScheduleDue = true;
+    }
   } else if (const EvacuationSet* evacuation = std::get_if<EvacuationSet>(&aOutcome)) {
     sendOrdersToAll(mEvacuation.onApplied(*evacuation));
     mScheduleDue = true;
@@ -1210,6 +1215,7 @@
   for (const WaitReason& reason : aReasons) {
     logInfo("task is waiting",
             { { "task", reason.task.text() },
+              { "pool", mContext.mState.jobs().find(reason.task.jobId)->queue().poolName() },
               { "longRunning", reason.isLongRunning },
               { "outlook", toText(reason.outlook) },
               { "cpuMilli", reason.size.cpuMilli },
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -205,10 +205,138 @@
   std::vector<ListedEnd> mEnds;
 };
 
+/** A worker w1 of the pool "desk" and a worker w2 of the pool "annex", and two queues whose pools
+ * the test changes. */
+struct TwoPoolsFixture : JobServiceFixture
+{
+  TwoPoolsFixture()
+  {
+    setPools("desk", "desk");
+    registerWorker(kRelay, worker("w1"));
+    mDeskFence = mFence;
+    registerAnnexWorker();
+    mSent.clear();
+  }
+
+  static WorkerDescription annexWorker()
+  {
+    WorkerDescription::Fields fields = worker("w2").fields();
+    fields.poolName = "annex";
+    return buildValue<WorkerDescription>(std::move(fields));
+  }
+
+  void registerAnnexWorker() { registerWorker(kOtherRelay, annexWorker()); }
+
+  /** Sets the next version of the catalogue. A queue without a pool is removed. */
+  void setPools(const std::string& aUrgentPool,
+                const std::string& aTallyPool,
+                const std::vector<std::string>& aPools = { "desk", "annex" })
+  {
+    QueueCatalogue::Fields fields{ .version = ++mVersion };
+    for (const std::string& pool : aPools) {
+      fields.pools.push_back(buildValue<WorkerPool>({ .name = pool }));
+    }
+    for (const auto& [queue, pool] :
+         { std::pair(jobQueue("urgent"), aUrgentPool), std::pair(jobQueue("tally"), aTallyPool) }) {
+      if (!pool.empty()) {
+        JobQueue::Fields moved = queue.fields();
+        moved.poolName = pool;
+        fields.queues.push_back(buildValue<JobQueue>(std::move(moved)));
+      }
+    }
+    deliver(kCaller,
+            buildValue<QueueCatalogueSubmit>(
+              { .requestId = "c", .catalogue = buildValue<QueueCatalogue>(std::move(fields)) }));
+    mSent[kCaller].clear();
+  }
+
+  JobReply submitTo(const std::string& aQueue, const JobDescription& aJob)
+  {
+    deliver(
+      kCaller,
+      buildValue<JobSubmit>(
+        { .requestId = "s", .queue = buildValue<QueueSelector>({ .name = aQueue }), .job = aJob }));
+    return takeMessages<JobReply>(kCaller).at(0);
+  }
+
+  std::string workerOf(const std::string& aJobId) const
+  {
+    const JobTaskRecord::Fields& record = *jobs().find(aJobId)->find({ aJobId, 0, 0, 0 });
+    return record.active ? record.worker : "";
+  }
+
+  std::int64_t mVersion = 1;
+  std::int64_t mDeskFence = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(job_service)
 
+// Guards against LOST: a job that was accepted before its queue got another pool waited for room in
+// the old one, beside idle workers of the new one.
+BOOST_FIXTURE_TEST_CASE(job_accepted_before_its_queue_moved_runs_in_the_new_pool, TwoPoolsFixture)
+{
+  commitJob(standingJobOf("full", 1, 4000));
+  submitTo("tally", jobOf("j", { stepOf(1, 1000, 10) }));
+  BOOST_TEST(workerOf("j") == "");
+  setPools("desk", "annex");
+  BOOST_TEST(workerOf("j") == "w2");
+  BOOST_TEST(workerOf("full") == "w1", "a run stays where it is");
+  BOOST_TEST(takeStarts(kOtherRelay).size() == 1u, "ordered at once");
+}
+
+// As above, with a change of the leader between the acceptance and the new catalogue, and after it.
+BOOST_FIXTURE_TEST_CASE(job_follows_its_queue_under_a_new_leader, TwoPoolsFixture)
+{
+  commitJob(standingJobOf("full", 1, 4000));
+  submitTo("tally", jobOf("j", { stepOf(1, 1000, 10) }));
+  for (const char* pool : { "annex", "desk", "annex" }) {
+    mLog.setLeader(false, mNow);
+    mLog.setLeader(true, mNow);
+    mSession = open(kRelay, admitRelay("relay-1"));
+    mOtherSession = open(kOtherRelay, admitRelay("relay-2"));
+    setPools("desk", pool);
+  }
+  registerAnnexWorker();
+  BOOST_TEST(workerOf("j") == "w2");
+}
+
+// Guards against a second promise of the same room: what is promised to a job follows its queue,
+// and the room that its tasks still take in the old pool is not free.
+BOOST_FIXTURE_TEST_CASE(promised_room_follows_the_queue, TwoPoolsFixture)
+{
+  submitTo("tally", standingJobOf("t", 1, 3000));
+  BOOST_TEST(workerOf("t") == "w1");
+  setPools("desk", "annex");
+  BOOST_TEST((submitTo("tally", standingJobOf("u", 1, 3000)).outcome() == JobOutcome::eRefused));
+  BOOST_TEST((submitTo("urgent", standingJobOf("v", 1, 3000)).outcome() == JobOutcome::eRefused));
+  report(kRelay,
+         worker("w1"),
+         { .listFence = mDeskFence,
+           .clockMs = kWorkerClockMs + 10,
+           .ended = { ended(1, "t.0.0.0", 1, RunEnd::eFailed) } });
+  waitWithHeartbeats(100);
+  BOOST_TEST(workerOf("t") == "w2");
+  BOOST_TEST((submitTo("urgent", standingJobOf("w", 1, 3000)).outcome() == JobOutcome::eAccepted));
+}
+
+// Guards against LOST and UNASKED: a job whose queue was removed runs on and can be cancelled.
+BOOST_FIXTURE_TEST_CASE(job_of_a_removed_queue_runs_and_can_be_cancelled, TwoPoolsFixture)
+{
+  commitJob(standingJobOf("full", 1, 4000));
+  submitTo("tally", standingJobOf("t", 1, 1000));
+  commitJob(jobOf("j", { stepOf(1, 1000, 10) }), "tally");
+  setPools("desk", "annex");
+  setPools("desk", "");
+  BOOST_TEST(workerOf("j") == "w2");
+  const QueueSelector selector =
+    buildValue<QueueSelector>({ .host = "guild.example", .path = "/tally/j" });
+  deliver(kCaller, buildValue<JobCancel>({ .requestId = "d", .queue = selector, .jobId = "j" }));
+  BOOST_TEST((takeMessages<JobReply>(kCaller).at(0).outcome() == JobOutcome::eAccepted));
+  BOOST_TEST((stateOf("j") == JobState::eCancelled));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_job_runs_from_its_submission_to_its_completion, JobServiceFixture)
 {
   registerWorker(kRelay, worker("w1"));
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -95,6 +95,18 @@
   return valueOf(JobRecord::create(std::move(fields)));
 }
 
+void
+Job::followQueue(const JobQueue& aQueue)
+{
+  JobQueue::Fields fields = aQueue.fields();
+  fields.host = mQueue.host();
+  fields.pathPrefix = mQueue.pathPrefix();
+  fields.maxAttempts = mQueue.maxAttempts();
+  fields.stretch = mQueue.stretch();
+  fields.objectiveMs = mQueue.objectiveMs();
+  mQueue = valueOf(JobQueue::create(std::move(fields)));
+}
+
 void
 Job::rebuildIndexes()
 {
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -27,6 +27,10 @@
   static Job fromRecord(const JobRecord& aRecord);
   JobRecord record() const;
 
+  /** Adopts a newer version of the queue. What was promised at the acceptance stays as it was: the
+   * host and the path of the job, the number of attempts and the objective. */
+  void followQueue(const JobQueue& aQueue);
+
   const std::string& jobId() const { return mJobId; }
   const JobQueue& queue() const { return mQueue; }
   const std::string& payload() const { return mPayload; }
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -13,6 +13,8 @@
     registry.mJobs.emplace(record.jobId(), Job::fromRecord(record));
     registry.updateIndexes(registry.mJobs.at(record.jobId()));
   }
+  // Earlier versions of this program kept the queues as they were at the acceptance.
+  registry.updateQueuesOfJobs();
   return registry;
 }
 
@@ -36,9 +38,40 @@
     return { mCatalogue->version(), false };
   }
   mCatalogue = catalogue;
+  updateQueuesOfJobs();
+  mShortWork.followQueues(catalogue.queues());
   return { catalogue.version(), true };
 }
 
+const JobQueue*
+JobRegistry::findCurrentVersion(const JobQueue& aQueue) const
+{
+  const JobQueue* sameAddress = nullptr;
+  for (const JobQueue& queue : mCatalogue->queues()) {
+    if (queue.name() == aQueue.name()) {
+      return &queue;
+    }
+    if (queue.host() == aQueue.host() && queue.pathPrefix() == aQueue.pathPrefix()) {
+      sameAddress = &queue;
+    }
+  }
+  return sameAddress;
+}
+
+void
+JobRegistry::updateQueuesOfJobs()
+{
+  if (!mCatalogue) {
+    return;
+  }
+  for (const std::string& jobId : mOpenJobs) {
+    Job& job = mJobs.at(jobId);
+    if (const JobQueue* queue = findCurrentVersion(job.queue())) {
+      job.followQueue(*queue);
+    }
+  }
+}
+
 std::variant<JobChanged, Error>
 JobRegistry::apply(const SubmitJob& aCommand)
 {
--- a/src/jobs/JobRegistry_test.cpp
+++ b/src/jobs/JobRegistry_test.cpp
@@ -40,6 +40,29 @@
         { .task = aTask, .run = aRun, .cause = aCause, .ranMs = 300, .crashShare = 100 })) } }));
 }
 
+SetQueueCatalogue
+setQueues(std::int64_t aVersion, std::vector<JobQueue> aQueues)
+{
+  QueueCatalogue::Fields fields = queueCatalogue(aVersion, std::move(aQueues)).fields();
+  fields.pools.push_back(valueOf(WorkerPool::create({ .name = "annex" })));
+  return valueOf(
+    SetQueueCatalogue::create({ .catalogue = valueOf(QueueCatalogue::create(std::move(fields))) }));
+}
+
+/** A version of a queue in which everything but its name differs. */
+JobQueue
+movedQueue(const std::string& aName)
+{
+  return valueOf(JobQueue::create({ .name = aName,
+                                    .host = "other.example",
+                                    .pathPrefix = "/moved/",
+                                    .poolName = "annex",
+                                    .priority = 1,
+                                    .maxAttempts = 7,
+                                    .stretch = 9,
+                                    .objectiveMs = 9000 }));
+}
+
 /** A registry with an accepted job "j" of two tasks. */
 struct RegistryWithJob
 {
@@ -324,6 +347,58 @@
   BOOST_TEST(std::holds_alternative<Error>(unknown));
 }
 
+// Guards against LOST: a job stayed in the pool that its queue had at the acceptance.
+BOOST_FIXTURE_TEST_CASE(accepted_job_follows_its_queue_and_keeps_its_promises, RegistryWithJob)
+{
+  mRegistry.apply(setQueues(2, { movedQueue("tally") }));
+  BOOST_TEST(job().queue().poolName() == "annex");
+  BOOST_TEST(job().queue().priority() == 1);
+  BOOST_TEST(job().queue().maxAttempts() == 2, "the attempts are those of the acceptance");
+  BOOST_TEST(job().queue().stretch() == 2);
+  BOOST_TEST(job().queue().objectiveMs() == 1000);
+  BOOST_TEST(job().queue().pathPrefix() == "/tally/", "the caller asks for the job there");
+  BOOST_TEST((mRegistry.findQueueOfJob(byPath("guild.example", "/tally/j"), "j") != nullptr));
+  mRegistry.apply(setQueues(1, { jobQueue("tally") }));
+  BOOST_TEST(job().queue().poolName() == "annex", "an earlier catalogue comes too late");
+  mRegistry.apply(setQueues(3, { jobQueue("tally", 3) }));
+  BOOST_TEST(job().queue().poolName() == "desk");
+  BOOST_TEST(job().queue().priority() == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(accepted_job_keeps_a_removed_queue_until_it_comes_back, RegistryWithJob)
+{
+  mRegistry.apply(setQueues(2, { movedQueue("tally") }));
+  mRegistry.apply(setQueues(3, {}));
+  BOOST_TEST(job().queue().poolName() == "annex");
+  BOOST_TEST((mRegistry.findQueueOfJob(byPath("guild.example", "/tally/j"), "j") != nullptr));
+  mRegistry.apply(setQueues(4, { jobQueue("tally", 2) }));
+  BOOST_TEST(job().queue().poolName() == "desk");
+}
+
+// A queue with another name and the same address continues the queue for its callers.
+BOOST_FIXTURE_TEST_CASE(accepted_job_follows_a_queue_that_was_renamed, RegistryWithJob)
+{
+  JobQueue::Fields renamed = movedQueue("books").fields();
+  renamed.host = "guild.example";
+  renamed.pathPrefix = "/tally/";
+  mRegistry.apply(setQueues(2, { valueOf(JobQueue::create(std::move(renamed))) }));
+  BOOST_TEST(job().queue().name() == "books");
+  BOOST_TEST(job().queue().poolName() == "annex");
+}
+
+// A log of an earlier version of this program holds the queues as they were at the acceptance.
+BOOST_FIXTURE_TEST_CASE(job_follows_its_queue_from_a_snapshot_on, RegistryWithJob)
+{
+  StateSnapshot::Fields fields{ .appliedIndex = 1, .catalogueVersion = 0, .nextSession = 1 };
+  mRegistry.writeTo(fields);
+  fields.queueCatalogue = setQueues(2, { movedQueue("tally") }).catalogue();
+  const JobRegistry restored =
+    JobRegistry::fromSnapshot(valueOf(StateSnapshot::create(std::move(fields))));
+  BOOST_TEST(restored.find("j")->queue().poolName() == "annex");
+  mRegistry.apply(setQueues(2, { movedQueue("tally") }));
+  BOOST_TEST((restored.find("j")->record() == job().record()), "as on a replica with the log");
+}
+
 BOOST_FIXTURE_TEST_CASE(a_registry_is_restored_from_its_snapshot, RegistryWithJob)
 {
   mRegistry.apply(submitOf("urgent", jobOf("over", { stepOf(1, 100, 10) })));
--- a/src/jobs/ShortWorkDemand.cpp
+++ b/src/jobs/ShortWorkDemand.cpp
@@ -79,6 +79,18 @@
   demand.work += work;
 }
 
+void
+ShortWorkDemand::followQueues(const std::vector<JobQueue>& aQueues)
+{
+  for (const JobQueue& queue : aQueues) {
+    const auto position = mQueues.find(queue.name());
+    if (position != mQueues.end()) {
+      position->second.poolName = queue.poolName();
+      position->second.priority = queue.priority();
+    }
+  }
+}
+
 DemandRate
 ShortWorkDemand::rate(const std::string& aPoolName,
                       std::int64_t aPriority,
--- a/src/jobs/ShortWorkDemand.h
+++ b/src/jobs/ShortWorkDemand.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace magnoliadrum {
 
@@ -35,6 +36,9 @@
   /** Adds an accepted job; of a recurring one, its first occurrence. */
   void add(const JobQueue& aQueue, const JobDescription& aJob, std::int64_t aAcceptedAtMs);
 
+  /** Counts the demand of the queues in the pools and priorities that they have now. */
+  void followQueues(const std::vector<JobQueue>& aQueues);
+
   /** The demand in a pool of the queues whose priority is not lower than aPriority. aCorrectionOf
    * returns the ratio of work to declared work of a queue, by its name. */
   DemandRate rate(const std::string& aPoolName,
--- a/src/jobs/ShortWorkDemand_test.cpp
+++ b/src/jobs/ShortWorkDemand_test.cpp
@@ -47,6 +47,21 @@
   BOOST_TEST(demand.rate("other", 0, kStartMs + 20000, asDeclared).meanCpuMilli == 0);
 }
 
+BOOST_AUTO_TEST_CASE(demand_follows_its_queue_to_another_pool)
+{
+  ShortWorkDemand demand;
+  for (std::int64_t second = 0; second < 20; second++) {
+    demand.add(jobQueue("urgent"), shortJob(), kStartMs + second * 1000);
+  }
+  JobQueue::Fields moved = jobQueue("urgent", 3).fields();
+  moved.poolName = "annex";
+  demand.followQueues({ valueOf(JobQueue::create(std::move(moved))) });
+  BOOST_TEST(demand.rate("desk", 3, kStartMs + 20000, asDeclared).meanCpuMilli == 0);
+  BOOST_TEST(demand.rate("annex", 2, kStartMs + 20000, asDeclared).meanCpuMilli == 0);
+  BOOST_TEST(demand.rate("annex", 3, kStartMs + 20000, asDeclared).meanCpuMilli == 1000,
+             boost::test_tools::tolerance(0.01));
+}
+
 BOOST_AUTO_TEST_CASE(bursts_show_as_a_deviation)
 {
   ShortWorkDemand demand;
