Workers of a removed pool are used while accepted jobs need it

Callers would see an accepted job that never runs (LOST): its queue was removed together with the pool, and the leader ignored the reports of each worker that came after that, since the catalogue does not name its pool.

A pool is now also in use while the queue of an open job names it.

Test: job_service/job_of_a_removed_queue_runs_on_a_new_worker_of_a_removed_pool, failing before: the report gets no orders.

--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -391,7 +391,7 @@
 JobService::ignoresPool(const WorkerDescription& aWorker)
 {
   const JobRegistry& jobs = mContext.mState.jobs();
-  if (!jobs.catalogue() || jobs.findPool(aWorker.poolName()) != nullptr) {
+  if (!jobs.catalogue() || jobs.usesPool(aWorker.poolName())) {
     return false;
   }
   mUnknownPoolReports++;
--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -321,6 +321,22 @@
   BOOST_TEST((submitTo("urgent", standingJobOf("w", 1, 3000)).outcome() == JobOutcome::eAccepted));
 }
 
+// Guards against LOST: the job of a removed queue needs workers of a pool that was removed with it,
+// and reports of such workers were ignored from their next incarnation on.
+BOOST_FIXTURE_TEST_CASE(job_of_a_removed_queue_runs_on_a_new_worker_of_a_removed_pool,
+                        TwoPoolsFixture)
+{
+  setPools("desk", "annex");
+  commitJob(standingJobOf("full", 1, 4000), "tally");
+  submitTo("tally", jobOf("j", { stepOf(1, 1000, 10) }));
+  setPools("desk", "", { "desk" });
+  BOOST_TEST(workerOf("j") == "");
+  WorkerDescription::Fields successor = annexWorker().fields();
+  successor.workerId = "w3";
+  registerWorker(kOtherRelay, buildValue<WorkerDescription>(std::move(successor)));
+  BOOST_TEST(workerOf("j") == "w3");
+}
+
 // Guards against LOST and UNASKED: a job whose queue was removed runs on and can be cancelled.
 BOOST_FIXTURE_TEST_CASE(job_of_a_removed_queue_runs_and_can_be_cancelled, TwoPoolsFixture)
 {
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -1,5 +1,6 @@
 #include "jobs/JobRegistry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace magnoliadrum {
@@ -215,6 +216,15 @@
   return nullptr;
 }
 
+bool
+JobRegistry::usesPool(const std::string& aName) const
+{
+  return findPool(aName) != nullptr ||
+         std::any_of(mOpenJobs.begin(), mOpenJobs.end(), [&](const std::string& aJobId) {
+           return mJobs.at(aJobId).queue().poolName() == aName;
+         });
+}
+
 const Job*
 JobRegistry::find(const std::string& aJobId) const
 {
--- a/src/jobs/JobRegistry.h
+++ b/src/jobs/JobRegistry.h
@@ -82,6 +82,9 @@
   const JobQueue* findQueueOfJob(const QueueSelector& aSelector, const std::string& aJobId) const;
   const WorkerPool* findPool(const std::string& aName) const;
 
+  /** Whether the catalogue names the pool, or the queue of an open job does that was removed. */
+  bool usesPool(const std::string& aName) const;
+
   const Job* find(const std::string& aJobId) const;
 
   /** Ids of the jobs that are not over or may still have active runs. */
