A cancelling of an unknown job is in the log before it is acknowledged

Hypotheses: the answer is read from the state and leaves nothing that stops a later submission; the cancelling is committed, and its stop orders are lost; the gateway sends the submission twice.

Cause: the 410 is a promise about submissions that are under way, and JobService gave it without an entry in the log. CancelJob is now proposed whether the job is known or not. A submission of such an id is accepted as cancelled: it gets its 2xx, GET shows cancelled, nothing starts and no room is promised. Before it comes, GET answers 410, as nobody has submitted the job. A submission that is proposed and not committed when the cancelling comes precedes it in the log and is cancelled by it.

20,000 ids are kept, none is removed within 120 s (the platform's status_s). A cancelling of an unknown job beyond that is answered 429 with the time until there is room, as a 410 could not be kept. Cancellings of known jobs need no room, and a repeated one makes no entry.

--- a/src/control/JobAdmission.cpp
+++ b/src/control/JobAdmission.cpp
@@ -73,10 +73,12 @@
 }
 
 void
-JobAdmission::onProposalFailed(const std::string& aJobId)
+JobAdmission::onNotAccepted(const std::string& aJobId)
 {
-  // The failed proposal may have been a resend of a job that is accepted.
-  if (mContext.mState.jobs().find(aJobId) == nullptr) {
+  // The proposal may have been a resend of a job that is accepted. One that was cancelled before
+  // its submission is over.
+  const Job* job = mContext.mState.jobs().find(aJobId);
+  if (job == nullptr || job->isFinished()) {
     mPromises.erase(aJobId);
   }
 }
@@ -228,8 +230,11 @@
   if (!isStanding) {
     return std::nullopt;
   }
-  // A resend of what was accepted, or is about to be, gets the answer of the first request.
-  if (mContext.mState.jobs().find(aJob.jobId()) != nullptr || mPromises.contains(aJob.jobId())) {
+  // A resend of what was accepted, or is about to be, gets the answer of the first request. A job
+  // that was cancelled before needs no room.
+  const JobRegistry& jobs = mContext.mState.jobs();
+  if (jobs.find(aJob.jobId()) != nullptr || jobs.cancelledIds().contains(aJob.jobId()) ||
+      mPromises.contains(aJob.jobId())) {
     return std::nullopt;
   }
   PoolPromises pool = promisesOf(aQueue.poolName());
--- a/src/control/JobAdmission.h
+++ b/src/control/JobAdmission.h
@@ -63,8 +63,8 @@
   /** Counts a job that is proposed and not committed yet. */
   void onProposed(const JobQueue& aQueue, const JobDescription& aJob);
 
-  /** The proposal of the job has failed. */
-  void onProposalFailed(const std::string& aJobId);
+  /** The proposal of the job has failed, or the job is not new. */
+  void onNotAccepted(const std::string& aJobId);
 
   void onAccepted(const Job& aJob);
 
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -230,7 +230,7 @@
       const JobChanged& changed = std::get<JobChanged>(aOutcome);
       reply(origin, { .outcome = JobOutcome::eAccepted, .state = changed.mState });
     },
-    [this, jobId]() { mAdmission.onProposalFailed(jobId); });
+    [this, jobId]() { mAdmission.onNotAccepted(jobId); });
 }
 
 void
@@ -240,14 +240,31 @@
   if (resolveQueue(origin, aRequest.queue(), aRequest.jobId()) == nullptr) {
     return;
   }
-  if (mContext.mState.jobs().find(aRequest.jobId()) == nullptr) {
-    reply(origin, { .outcome = JobOutcome::eUnknownJob });
-    return;
+  const JobRegistry& jobs = mContext.mState.jobs();
+  const std::int64_t nowMs = mContext.mWallClockMs();
+  if (jobs.find(aRequest.jobId()) == nullptr) {
+    if (jobs.cancelledIds().contains(aRequest.jobId())) {
+      reply(origin, { .outcome = JobOutcome::eUnknownJob });
+      return;
+    }
+    if (const std::int64_t waitMs = jobs.cancelledIds().waitMs(nowMs); waitMs > 0) {
+      reply(origin,
+            { .outcome = JobOutcome::eRefused,
+              .retryAfterMs = waitMs,
+              .detail = "too many unknown jobs were cancelled before" });
+      return;
+    }
   }
-  const CancelJob command = buildValue<CancelJob>({ .jobId = aRequest.jobId() });
+  // The answer about an unknown job is a promise about submissions of it that are under way, so it
+  // has to be in the log.
+  const CancelJob command =
+    buildValue<CancelJob>({ .jobId = aRequest.jobId(), .cancelledAtMs = nowMs });
   propose(origin, command, [this, origin](const Outcome& aOutcome) {
-    const JobChanged& changed = std::get<JobChanged>(aOutcome);
-    reply(origin, { .outcome = JobOutcome::eAccepted, .state = changed.mState });
+    if (const JobChanged* changed = std::get_if<JobChanged>(&aOutcome)) {
+      reply(origin, { .outcome = JobOutcome::eAccepted, .state = changed->mState });
+    } else {
+      reply(origin, { .outcome = JobOutcome::eUnknownJob });
+    }
   });
 }
 
@@ -680,6 +697,8 @@
       mRounds.forget(cancel->jobId());
       mAdmission.onFinished(cancel->jobId());
       stopRunsOfFinishedJobs({ cancel->jobId() });
+    } else if (std::holds_alternative<JobIdCancelled>(aOutcome)) {
+      logInfo("job cancelled before its submission", { { "job", cancel->jobId() } });
     }
   } else if (const SubmitJob* submit = std::get_if<SubmitJob>(&aCommand)) {
     const JobChanged* changed = std::get_if<JobChanged>(&aOutcome);
@@ -687,11 +706,14 @@
             { { "job", submit->job().jobId() },
               { "queue", submit->queueName() },
               { "steps", submit->job().steps().size() },
-              { "isNew", changed != nullptr && changed->mApplied } });
+              { "isNew", changed != nullptr && changed->mApplied },
+              { "state", changed != nullptr ? toText(changed->mState) : "" } });
     if (changed != nullptr && changed->mApplied) {
       const Job& job = *mContext.mState.jobs().find(submit->job().jobId());
       mRounds.onAccepted(job, mContext.mNow());
       mAdmission.onAccepted(job);
+    } else {
+      mAdmission.onNotAccepted(submit->job().jobId());
     }
     mScheduleDue = true;
   } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -14,6 +14,9 @@
     registry.mJobs.emplace(record.jobId(), Job::fromRecord(record));
     registry.updateIndexes(registry.mJobs.at(record.jobId()));
   }
+  if (aSnapshot.cancelledIds()) {
+    registry.mCancelledIds = CancelledIds::fromRecords(*aSnapshot.cancelledIds());
+  }
   // Earlier versions of this program kept the queues as they were at the acceptance.
   registry.updateQueuesOfJobs();
   return registry;
@@ -23,6 +26,10 @@
 JobRegistry::writeTo(StateSnapshot::Fields& aSnapshot) const
 {
   aSnapshot.queueCatalogue = mCatalogue;
+  const std::deque<CancelledId>& cancelled = mCancelledIds.records();
+  if (!cancelled.empty()) {
+    aSnapshot.cancelledIds.emplace(cancelled.begin(), cancelled.end());
+  }
   for (const std::string& jobId : mFinishedOrder) {
     aSnapshot.jobs.push_back(mJobs.at(jobId).record());
   }
@@ -88,19 +95,30 @@
                          jobId,
                          "queue " + aCommand.queueName() + " does not exist");
   }
-  mJobs.emplace(jobId, Job::accept(*queue, aCommand.job(), aCommand.acceptedAtMs()));
+  Job& job = mJobs.emplace(jobId, Job::accept(*queue, aCommand.job(), aCommand.acceptedAtMs()))
+               .first->second;
+  if (mCancelledIds.contains(jobId)) {
+    job.cancel();
+    updateIndexes(job);
+    return JobChanged{ jobId, JobState::eCancelled, false };
+  }
   mOpenJobs.insert(jobId);
   mShortWork.add(*queue, aCommand.job(), aCommand.acceptedAtMs());
   return JobChanged{ jobId, JobState::eQueued, true };
 }
 
-std::variant<JobChanged, Error>
+std::variant<JobChanged, JobIdCancelled, Error>
 JobRegistry::apply(const CancelJob& aCommand)
 {
   const auto position = mJobs.find(aCommand.jobId());
   if (position == mJobs.end()) {
-    return Error::create(
-      ErrorCode::eNotFound, "job.cancel", aCommand.jobId(), "the job does not exist");
+    if (mCancelledIds.add(aCommand.jobId(), aCommand.cancelledAtMs())) {
+      return JobIdCancelled{ aCommand.jobId() };
+    }
+    return Error::create(ErrorCode::eRefused,
+                         "job.cancel",
+                         aCommand.jobId(),
+                         "too many unknown jobs were cancelled before");
   }
   const bool applied = position->second.cancel();
   updateIndexes(position->second);
--- a/src/jobs/JobRegistry.h
+++ b/src/jobs/JobRegistry.h
@@ -2,6 +2,7 @@
 
 #include "generated/CommandsTypes.h"
 #include "generated/SnapshotTypes.h"
+#include "jobs/CancelledIds.h"
 #include "jobs/Job.h"
 #include "jobs/ShortWorkDemand.h"
 
@@ -37,6 +38,15 @@
   friend bool operator==(const JobChanged&, const JobChanged&) = default;
 };
 
+/** Outcome of CancelJob for an id that no job has. A job that is submitted with it is cancelled
+ * from the start. */
+struct JobIdCancelled
+{
+  std::string mJobId;
+
+  friend bool operator==(const JobIdCancelled&, const JobIdCancelled&) = default;
+};
+
 /** Outcome of StartRuns, EndRuns and ExplainLapses. */
 struct RunsChanged
 {
@@ -62,10 +72,11 @@
   void writeTo(StateSnapshot::Fields& aSnapshot) const;
 
   QueueCatalogueSet apply(const SetQueueCatalogue& aCommand);
-  /** Fails with eNotFound if the queue does not exist. */
+  /** A job whose id was cancelled before is accepted as cancelled. Fails with eNotFound if the
+   * queue does not exist. */
   std::variant<JobChanged, Error> apply(const SubmitJob& aCommand);
-  /** Fails with eNotFound if the job does not exist. */
-  std::variant<JobChanged, Error> apply(const CancelJob& aCommand);
+  /** Fails with eRefused if the job does not exist and there is no room for its id. */
+  std::variant<JobChanged, JobIdCancelled, Error> apply(const CancelJob& aCommand);
   RunsChanged apply(const StartRuns& aCommand);
   RunsChanged apply(const EndRuns& aCommand);
   RunsChanged apply(const ExplainLapses& aCommand);
@@ -90,6 +101,9 @@
   /** Ids of the jobs that are not over or may still have active runs. */
   const std::set<std::string>& openJobs() const { return mOpenJobs; }
 
+  /** Ids that were cancelled while no job with them was known. */
+  const CancelledIds& cancelledIds() const { return mCancelledIds; }
+
   /** Demand of the jobs that end by themselves. */
   const ShortWorkDemand& shortWork() const { return mShortWork; }
 
@@ -111,6 +125,7 @@
   std::optional<QueueCatalogue> mCatalogue;
   std::map<std::string, Job> mJobs;
   std::set<std::string> mOpenJobs;
+  CancelledIds mCancelledIds;
   ShortWorkDemand mShortWork;
   /** Ids of the jobs that are over and have no active runs, oldest first. */
   std::deque<std::string> mFinishedOrder;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -8,6 +8,7 @@
  * uses a socket or reads a clock. Depends on core, generated and placement/ResourceAmount.
  */
 
+#include "jobs/CancelledIds.h"
 #include "jobs/CrashAttribution.h"
 #include "jobs/InterferenceForecast.h"
 #include "jobs/InterferenceGuard.h"
--- a/src/state/ControlState.cpp
+++ b/src/state/ControlState.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
+template<typename... Types>
 Outcome
-toOutcome(std::variant<JobChanged, Error> aResult)
+toOutcome(std::variant<Types...> aResult)
 {
   return std::visit([](auto& aValue) { return Outcome(std::move(aValue)); }, aResult);
 }
