Gateway: the time for which it stood still counts for the deadlines of the requests that it reads then

The gateway's tick shows a standstill. A submission whose deadline has passed is not handed in and gets 503, a plain request is refused as not run. Queries and cancellings count from now on: a late cancelling is still wanted.

--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -233,7 +233,7 @@
 {
   const MonotonicTime now = mLoop.now();
   Result<CallerRequest> call =
-    readCallerRequest(std::move(aRequest), now, mSettings.defaultDeadlineMs());
+    readCallerRequest(std::move(aRequest), earliestArrival(), mSettings.defaultDeadlineMs());
   if (!isOk(call)) {
     aResponder->answer(refusalAnswer(RefusalReason::eInvalidRequest, errorOf(call).detail()));
     return;
@@ -317,6 +317,7 @@
 GatewayProcess::onTick()
 {
   const MonotonicTime now = mLoop.now();
+  mStandstills.onTick(now);
   updateRouterLease();
   mRouter.tick(now);
   mAgents.tick(now, [this](std::uint64_t aConnection) { return mRouter.isInUse(aConnection); });
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -53,6 +53,9 @@
   /** Whether this gateway holds a valid lease from the control leader. */
   bool holdsLease() const { return mControlLink->holdsLease(mLoop.now()); }
 
+  /** The earliest time at which a request that is read now may have arrived. */
+  MonotonicTime earliestArrival() const { return mStandstills.earliestArrival(mLoop.now()); }
+
   const std::string& incarnation() const { return mIncarnation; }
 
   /** Whether requests were aborted because the shutdown took too long. */
@@ -91,6 +94,7 @@
   RequestRouter mRouter;
   AgentConnections mAgents;
   EventHandlePointer mTickTimer;
+  StandstillDetector mStandstills;
   std::map<std::uint64_t, HttpResponderPointer> mResponders;
   std::uint64_t mLastOperatorRequest = 0;
   std::size_t mPendingOperatorRequests = 0;
--- a/src/gateway/gateway_main.cpp
+++ b/src/gateway/gateway_main.cpp
@@ -35,6 +35,7 @@
                              std::function<void(const Result<Message>&)> aCallback) {
     aProcess.call(aMessage, aDeadline, std::move(aCallback));
   };
+  options.earliestArrival = [&aProcess]() { return aProcess.earliestArrival(); };
   options.isReady = [&aProcess]() { return aProcess.holdsLease(); };
   return platform::CallerServer::start(aLoop, std::move(options));
 }
--- a/src/platform/CallerServer.cpp
+++ b/src/platform/CallerServer.cpp
@@ -229,8 +229,20 @@
     aResponder->answer(*answer);
     return;
   }
+  const Message& message = std::get<Message>(translation);
+  const MonotonicTime now = mLoop.now();
+  const bool isSubmission = std::holds_alternative<JobSubmit>(message);
   const std::int64_t timeoutMs = std::max<std::int64_t>(1, timeoutMsOf(aRequest) - kAnswerMarginMs);
-  send(std::get<Message>(translation), aRequest.mPath, mLoop.now().plusMs(timeoutMs), aResponder);
+  const Deadline deadline = (isSubmission ? mOptions.earliestArrival() : now).plusMs(timeoutMs);
+  if (deadline <= now) {
+    // Its caller has given up and may have cancelled the job at another gateway.
+    logInfo("job not handed in: its deadline passed while this process stood still",
+            { { "path", aRequest.mPath }, { "lateMs", now.msSince(deadline) } });
+    aResponder->answer(errorAnswer(
+      kStatusServiceUnavailable, "the deadline passed before the request was read", kRetryAfterMs));
+    return;
+  }
+  send(message, aRequest.mPath, deadline, aResponder);
 }
 
 void
--- a/src/platform/CallerServer.h
+++ b/src/platform/CallerServer.h
@@ -31,6 +31,8 @@
     /** Part of each request id, which makes the ids unique among all processes. */
     std::string incarnation;
     ControlCall call;
+    /** The earliest time at which a request that is read now may have arrived. */
+    std::function<MonotonicTime()> earliestArrival;
     /** Whether requests can be served now. */
     std::function<bool()> isReady;
   };
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -234,6 +234,7 @@
       mMessages.push_back(aMessage);
       aCallback(mReplyFunction(aMessage));
     };
+    options.earliestArrival = [this]() { return mLoop->now().plusMs(-mWaitedMs); };
     options.isReady = [this]() { return mIsReady; };
     mServer = takeValue(CallerServer::start(*mLoop, std::move(options)));
     mClient = takeValue(HttpClient::create(*mLoop, mAddress, 2));
@@ -280,6 +281,8 @@
   std::string mAddress = loopbackHost(61) + ":18161";
   std::string mReadinessAddress = loopbackHost(61) + ":18167";
   bool mIsReady = true;
+  /** How long requests may have waited before they were read. */
+  std::int64_t mWaitedMs = 0;
   std::vector<Message> mMessages;
   std::function<Result<Message>(const Message&)> mReplyFunction;
   std::unique_ptr<CallerServer> mServer;
@@ -340,6 +343,23 @@
   BOOST_TEST(request(*mClient, "POST", kJobPath, kJobBody).status() == 504);
 }
 
+// Guards against UNASKED: a gateway that stood still hands in a job that its caller has given up.
+BOOST_FIXTURE_TEST_CASE(job_that_waited_beyond_its_deadline_is_not_handed_in, CallerServerFixture)
+{
+  mReplyFunction = [](const Message& aMessage) {
+    return replyTo(aMessage, { .outcome = JobOutcome::eAccepted });
+  };
+  constexpr std::int64_t kCallersTimeoutMs = 1000;
+  mWaitedMs = kCallersTimeoutMs;
+  const HttpAnswer answer = request(*mClient, "POST", kJobPath, kJobBody);
+  BOOST_TEST(answer.status() == 503);
+  BOOST_TEST(mMessages.empty());
+  BOOST_TEST(request(*mClient, "DELETE", kJobPath).status() == 200, "a cancelling still counts");
+  BOOST_TEST(mMessages.size() == 1u);
+  mWaitedMs = kCallersTimeoutMs / 2;
+  BOOST_TEST(request(*mClient, "POST", kJobPath, kJobBody).status() == 200);
+}
+
 BOOST_FIXTURE_TEST_CASE(readiness_probe_reports_server_readiness, CallerServerFixture)
 {
   BOOST_TEST(request(*mProbeClient, "GET", "/-/readyz").status() == 200);
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -11,3 +11,4 @@
 #include "transport/MessageConnection.h"
 #include "transport/MessageServer.h"
 #include "transport/SocketAddress.h"
+#include "transport/StandstillDetector.h"
