--- a/src/gateway/GatewayProcess_test.cpp
+++ b/src/gateway/GatewayProcess_test.cpp
@@ -1,8 +1,10 @@
 #include "gateway/gateway.h"
 
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace magnoliadrum;
@@ -324,6 +326,21 @@
   BOOST_TEST(mAgent.mRequests == 0);
 }
 
+// Guards against a request that is dispatched after its caller has given up, because it waited
+// while the gateway stood still.
+BOOST_FIXTURE_TEST_CASE(request_that_waited_beyond_its_deadline_is_not_run, ProcessFixture)
+{
+  constexpr std::int64_t kDeadlineMs = 400;
+  runFor(300);
+  std::this_thread::sleep_for(std::chrono::milliseconds(kDeadlineMs + 200));
+  const HttpAnswer answer =
+    call("POST", "/call/svc/x", "", { headerOf("X-Deadline-Ms", std::to_string(kDeadlineMs)) });
+  BOOST_TEST(header(answer, "X-Reason") == "deadline-passed");
+  BOOST_TEST(mAgent.mRequests == 0);
+  runFor(2 * StandstillDetector::kBacklogMs);
+  BOOST_TEST(call("POST", "/call/svc/x").status() == 200);
+}
+
 BOOST_FIXTURE_TEST_CASE(operator_request_is_forwarded_to_control, ProcessFixture)
 {
   runFor(300);
