Accepted jobs find their queues in a new catalogue by look-up

A catalogue of 4,200 queues and thousands of open jobs would be compared pair by pair on each replica. Same behaviour, by name and by address; a job whose queue has not changed is left as it is.

--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -104,7 +104,9 @@
   fields.maxAttempts = mQueue.maxAttempts();
   fields.stretch = mQueue.stretch();
   fields.objectiveMs = mQueue.objectiveMs();
-  mQueue = valueOf(JobQueue::create(std::move(fields)));
+  if (fields != mQueue.fields()) {
+    mQueue = valueOf(JobQueue::create(std::move(fields)));
+  }
 }
 
 void
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -1,6 +1,7 @@
 #include "jobs/JobRegistry.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace magnoliadrum {
@@ -51,31 +52,26 @@
   return { catalogue.version(), true };
 }
 
-const JobQueue*
-JobRegistry::findCurrentVersion(const JobQueue& aQueue) const
-{
-  const JobQueue* sameAddress = nullptr;
-  for (const JobQueue& queue : mCatalogue->queues()) {
-    if (queue.name() == aQueue.name()) {
-      return &queue;
-    }
-    if (queue.host() == aQueue.host() && queue.pathPrefix() == aQueue.pathPrefix()) {
-      sameAddress = &queue;
-    }
-  }
-  return sameAddress;
-}
-
 void
 JobRegistry::updateQueuesOfJobs()
 {
   if (!mCatalogue) {
     return;
   }
+  std::map<std::string_view, const JobQueue*> byName;
+  std::map<std::pair<std::string_view, std::string_view>, const JobQueue*> byAddress;
+  for (const JobQueue& queue : mCatalogue->queues()) {
+    byName.emplace(queue.name(), &queue);
+    byAddress.emplace(std::pair(queue.host(), queue.pathPrefix()), &queue);
+  }
   for (const std::string& jobId : mOpenJobs) {
     Job& job = mJobs.at(jobId);
-    if (const JobQueue* queue = findCurrentVersion(job.queue())) {
-      job.followQueue(*queue);
+    const auto sameName = byName.find(job.queue().name());
+    const auto sameAddress = byAddress.find({ job.queue().host(), job.queue().pathPrefix() });
+    if (sameName != byName.end()) {
+      job.followQueue(*sameName->second);
+    } else if (sameAddress != byAddress.end()) {
+      job.followQueue(*sameAddress->second);
     }
   }
 }
--- a/src/jobs/JobRegistry.h
+++ b/src/jobs/JobRegistry.h
@@ -110,12 +110,9 @@
 private:
   static bool isSelected(const JobQueue& aQueue, const QueueSelector& aSelector);
 
-  /** Returns the catalogue's version of the queue of an accepted job: the queue with its name,
-   * otherwise the one with its host and path prefix. Null if the queue was removed. */
-  const JobQueue* findCurrentVersion(const JobQueue& aQueue) const;
-
-  /** Lets the open jobs follow their queues in the catalogue. A job whose queue was removed keeps
-   * its last version. */
+  /** Lets the open jobs follow their queues in the catalogue: the queue with the same name,
+   * otherwise the one with the same host and path prefix. A job whose queue was removed keeps the
+   * last version of it. */
   void updateQueuesOfJobs();
 
   /** Lists a job as open or as finished; removes the oldest finished job beyond
