--- a/src/relay/WorkerRelay.cpp
+++ b/src/relay/WorkerRelay.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/** Whether the worker will never start the run after this answer. */
+/** Whether the worker never starts the run after this answer. */
 bool
 closesRun(OrderKind aKind, OrderResult aResult)
 {
--- a/src/relay/WorkerRelay.h
+++ b/src/relay/WorkerRelay.h
@@ -48,9 +48,7 @@
   /** The run lists are requested again this long (ms) after the last answer when the leader has not
    * acknowledged the report. */
   static constexpr std::int64_t kListRefreshMs = 300;
-  /** Answers to orders are batched for this long (ms) before they are reported. An answer that
-   * closes a run waits in addition until the list requests of before it have ended: a list that was
-   * read before the run was closed must not follow the answer. */
+  /** Answers to orders are batched for this long (ms) before they are reported. */
   static constexpr std::int64_t kAnswerBatchMs = 30;
   /** Answers in one report; the others follow with the next ones. Bounds the size of a report after
    * a long time without a session. */
@@ -174,8 +172,7 @@
                     std::int64_t aRun,
                     OrderResult aResult,
                     std::int64_t aClockMs);
-  /** Adds the closing answers to mAnswers that no list request of before them is in progress for.
-   */
+  /** Moves the closing answers to mAnswers whose earlier list requests have all ended. */
   void releaseClosingAnswers();
   void addAnswer(OrderAnswer aAnswer);
   void requestRunLists(std::int64_t aWaitMs);
@@ -247,13 +244,17 @@
   std::int64_t mCrashCount = 0;
   /** Answers to orders that were not reported yet. */
   std::vector<OrderAnswer> mAnswers;
+  /** An answer after which the worker never starts the run: an accepted stop, or a start rejected
+   * as closed. */
   struct ClosingAnswer
   {
     OrderAnswer answer;
     /** Number of the latest list request that was sent before the answer arrived. */
     std::int64_t lastListRequest = 0;
   };
-  /** Answers that close a run and wait for the end of earlier list requests, oldest first. */
+  /** Closing answers that are not reported before the earlier list requests have ended, oldest
+   * first. A run that is missing from later lists has never begun, so lists that were read before
+   * the run was closed must not be reported after the answer. */
   std::deque<ClosingAnswer> mClosingAnswers;
   /** The next list request is answered at once, so that the leader does not wait for the lists that
    * show which of the closed runs have begun. */
