--- a/src/jobs/CancelledIds.h
+++ b/src/jobs/CancelledIds.h
@@ -21,8 +21,8 @@
 public:
   /** Bounds the memory. Beyond it the oldest id is removed, but none before kKeepMs. */
   static constexpr std::size_t kMaxIds = 20000;
-  /** An id is kept for this long (ms) at least, as long as the platform asks for a job that is over
-   * (its status_s). */
+  /** An id is kept for this long (ms) at least: the time for which callers may ask for a job that
+   * is over. */
   static constexpr std::int64_t kKeepMs = 120000;
 
   static CancelledIds fromRecords(const std::vector<CancelledId>& aRecords);
