Admission: the pool of a promise is read from its job

JobAdmission kept a copy of the pool beside each promise and moved the copies with each catalogue; the job of the promise has the pool. The runs that stay in a pool which their queue has left are now found through the jobs of other pools, no longer among all runs of the workers of the pool at each hand-in. In a deployment with one pool that costs nothing. JobService::applyLists sets hasUnassignedRuns in one place.

No change of behaviour: the tests of control, jobs and fleetmodel pass as they are.

--- a/src/control/JobAdmission.cpp
+++ b/src/control/JobAdmission.cpp
@@ -89,17 +89,6 @@
   addPromise(aJob.jobId(), aJob.queue().poolName(), aJob.steps(), aJob.occurrences());
 }
 
-void
-JobAdmission::onCatalogueChanged()
-{
-  for (auto& [jobId, promise] : mPromises) {
-    // A job that is not committed yet is accepted in the pool that its queue has then.
-    if (const Job* job = mContext.mState.jobs().find(jobId)) {
-      promise.poolName = job->queue().poolName();
-    }
-  }
-}
-
 void
 JobAdmission::onFinished(const std::string& aJobId)
 {
@@ -107,40 +96,52 @@
   if (promise == mPromises.end()) {
     return;
   }
-  mReleased.push_back({ mContext.mNow(), promise->second.poolName, promise->second.cpuMilli });
+  mReleased.push_back(
+    { mContext.mNow(), poolNameOf(aJobId, promise->second), promise->second.cpuMilli });
   mPromises.erase(promise);
 }
 
+const std::string&
+JobAdmission::poolNameOf(const std::string& aJobId, const Promise& aPromise) const
+{
+  const Job* job = mContext.mState.jobs().find(aJobId);
+  return job != nullptr ? job->queue().poolName() : aPromise.proposedPoolName;
+}
+
 PoolPromises
 JobAdmission::promisesOf(const std::string& aPoolName) const
 {
   PoolPromises pool{ .capacityCpuMilli = capacityCpuMilli(aPoolName) };
   for (const auto& [jobId, promise] : mPromises) {
-    if (promise.poolName == aPoolName) {
+    if (poolNameOf(jobId, promise) == aPoolName) {
       pool.promisedCpuMilli += promise.cpuMilli;
       pool.promisedTasks += promise.tasks;
+    } else {
+      addRunsInPool(jobId, aPoolName, pool);
     }
   }
-  addRunsOfOtherPools(aPoolName, pool);
   return pool;
 }
 
 void
-JobAdmission::addRunsOfOtherPools(const std::string& aPoolName, PoolPromises& aPool) const
+JobAdmission::addRunsInPool(const std::string& aJobId,
+                            const std::string& aPoolName,
+                            PoolPromises& aPool) const
 {
-  for (const auto& [key, incarnation] : mFleet.incarnations()) {
-    if (incarnation.description.poolName() != aPoolName) {
-      continue;
-    }
-    for (const std::string& name : mRuns.tasksOn(key)) {
-      const TrackedRun& run = mRuns.run(name);
-      if (!run.job->isFinished() && run.step().longRunning() &&
-          run.job->queue().poolName() != aPoolName) {
-        aPool.promisedCpuMilli += requiredResources(run.step()).cpuMilli;
-        aPool.promisedTasks++;
-      }
-    }
+  const Job* job = mContext.mState.jobs().find(aJobId);
+  if (job == nullptr || !job->hasActiveRuns()) {
+    return;
   }
+  job->forEachTask([&](const TaskId& aTask, const JobTaskRecord::Fields& aRecord) {
+    const JobStep& step = job->steps()[static_cast<std::size_t>(aTask.step)];
+    const WorkerIncarnation* incarnation =
+      aRecord.active ? mFleet.find({ aRecord.worker, aRecord.bornMs }) : nullptr;
+    if (step.longRunning() && incarnation != nullptr &&
+        incarnation->description.poolName() == aPoolName) {
+      aPool.promisedCpuMilli += requiredResources(step).cpuMilli;
+      aPool.promisedTasks++;
+    }
+  });
 }
 
 std::vector<WaitingTasks>
@@ -156,7 +157,7 @@
           continue;
         }
         TaskId task{ jobId, occurrence, number, 0 };
-        WaitingTasks tasks{ promise.poolName, stepName(task), &step, 0 };
+        WaitingTasks tasks{ poolNameOf(jobId, promise), stepName(task), &step, 0 };
         for (task.index = 0; task.index < step.count(); task.index++) {
           const JobTaskRecord::Fields* record = job != nullptr ? job->find(task) : nullptr;
           tasks.count += record == nullptr || !record->active ? 1 : 0;
@@ -279,7 +280,7 @@
 {
   std::set<std::string> pools;
   for (const auto& [jobId, promise] : mPromises) {
-    pools.insert(promise.poolName);
+    pools.insert(poolNameOf(jobId, promise));
   }
   for (const std::string& name : pools) {
     const PoolPromises pool = promisesOf(name);
--- a/src/control/JobAdmission.h
+++ b/src/control/JobAdmission.h
@@ -68,9 +68,6 @@
 
   void onAccepted(const Job& aJob);
 
-  /** Moves what was promised to accepted jobs to the pools that their queues have now. */
-  void onCatalogueChanged();
-
   /** Releases what was promised to a job that is over. */
   void onFinished(const std::string& aJobId);
 
@@ -80,7 +77,8 @@
 private:
   struct Promise
   {
-    std::string poolName;
+    /** Pool of the queue when the job was proposed. Once it is accepted its queue has the pool. */
+    std::string proposedPoolName;
     std::int64_t cpuMilli = 0;
     std::int64_t tasks = 0;
     std::vector<JobStep> steps;
@@ -100,9 +98,14 @@
                   std::int64_t aOccurrences);
   PoolPromises promisesOf(const std::string& aPoolName) const;
 
-  /** Adds the long-running runs on workers of the pool that were started before their queue got
-   * another pool. They stay, and their tasks are promised room in the other pool as well. */
-  void addRunsOfOtherPools(const std::string& aPoolName, PoolPromises& aPool) const;
+  /** Returns the pool that owes the promise of a job. */
+  const std::string& poolNameOf(const std::string& aJobId, const Promise& aPromise) const;
+
+  /** Adds the long-running runs of a job on workers of a pool that its queue has left. They stay
+   * there, and their tasks are promised room in the new pool as well. */
+  void addRunsInPool(const std::string& aJobId,
+                     const std::string& aPoolName,
+                     PoolPromises& aPool) const;
 
   /** Long-running tasks of accepted and proposed jobs that have no run. */
   std::vector<WaitingTasks> waitingTasks() const;
--- a/src/control/JobService.cpp
+++ b/src/control/JobService.cpp
@@ -444,12 +444,15 @@
       mStartedJobs.insert(task->jobId);
     }
   }
+  if (!unassigned.empty()) {
+    aIncarnation.hasUnassignedRuns = true;
+  } else if (isNewer) {
+    mScheduleDue = mScheduleDue || aIncarnation.hasUnassignedRuns;
+    aIncarnation.hasUnassignedRuns = false;
+  }
   if (isNewer) {
-    mScheduleDue = mScheduleDue || (aIncarnation.hasUnassignedRuns && unassigned.empty());
-    aIncarnation.hasUnassignedRuns = !unassigned.empty();
     proposeEnds(mRuns.applyAbsentRuns(aKey, aReport, mContext.mNow()));
   }
-  aIncarnation.hasUnassignedRuns = aIncarnation.hasUnassignedRuns || !unassigned.empty();
   adjustPaces(aIncarnation, aKey);
   if (unassigned.empty()) {
     return;
@@ -719,11 +722,8 @@
   } else if (const QueueCatalogueSet* set = std::get_if<QueueCatalogueSet>(&aOutcome)) {
     logInfo("queue catalogue applied",
             { { "version", set->mVersion }, { "changed", set->mChanged } });
-    if (set->mChanged) {
-      // Queues may have other pools now, and the jobs accepted before follow them.
-      mAdmission.onCatalogueChanged();
-      mScheduleDue = true;
-    }
+    // Queues may have other pools now, and the jobs accepted before follow them.
+    mScheduleDue = mScheduleDue || set->mChanged;
   } else if (const EvacuationSet* evacuation = std::get_if<EvacuationSet>(&aOutcome)) {
     sendOrdersToAll(mEvacuation.onApplied(*evacuation));
     mScheduleDue = true;
