--- a/src/control/RunTracker.cpp
+++ b/src/control/RunTracker.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace magnoliadrum {
@@ -110,7 +111,7 @@
     // A run that is not listed may be among the ends that the list leaves out.
     return neverRan;
   }
-  std::set<std::pair<std::string, std::int64_t>> listed;
+  std::set<std::pair<std::string_view, std::int64_t>> listed;
   for (const ListedRun& running : aReport.running()) {
     listed.emplace(running.task(), running.run());
   }
--- a/src/jobs/JobRegistry.cpp
+++ b/src/jobs/JobRegistry.cpp
@@ -216,27 +216,16 @@
   return best;
 }
 
-const WorkerPool*
-JobRegistry::findPool(const std::string& aName) const
-{
-  if (!mCatalogue) {
-    return nullptr;
-  }
-  for (const WorkerPool& pool : mCatalogue->pools()) {
-    if (pool.name() == aName) {
-      return &pool;
-    }
-  }
-  return nullptr;
-}
-
 bool
 JobRegistry::usesPool(const std::string& aName) const
 {
-  return findPool(aName) != nullptr ||
-         std::any_of(mOpenJobs.begin(), mOpenJobs.end(), [&](const std::string& aJobId) {
-           return mJobs.at(aJobId).queue().poolName() == aName;
-         });
+  const auto isNamed = [&aName](const WorkerPool& aPool) { return aPool.name() == aName; };
+  const auto isNeeded = [this, &aName](const std::string& aJobId) {
+    return mJobs.at(aJobId).queue().poolName() == aName;
+  };
+  return (mCatalogue &&
+          std::any_of(mCatalogue->pools().begin(), mCatalogue->pools().end(), isNamed)) ||
+         std::any_of(mOpenJobs.begin(), mOpenJobs.end(), isNeeded);
 }
 
 const Job*
--- a/src/jobs/JobRegistry.h
+++ b/src/jobs/JobRegistry.h
@@ -91,7 +91,6 @@
   /** As findQueue(). If the catalogue has no such queue, returns the one in which the job was
    * accepted, provided that the selector names it: a queue may be removed while its jobs run. */
   const JobQueue* findQueueOfJob(const QueueSelector& aSelector, const std::string& aJobId) const;
-  const WorkerPool* findPool(const std::string& aName) const;
 
   /** Whether the catalogue names the pool, or the queue of an open job does that was removed. */
   bool usesPool(const std::string& aName) const;
