Tests: one fixture for queues in pools, submissions to a queue and closing answers

Three places built a catalogue of queues with other pools, and four a closing answer. JobServiceFixture::submit() takes the queue. Types are written out where auto stood for no iterator. All assertions stay as they are.

--- a/src/control/JobService_test.cpp
+++ b/src/control/JobService_test.cpp
@@ -82,11 +82,13 @@
     report(aRelay, aWorker, { .listFence = mFence, .clockMs = kWorkerClockMs });
   }
 
-  JobReply submit(const std::string& aRequestId, const JobDescription& aJob)
+  JobReply submit(const std::string& aRequestId,
+                  const JobDescription& aJob,
+                  const std::string& aQueue = "urgent")
   {
     deliver(kCaller,
             buildValue<JobSubmit>({ .requestId = aRequestId,
-                                    .queue = buildValue<QueueSelector>({ .name = "urgent" }),
+                                    .queue = buildValue<QueueSelector>({ .name = aQueue }),
                                     .job = aJob }));
     const std::vector<JobReply> replies = takeMessages<JobReply>(kCaller);
     BOOST_REQUIRE(replies.size() == 1u);
@@ -111,6 +113,20 @@
     return starts;
   }
 
+  /** The answer after which a worker never starts run 1 of the task, to an order to start or to
+   * stop it. */
+  static OrderAnswer closingAnswer(OrderKind aKind,
+                                   const std::string& aTask,
+                                   std::int64_t aClockMs = 0)
+  {
+    return buildValue<OrderAnswer>(
+      { .kind = aKind,
+        .task = aTask,
+        .run = 1,
+        .result = aKind == OrderKind::eStop ? OrderResult::eAccepted : OrderResult::eClosed,
+        .clockMs = aClockMs });
+  }
+
   static ListedRun running(const std::string& aTask, std::int64_t aRun)
   {
     return buildValue<ListedRun>({ .task = aTask, .run = aRun, .checkpoint = "c" });
@@ -258,33 +274,14 @@
                 const std::string& aTallyPool,
                 const std::vector<std::string>& aPools = { "desk", "annex" })
   {
-    QueueCatalogue::Fields fields{ .version = ++mVersion };
-    for (const std::string& pool : aPools) {
-      fields.pools.push_back(buildValue<WorkerPool>({ .name = pool }));
-    }
-    for (const auto& [queue, pool] :
-         { std::pair(jobQueue("urgent"), aUrgentPool), std::pair(jobQueue("tally"), aTallyPool) }) {
-      if (!pool.empty()) {
-        JobQueue::Fields moved = queue.fields();
-        moved.poolName = pool;
-        fields.queues.push_back(buildValue<JobQueue>(std::move(moved)));
-      }
-    }
+    const std::vector<JobQueue> queues =
+      queuesInPools({ { jobQueue("urgent"), aUrgentPool }, { jobQueue("tally"), aTallyPool } });
     deliver(kCaller,
             buildValue<QueueCatalogueSubmit>(
-              { .requestId = "c", .catalogue = buildValue<QueueCatalogue>(std::move(fields)) }));
+              { .requestId = "c", .catalogue = queueCatalogue(++mVersion, queues, aPools) }));
     mSent[kCaller].clear();
   }
 
-  JobReply submitTo(const std::string& aQueue, const JobDescription& aJob)
-  {
-    deliver(
-      kCaller,
-      buildValue<JobSubmit>(
-        { .requestId = "s", .queue = buildValue<QueueSelector>({ .name = aQueue }), .job = aJob }));
-    return takeMessages<JobReply>(kCaller).at(0);
-  }
-
   std::string workerOf(const std::string& aJobId) const
   {
     const JobTaskRecord::Fields& record = *jobs().find(aJobId)->find({ aJobId, 0, 0, 0 });
@@ -304,7 +301,7 @@
 BOOST_FIXTURE_TEST_CASE(job_accepted_before_its_queue_moved_runs_in_the_new_pool, TwoPoolsFixture)
 {
   commitJob(standingJobOf("full", 1, 4000));
-  submitTo("tally", jobOf("j", { stepOf(1, 1000, 10) }));
+  submit("s", jobOf("j", { stepOf(1, 1000, 10) }), "tally");
   BOOST_TEST(workerOf("j") == "");
   setPools("desk", "annex");
   BOOST_TEST(workerOf("j") == "w2");
@@ -316,7 +313,7 @@
 BOOST_FIXTURE_TEST_CASE(job_follows_its_queue_under_a_new_leader, TwoPoolsFixture)
 {
   commitJob(standingJobOf("full", 1, 4000));
-  submitTo("tally", jobOf("j", { stepOf(1, 1000, 10) }));
+  submit("s", jobOf("j", { stepOf(1, 1000, 10) }), "tally");
   for (const char* pool : { "annex", "desk", "annex" }) {
     mLog.setLeader(false, mNow);
     mLog.setLeader(true, mNow);
@@ -332,11 +329,12 @@
 // and the room that its tasks still take in the old pool is not free.
 BOOST_FIXTURE_TEST_CASE(promised_room_follows_the_queue, TwoPoolsFixture)
 {
-  submitTo("tally", standingJobOf("t", 1, 3000));
+  submit("s", standingJobOf("t", 1, 3000), "tally");
   BOOST_TEST(workerOf("t") == "w1");
   setPools("desk", "annex");
-  BOOST_TEST((submitTo("tally", standingJobOf("u", 1, 3000)).outcome() == JobOutcome::eRefused));
-  BOOST_TEST((submitTo("urgent", standingJobOf("v", 1, 3000)).outcome() == JobOutcome::eRefused));
+  BOOST_TEST((submit("s", standingJobOf("u", 1, 3000), "tally").outcome() == JobOutcome::eRefused));
+  BOOST_TEST(
+    (submit("s", standingJobOf("v", 1, 3000), "urgent").outcome() == JobOutcome::eRefused));
   report(kRelay,
          worker("w1"),
          { .listFence = mDeskFence,
@@ -344,7 +342,8 @@
            .ended = { ended(1, "t.0.0.0", 1, RunEnd::eFailed) } });
   waitWithHeartbeats(100);
   BOOST_TEST(workerOf("t") == "w2");
-  BOOST_TEST((submitTo("urgent", standingJobOf("w", 1, 3000)).outcome() == JobOutcome::eAccepted));
+  BOOST_TEST(
+    (submit("s", standingJobOf("w", 1, 3000), "urgent").outcome() == JobOutcome::eAccepted));
 }
 
 // Guards against LOST: the job of a removed queue needs workers of a pool that was removed with it,
@@ -354,7 +353,7 @@
 {
   setPools("desk", "annex");
   commitJob(standingJobOf("full", 1, 4000), "tally");
-  submitTo("tally", jobOf("j", { stepOf(1, 1000, 10) }));
+  submit("s", jobOf("j", { stepOf(1, 1000, 10) }), "tally");
   setPools("desk", "", { "desk" });
   BOOST_TEST(workerOf("j") == "");
   WorkerDescription::Fields successor = annexWorker().fields();
@@ -367,7 +366,7 @@
 BOOST_FIXTURE_TEST_CASE(job_of_a_removed_queue_runs_and_can_be_cancelled, TwoPoolsFixture)
 {
   commitJob(standingJobOf("full", 1, 4000));
-  submitTo("tally", standingJobOf("t", 1, 1000));
+  submit("s", standingJobOf("t", 1, 1000), "tally");
   commitJob(jobOf("j", { stepOf(1, 1000, 10) }), "tally");
   setPools("desk", "annex");
   setPools("desk", "");
@@ -594,11 +593,7 @@
 {
   registerWorker(kRelay, worker("w1"));
   submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
-  const OrderAnswer closed = buildValue<OrderAnswer>({ .kind = OrderKind::eStart,
-                                                       .task = "j.0.0.0",
-                                                       .run = 1,
-                                                       .result = OrderResult::eClosed,
-                                                       .clockMs = kWorkerClockMs + 50 });
+  const OrderAnswer closed = closingAnswer(OrderKind::eStart, "j.0.0.0", kWorkerClockMs + 50);
   report(kRelay, worker("w1"), { .answers = { closed } });
   report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 40 });
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
@@ -610,28 +605,16 @@
 // and lists with the same clock reading, made before, were taken for evidence that it never began.
 BOOST_FIXTURE_TEST_CASE(lists_with_the_clock_of_a_closing_answer_end_no_run, JobServiceFixture)
 {
-  struct ClosingAnswer
-  {
-    OrderKind kind;
-    OrderResult result;
-  };
-  for (const ClosingAnswer& closing :
-       { ClosingAnswer{ OrderKind::eStop, OrderResult::eAccepted },
-         ClosingAnswer{ OrderKind::eStart, OrderResult::eClosed } }) {
-    BOOST_TEST_CONTEXT(toText(closing.kind))
+  for (const OrderKind kind : { OrderKind::eStop, OrderKind::eStart }) {
+    BOOST_TEST_CONTEXT(toText(kind))
     {
-      const std::string job = std::string("j-") + toText(closing.kind);
+      const std::string job = std::string("j-") + toText(kind);
       const std::string task = job + ".0.0.0";
       registerWorker(kRelay, worker("w1", mNow.ms()));
       const WorkerDescription current = worker("w1", mNow.ms());
       submit("s-" + job, jobOf(job, { stepOf(1, 1000, 10) }));
       constexpr std::int64_t kClosedAtMs = kWorkerClockMs + 50;
-      const OrderAnswer answer = buildValue<OrderAnswer>({ .kind = closing.kind,
-                                                           .task = task,
-                                                           .run = 1,
-                                                           .result = closing.result,
-                                                           .clockMs = kClosedAtMs });
-      report(kRelay, current, { .answers = { answer } });
+      report(kRelay, current, { .answers = { closingAnswer(kind, task, kClosedAtMs) } });
       report(kRelay, current, { .listFence = mFence, .clockMs = kClosedAtMs });
       BOOST_TEST(jobs().find(job)->find({ job, 0, 0, 0 })->run == 1);
       report(kRelay,
@@ -651,9 +634,8 @@
 {
   registerWorker(kRelay, worker("w1"));
   submit("s1", jobOf("j", { stepOf(1, 1000, 10) }));
-  const OrderAnswer closed = buildValue<OrderAnswer>(
-    { .kind = OrderKind::eStart, .task = "j.0.0.0", .run = 1, .result = OrderResult::eClosed });
-  const auto orders = report(kRelay, worker("w1"), { .answers = { closed } });
+  const std::vector<WorkerOrders> orders =
+    report(kRelay, worker("w1"), { .answers = { closingAnswer(OrderKind::eStart, "j.0.0.0") } });
   report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 10 });
   BOOST_TEST(jobs().find("j")->find({ "j", 0, 0, 0 })->run == 1);
   BOOST_TEST(orders.back().stops().size() == 1u, "a stop is answered with a clock reading");
@@ -664,17 +646,9 @@
 BOOST_FIXTURE_TEST_CASE(lists_with_the_clock_of_an_accepted_stop_free_no_room, JobServiceFixture)
 {
   registerWorker(kRelay, worker("w1"));
-  deliver(kCaller,
-          buildValue<JobSubmit>({ .requestId = "s1",
-                                  .queue = buildValue<QueueSelector>({ .name = "tally" }),
-                                  .job = jobOf("low", { stepOf(1, 3000, 10) }) }));
-  mSent.clear();
+  submit("s1", jobOf("low", { stepOf(1, 3000, 10) }), "tally");
   submit("s2", jobOf("high", { stepOf(1, 3000, 10) }));
-  const OrderAnswer stopped = buildValue<OrderAnswer>({ .kind = OrderKind::eStop,
-                                                        .task = "low.0.0.0",
-                                                        .run = 1,
-                                                        .result = OrderResult::eAccepted,
-                                                        .clockMs = kWorkerClockMs + 50 });
+  const OrderAnswer stopped = closingAnswer(OrderKind::eStop, "low.0.0.0", kWorkerClockMs + 50);
   report(kRelay, worker("w1"), { .answers = { stopped } });
   report(kRelay, worker("w1"), { .listFence = mFence, .clockMs = kWorkerClockMs + 50 });
   report(kRelay,
--- a/src/fleetmodel/FleetModel.cpp
+++ b/src/fleetmodel/FleetModel.cpp
@@ -377,25 +377,15 @@
 void
 FleetModel::setQueuePools(const std::string& aUrgentPool, const std::string& aTallyPool)
 {
-  QueueCatalogue::Fields catalogue{ .version = ++mCatalogueVersion };
-  for (const char* pool : { kFirstPool, kOtherPool, kThirdPool }) {
-    catalogue.pools.push_back(buildValue<WorkerPool>({ .name = pool }));
-  }
-  const std::pair<JobQueue, std::string> queues[] = {
-    { fixture::jobQueue("urgent", 0, 3), aUrgentPool },
-    { fixture::jobQueue("tally", 2, 3), aTallyPool },
-  };
-  for (const auto& [queue, pool] : queues) {
-    if (!pool.empty()) {
-      JobQueue::Fields fields = queue.fields();
-      fields.poolName = pool;
-      catalogue.queues.push_back(buildValue<JobQueue>(std::move(fields)));
-    }
-  }
+  mCatalogueVersion++;
   toLeader(kCaller,
            buildValue<QueueCatalogueSubmit>(
              { .requestId = "c" + std::to_string(mCatalogueVersion),
-               .catalogue = buildValue<QueueCatalogue>(std::move(catalogue)) }));
+               .catalogue = fixture::queueCatalogue(
+                 mCatalogueVersion,
+                 fixture::queuesInPools({ { fixture::jobQueue("urgent", 0, 3), aUrgentPool },
+                                          { fixture::jobQueue("tally", 2, 3), aTallyPool } }),
+                 { kFirstPool, kOtherPool, kThirdPool }) }));
 }
 
 void
--- a/src/jobs/JobRegistry_test.cpp
+++ b/src/jobs/JobRegistry_test.cpp
@@ -43,10 +43,8 @@
 SetQueueCatalogue
 setQueues(std::int64_t aVersion, std::vector<JobQueue> aQueues)
 {
-  QueueCatalogue::Fields fields = queueCatalogue(aVersion, std::move(aQueues)).fields();
-  fields.pools.push_back(valueOf(WorkerPool::create({ .name = "annex" })));
-  return valueOf(
-    SetQueueCatalogue::create({ .catalogue = valueOf(QueueCatalogue::create(std::move(fields))) }));
+  return valueOf(SetQueueCatalogue::create(
+    { .catalogue = queueCatalogue(aVersion, std::move(aQueues), { "desk", "annex" }) }));
 }
 
 /** A version of a queue in which everything but its name differs. */
@@ -348,7 +346,7 @@
 // Guards against UNASKED: a submission that comes after the acknowledged cancelling of its id.
 BOOST_FIXTURE_TEST_CASE(job_submitted_after_its_cancelling_is_cancelled, RegistryWithJob)
 {
-  const auto unknown =
+  const std::variant<JobChanged, JobIdCancelled, Error> unknown =
     mRegistry.apply(valueOf(CancelJob::create({ .jobId = "x", .cancelledAtMs = 5 })));
   BOOST_TEST(std::holds_alternative<JobIdCancelled>(unknown));
   BOOST_TEST((mRegistry.find("x") == nullptr), "nobody has submitted it");
@@ -356,7 +354,8 @@
   mRegistry.writeTo(fields);
   JobRegistry restored = JobRegistry::fromSnapshot(valueOf(StateSnapshot::create(fields)));
   for (JobRegistry* registry : { &mRegistry, &restored }) {
-    const auto submitted = registry->apply(submitOf("tally", jobOf("x", { stepOf(1, 100, 10) })));
+    const std::variant<JobChanged, Error> submitted =
+      registry->apply(submitOf("tally", jobOf("x", { stepOf(1, 100, 10) })));
     BOOST_TEST((std::get<JobChanged>(submitted) == JobChanged{ "x", JobState::eCancelled, false }));
     BOOST_TEST(appliedCount(registry->apply(startOf("x.0.0.0", 1))) == 0u);
     BOOST_TEST(!registry->openJobs().contains("x"));
--- a/src/jobs/JobsFixture.h
+++ b/src/jobs/JobsFixture.h
@@ -23,14 +23,39 @@
                                     .objectiveMs = 1000 }));
 }
 
+inline JobQueue
+inPool(const JobQueue& aQueue, const std::string& aPool)
+{
+  JobQueue::Fields fields = aQueue.fields();
+  fields.poolName = aPool;
+  return valueOf(JobQueue::create(std::move(fields)));
+}
+
+/** The queues in the pools beside them; one with an empty pool is left out. */
+inline std::vector<JobQueue>
+queuesInPools(const std::vector<std::pair<JobQueue, std::string>>& aQueues)
+{
+  std::vector<JobQueue> queues;
+  for (const auto& [queue, pool] : aQueues) {
+    if (!pool.empty()) {
+      queues.push_back(inPool(queue, pool));
+    }
+  }
+  return queues;
+}
+
 inline QueueCatalogue
-queueCatalogue(std::int64_t aVersion, std::vector<JobQueue> aQueues)
+queueCatalogue(std::int64_t aVersion,
+               std::vector<JobQueue> aQueues,
+               const std::vector<std::string>& aPools = { "desk" })
 {
-  return valueOf(
-    QueueCatalogue::create({ .version = aVersion,
-                             .queues = std::move(aQueues),
-                             .pools = { valueOf(WorkerPool::create({ .name = "desk" })) },
-                             .source = "document " + std::to_string(aVersion) }));
+  QueueCatalogue::Fields fields{ .version = aVersion,
+                                 .queues = std::move(aQueues),
+                                 .source = "document " + std::to_string(aVersion) };
+  for (const std::string& pool : aPools) {
+    fields.pools.push_back(valueOf(WorkerPool::create({ .name = pool })));
+  }
+  return valueOf(QueueCatalogue::create(std::move(fields)));
 }
 
 inline JobStep::Fields
--- a/src/jobs/ShortWorkDemand_test.cpp
+++ b/src/jobs/ShortWorkDemand_test.cpp
@@ -53,9 +53,7 @@
   for (std::int64_t second = 0; second < 20; second++) {
     demand.add(jobQueue("urgent"), shortJob(), kStartMs + second * 1000);
   }
-  JobQueue::Fields moved = jobQueue("urgent", 3).fields();
-  moved.poolName = "annex";
-  demand.followQueues({ valueOf(JobQueue::create(std::move(moved))) });
+  demand.followQueues({ inPool(jobQueue("urgent", 3), "annex") });
   BOOST_TEST(demand.rate("desk", 3, kStartMs + 20000, asDeclared).meanCpuMilli == 0);
   BOOST_TEST(demand.rate("annex", 2, kStartMs + 20000, asDeclared).meanCpuMilli == 0);
   BOOST_TEST(demand.rate("annex", 3, kStartMs + 20000, asDeclared).meanCpuMilli == 1000,
